--- /dev/null
+++ b/policies/hobart.lua
@@ -0,0 +1,19 @@
+-- Hobart: season-long histories stay warm; a call goes where its history is.
+
+-- Lower goes first.
+function order(call)
+  return call.attained_tokens - 400 * call.turns
+end
+
+-- Cost in prompt tokens; a cached history is given up only when its engine is full.
+function place(call, engine)
+  local busy = engine.outstanding / engine.slots
+  local fill = 2000 * engine.cache_fill
+  if engine.cached_tokens > 0 then fill = 0 end
+  return 2 * engine.uncached_tokens + engine.pending_prefill_tokens + 400 * busy + fill
+end
+
+-- What it would cost to rebuild.
+function retain(program)
+  return program.history_tokens
+end
--- /dev/null
+++ b/sim/fault_plan.hpp
@@ -0,0 +1,65 @@
+#pragma once
+/// @file
+/// Seeded plans of faults for simulated runs.
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "sim/world.hpp"
+
+namespace tallyfold::sim {
+
+enum class plan_kind : std::uint8_t {
+    crashes,
+    silence,
+    disks,
+    back_ends,
+    planned_stops,
+    operators,
+    everything,
+};
+constexpr std::uint64_t plan_kinds = 7;
+
+std::string_view to_string(plan_kind kind);
+
+/// The plan that a seed draws.
+plan_kind plan_of(std::uint64_t seed);
+
+/// World settings for a seed: sizes, workload and classes of a run that faults are put into.
+world_settings fault_world(std::uint64_t seed, const std::map<std::string, std::string>& policies);
+
+/// Puts the seed's faults into the world's future. The plan must outlive the run.
+class fault_plan {
+  public:
+    fault_plan(world& target, std::uint64_t seed);
+    void start();
+
+  private:
+    void schedule_next();
+    void inject();
+    void inject_crash();
+    void inject_silence();
+    void inject_disk_loss();
+    void inject_back_end_fault();
+    void inject_planned_stop();
+    void inject_operator_action();
+    void await_repair(const std::string& repaired);
+    void restart_later(const std::string& node, std::int64_t low_ms, std::int64_t high_ms);
+    [[nodiscard]] std::string pick(const std::string& prefix);
+    [[nodiscard]] bool may_harm_control() const;
+    /// Numbers of control nodes that are down or cut off.
+    [[nodiscard]] std::size_t controls_in_trouble() const;
+
+    world& world_;
+    std::uint64_t seed_;
+    plan_kind kind_;
+    random_source random_;
+    instant end_{};
+    std::set<std::string> troubled_;
+    bool repairing_ = false;
+    std::uint64_t next_command_ = 1;
+};
+
+}  // namespace tallyfold::sim
--- /dev/null
+++ b/sim/run.hpp
@@ -0,0 +1,28 @@
+#pragma once
+/// @file
+/// One simulated run from a seed, and what came of it.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sim/checkers.hpp"
+#include "sim/fault_plan.hpp"
+
+namespace tallyfold::sim {
+
+struct run_result {
+    std::uint64_t seed = 0;
+    std::string plan;
+    bool booted = false;
+    bool finished = false;
+    std::map<std::string, std::uint64_t> faults;
+    /// Violations by property.
+    std::map<std::string, std::vector<std::string>> violations;
+    std::vector<duration> leader_gaps;
+};
+
+/// Runs the seed's plan and checks every property.
+run_result run_with_faults(std::uint64_t seed, const std::map<std::string, std::string>& policies);
+
+}  // namespace tallyfold::sim
--- /dev/null
+++ b/src/tallyfold/common/bounded_ring.hpp
@@ -0,0 +1,63 @@
+#pragma once
+/// @file
+/// The joint between two threads: a bounded queue with one producer and one consumer.
+
+#include <readerwriterqueue/readerwriterqueue.h>
+
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <utility>
+
+namespace tallyfold {
+
+/// Wakes a thread that waits for any of several rings.
+class wake_signal {
+  public:
+    void notify() { semaphore_.signal(); }
+    /// Waits until a notification or the timeout.
+    void wait_for(std::chrono::microseconds timeout) {
+        if (semaphore_.wait(timeout.count())) {
+            while (semaphore_.tryWait()) {
+            }
+        }
+    }
+
+  private:
+    moodycamel::spsc_sema::LightweightSemaphore semaphore_;
+};
+
+template <class Element>
+class bounded_ring {
+  public:
+    /// @param notify called after each push, on the producer's thread
+    bounded_ring(std::size_t capacity, std::function<void()> notify)
+        : queue_(capacity), notify_(std::move(notify)) {}
+
+    /// @return false when the ring is full; the element is untouched then
+    [[nodiscard]] bool try_push(Element& element) {
+        if (!queue_.try_enqueue(std::move(element))) {
+            return false;
+        }
+        notify_();
+        return true;
+    }
+
+    /// Waits while the ring is full. For a consumer that never waits on this producer.
+    void push(Element element) {
+        while (!queue_.try_enqueue(std::move(element))) {
+            std::this_thread::sleep_for(full_pause);
+        }
+        notify_();
+    }
+
+    [[nodiscard]] bool try_pop(Element& element) { return queue_.try_dequeue(element); }
+
+  private:
+    static constexpr std::chrono::microseconds full_pause{200};
+
+    moodycamel::ReaderWriterQueue<Element> queue_;
+    std::function<void()> notify_;
+};
+
+}  // namespace tallyfold
--- /dev/null
+++ b/src/tallyfold/common/event_catalogue.cpp
@@ -0,0 +1,55 @@
+#include "tallyfold/logging/event_catalogue.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::logging {
+
+const std::vector<event_entry>& event_catalogue() {
+    static const std::vector<event_entry> entries = {
+        {event_id::process_started, event_level::info, "process_started"},
+        {event_id::process_stopping, event_level::info, "process_stopping"},
+        {event_id::process_stopped, event_level::info, "process_stopped"},
+        {event_id::settings_refused, event_level::error, "settings_refused"},
+        {event_id::peer_connected, event_level::info, "peer_connected"},
+        {event_id::peer_lost, event_level::warning, "peer_lost"},
+        {event_id::peer_refused, event_level::warning, "peer_refused"},
+        {event_id::frame_refused, event_level::warning, "frame_refused"},
+        {event_id::keys_reloaded, event_level::info, "keys_reloaded"},
+        {event_id::storage_opened, event_level::info, "storage_opened"},
+        {event_id::storage_failed, event_level::error, "storage_failed"},
+        {event_id::storage_tail_cut, event_level::warning, "storage_tail_cut"},
+        {event_id::leadership_gained, event_level::info, "leadership_gained"},
+        {event_id::leadership_lost, event_level::info, "leadership_lost"},
+        {event_id::membership_joined, event_level::info, "membership_joined"},
+        {event_id::shard_assigned, event_level::info, "shard_assigned"},
+        {event_id::shard_released, event_level::info, "shard_released"},
+        {event_id::shard_loaded, event_level::info, "shard_loaded"},
+        {event_id::shard_lost, event_level::warning, "shard_lost"},
+        {event_id::configuration_changed, event_level::info, "configuration_changed"},
+        {event_id::configuration_applied, event_level::info, "configuration_applied"},
+        {event_id::configuration_lease_expired, event_level::warning,
+         "configuration_lease_expired"},
+        {event_id::policy_failed, event_level::error, "policy_failed"},
+        {event_id::admin_request, event_level::info, "admin_request"},
+        {event_id::admin_denied, event_level::warning, "admin_denied"},
+        {event_id::call_refused, event_level::info, "call_refused"},
+        {event_id::call_retried, event_level::warning, "call_retried"},
+        {event_id::call_resumed, event_level::info, "call_resumed"},
+        {event_id::outcome_open, event_level::warning, "outcome_open"},
+        {event_id::outcome_resolved, event_level::info, "outcome_resolved"},
+        {event_id::program_reaped, event_level::info, "program_reaped"},
+        {event_id::backend_ejected, event_level::warning, "backend_ejected"},
+        {event_id::backend_leaving, event_level::info, "backend_leaving"},
+        {event_id::cache_events_lost, event_level::info, "cache_events_lost"},
+        {event_id::cache_release_repeated, event_level::info, "cache_release_repeated"},
+    };
+    return entries;
+}
+
+const event_entry& find_event(event_id id) {
+    const auto& entries = event_catalogue();
+    return *std::find_if(entries.begin(), entries.end(),
+                         [id](const event_entry& entry) { return entry.id == id; });
+}
+
+}  // namespace tallyfold::logging
--- /dev/null
+++ b/src/tallyfold/consensus/messages.hpp
@@ -0,0 +1,170 @@
+#pragma once
+/// @file
+/// Types of the replicated log: entries, membership, and the messages between replicas.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tallyfold/common/types.hpp"
+
+namespace tallyfold::consensus {
+
+/// Identity of a replica. It is drawn at random when its data folder is made and lives in that
+/// folder, so a replica that lost its disk is another replica.
+using replica_id = std::uint64_t;
+using term_number = std::uint64_t;
+using log_index = std::uint64_t;
+
+constexpr replica_id no_replica = 0;
+
+enum class entry_kind : std::uint8_t { command, membership, no_operation };
+
+struct log_entry {
+    term_number term = 0;
+    log_index index = 0;
+    entry_kind kind = entry_kind::no_operation;
+    std::string payload;
+
+    bool operator==(const log_entry&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(term, index, kind, payload);
+    }
+};
+
+struct member {
+    node_name node;
+    /// A learner receives the log and has no vote.
+    bool learner = false;
+
+    bool operator==(const member&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(node, learner);
+    }
+};
+
+/// Who takes part in one group.
+struct membership {
+    std::map<replica_id, member> members;
+
+    [[nodiscard]] bool is_voter(replica_id id) const {
+        const auto found = members.find(id);
+        return found != members.end() && !found->second.learner;
+    }
+    [[nodiscard]] std::size_t voter_count() const {
+        std::size_t count = 0;
+        for (const auto& [id, member] : members) {
+            count += member.learner ? 0 : 1;
+        }
+        return count;
+    }
+    [[nodiscard]] std::size_t quorum() const { return voter_count() / 2 + 1; }
+
+    bool operator==(const membership&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(members);
+    }
+};
+
+/// What must be on disk before a replica speaks of it.
+struct hard_state {
+    term_number term = 0;
+    replica_id vote = no_replica;
+
+    bool operator==(const hard_state&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(term, vote);
+    }
+};
+
+/// State of the group's state machine after `index`, in place of the log up to there.
+struct snapshot {
+    log_index index = 0;
+    term_number term = 0;
+    membership members;
+    std::string state;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(index, term, members, state);
+    }
+};
+
+struct vote_request {
+    /// A pre-vote asks whether a vote would be granted and changes no state.
+    bool pre_vote = false;
+    log_index last_index = 0;
+    term_number last_term = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(pre_vote, last_index, last_term);
+    }
+};
+
+struct vote_reply {
+    bool pre_vote = false;
+    bool granted = false;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(pre_vote, granted);
+    }
+};
+
+struct append_request {
+    log_index previous_index = 0;
+    term_number previous_term = 0;
+    log_index commit_index = 0;
+    /// Number of the leader's confirmation round; replies carry it back (read index).
+    std::uint64_t round = 0;
+    std::vector<log_entry> entries;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(previous_index, previous_term, commit_index, round, entries);
+    }
+};
+
+struct append_reply {
+    bool accepted = false;
+    /// Last index known to match when accepted; otherwise where the leader should try next.
+    log_index match_index = 0;
+    std::uint64_t round = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(accepted, match_index, round);
+    }
+};
+
+struct snapshot_request {
+    std::uint64_t round = 0;
+    snapshot contents;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(round, contents);
+    }
+};
+
+using message_body =
+    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request>;
+
+/// One message between two replicas of one group.
+struct replica_message {
+    group_id group = 0;
+    replica_id from = no_replica;
+    replica_id to = no_replica;
+    /// Node that hosts `to`; the transport's address.
+    node_name to_node;
+    term_number term = 0;
+    message_body body;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(group, from, to, to_node, term, body);
+    }
+};
+
+}  // namespace tallyfold::consensus
--- /dev/null
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -0,0 +1,585 @@
+#include "tallyfold/consensus/replica_fsm.hpp"
+
+#include <algorithm>
+
+#include "tallyfold/protocol/binary_codec.hpp"
+
+namespace tallyfold::consensus {
+
+namespace {
+
+membership decode_membership(const std::string& payload) {
+    // A membership entry is written by a leader of this program and guarded by checksums, so a
+    // payload that does not decode can only be an empty one.
+    return protocol::decode<membership>(payload).value_or(membership{});
+}
+
+std::size_t changed_voters(const membership& before, const membership& after) {
+    std::size_t changed = 0;
+    for (const auto& [id, member] : before.members) {
+        changed += before.is_voter(id) != after.is_voter(id) ? 1 : 0;
+    }
+    for (const auto& [id, member] : after.members) {
+        const bool is_new = !before.members.contains(id);
+        changed += is_new && after.is_voter(id) ? 1 : 0;
+    }
+    return changed;
+}
+
+}  // namespace
+
+replica_fsm::replica_fsm(replica_settings settings, recovered_state recovered, instant now)
+    : settings_(settings),
+      random_(settings.seed ^ settings.self),
+      state_(recovered.state),
+      log_(recovered.base.index, recovered.base.term, recovered.entries),
+      latest_snapshot_(std::move(recovered.base)) {
+    memberships_.push_back({latest_snapshot_.index, latest_snapshot_.members});
+    for (const log_entry& entry : recovered.entries) {
+        if (entry.kind == entry_kind::membership) {
+            memberships_.push_back({entry.index, decode_membership(entry.payload)});
+        }
+    }
+    commit_index_ = log_.snapshot_index();
+    persisted_index_ = log_.last_index();
+    reset_election_deadline(now);
+}
+
+void replica_fsm::reset_election_deadline(instant now) {
+    const std::int64_t base = settings_.election_timeout.count();
+    election_deadline_ = now + duration(random_.between(base, 2 * base));
+}
+
+void replica_fsm::tick(instant now) {
+    if (role_ == replica_role::leader) {
+        step_down_if_cut_off(now);
+    }
+    if (role_ == replica_role::leader) {
+        if (now >= heartbeat_due_) {
+            begin_round(now);
+        }
+        return;
+    }
+    if (now >= election_deadline_ && is_voter()) {
+        start_pre_vote(now);
+    }
+}
+
+void replica_fsm::step_down_if_cut_off(instant now) {
+    // A leader that has not heard from a quorum for a whole election timeout may have been
+    // replaced: it stops leading, so that nobody waits on it.
+    std::size_t reachable = 0;
+    for (const auto& [id, member] : members().members) {
+        if (member.learner) {
+            continue;
+        }
+        const bool self = id == settings_.self;
+        const auto found = progress_.find(id);
+        const bool heard = found != progress_.end() &&
+                           now - found->second.last_heard < 2 * settings_.election_timeout;
+        reachable += self || heard ? 1 : 0;
+    }
+    if (reachable < members().quorum()) {
+        become_follower(state_.term, no_replica);
+        reset_election_deadline(now);
+    }
+}
+
+void replica_fsm::become_follower(term_number term, replica_id leader) {
+    if (term > state_.term) {
+        state_ = {term, no_replica};
+        ready_.new_state = state_;
+    }
+    role_ = replica_role::follower;
+    leader_ = leader;
+    votes_.clear();
+    progress_.clear();
+    pending_reads_.clear();
+}
+
+void replica_fsm::start_pre_vote(instant now) {
+    role_ = replica_role::pre_candidate;
+    leader_ = no_replica;
+    votes_ = {settings_.self};
+    reset_election_deadline(now);
+    if (votes_.size() >= members().quorum()) {
+        start_election(now);
+        return;
+    }
+    for (const auto& [id, member] : members().members) {
+        if (id != settings_.self && !member.learner) {
+            send(id, vote_request{true, log_.last_index(), log_.last_term()}, false);
+        }
+    }
+}
+
+void replica_fsm::start_election(instant now) {
+    role_ = replica_role::candidate;
+    state_ = {state_.term + 1, settings_.self};
+    ready_.new_state = state_;
+    votes_ = {settings_.self};
+    reset_election_deadline(now);
+    if (votes_.size() >= members().quorum()) {
+        become_leader(now);
+        return;
+    }
+    for (const auto& [id, member] : members().members) {
+        if (id != settings_.self && !member.learner) {
+            send(id, vote_request{false, log_.last_index(), log_.last_term()}, true);
+        }
+    }
+}
+
+void replica_fsm::become_leader(instant now) {
+    role_ = replica_role::leader;
+    leader_ = settings_.self;
+    progress_.clear();
+    pending_reads_.clear();
+    for (const auto& [id, member] : members().members) {
+        progress_[id] = {log_.last_index() + 1, 0, 0, now};
+    }
+    // An entry of its own term lets the leader commit what earlier terms left behind.
+    append_own(entry_kind::no_operation, {});
+    begin_round(now);
+}
+
+void replica_fsm::begin_round(instant now) {
+    ++round_;
+    heartbeat_due_ = now + settings_.heartbeat_interval;
+    broadcast_append(true);
+    confirm_reads(now);
+}
+
+void replica_fsm::send(replica_id to, message_body body, bool after_sync) {
+    const auto found = members().members.find(to);
+    replica_message message;
+    message.group = settings_.group;
+    message.from = settings_.self;
+    message.to = to;
+    message.to_node = found == members().members.end() ? node_name{} : found->second.node;
+    message.term = state_.term;
+    if (const auto* request = std::get_if<vote_request>(&body); request && request->pre_vote) {
+        message.term = state_.term + 1;
+    }
+    message.body = std::move(body);
+    auto& queue = after_sync ? ready_.messages_after_sync : ready_.messages_before_sync;
+    queue.push_back(std::move(message));
+}
+
+bool replica_fsm::is_newer_term(const replica_message& message, instant now) {
+    if (message.term <= state_.term) {
+        return false;
+    }
+    if (const auto* request = std::get_if<vote_request>(&message.body)) {
+        // Neither a pre-vote nor a vote asked for while a leader is alive moves the term.
+        return !request->pre_vote && !heard_from_leader_recently(now);
+    }
+    if (const auto* reply = std::get_if<vote_reply>(&message.body)) {
+        return !(reply->pre_vote && reply->granted);
+    }
+    return true;
+}
+
+void replica_fsm::step(const replica_message& message, instant now) {
+    if (message.to != settings_.self || message.group != settings_.group) {
+        return;
+    }
+    if (is_newer_term(message, now)) {
+        become_follower(message.term, no_replica);
+    }
+    std::visit(
+        [&](const auto& body) {
+            using body_type = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<body_type, vote_request>) {
+                on_vote_request(message, body, now);
+            } else if constexpr (std::is_same_v<body_type, vote_reply>) {
+                on_vote_reply(message, body, now);
+            } else if constexpr (std::is_same_v<body_type, append_request>) {
+                on_append_request(message, body, now);
+            } else if constexpr (std::is_same_v<body_type, append_reply>) {
+                on_append_reply(message, body, now);
+            } else {
+                on_snapshot_request(message, body, now);
+            }
+        },
+        message.body);
+}
+
+bool replica_fsm::log_is_current(log_index last_index, term_number last_term) const {
+    if (last_term != log_.last_term()) {
+        return last_term > log_.last_term();
+    }
+    return last_index >= log_.last_index();
+}
+
+bool replica_fsm::heard_from_leader_recently(instant now) const {
+    if (role_ == replica_role::leader) {
+        return true;
+    }
+    return heard_leader_ever_ && leader_ != no_replica &&
+           now - leader_heard_ < settings_.election_timeout;
+}
+
+void replica_fsm::on_vote_request(const replica_message& message, const vote_request& body,
+                                  instant now) {
+    const bool current = log_is_current(body.last_index, body.last_term);
+    // A replica that has removed this candidate does not vote for it, and one that is no voter
+    // itself does not vote at all: its vote would be counted against another membership.
+    const bool entitled = is_voter() && members().is_voter(message.from);
+    if (body.pre_vote) {
+        const bool granted =
+            entitled && current && message.term > state_.term && !heard_from_leader_recently(now);
+        send(message.from, vote_reply{true, granted}, false);
+        if (granted) {
+            ready_.messages_before_sync.back().term = message.term;
+        }
+        return;
+    }
+    const bool may_vote =
+        message.term == state_.term && (state_.vote == no_replica || state_.vote == message.from);
+    const bool granted = entitled && current && may_vote && role_ != replica_role::leader;
+    if (granted) {
+        state_.vote = message.from;
+        ready_.new_state = state_;
+        reset_election_deadline(now);
+    }
+    send(message.from, vote_reply{false, granted}, true);
+}
+
+void replica_fsm::on_vote_reply(const replica_message& message, const vote_reply& body,
+                                instant now) {
+    const bool answers_pre_vote =
+        body.pre_vote && role_ == replica_role::pre_candidate && message.term == state_.term + 1;
+    const bool answers_vote =
+        !body.pre_vote && role_ == replica_role::candidate && message.term == state_.term;
+    if (!body.granted || !(answers_pre_vote || answers_vote)) {
+        return;
+    }
+    if (!members().is_voter(message.from)) {
+        return;
+    }
+    votes_.insert(message.from);
+    if (votes_.size() < members().quorum()) {
+        return;
+    }
+    if (answers_pre_vote) {
+        start_election(now);
+    } else {
+        become_leader(now);
+    }
+}
+
+void replica_fsm::on_append_request(const replica_message& message, const append_request& body,
+                                    instant now) {
+    if (message.term < state_.term) {
+        send(message.from, append_reply{false, log_.last_index(), body.round}, true);
+        return;
+    }
+    become_follower(message.term, message.from);
+    leader_heard_ = now;
+    heard_leader_ever_ = true;
+    reset_election_deadline(now);
+
+    log_index previous = body.previous_index;
+    auto entry = body.entries.begin();
+    // Entries at or before our snapshot are committed, hence equal: skip them.
+    while (previous < log_.snapshot_index() && entry != body.entries.end()) {
+        ++previous;
+        ++entry;
+    }
+    if (previous < log_.snapshot_index()) {
+        send(message.from, append_reply{true, log_.snapshot_index(), body.round}, true);
+        return;
+    }
+    const std::optional<term_number> previous_term = log_.term_at(previous);
+    const bool matches = previous_term.has_value() &&
+                         (previous != body.previous_index || *previous_term == body.previous_term);
+    if (!matches) {
+        const log_index hint = std::min(log_.last_index(), previous == 0 ? 0 : previous - 1);
+        send(message.from, append_reply{false, std::max(hint, commit_index_), body.round}, true);
+        return;
+    }
+    log_index last_new = previous;
+    for (; entry != body.entries.end(); ++entry) {
+        last_new = entry->index;
+        const std::optional<term_number> own_term = log_.term_at(entry->index);
+        if (own_term == entry->term) {
+            continue;
+        }
+        if (own_term.has_value()) {
+            truncate_from(entry->index);
+        }
+        store_entry(*entry);
+    }
+    commit_to(std::min(body.commit_index, last_new));
+    send(message.from, append_reply{true, last_new, body.round}, true);
+}
+
+void replica_fsm::on_snapshot_request(const replica_message& message, const snapshot_request& body,
+                                      instant now) {
+    if (message.term < state_.term) {
+        send(message.from, append_reply{false, log_.last_index(), body.round}, true);
+        return;
+    }
+    become_follower(message.term, message.from);
+    leader_heard_ = now;
+    heard_leader_ever_ = true;
+    reset_election_deadline(now);
+    if (body.contents.index <= commit_index_) {
+        send(message.from, append_reply{true, commit_index_, body.round}, true);
+        return;
+    }
+    log_.reset(body.contents.index, body.contents.term);
+    memberships_ = {{body.contents.index, body.contents.members}};
+    commit_index_ = body.contents.index;
+    persisted_index_ = body.contents.index;
+    unsaved_from_.reset();
+    latest_snapshot_ = body.contents;
+    ready_.received_snapshot = body.contents;
+    ready_.committed.clear();
+    send(message.from, append_reply{true, body.contents.index, body.round}, true);
+}
+
+void replica_fsm::on_append_reply(const replica_message& message, const append_reply& body,
+                                  instant now) {
+    const auto found = progress_.find(message.from);
+    if (role_ != replica_role::leader || message.term != state_.term || found == progress_.end()) {
+        return;
+    }
+    progress& peer = found->second;
+    peer.last_heard = now;
+    peer.acknowledged_round = std::max(peer.acknowledged_round, body.round);
+    if (body.accepted) {
+        peer.match_index = std::max(peer.match_index, body.match_index);
+        peer.next_index = std::max(peer.next_index, peer.match_index + 1);
+        advance_commit();
+        if (peer.next_index <= log_.last_index()) {
+            send_append(message.from, false);
+        }
+    } else {
+        peer.next_index = std::max(peer.match_index, body.match_index) + 1;
+        send_append(message.from, true);
+    }
+    confirm_reads(now);
+}
+
+void replica_fsm::send_append(replica_id to, bool allow_empty) {
+    progress& peer = progress_[to];
+    peer.next_index = std::min(peer.next_index, log_.last_index() + 1);
+    const std::optional<term_number> previous_term = log_.term_at(peer.next_index - 1);
+    if (!previous_term.has_value()) {
+        peer.next_index = latest_snapshot_.index + 1;
+        send(to, snapshot_request{round_, latest_snapshot_}, false);
+        return;
+    }
+    append_request request;
+    request.previous_index = peer.next_index - 1;
+    request.previous_term = *previous_term;
+    request.commit_index = commit_index_;
+    request.round = round_;
+    request.entries = log_.slice(peer.next_index, settings_.max_entries_per_message);
+    if (request.entries.empty() && !allow_empty) {
+        return;
+    }
+    // Optimistic: a lost message shows as a rejection of the next one.
+    peer.next_index += request.entries.size();
+    send(to, std::move(request), false);
+}
+
+void replica_fsm::broadcast_append(bool allow_empty) {
+    for (const auto& [id, member] : members().members) {
+        if (id != settings_.self) {
+            send_append(id, allow_empty);
+        }
+    }
+}
+
+tl::expected<log_index, replica_error> replica_fsm::propose(std::string payload) {
+    if (role_ != replica_role::leader) {
+        return tl::unexpected(replica_error::not_leader);
+    }
+    append_own(entry_kind::command, std::move(payload));
+    broadcast_append(false);
+    return log_.last_index();
+}
+
+tl::expected<log_index, replica_error> replica_fsm::propose_membership(const membership& next) {
+    if (role_ != replica_role::leader) {
+        return tl::unexpected(replica_error::not_leader);
+    }
+    // One change at a time, and only after an entry of this term is committed: otherwise two
+    // leaders could each count a quorum that does not overlap the other's.
+    if (memberships_.back().index > commit_index_ || !has_committed_in_term()) {
+        return tl::unexpected(replica_error::change_in_progress);
+    }
+    if (changed_voters(members(), next) > 1 || next.voter_count() == 0) {
+        return tl::unexpected(replica_error::invalid_change);
+    }
+    append_own(entry_kind::membership, protocol::encode(next));
+    for (const auto& [id, member] : members().members) {
+        progress_.try_emplace(id, progress{log_.last_index(), 0, 0, leader_heard_});
+    }
+    broadcast_append(false);
+    return log_.last_index();
+}
+
+tl::expected<void, replica_error> replica_fsm::request_read(std::uint64_t token, instant now) {
+    if (role_ != replica_role::leader) {
+        return tl::unexpected(replica_error::not_leader);
+    }
+    pending_reads_.push_back({token, round_ + 1});
+    // Reads that arrive while a round is out wait for the next one together.
+    if (confirmed_round() >= round_) {
+        begin_round(now);
+    }
+    return {};
+}
+
+std::uint64_t replica_fsm::confirmed_round() const {
+    std::vector<std::uint64_t> rounds;
+    for (const auto& [id, member] : members().members) {
+        if (member.learner) {
+            continue;
+        }
+        const auto found = progress_.find(id);
+        const bool self = id == settings_.self;
+        rounds.push_back(self ? round_
+                              : (found == progress_.end() ? 0 : found->second.acknowledged_round));
+    }
+    if (rounds.size() < members().quorum()) {
+        return 0;
+    }
+    std::sort(rounds.rbegin(), rounds.rend());
+    return rounds[members().quorum() - 1];
+}
+
+void replica_fsm::confirm_reads(instant now) {
+    if (!has_committed_in_term()) {
+        return;
+    }
+    const std::uint64_t confirmed = confirmed_round();
+    while (!pending_reads_.empty() && pending_reads_.front().round <= confirmed) {
+        ready_.confirmed_reads.push_back(pending_reads_.front().token);
+        pending_reads_.pop_front();
+    }
+    if (!pending_reads_.empty() && confirmed >= round_) {
+        begin_round(now);
+    }
+}
+
+bool replica_fsm::has_committed_in_term() const {
+    return role_ == replica_role::leader && log_.term_at(commit_index_) == state_.term;
+}
+
+void replica_fsm::append_own(entry_kind kind, std::string payload) {
+    store_entry({state_.term, log_.last_index() + 1, kind, std::move(payload)});
+}
+
+void replica_fsm::store_entry(const log_entry& entry) {
+    log_.append(entry);
+    if (!unsaved_from_.has_value() || entry.index < *unsaved_from_) {
+        unsaved_from_ = entry.index;
+    }
+    if (entry.kind == entry_kind::membership) {
+        memberships_.push_back({entry.index, decode_membership(entry.payload)});
+    }
+}
+
+void replica_fsm::truncate_from(log_index index) {
+    log_.truncate_from(index);
+    persisted_index_ = std::min(persisted_index_, index - 1);
+    if (unsaved_from_.has_value() && *unsaved_from_ > index) {
+        unsaved_from_ = index;
+    }
+    while (memberships_.size() > 1 && memberships_.back().index >= index) {
+        memberships_.pop_back();
+    }
+}
+
+void replica_fsm::persisted(log_index index, term_number term) {
+    if (log_.term_at(index) != term) {
+        return;
+    }
+    persisted_index_ = std::max(persisted_index_, index);
+    if (role_ == replica_role::leader) {
+        advance_commit();
+    }
+}
+
+log_index replica_fsm::match_index(replica_id replica) const {
+    if (replica == settings_.self) {
+        return persisted_index_;
+    }
+    const auto found = progress_.find(replica);
+    return found == progress_.end() ? 0 : found->second.match_index;
+}
+
+void replica_fsm::advance_commit() {
+    std::vector<log_index> durable;
+    for (const auto& [id, member] : members().members) {
+        if (!member.learner) {
+            durable.push_back(match_index(id));
+        }
+    }
+    if (durable.size() < members().quorum()) {
+        return;
+    }
+    std::sort(durable.rbegin(), durable.rend());
+    const log_index candidate = durable[members().quorum() - 1];
+    // Only an entry of the leader's own term commits by counting replicas (Raft, figure 8).
+    if (candidate > commit_index_ && log_.term_at(candidate) == state_.term) {
+        // Followers learn the new commit index from the next message that they are sent anyway.
+        commit_to(candidate);
+    }
+}
+
+void replica_fsm::commit_to(log_index index) {
+    while (commit_index_ < index) {
+        ++commit_index_;
+        ready_.committed.push_back(log_.at(commit_index_));
+    }
+    const bool removed =
+        role_ == replica_role::leader && !is_voter() && memberships_.back().index <= commit_index_;
+    if (removed) {
+        become_follower(state_.term, no_replica);
+    }
+}
+
+void replica_fsm::compacted(log_index index) {
+    const std::optional<term_number> term = log_.term_at(index);
+    if (!term.has_value() || index > commit_index_) {
+        return;
+    }
+    log_.compact(index, *term);
+    while (memberships_.size() > 1 && memberships_[1].index <= index) {
+        memberships_.erase(memberships_.begin());
+    }
+}
+
+const membership& replica_fsm::members_at(log_index index) const {
+    const membership_entry* newest = &memberships_.front();
+    for (const membership_entry& candidate : memberships_) {
+        if (candidate.index <= index) {
+            newest = &candidate;
+        }
+    }
+    return newest->value;
+}
+
+bool replica_fsm::has_ready() const {
+    return unsaved_from_.has_value() || ready_.needs_sync() || !ready_.committed.empty() ||
+           !ready_.messages_before_sync.empty() || !ready_.messages_after_sync.empty() ||
+           !ready_.confirmed_reads.empty();
+}
+
+ready replica_fsm::take_ready() {
+    if (unsaved_from_.has_value()) {
+        ready_.new_entries = log_.slice(*unsaved_from_, log_.last_index());
+        unsaved_from_.reset();
+    }
+    ready taken;
+    std::swap(taken, ready_);
+    return taken;
+}
+
+}  // namespace tallyfold::consensus
--- /dev/null
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -0,0 +1,175 @@
+#pragma once
+/// @file
+/// One replica of one replicated log, as a pure state machine: no input or output, no clock.
+///
+/// The protocol is Raft (Ongaro and Ousterhout, 2014) with pre-vote, leader stickiness, read
+/// index, learners, and membership change one replica at a time. The caller hands in messages
+/// and the time, takes `ready` work out, makes it durable, and reports back with `persisted`.
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "tallyfold/common/random.hpp"
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/consensus/messages.hpp"
+#include "tallyfold/consensus/replicated_log.hpp"
+
+namespace tallyfold::consensus {
+
+struct replica_settings {
+    group_id group = 0;
+    replica_id self = no_replica;
+    /// An election starts after a silence drawn from [election_timeout, 2 * election_timeout).
+    duration election_timeout = std::chrono::milliseconds(500);
+    duration heartbeat_interval = std::chrono::milliseconds(100);
+    std::size_t max_entries_per_message = 256;
+    std::uint64_t seed = 0;
+};
+
+/// What the storage gave back at start.
+struct recovered_state {
+    hard_state state;
+    snapshot base;
+    std::vector<log_entry> entries;
+};
+
+enum class replica_role : std::uint8_t { follower, pre_candidate, candidate, leader };
+
+enum class replica_error : std::uint8_t { not_leader, change_in_progress, invalid_change };
+
+/// Work for the shell, in this order: send `messages_before_sync` at any time; make
+/// `new_state`, `received_snapshot` and `new_entries` durable; then send `messages_after_sync`
+/// and call persisted(). `committed` entries and `confirmed_reads` may be used at once.
+struct ready {
+    std::vector<replica_message> messages_before_sync;
+    std::optional<hard_state> new_state;
+    std::optional<snapshot> received_snapshot;
+    /// The first index tells from where the durable log is overwritten.
+    std::vector<log_entry> new_entries;
+    std::vector<replica_message> messages_after_sync;
+    std::vector<log_entry> committed;
+    std::vector<std::uint64_t> confirmed_reads;
+
+    [[nodiscard]] bool needs_sync() const {
+        return new_state.has_value() || received_snapshot.has_value() || !new_entries.empty();
+    }
+};
+
+class replica_fsm {
+  public:
+    replica_fsm(replica_settings settings, recovered_state recovered, instant now);
+
+    void tick(instant now);
+    void step(const replica_message& message, instant now);
+
+    /// Appends a command at the leader. @return its index; it is not committed yet.
+    tl::expected<log_index, replica_error> propose(std::string payload);
+    /// Appends a membership that differs from the current one in a single replica.
+    tl::expected<log_index, replica_error> propose_membership(const membership& next);
+    /// Confirms leadership with a quorum in a round started after this call; the token then
+    /// comes out in ready::confirmed_reads.
+    tl::expected<void, replica_error> request_read(std::uint64_t token, instant now);
+
+    /// The log up to `index`, whose entry there has `term`, is durable at this replica.
+    void persisted(log_index index, term_number term);
+    /// The state machine's state at `index` is durable as a snapshot: drop the log up to there.
+    void compacted(log_index index);
+
+    /// Takes the work that has gathered.
+    ready take_ready();
+    [[nodiscard]] bool has_ready() const;
+
+    [[nodiscard]] replica_role role() const { return role_; }
+    [[nodiscard]] replica_id leader() const { return leader_; }
+    [[nodiscard]] term_number term() const { return state_.term; }
+    [[nodiscard]] log_index commit_index() const { return commit_index_; }
+    [[nodiscard]] const replicated_log& log() const { return log_; }
+    [[nodiscard]] const membership& members() const { return memberships_.back().value; }
+    /// The membership in force at `index`, for a snapshot taken there.
+    [[nodiscard]] const membership& members_at(log_index index) const;
+    /// At the leader: last index known to be durable at `replica`.
+    [[nodiscard]] log_index match_index(replica_id replica) const;
+    /// True when the leader has committed an entry of its own term, so that its view of what is
+    /// committed is complete.
+    [[nodiscard]] bool has_committed_in_term() const;
+    /// At the leader: the snapshot to send to a replica whose log lies before ours. The caller
+    /// keeps it current, since the state machine's state is not held here.
+    void set_snapshot(snapshot latest) { latest_snapshot_ = std::move(latest); }
+
+  private:
+    struct progress {
+        log_index next_index = 1;
+        log_index match_index = 0;
+        std::uint64_t acknowledged_round = 0;
+        instant last_heard{};
+    };
+    struct membership_entry {
+        log_index index;
+        membership value;
+    };
+    struct pending_read {
+        std::uint64_t token;
+        std::uint64_t round;
+    };
+
+    void become_follower(term_number term, replica_id leader);
+    void start_pre_vote(instant now);
+    void start_election(instant now);
+    void become_leader(instant now);
+    void reset_election_deadline(instant now);
+
+    void on_vote_request(const replica_message& message, const vote_request& body, instant now);
+    void on_vote_reply(const replica_message& message, const vote_reply& body, instant now);
+    void on_append_request(const replica_message& message, const append_request& body, instant now);
+    void on_append_reply(const replica_message& message, const append_reply& body, instant now);
+    void on_snapshot_request(const replica_message& message, const snapshot_request& body,
+                             instant now);
+
+    void append_own(entry_kind kind, std::string payload);
+    void store_entry(const log_entry& entry);
+    void truncate_from(log_index index);
+    void send_append(replica_id to, bool allow_empty);
+    void broadcast_append(bool allow_empty);
+    void begin_round(instant now);
+    void advance_commit();
+    void commit_to(log_index index);
+    void confirm_reads(instant now);
+    /// The newest round that a quorum of voters has acknowledged.
+    [[nodiscard]] std::uint64_t confirmed_round() const;
+    void step_down_if_cut_off(instant now);
+    [[nodiscard]] bool log_is_current(log_index last_index, term_number last_term) const;
+    [[nodiscard]] bool heard_from_leader_recently(instant now) const;
+    [[nodiscard]] bool is_voter() const { return members().is_voter(settings_.self); }
+    [[nodiscard]] bool is_newer_term(const replica_message& message, instant now);
+    void send(replica_id to, message_body body, bool after_sync);
+
+    replica_settings settings_;
+    random_source random_;
+    hard_state state_;
+    replicated_log log_;
+    std::vector<membership_entry> memberships_;
+    snapshot latest_snapshot_;
+
+    replica_role role_ = replica_role::follower;
+    replica_id leader_ = no_replica;
+    log_index commit_index_ = 0;
+    log_index persisted_index_ = 0;
+    instant election_deadline_{};
+    instant heartbeat_due_{};
+    instant leader_heard_{};
+    bool heard_leader_ever_ = false;
+
+    std::set<replica_id> votes_;
+    std::map<replica_id, progress> progress_;
+    std::uint64_t round_ = 0;
+    std::deque<pending_read> pending_reads_;
+
+    ready ready_;
+    std::optional<log_index> unsaved_from_;
+};
+
+}  // namespace tallyfold::consensus
--- /dev/null
+++ b/src/tallyfold/control/control_core.hpp
@@ -0,0 +1,204 @@
+#pragma once
+/// @file
+/// One control node as pure logic: replicas of all groups, their state machines, the nodes'
+/// heartbeats, and the shard leases that the leaders hand out.
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/configuration/configuration_state.hpp"
+#include "tallyfold/consensus/persistence.hpp"
+#include "tallyfold/consensus/replica_fsm.hpp"
+#include "tallyfold/control/lease_assigner.hpp"
+#include "tallyfold/journal/journal_state_machine.hpp"
+#include "tallyfold/protocol/messages.hpp"
+
+namespace tallyfold::control {
+
+struct control_settings {
+    node_name node;
+    /// Journal groups, numbered from 1; the configuration is group 0.
+    std::uint32_t journal_groups = 2;
+    std::uint32_t shard_count = 64;
+    std::vector<node_name> peers;
+    duration election_timeout = std::chrono::milliseconds(500);
+    duration heartbeat_interval = std::chrono::milliseconds(100);
+    /// A scheduler that is silent for this long loses its shards.
+    duration scheduler_timeout = std::chrono::milliseconds(1500);
+    /// Entries applied since the last snapshot that cause the next one.
+    std::uint64_t snapshot_interval = 4096;
+    std::uint64_t seed = 0;
+};
+
+/// The group that a shard's programs are journalled in.
+group_id group_of_shard(shard_id shard, std::uint32_t journal_groups);
+
+/// An operator's request, as the administration API hands it in.
+struct admin_change {
+    configuration::change_command command;
+};
+/// A read of the configuration, answered after leadership was confirmed.
+struct admin_read {};
+using admin_request = std::variant<admin_change, admin_read>;
+
+enum class admin_status : std::uint8_t { done, not_leader };
+
+struct admin_reply {
+    std::uint64_t token = 0;
+    admin_status status = admin_status::not_leader;
+    configuration::change_result change;
+    /// For reads: every item of the configuration.
+    std::optional<configuration::configuration_view> view;
+    node_name leader;
+};
+
+struct group_status {
+    group_id group = 0;
+    bool member = false;
+    bool leads = false;
+    node_name leader;
+    consensus::term_number term = 0;
+    consensus::log_index commit_index = 0;
+    consensus::log_index applied_index = 0;
+    consensus::log_index snapshot_index = 0;
+    consensus::membership members;
+};
+
+struct node_status {
+    protocol::node_heartbeat last;
+    duration age{};
+};
+
+struct control_status {
+    consensus::replica_id replica = consensus::no_replica;
+    std::vector<group_status> groups;
+    std::vector<node_status> nodes;
+    std::map<shard_id, journal::shard_lease> leases;
+    std::map<shard_id, std::size_t> program_counts;
+};
+
+/// One batch for the storage thread. Its messages go out after it is durable.
+struct storage_batch {
+    std::uint64_t number = 0;
+    std::vector<consensus::group_write> writes;
+    std::vector<protocol::outbound_message> messages_after;
+};
+
+struct control_output {
+    std::vector<protocol::outbound_message> messages;
+    std::vector<admin_reply> admin_replies;
+    std::optional<storage_batch> batch;
+};
+
+class control_core {
+  public:
+    control_core(control_settings settings, const consensus::recovered_node& recovered,
+                 instant now);
+
+    void receive(const node_name& from, const protocol::internal_message& message, instant now);
+    void request(std::uint64_t token, const admin_request& request, instant now);
+    void tick(instant now);
+    /// The batch with this number is durable.
+    void persisted(std::uint64_t batch_number, instant now);
+
+    /// Forms the first membership of an empty cluster. @return false when this node already
+    /// belongs to one, or the membership does not name it.
+    bool initialise(const consensus::membership& members);
+
+    control_output take_output();
+
+    [[nodiscard]] control_status status(instant now) const;
+    [[nodiscard]] consensus::replica_id identity() const { return identity_; }
+    [[nodiscard]] bool is_member() const;
+    [[nodiscard]] const configuration::configuration_view& configuration() const {
+        return configuration_.view();
+    }
+    [[nodiscard]] const consensus::replica_fsm& replica(group_id group) const {
+        return groups_.at(group).replica;
+    }
+    [[nodiscard]] const journal::journal_state_machine& journal(group_id group) const {
+        return groups_.at(group).journal;
+    }
+
+  private:
+    struct pending_append {
+        consensus::term_number term = 0;
+        node_name client;
+        protocol::correlation_id correlation = 0;
+        std::uint64_t admin_token = 0;
+    };
+    struct pending_read {
+        node_name node;
+        std::uint64_t heartbeat_number = 0;
+        configuration::configuration_version known = 0;
+        std::uint64_t admin_token = 0;
+    };
+    struct group_runtime {
+        consensus::replica_fsm replica;
+        journal::journal_state_machine journal;
+        consensus::log_index applied = 0;
+        consensus::log_index lease_version = 0;
+        std::map<consensus::log_index, pending_append> appends;
+        std::map<std::uint64_t, pending_read> reads;
+        lease_assigner assigner;
+    };
+    struct batch_mark {
+        group_id group = 0;
+        consensus::log_index index = 0;
+        consensus::term_number term = 0;
+        std::optional<consensus::snapshot> own_snapshot;
+    };
+
+    void add_group(group_id group, const consensus::recovered_state& recovered, instant now);
+    void on_heartbeat(const protocol::node_heartbeat& heartbeat, instant now);
+    void on_append(const node_name& from, const protocol::journal_append& request);
+    void on_shard_read(const node_name& from, const protocol::shard_read& request);
+    void on_join(const protocol::join_request& request);
+    void advance_members(group_runtime& runtime);
+    void assign_leases(group_id group, group_runtime& runtime, instant now);
+    void send_leases(const protocol::node_heartbeat& heartbeat, group_id group,
+                     const group_runtime& runtime, instant now);
+    void answer_read(const pending_read& read);
+    void apply_ready(group_id group, group_runtime& runtime, consensus::ready& work);
+    void apply_entry(group_id group, group_runtime& runtime, const consensus::log_entry& entry);
+    void finish_append(group_id group, const pending_append& append, bool committed,
+                       journal::journal_error result, const configuration::change_result& change);
+    void drop_appends_if_not_leading(group_id group, group_runtime& runtime);
+    void maybe_snapshot(group_id group, group_runtime& runtime, consensus::group_write& write,
+                        batch_mark& mark);
+    void restore(group_id group, group_runtime& runtime, const consensus::snapshot& base);
+    [[nodiscard]] std::string save(group_id group, const group_runtime& runtime) const;
+    [[nodiscard]] std::map<node_name, live_scheduler> live_schedulers(instant now) const;
+    [[nodiscard]] node_name leader_node(const group_runtime& runtime) const;
+    [[nodiscard]] node_name node_of(const consensus::replica_message& message) const;
+    void send(const node_name& to, protocol::internal_message message);
+
+    control_settings settings_;
+    consensus::replica_id identity_;
+    std::map<group_id, group_runtime> groups_;
+    configuration::configuration_state_machine configuration_;
+
+    struct heard_node {
+        protocol::node_heartbeat last;
+        instant heard{};
+    };
+    std::map<node_name, heard_node> nodes_;
+    std::map<node_name, consensus::replica_id> joining_;
+    std::map<consensus::replica_id, node_name> replica_nodes_;
+    instant last_tick_{};
+    instant next_duty_{};
+    instant next_join_{};
+
+    control_output output_;
+    std::vector<consensus::group_write> initial_writes_;
+    std::uint64_t next_batch_ = 1;
+    std::map<std::uint64_t, std::vector<batch_mark>> batches_;
+    std::uint64_t next_read_ = 1;
+};
+
+}  // namespace tallyfold::control
--- /dev/null
+++ b/src/tallyfold/gateway/gateway_shell.cpp
@@ -0,0 +1,266 @@
+#include "tallyfold/gateway/gateway_shell.hpp"
+
+#include <map>
+#include <set>
+
+#include "tallyfold/common/bounded_ring.hpp"
+#include "tallyfold/gateway/commands/parse_request.hpp"
+#include "tallyfold/gateway/gateway_core.hpp"
+#include "tallyfold/gateway/queries/render_answer.hpp"
+#include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/net/http_server.hpp"
+#include "tallyfold/net/logic_thread.hpp"
+#include "tallyfold/net/metrics.hpp"
+#include "tallyfold/net/transport.hpp"
+
+namespace tallyfold::gateway {
+
+namespace {
+
+using logging::event_id;
+
+constexpr std::size_t ring_capacity = 8192;
+constexpr auto metrics_interval = std::chrono::seconds(1);
+constexpr auto stop_poll = std::chrono::milliseconds(20);
+
+struct http_input {
+    net::exchange_pointer exchange;
+    caller_request request;
+};
+
+struct peer_input {
+    node_name from;
+    /// Empty when the connection was lost.
+    std::optional<protocol::internal_message> message;
+};
+
+class gateway_process_runtime {
+  public:
+    explicit gateway_process_runtime(const settings::gateway_process& settings)
+        : settings_(settings),
+          core_(settings.core),
+          logic_([this](instant now) { turn(now); }),
+          http_inputs_(ring_capacity, logic_.notifier()),
+          peer_inputs_(ring_capacity, logic_.notifier()),
+          transport_({settings.core.node, {}, settings.key_file}, handlers()),
+          server_({settings.http_listen, settings.largest_body},
+                  [this](net::exchange_pointer exchange) { on_http(std::move(exchange)); }) {}
+
+    int run(const std::atomic<bool>& stop) {
+        for (const std::string& failure : {transport_.start(), server_.start()}) {
+            if (!failure.empty()) {
+                logging::write_event(event_id::settings_refused, "reason=\"" + failure + "\"");
+                return 1;
+            }
+        }
+        for (const auto& [node, address] : settings_.control) {
+            transport_.dial(node, address);
+        }
+        logic_.start();
+        logging::write_event(event_id::process_started, "http=" + settings_.http_listen);
+        while (!stop) {
+            std::this_thread::sleep_for(stop_poll);
+        }
+        logging::write_event(event_id::process_stopping, "");
+        draining_ = true;
+        while (!drained_) {
+            std::this_thread::sleep_for(stop_poll);
+        }
+        server_.stop();
+        logic_.stop();
+        transport_.stop();
+        logging::write_event(event_id::process_stopped, "");
+        return 0;
+    }
+
+  private:
+    net::transport_handlers handlers() {
+        net::transport_handlers handlers;
+        handlers.on_message = [this](const node_name& from, protocol::internal_message& message) {
+            peer_input input{from, std::move(message)};
+            if (peer_inputs_.try_push(input)) {
+                return true;
+            }
+            message = std::move(*input.message);
+            return false;
+        };
+        handlers.on_lost = [this](const node_name& node) {
+            peer_inputs_.push({node, std::nullopt});
+        };
+        handlers.on_event = [](const logging::event_record& record) {
+            logging::write_event(record);
+        };
+        return handlers;
+    }
+
+    void on_http(net::exchange_pointer exchange) {
+        if (exchange->path() == "/healthz") {
+            exchange->respond(200, "text/plain", "ok\n", 0);
+            return;
+        }
+        if (exchange->path() == "/readyz") {
+            const bool ready = ready_;
+            exchange->respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n",
+                              0);
+            return;
+        }
+        if (exchange->path() == "/metrics") {
+            exchange->respond(200, "text/plain; version=0.0.4", metrics_.render(), 0);
+            return;
+        }
+        auto request = parse_request(exchange->method(), exchange->path(), exchange->body(),
+                                     exchange->header("Idempotency-Key"));
+        if (!request) {
+            respond(*exchange, {}, request.error());
+            return;
+        }
+        http_input input{std::move(exchange), std::move(*request)};
+        if (!http_inputs_.try_push(input)) {
+            journal::outcome refused;
+            refused.code = journal::answer_code::overloaded;
+            refused.detail = "the gateway is overloaded";
+            refused.retry_after_ms = 1000;
+            respond(*input.exchange, input.request, refused);
+        }
+    }
+
+    static void respond(net::http_exchange& exchange, const caller_request& request,
+                        const journal::outcome& result) {
+        exchange.respond(status_of(result), "application/json", render_answer(request, result),
+                         retry_after_seconds(result));
+    }
+
+    void turn(instant now) {
+        net::drain_ring(peer_inputs_, [&](peer_input& input) {
+            if (input.message.has_value()) {
+                core_.receive(input.from, *input.message, now);
+            } else {
+                core_.peer_lost(input.from, now);
+            }
+        });
+        net::drain_ring(http_inputs_, [&](http_input& input) {
+            const request_token token = next_token_++;
+            protocol::scheduler_call call = input.request.call;
+            open_[token] = {std::move(input.exchange), std::move(input.request), false};
+            core_.submit(token, std::move(call), now);
+        });
+        if (draining_ && !drain_told_) {
+            drain_told_ = true;
+            core_.drain();
+        }
+        core_.tick(now);
+        dial_schedulers();
+        emit(core_.take_output());
+        ready_ = core_.ready(now);
+        drained_ = core_.drained() && open_.empty();
+        publish(now);
+    }
+
+    void dial_schedulers() {
+        for (const auto& [node, address] : core_.session().schedulers()) {
+            if (dialled_[node] != address) {
+                dialled_[node] = address;
+                transport_.dial(node, address);
+            }
+        }
+    }
+
+    void emit(gateway_output output) {
+        for (protocol::outbound_message& message : output.messages) {
+            transport_.send(std::move(message));
+        }
+        for (const client_pieces& added : output.pieces) {
+            const auto found = open_.find(added.token);
+            if (found == open_.end() || !found->second.request.stream) {
+                continue;
+            }
+            start_stream(found->second);
+            for (const std::string& piece : added.pieces) {
+                found->second.exchange->write(render_piece(found->second.request, piece));
+            }
+        }
+        for (const client_answer& answered : output.answers) {
+            finish(answered);
+        }
+    }
+
+    struct open_exchange {
+        net::exchange_pointer exchange;
+        caller_request request;
+        bool streaming = false;
+    };
+
+    static void start_stream(open_exchange& open) {
+        if (!open.streaming) {
+            open.streaming = true;
+            open.exchange->start_stream();
+        }
+    }
+
+    void finish(const client_answer& answered) {
+        const auto found = open_.find(answered.token);
+        if (found == open_.end()) {
+            return;
+        }
+        open_exchange& open = found->second;
+        const bool ok = answered.result.code == journal::answer_code::ok;
+        if (open.request.stream && (ok || open.streaming)) {
+            // A repeat of an ended call has its answer in one piece.
+            if (!open.streaming && !answered.result.answer.empty()) {
+                start_stream(open);
+                open.exchange->write(render_piece(open.request, answered.result.answer));
+            }
+            start_stream(open);
+            open.exchange->write(render_stream_end(open.request, answered.result));
+            open.exchange->finish();
+        } else {
+            respond(*open.exchange, open.request, answered.result);
+        }
+        open_.erase(found);
+    }
+
+    void publish(instant now) {
+        if (now < next_publish_) {
+            return;
+        }
+        next_publish_ = now + metrics_interval;
+        const gateway_counters& counters = core_.counters();
+        metrics_.publish({{"gateway_requests_total", "Requests taken from callers.",
+                           static_cast<double>(counters.requests), true},
+                          {"gateway_answers_total", "Final answers given.",
+                           static_cast<double>(counters.answers), true},
+                          {"gateway_refusals_total", "Answers other than ok.",
+                           static_cast<double>(counters.refusals), true},
+                          {"gateway_failovers_total", "Searches for another owner.",
+                           static_cast<double>(counters.failovers), true},
+                          {"gateway_requests_pending", "Requests under way.",
+                           static_cast<double>(core_.pending()), false},
+                          {"configuration_version", "Configuration in force in this process.",
+                           static_cast<double>(core_.session().configuration().version()), false}});
+    }
+
+    const settings::gateway_process& settings_;
+    gateway_core core_;
+    net::logic_thread logic_;
+    bounded_ring<http_input> http_inputs_;
+    bounded_ring<peer_input> peer_inputs_;
+    net::metrics_board metrics_;
+    net::transport transport_;
+    net::http_server server_;
+    std::map<request_token, open_exchange> open_;
+    std::map<node_name, std::string> dialled_;
+    request_token next_token_ = 1;
+    instant next_publish_{};
+    bool drain_told_ = false;
+    std::atomic<bool> ready_{false};
+    std::atomic<bool> draining_{false};
+    std::atomic<bool> drained_{false};
+};
+
+}  // namespace
+
+int run_gateway(const settings::gateway_process& settings, const std::atomic<bool>& stop) {
+    return gateway_process_runtime(settings).run(stop);
+}
+
+}  // namespace tallyfold::gateway
--- /dev/null
+++ b/src/tallyfold/gateway/gateway_shell.hpp
@@ -0,0 +1,15 @@
+#pragma once
+/// @file
+/// The gateway process: HTTP in, internal messages out, the logic thread between them.
+
+#include <atomic>
+#include <string>
+
+#include "tallyfold/settings/process_settings.hpp"
+
+namespace tallyfold::gateway {
+
+/// Runs until `stop` is set and everything under way is finished. @return the exit code
+int run_gateway(const settings::gateway_process& settings, const std::atomic<bool>& stop);
+
+}  // namespace tallyfold::gateway
--- /dev/null
+++ b/src/tallyfold/journal/journal_state_machine.cpp
@@ -0,0 +1,58 @@
+#include "tallyfold/journal/journal_state_machine.hpp"
+
+#include <cereal/types/deque.hpp>
+
+#include "tallyfold/protocol/binary_codec.hpp"
+
+namespace tallyfold::journal {
+
+journal_error journal_state_machine::apply(std::string_view encoded_command) {
+    const auto command = protocol::decode<journal_command>(encoded_command);
+    if (!command) {
+        return journal_error::malformed;
+    }
+    return std::visit([this](const auto& body) { return apply_command(body); }, *command);
+}
+
+std::string journal_state_machine::save() const {
+    return protocol::encode(shards_);
+}
+
+void journal_state_machine::restore(std::string_view state) {
+    shards_ = protocol::decode<std::map<shard_id, shard_entry>>(state).value_or(
+        std::map<shard_id, shard_entry>{});
+}
+
+shard_lease journal_state_machine::lease_of(shard_id shard) const {
+    const auto found = shards_.find(shard);
+    return found == shards_.end() ? shard_lease{} : found->second.lease;
+}
+
+journal_error journal_state_machine::apply_command(const assign_shard& command) {
+    shard_entry& entry = shards_[command.shard];
+    if (entry.lease.epoch != command.expected_epoch) {
+        return journal_error::stale_epoch;
+    }
+    ++entry.lease.epoch;
+    entry.lease.holder = command.holder;
+    return journal_error::none;
+}
+
+journal_error journal_state_machine::apply_command(const release_shard& command) {
+    shard_entry& entry = shards_[command.shard];
+    if (entry.lease.epoch != command.epoch) {
+        return journal_error::stale_epoch;
+    }
+    entry.lease.holder.clear();
+    return journal_error::none;
+}
+
+journal_error journal_state_machine::apply_command(const owner_command& command) {
+    shard_entry& entry = shards_[command.shard];
+    if (entry.lease.epoch != command.epoch || entry.lease.holder.empty()) {
+        return journal_error::stale_epoch;
+    }
+    return entry.programs.apply(command.change);
+}
+
+}  // namespace tallyfold::journal
--- /dev/null
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -0,0 +1,70 @@
+#pragma once
+/// @file
+/// Numbered events. Each has an entry in docs/EVENTS.md, which a test checks.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tallyfold::logging {
+
+enum class event_level : std::uint8_t { debug, info, warning, error };
+
+enum class event_id : std::uint16_t {
+    process_started = 1001,
+    process_stopping = 1002,
+    process_stopped = 1003,
+    settings_refused = 1004,
+    peer_connected = 1101,
+    peer_lost = 1102,
+    peer_refused = 1103,
+    frame_refused = 1104,
+    keys_reloaded = 1105,
+    storage_opened = 2001,
+    storage_failed = 2002,
+    storage_tail_cut = 2003,
+    leadership_gained = 2101,
+    leadership_lost = 2102,
+    membership_joined = 2103,
+    shard_assigned = 2201,
+    shard_released = 2202,
+    shard_loaded = 2203,
+    shard_lost = 2204,
+    configuration_changed = 2301,
+    configuration_applied = 2302,
+    configuration_lease_expired = 2303,
+    policy_failed = 2304,
+    admin_request = 2401,
+    admin_denied = 2402,
+    call_refused = 3001,
+    call_retried = 3002,
+    call_resumed = 3003,
+    outcome_open = 3004,
+    outcome_resolved = 3005,
+    program_reaped = 3006,
+    backend_ejected = 3101,
+    backend_leaving = 3102,
+    cache_events_lost = 3103,
+    cache_release_repeated = 3104,
+};
+
+struct event_entry {
+    event_id id;
+    event_level level;
+    std::string_view name;
+};
+
+/// Every event, in the order of its number.
+const std::vector<event_entry>& event_catalogue();
+/// The entry of one event.
+const event_entry& find_event(event_id id);
+
+/// One occurrence, made by pure logic and written by the shell.
+struct event_record {
+    event_id id;
+    /// "key=value" pairs, separated by spaces.
+    std::string fields;
+};
+
+}  // namespace tallyfold::logging
--- /dev/null
+++ b/src/tallyfold/membership/control_session.cpp
@@ -0,0 +1,74 @@
+#include "tallyfold/membership/control_session.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::membership {
+
+std::vector<protocol::outbound_message> control_session::tick(instant now) {
+    if (now < next_heartbeat_) {
+        return {};
+    }
+    next_heartbeat_ = now + settings_.heartbeat_interval;
+    protocol::node_heartbeat heartbeat;
+    heartbeat.node = settings_.node;
+    heartbeat.role = settings_.role;
+    heartbeat.address = settings_.address;
+    heartbeat.zone = settings_.zone;
+    heartbeat.draining = draining_;
+    heartbeat.number = ++heartbeat_number_;
+    heartbeat.known_configuration = configuration_.version();
+    heartbeat.leases = known_leases_;
+    heartbeats_sent_[heartbeat_number_] = now;
+    if (heartbeats_sent_.size() > kept_heartbeats) {
+        heartbeats_sent_.erase(heartbeats_sent_.begin());
+    }
+    std::vector<protocol::outbound_message> messages;
+    for (const node_name& control : settings_.control_nodes) {
+        messages.push_back({control, heartbeat});
+    }
+    return messages;
+}
+
+bool control_session::on_configuration(const protocol::configuration_update& update) {
+    const configuration::configuration_version before = configuration_.version();
+    if (!configuration_.advance(update.delta)) {
+        return false;
+    }
+    // The copy was current at some moment after the heartbeat left: the lease counts from there.
+    const auto sent = heartbeats_sent_.find(update.heartbeat_number);
+    if (sent != heartbeats_sent_.end()) {
+        configuration_confirmed_ = std::max(configuration_confirmed_, sent->second);
+        configuration_known_ = true;
+        heartbeats_sent_.erase(heartbeats_sent_.begin(), std::next(sent));
+    }
+    return configuration_.version() != before;
+}
+
+bool control_session::on_leases(const protocol::lease_update& update) {
+    protocol::known_leases& known = known_leases_[update.group];
+    if (update.version.version < known.version) {
+        return false;
+    }
+    known = update.version;
+    for (const auto& [shard, lease] : update.leases) {
+        if (lease.epoch >= leases_[shard].epoch) {
+            leases_[shard] = lease;
+        }
+    }
+    schedulers_.clear();
+    for (const protocol::scheduler_address& scheduler : update.schedulers) {
+        schedulers_[scheduler.node] = scheduler.address;
+    }
+    return true;
+}
+
+bool control_session::configuration_fresh(instant now) const {
+    return configuration_known_ && now - configuration_confirmed_ < settings_.configuration_lease;
+}
+
+journal::shard_lease control_session::lease_of(shard_id shard) const {
+    const auto found = leases_.find(shard);
+    return found == leases_.end() ? journal::shard_lease{} : found->second;
+}
+
+}  // namespace tallyfold::membership
--- /dev/null
+++ b/src/tallyfold/net/http_server.hpp
@@ -0,0 +1,58 @@
+#pragma once
+/// @file
+/// HTTP towards callers, operators and, in the stand-ins, schedulers. Built on RESTinio, which
+/// only http_server.cpp sees.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tallyfold::net {
+
+/// One request and the way to answer it. Answers may come from any thread, once.
+class http_exchange {
+  public:
+    virtual ~http_exchange() = default;
+    [[nodiscard]] virtual const std::string& method() const = 0;
+    /// Path without the query.
+    [[nodiscard]] virtual const std::string& path() const = 0;
+    [[nodiscard]] virtual std::string query(const std::string& name) const = 0;
+    [[nodiscard]] virtual std::string header(const std::string& name) const = 0;
+    [[nodiscard]] virtual const std::string& body() const = 0;
+
+    /// The whole answer. `retry_after_seconds` 0 leaves the header out.
+    virtual void respond(int status, const std::string& content_type, std::string body,
+                         unsigned retry_after_seconds = 0) = 0;
+    /// Starts a streamed answer (chunked, text/event-stream).
+    virtual void start_stream() = 0;
+    virtual void write(std::string bytes) = 0;
+    virtual void finish() = 0;
+};
+
+using exchange_pointer = std::shared_ptr<http_exchange>;
+
+struct http_server_settings {
+    /// "ip:port".
+    std::string listen;
+    std::size_t largest_body = 8U << 20U;
+};
+
+class http_server {
+  public:
+    /// @param on_request runs on the server's thread
+    http_server(http_server_settings settings, std::function<void(exchange_pointer)> on_request);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// @return an error text, or empty.
+    std::string start();
+    /// Stops after answers that are being written have left.
+    void stop();
+
+  private:
+    class engine;
+    std::unique_ptr<engine> engine_;
+};
+
+}  // namespace tallyfold::net
--- /dev/null
+++ b/src/tallyfold/net/logic_thread.hpp
@@ -0,0 +1,75 @@
+#pragma once
+/// @file
+/// The thread that owns a program's pure logic: it drains the rings that lead to it, ticks the
+/// logic, and passes on what comes out.
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include "tallyfold/common/bounded_ring.hpp"
+#include "tallyfold/common/time.hpp"
+
+namespace tallyfold::net {
+
+/// The process's monotonic clock as an instant.
+inline instant monotonic_now() {
+    return instant(
+        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+class logic_thread {
+  public:
+    /// @param turn drains inputs, ticks, and emits outputs; called on every wake and at least
+    /// every tick interval
+    explicit logic_thread(std::function<void(instant now)> turn) : turn_(std::move(turn)) {}
+    ~logic_thread() { stop(); }
+    logic_thread(const logic_thread&) = delete;
+    logic_thread& operator=(const logic_thread&) = delete;
+
+    wake_signal& signal() { return signal_; }
+    std::function<void()> notifier() {
+        return [this] { signal_.notify(); };
+    }
+
+    void start() {
+        thread_ = std::thread([this] {
+            while (!stopping_) {
+                signal_.wait_for(tick_interval);
+                turn_(monotonic_now());
+            }
+        });
+    }
+
+    void stop() {
+        stopping_ = true;
+        signal_.notify();
+        if (thread_.joinable()) {
+            thread_.join();
+        }
+    }
+
+  private:
+    static constexpr std::chrono::microseconds tick_interval{10'000};
+
+    std::function<void(instant)> turn_;
+    wake_signal signal_;
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+/// Inputs taken from one ring in one turn at most, so that no ring starves the others.
+constexpr std::size_t inputs_per_turn = 1024;
+
+/// Hands up to inputs_per_turn elements of a ring to `use`.
+template <class Element, class Use>
+void drain_ring(bounded_ring<Element>& ring, Use&& use) {
+    Element element;
+    for (std::size_t taken = 0; taken < inputs_per_turn && ring.try_pop(element); ++taken) {
+        use(element);
+    }
+}
+
+}  // namespace tallyfold::net
--- /dev/null
+++ b/src/tallyfold/net/transport.hpp
@@ -0,0 +1,59 @@
+#pragma once
+/// @file
+/// Connections between the system's own processes: TCP, an HMAC handshake, framed messages,
+/// and heartbeats with deadlines both ways.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "tallyfold/common/bounded_ring.hpp"
+#include "tallyfold/logging/event_catalogue.hpp"
+#include "tallyfold/net/cluster_keys.hpp"
+#include "tallyfold/protocol/messages.hpp"
+
+namespace tallyfold::net {
+
+struct transport_settings {
+    node_name node;
+    /// "ip:port" to accept on; empty when this process only dials.
+    std::string listen;
+    std::string key_file;
+};
+
+/// All handlers run on the transport's thread.
+struct transport_handlers {
+    /// @return false to have the message handed over again a little later; the connection is
+    /// not read meanwhile (back-pressure to the peer).
+    std::function<bool(const node_name& from, protocol::internal_message& message)> on_message;
+    std::function<void(const node_name& node)> on_lost;
+    std::function<void(const logging::event_record& record)> on_event;
+};
+
+class transport {
+  public:
+    transport(transport_settings settings, transport_handlers handlers);
+    ~transport();
+    transport(const transport&) = delete;
+    transport& operator=(const transport&) = delete;
+
+    /// Opens the listening socket and starts the thread. @return an error text, or empty.
+    std::string start();
+    void stop();
+
+    /// Keeps a connection to `node` open, redialling after failures. Thread-safe.
+    void dial(const node_name& node, const std::string& address);
+    /// Sends a message; a node without a connection gets nothing. From one thread only.
+    void send(protocol::outbound_message message);
+
+  private:
+    class engine;
+    std::unique_ptr<engine> engine_;
+};
+
+/// Splits "ip:port". @return an empty address when it is malformed
+std::pair<std::string, std::uint16_t> split_address(const std::string& text);
+
+}  // namespace tallyfold::net
--- /dev/null
+++ b/src/tallyfold/scheduler/backend_messages.hpp
@@ -0,0 +1,182 @@
+#pragma once
+/// @file
+/// What a scheduler asks of back ends and what it hears from them. The shell carries these over
+/// HTTP (docs/BACKENDS.md); the simulator hands them over directly.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "tallyfold/common/types.hpp"
+#include "tallyfold/journal/types.hpp"
+#include "tallyfold/scheduling/backend_pool.hpp"
+#include "tallyfold/scheduling/cache_map.hpp"
+
+namespace tallyfold::scheduler {
+
+/// Names one attempt of one call everywhere.
+struct attempt_key {
+    program_id program;
+    sequence_number sequence = 0;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const attempt_key&) const = default;
+    /// "program/sequence/attempt", as back ends see it.
+    [[nodiscard]] std::string text() const {
+        return program + "/" + std::to_string(sequence) + "/" + std::to_string(attempt);
+    }
+};
+
+/// Proof of ownership that a back end checks: it refuses an epoch below one it has seen.
+struct ownership_fence {
+    shard_id shard = 0;
+    lease_epoch epoch = 0;
+};
+
+struct start_stream {
+    backend_name backend;
+    attempt_key key;
+    ownership_fence fence;
+    std::string model;
+    std::shared_ptr<const std::vector<journal::message>> prompt;
+    /// Pieces of the answer that are already out; generation goes on after them.
+    std::vector<std::string> prefix;
+    token_count max_tokens = 0;
+    std::int32_t priority = 0;
+};
+
+struct resume_stream {
+    backend_name backend;
+    attempt_key key;
+    /// Pieces that have arrived.
+    std::uint64_t offset = 0;
+};
+
+struct cancel_stream {
+    backend_name backend;
+    attempt_key key;
+};
+
+struct run_request {
+    backend_name backend;
+    attempt_key key;
+    ownership_fence fence;
+    journal::call_kind kind = journal::call_kind::app;
+    std::string operation;
+    std::string argument;
+    bool repeatable = true;
+    duration timeout{};
+};
+
+/// Asks whether an attempt ran, and forbids it to run if it has not.
+struct seal_request {
+    backend_name backend;
+    attempt_key key;
+};
+
+struct retain_cache {
+    backend_name backend;
+    program_id program;
+    double value = 0;
+    /// The engine may forget the hint after this long.
+    duration lease{};
+};
+
+struct release_cache {
+    backend_name backend;
+    std::vector<program_id> programs;
+};
+
+struct poll_status {
+    backend_name backend;
+    /// Number of the newest cache event that has arrived.
+    std::uint64_t after_event = 0;
+};
+
+struct poll_members {};
+
+using backend_order =
+    std::variant<start_stream, resume_stream, cancel_stream, run_request, seal_request,
+                 retain_cache, release_cache, poll_status, poll_members>;
+
+struct stream_pieces {
+    attempt_key key;
+    std::uint64_t offset = 0;
+    std::vector<std::string> pieces;
+};
+
+struct stream_finished {
+    attempt_key key;
+    token_count prompt_tokens = 0;
+    token_count completion_tokens = 0;
+    token_count cached_tokens = 0;
+};
+
+enum class failure_kind : std::uint8_t {
+    /// The back end answered that it did not start the work.
+    refused,
+    /// It did not start the work because it is leaving.
+    leaving,
+    /// No connection could be made, so the work was not handed over.
+    unreachable,
+    /// The connection broke or timed out after the work was handed over.
+    broken,
+    /// The back end answered that the work failed.
+    failed,
+    /// The back end does not know the stream that was to be resumed.
+    unknown_stream,
+};
+
+struct attempt_failed {
+    attempt_key key;
+    failure_kind kind = failure_kind::broken;
+};
+
+struct request_answered {
+    attempt_key key;
+    std::string answer;
+};
+
+struct seal_answered {
+    attempt_key key;
+    /// False: it has not run, and never will.
+    bool ran = false;
+    std::string answer;
+};
+
+struct seal_failed {
+    attempt_key key;
+};
+
+struct release_confirmed {
+    backend_name backend;
+    std::vector<program_id> programs;
+};
+
+struct cache_event {
+    std::uint64_t number = 0;
+    bool stored = false;
+    scheduling::prefix_point point;
+};
+
+struct status_answered {
+    backend_name backend;
+    scheduling::load_report load;
+    std::vector<cache_event> events;
+};
+
+struct status_failed {
+    backend_name backend;
+};
+
+struct members_answered {
+    std::vector<scheduling::backend_member> members;
+};
+
+using backend_report =
+    std::variant<stream_pieces, stream_finished, attempt_failed, request_answered, seal_answered,
+                 seal_failed, release_confirmed, status_answered, status_failed, members_answered>;
+
+}  // namespace tallyfold::scheduler
--- /dev/null
+++ b/src/tallyfold/scheduler/commands/dispatch.cpp
@@ -0,0 +1,238 @@
+/// @file
+/// From the queue to a back end: order, placement, the begin in the journal, and the order out.
+
+#include <algorithm>
+
+#include "tallyfold/scheduler/scheduler_core.hpp"
+
+namespace tallyfold::scheduler {
+
+namespace {
+
+using journal::answer_code;
+using journal::call_kind;
+using journal::outcome;
+using journal::ran_state;
+
+/// Waiting calls that are tried when the first ones cannot be placed.
+constexpr std::size_t lookahead = 16;
+constexpr std::array all_kinds{call_kind::model, call_kind::app, call_kind::tool};
+constexpr duration app_timeout = std::chrono::seconds(10);
+
+}  // namespace
+
+scheduling::call_features scheduler_core::features_of(
+    const active_call& call, const journal::program_record& program,
+    const configuration::class_settings& settings) const {
+    scheduling::call_features features;
+    features.program_class = program.program_class;
+    features.priority = settings.priority;
+    features.attained_tokens = static_cast<double>(attained(program));
+    features.turns = program.last_sequence;
+    features.prompt_tokens = static_cast<double>(call.prompt_tokens);
+    features.max_tokens = static_cast<double>(call.request.max_tokens);
+    features.budget_left = static_cast<double>(budget_left(program));
+    const auto running = running_of_tenant_.find(program.tenant);
+    features.tenant_running =
+        running == running_of_tenant_.end() ? 0.0 : static_cast<double>(running->second);
+    features.is_sub_agent = program.root != program.id;
+    return features;
+}
+
+void scheduler_core::enqueue(active_call& call) {
+    const journal::program_record* program = record_of(call.request.program);
+    if (program == nullptr) {
+        drop_call(call.id);
+        return;
+    }
+    const configuration::class_settings* settings =
+        configuration().program_class(program->program_class);
+    const configuration::tenant_settings* tenant = configuration().tenant(program->tenant);
+    call.state = call_state::queued;
+    scheduling::queued_call queued;
+    queued.id = call.id;
+    queued.tenant = program->tenant;
+    queued.tenant_weight = tenant == nullptr ? 1.0 : tenant->weight;
+    queued.arrived = call.arrived;
+    queued.cost = static_cast<double>(1 + call.request.max_tokens + call.prompt_tokens);
+    // Arrival order is the rank of the baselines and of a class without a policy.
+    queued.rank = static_cast<double>(call.arrived.time_since_epoch().count());
+    const bool by_policy = settings_.placement == scheduling::strategy::policy;
+    if (by_policy && settings != nullptr) {
+        queued.priority = settings->priority;
+        if (scheduling::policy* ranking = policy_for(*settings)) {
+            if (const auto rank = ranking->order(features_of(call, *program, *settings))) {
+                queued.rank = *rank;
+            } else {
+                ++counters_.policy_failures;
+            }
+        }
+    }
+    if (!by_policy) {
+        // First come, first served across tenants.
+        queued.tenant.clear();
+    }
+    queue_for(call.request.kind).push(queued);
+    ++waiting_of_class_[program->program_class];
+}
+
+void scheduler_core::pump(instant now) {
+    for (const call_kind kind : all_kinds) {
+        while (pump_kind(kind, now)) {
+        }
+    }
+}
+
+bool scheduler_core::pump_kind(call_kind kind, instant now) {
+    for (const scheduling::ticket id : queue_for(kind).next(lookahead)) {
+        if (try_begin(calls_.at(id), now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool scheduler_core::try_begin(active_call& call, instant now) {
+    const std::optional<backend_name> target = choose_backend(call, now);
+    if (!target.has_value()) {
+        return false;
+    }
+    queue_for(call.request.kind).take(call.id);
+    if (const journal::program_record* program = record_of(call.request.program)) {
+        --waiting_of_class_[program->program_class];
+    }
+    begin(call, *target, now);
+    return true;
+}
+
+std::optional<backend_name> scheduler_core::choose_backend(active_call& call, instant now) {
+    if (call.request.kind != call_kind::model) {
+        const auto options = pool_for(call.request.kind).least_loaded(1, {}, false, now);
+        if (options.empty()) {
+            return std::nullopt;
+        }
+        return options.front()->member.name;
+    }
+    const journal::program_record* program = record_of(call.request.program);
+    const configuration::class_settings* settings =
+        program == nullptr ? nullptr : configuration().program_class(program->program_class);
+    if (settings == nullptr) {
+        return std::nullopt;
+    }
+    scheduling::placement_request request;
+    request.call = features_of(call, *program, *settings);
+    request.model = settings->model;
+    request.zone = settings_.zone;
+    request.prompt = &call.points;
+    request.prompt_tokens = call.prompt_tokens;
+    const auto choice =
+        placement_.choose(request, pool(engine_kind), cache_, policy_for(*settings), now);
+    if (!choice) {
+        return std::nullopt;
+    }
+    call.cached_tokens = choice->cached_tokens;
+    call.prefill_tokens = call.prompt_tokens - choice->cached_tokens;
+    note(call.request.program, call.request.sequence,
+         "placed on " + choice->engine + ": cached " + std::to_string(choice->cached_tokens) +
+             " of " + std::to_string(call.prompt_tokens) + " tokens, cost " +
+             std::to_string(choice->cost) + ", best of " + std::to_string(choice->candidates) +
+             ", waited " + std::to_string(to_milliseconds(now - call.arrived)) + " ms",
+         now);
+    return choice->engine;
+}
+
+void scheduler_core::begin(active_call& call, const backend_name& target, instant now) {
+    call.state = call_state::beginning;
+    call.target = target;
+    ++call.attempt;
+    call.slot_held = true;
+    call.prefill_pending = call.request.kind == call_kind::model;
+    pool_for(call.request.kind).started(target, call.prefill_pending ? call.prefill_tokens : 0);
+    if (const journal::program_record* program = record_of(call.request.program)) {
+        ++running_of_tenant_[program->tenant];
+    }
+    journal::begin_attempt change;
+    change.program = call.request.program;
+    change.sequence = call.request.sequence;
+    change.attempt = call.attempt;
+    change.request_identity = call.request.request_identity;
+    change.request_hash = call.request.request_hash;
+    change.kind = call.request.kind;
+    change.repeatable = call.request.repeatable;
+    change.target = target;
+    // The worst case: the whole prompt, the pieces that are out already, and all of the answer.
+    change.reservation = call.prompt_tokens + call.request.max_tokens;
+    ++counters_.attempts_begun;
+    if (call.attempt == 1) {
+        earn_retry(call);
+    }
+    journal_.append(append_key_of(call),
+                    journal::journal_command(journal::owner_command{
+                        call.shard, call.epoch, journal::program_change(std::move(change))}),
+                    now);
+}
+
+void scheduler_core::earn_retry(const active_call& call) {
+    const journal::program_record* program = record_of(call.request.program);
+    const configuration::class_settings* settings =
+        program == nullptr ? nullptr : configuration().program_class(program->program_class);
+    if (settings != nullptr) {
+        retry_budgets_[program->program_class].earn(settings->retry_ratio);
+    }
+}
+
+void scheduler_core::dispatch(active_call& call, instant now) {
+    call.state = call_state::running;
+    call.last_progress = now;
+    const journal::program_record* program = record_of(call.request.program);
+    const configuration::class_settings* settings =
+        program == nullptr ? nullptr : configuration().program_class(program->program_class);
+    const ownership_fence fence{call.shard, call.epoch};
+    if (call.request.kind == call_kind::model) {
+        const bool by_policy = settings_.placement == scheduling::strategy::policy;
+        start_stream start;
+        start.backend = call.target;
+        start.key = key_of(call);
+        start.fence = fence;
+        start.model = settings == nullptr ? std::string{} : settings->model;
+        start.prompt = call.prompt;
+        start.prefix = call.pieces;
+        start.max_tokens = call.request.max_tokens;
+        start.priority = by_policy && settings != nullptr ? settings->priority : 0;
+        order(std::move(start));
+        return;
+    }
+    duration timeout = app_timeout;
+    if (call.request.kind == call_kind::tool && settings != nullptr) {
+        timeout = std::chrono::milliseconds(settings->tool_timeout_ms);
+    }
+    order(run_request{call.target, key_of(call), fence, call.request.kind, call.request.operation,
+                      call.request.argument, call.request.repeatable, timeout});
+}
+
+void scheduler_core::expire_queued(instant now) {
+    for (const call_kind kind : all_kinds) {
+        while (const scheduling::queued_call* oldest = queue_for(kind).oldest()) {
+            active_call& call = calls_.at(oldest->id);
+            const journal::program_record* program = record_of(call.request.program);
+            const configuration::class_settings* settings =
+                program == nullptr ? nullptr
+                                   : configuration().program_class(program->program_class);
+            const duration limit =
+                std::chrono::milliseconds(settings == nullptr ? 0 : settings->queue_timeout_ms);
+            if (now - call.arrived < limit) {
+                break;
+            }
+            outcome result;
+            const bool no_backend = pool_for(kind).all().empty();
+            result.code = no_backend ? answer_code::no_backend : answer_code::deadline_exceeded;
+            result.ran = call.maybe_ran ? ran_state::unknown : ran_state::no;
+            result.detail = "the call waited too long for a back end";
+            result.retry_after_ms = retry_after(now);
+            reply_all(call, result);
+            drop_call(call.id);
+        }
+    }
+}
+
+}  // namespace tallyfold::scheduler
--- /dev/null
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -0,0 +1,615 @@
+#include "tallyfold/scheduler/scheduler_core.hpp"
+
+#include <algorithm>
+
+#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/protocol/binary_codec.hpp"
+
+namespace tallyfold::scheduler {
+
+namespace {
+
+using logging::event_id;
+
+constexpr duration housekeeping_interval = std::chrono::seconds(1);
+constexpr duration shard_read_patience = std::chrono::milliseconds(300);
+constexpr duration release_patience = std::chrono::milliseconds(500);
+constexpr duration release_patience_limit = std::chrono::seconds(10);
+constexpr duration longest_tick_gap = std::chrono::milliseconds(500);
+constexpr std::size_t kept_decisions = 64;
+constexpr std::uint32_t shortest_retry_after_ms = 100;
+constexpr std::uint32_t longest_retry_after_ms = 10'000;
+/// Time that one queued call is taken to need, for the hint when to come back.
+constexpr std::uint32_t milliseconds_per_waiting_call = 20;
+
+}  // namespace
+
+scheduler_core::scheduler_core(scheduler_settings settings, instant now)
+    : settings_(std::move(settings)),
+      random_(settings_.seed),
+      journal_(settings_.control_nodes, settings_.journal_groups),
+      session_({settings_.node, protocol::node_role::scheduler, settings_.address, settings_.zone,
+                settings_.control_nodes, settings_.heartbeat_interval,
+                settings_.configuration_lease}),
+      placement_(settings_.placement),
+      next_status_(now),
+      next_members_(now),
+      next_second_(now) {}
+
+// --- small helpers -------------------------------------------------------------------------
+
+shard_id scheduler_core::shard_number(const program_id& id) const {
+    return journal::shard_of(id, settings_.shard_count);
+}
+
+scheduler_core::owned_shard* scheduler_core::serving_shard(const program_id& id) {
+    const auto found = shards_.find(shard_number(id));
+    const bool serves = found != shards_.end() && found->second.phase != shard_phase::loading;
+    return serves ? &found->second : nullptr;
+}
+
+scheduler_core::active_call* scheduler_core::call_of(const program_id& id) {
+    const auto found = call_of_program_.find(id);
+    return found == call_of_program_.end() ? nullptr : &calls_.at(found->second);
+}
+
+scheduler_core::active_call* scheduler_core::find_call(const attempt_key& key) {
+    active_call* call = call_of(key.program);
+    const bool current =
+        call != nullptr && call->request.sequence == key.sequence && call->attempt == key.attempt;
+    return current ? call : nullptr;
+}
+
+const journal::program_record* scheduler_core::record_of(const program_id& id) const {
+    const auto found = shards_.find(shard_number(id));
+    return found == shards_.end() ? nullptr : found->second.state.find(id);
+}
+
+token_count scheduler_core::attained(const journal::program_record& program) const {
+    const journal::program_record* root = record_of(program.root);
+    return root == nullptr ? program.charged : root->charged;
+}
+
+token_count scheduler_core::budget_left(const journal::program_record& program) const {
+    const journal::program_record* root = record_of(program.root);
+    const journal::program_record& payer = root == nullptr ? program : *root;
+    const token_count used = payer.charged + payer.reserved;
+    return payer.budget > used ? payer.budget - used : 0;
+}
+
+attempt_key scheduler_core::key_of(const active_call& call) const {
+    return {call.request.program, call.request.sequence, call.attempt};
+}
+
+append_key scheduler_core::append_key_of(const active_call& call) const {
+    return {call.shard, call.epoch, call.root};
+}
+
+void scheduler_core::reply(const waiter& asker, journal::outcome result) {
+    if (result.code != journal::answer_code::ok && result.ran == journal::ran_state::no) {
+        ++counters_.calls_refused;
+    }
+    output_.messages.push_back(
+        {asker.gateway, protocol::scheduler_reply{asker.correlation, std::move(result)}});
+}
+
+void scheduler_core::reply_all(active_call& call, const journal::outcome& result) {
+    if (result.code != journal::answer_code::ok) {
+        remember_refusal(call.request, result);
+    }
+    for (const waiter& asker : call.waiters) {
+        reply(asker, result);
+    }
+    call.waiters.clear();
+}
+
+void scheduler_core::note(const program_id& id, sequence_number sequence, std::string text,
+                          instant now) {
+    auto& journey = programs_[id].journey;
+    journey.push_back({now, sequence, std::move(text)});
+    if (journey.size() > kept_decisions) {
+        journey.pop_front();
+    }
+}
+
+void scheduler_core::event(event_id id, std::string fields) {
+    output_.events.push_back({id, std::move(fields)});
+}
+
+std::uint32_t scheduler_core::retry_after(instant now) {
+    (void)now;
+    std::size_t waiting = 0;
+    for (const scheduling::call_queue& queue : queues_) {
+        waiting += queue.size();
+    }
+    const auto base = static_cast<std::uint32_t>(waiting) * milliseconds_per_waiting_call;
+    const std::uint32_t bounded = std::clamp(base, shortest_retry_after_ms, longest_retry_after_ms);
+    // Jitter keeps callers that were refused together from coming back together.
+    return bounded + static_cast<std::uint32_t>(random_.below(bounded / 2 + 1));
+}
+
+scheduling::backend_pool& scheduler_core::pool(scheduling::backend_kind kind) {
+    return pools_[static_cast<std::size_t>(kind)];
+}
+
+const scheduling::backend_pool& scheduler_core::pool(scheduling::backend_kind kind) const {
+    return pools_[static_cast<std::size_t>(kind)];
+}
+
+scheduling::backend_pool& scheduler_core::pool_for(journal::call_kind kind) {
+    return pools_[static_cast<std::size_t>(kind)];
+}
+
+scheduling::call_queue& scheduler_core::queue_for(journal::call_kind kind) {
+    return queues_[static_cast<std::size_t>(kind)];
+}
+
+scheduler_output scheduler_core::take_output() {
+    scheduler_output taken;
+    std::swap(taken, output_);
+    for (protocol::outbound_message& message : journal_.take_messages()) {
+        taken.messages.push_back(std::move(message));
+    }
+    return taken;
+}
+
+scheduler_gauges scheduler_core::gauges(instant now) const {
+    scheduler_gauges result;
+    for (const auto& [number, shard] : shards_) {
+        result.shards_serving += shard.phase == shard_phase::serving ? 1 : 0;
+    }
+    result.calls_active = calls_.size();
+    for (const scheduling::call_queue& queue : queues_) {
+        result.calls_waiting += queue.size();
+    }
+    result.appends_pending = journal_.pending();
+    result.configuration = configuration().version();
+    result.configuration_fresh = session_.configuration_fresh(now);
+    return result;
+}
+
+// --- inputs --------------------------------------------------------------------------------
+
+void scheduler_core::receive(const node_name& from, const protocol::internal_message& message,
+                             instant now) {
+    if (const auto* request = std::get_if<protocol::scheduler_request>(&message)) {
+        on_request(from, *request, now);
+    } else if (const auto* update = std::get_if<protocol::lease_update>(&message)) {
+        on_leases(from, *update, now);
+    } else if (const auto* contents = std::get_if<protocol::shard_contents>(&message)) {
+        on_contents(*contents, now);
+    } else if (const auto* configured = std::get_if<protocol::configuration_update>(&message)) {
+        on_configuration(*configured, now);
+    } else if (const auto* appended = std::get_if<protocol::journal_append_reply>(&message)) {
+        if (const auto finished = journal_.on_reply(*appended, now)) {
+            on_append_finished(*finished, now);
+        }
+    }
+    pump(now);
+}
+
+void scheduler_core::report(const backend_report& report, instant now) {
+    std::visit(
+        [&](const auto& body) {
+            using body_type = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<body_type, stream_pieces>) {
+                on_pieces(body, now);
+            } else if constexpr (std::is_same_v<body_type, stream_finished>) {
+                on_stream_finished(body, now);
+            } else if constexpr (std::is_same_v<body_type, attempt_failed>) {
+                on_attempt_failed(body, now);
+            } else if constexpr (std::is_same_v<body_type, request_answered>) {
+                on_request_answered(body, now);
+            } else if constexpr (std::is_same_v<body_type, seal_answered>) {
+                on_seal_answered(body, now);
+            } else if constexpr (std::is_same_v<body_type, seal_failed>) {
+                on_seal_failed(body, now);
+            } else if constexpr (std::is_same_v<body_type, release_confirmed>) {
+                for (const program_id& program : body.programs) {
+                    cache_releases_.erase({body.backend, program});
+                }
+            } else if constexpr (std::is_same_v<body_type, status_answered>) {
+                on_status(body);
+            } else if constexpr (std::is_same_v<body_type, status_failed>) {
+                for (scheduling::backend_pool& each : pools_) {
+                    each.failed(body.backend, now);
+                }
+            } else {
+                on_members(body);
+            }
+        },
+        report);
+    pump(now);
+}
+
+void scheduler_core::forgive_gap(instant now) {
+    if (last_tick_ != instant{} && now - last_tick_ > longest_tick_gap) {
+        // The process was stopped: nobody could reach it, so silence is no sign of neglect.
+        for (auto& [id, runtime] : programs_) {
+            runtime.last_activity = now;
+        }
+    }
+    last_tick_ = now;
+}
+
+void scheduler_core::tick(instant now) {
+    forgive_gap(now);
+    for (protocol::outbound_message& heartbeat : session_.tick(now)) {
+        output_.messages.push_back(std::move(heartbeat));
+    }
+    journal_.tick(now);
+    load_shards(now);
+    poll_backends(now);
+    expire_queued(now);
+    check_running_calls(now);
+    release_idle_shards(now);
+    repeat_cache_releases(now);
+    if (now >= next_second_) {
+        next_second_ = now + housekeeping_interval;
+        reap_programs(now);
+    }
+    const bool fresh = session_.configuration_fresh(now);
+    if (session_.configuration_known() && !fresh && !lease_expiry_noted_) {
+        event(event_id::configuration_lease_expired,
+              "version=" + std::to_string(configuration().version()));
+    }
+    lease_expiry_noted_ = !fresh;
+    pump(now);
+}
+
+// --- heartbeats, leases, configuration -----------------------------------------------------
+
+void scheduler_core::on_configuration(const protocol::configuration_update& update, instant now) {
+    (void)now;
+    if (!session_.on_configuration(update)) {
+        return;
+    }
+    event(event_id::configuration_applied, "version=" + std::to_string(configuration().version()));
+    compile_policies();
+    for (scheduling::backend_pool& each : pools_) {
+        std::vector<backend_name> names;
+        for (const auto& [name, backend] : each.all()) {
+            names.push_back(name);
+        }
+        for (const backend_name& name : names) {
+            each.set_drained(name, configuration().drained(name));
+        }
+    }
+}
+
+void scheduler_core::compile_policies() {
+    for (const auto& [key, item] : configuration().items()) {
+        if (key.kind != configuration::item_kind::policy || item.removed ||
+            policy_versions_[key.name] == item.version) {
+            continue;
+        }
+        policy_versions_[key.name] = item.version;
+        const auto* source = std::get_if<configuration::policy_source>(&item.body);
+        auto compiled = scheduling::policy::compile(source == nullptr ? "" : source->text);
+        if (compiled) {
+            policies_[key.name] = std::move(*compiled);
+            continue;
+        }
+        // The last good version, if any, stays in use.
+        ++counters_.policy_failures;
+        event(event_id::policy_failed, "policy=" + key.name +
+                                           " version=" + std::to_string(item.version) +
+                                           " line=" + std::to_string(compiled.error().line) +
+                                           " reason=\"" + compiled.error().reason + "\"");
+    }
+}
+
+scheduling::policy* scheduler_core::policy_for(const configuration::class_settings& settings) {
+    const auto found = policies_.find(settings.policy);
+    return found == policies_.end() ? nullptr : found->second.get();
+}
+
+void scheduler_core::on_leases(const node_name& from, const protocol::lease_update& update,
+                               instant now) {
+    journal_.set_leader(update.group, from);
+    if (!session_.on_leases(update)) {
+        return;
+    }
+    for (const auto& [shard, lease] : update.leases) {
+        const auto owned = shards_.find(shard);
+        const bool ours = lease.holder == settings_.node;
+        if (owned != shards_.end() && (owned->second.epoch < lease.epoch || !ours)) {
+            if (owned->second.epoch <= lease.epoch) {
+                lose_shard(shard, now);
+            }
+        }
+        if (ours && !shards_.contains(shard)) {
+            shards_[shard].epoch = lease.epoch;
+            event(event_id::shard_assigned,
+                  "shard=" + std::to_string(shard) + " epoch=" + std::to_string(lease.epoch));
+        }
+        hand_over_.erase(shard);
+    }
+    hand_over_.insert(update.hand_over.begin(), update.hand_over.end());
+    load_shards(now);
+}
+
+void scheduler_core::load_shards(instant now) {
+    for (auto& [number, shard] : shards_) {
+        if (shard.phase != shard_phase::loading || now < shard.asked + shard_read_patience) {
+            continue;
+        }
+        shard.asked = now;
+        const group_id group = control::group_of_shard(number, settings_.journal_groups);
+        const node_name leader = journal_.leader_of(group);
+        if (!leader.empty()) {
+            output_.messages.push_back({leader, protocol::shard_read{group, number, shard.epoch}});
+        }
+    }
+}
+
+void scheduler_core::on_contents(const protocol::shard_contents& contents, instant now) {
+    const auto found = shards_.find(contents.shard);
+    if (found == shards_.end() || found->second.phase != shard_phase::loading ||
+        found->second.epoch != contents.epoch) {
+        return;
+    }
+    auto state = protocol::decode<journal::shard_state>(contents.state);
+    if (!state) {
+        return;
+    }
+    owned_shard& shard = found->second;
+    shard.state = std::move(*state);
+    shard.phase = shard_phase::serving;
+    for (const auto& [id, program] : shard.state.programs()) {
+        programs_[id].last_activity = now;
+        if (program.closed) {
+            // The last owner may have gone before its release was confirmed.
+            queue_cache_release(id, now);
+        }
+    }
+    event(event_id::shard_loaded, "shard=" + std::to_string(contents.shard) +
+                                      " epoch=" + std::to_string(contents.epoch) +
+                                      " programs=" + std::to_string(shard.state.programs().size()));
+}
+
+void scheduler_core::lose_shard(shard_id number, instant now) {
+    const auto found = shards_.find(number);
+    if (found == shards_.end()) {
+        return;
+    }
+    if (!found->second.release_sent) {
+        event(event_id::shard_lost,
+              "shard=" + std::to_string(number) + " epoch=" + std::to_string(found->second.epoch));
+    }
+    journal_.abandon(number);
+    std::vector<scheduling::ticket> lost;
+    for (auto& [id, call] : calls_) {
+        if (call.shard == number) {
+            lost.push_back(id);
+        }
+    }
+    for (const scheduling::ticket id : lost) {
+        active_call& call = calls_.at(id);
+        journal::outcome result;
+        result.code = journal::answer_code::owner_changed;
+        // A begin that was handed to the journal may be committed: only a call that was still
+        // queued is known not to have run.
+        const bool untouched = call.state == call_state::queued && !call.maybe_ran;
+        result.ran = untouched ? journal::ran_state::no : journal::ran_state::unknown;
+        result.detail = "the program has moved to another scheduler; send the request again";
+        result.retry_after_ms = shortest_retry_after_ms;
+        reply_all(call, result);
+        if (call.state == call_state::running && call.request.kind == journal::call_kind::model) {
+            order(cancel_stream{call.target, key_of(call)});
+        }
+        drop_call(id);
+    }
+    for (const auto& [id, program] : found->second.state.programs()) {
+        const auto runtime = programs_.find(id);
+        if (runtime == programs_.end()) {
+            continue;
+        }
+        journal::outcome moved;
+        moved.code = journal::answer_code::owner_changed;
+        moved.ran = journal::ran_state::unknown;
+        moved.retry_after_ms = shortest_retry_after_ms;
+        moved.detail = "the program has moved to another scheduler; send the request again";
+        for (const waiter& asker : runtime->second.open_waiters) {
+            reply(asker, moved);
+        }
+        for (const waiter& asker : runtime->second.close_waiters) {
+            reply(asker, moved);
+        }
+        programs_.erase(runtime);
+    }
+    std::erase_if(programs_, [&](const auto& entry) {
+        return entry.second.open_waiters.empty() && shard_number(entry.first) == number;
+    });
+    shards_.erase(found);
+    (void)now;
+}
+
+void scheduler_core::drain(instant now) {
+    (void)now;
+    draining_ = true;
+    session_.set_draining();
+    session_.hurry();
+}
+
+bool scheduler_core::drained() const {
+    return draining_ && shards_.empty() && calls_.empty() && cache_releases_.empty();
+}
+
+void scheduler_core::release_idle_shards(instant now) {
+    for (auto& [number, shard] : shards_) {
+        const bool asked = draining_ || hand_over_.contains(number);
+        if (!asked || shard.phase == shard_phase::loading) {
+            continue;
+        }
+        // From here on new calls are sent elsewhere, and the shard empties.
+        shard.phase = shard_phase::handing_over;
+        const bool in_use = journal_.busy(number) ||
+                            std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
+                                return entry.second.shard == number;
+                            });
+        if (in_use || shard.release_sent) {
+            continue;
+        }
+        shard.release_sent = true;
+        journal_.append({number, shard.epoch, {}},
+                        journal::journal_command(journal::release_shard{number, shard.epoch}), now);
+        event(event_id::shard_released,
+              "shard=" + std::to_string(number) + " epoch=" + std::to_string(shard.epoch));
+    }
+}
+
+// --- back ends -----------------------------------------------------------------------------
+
+void scheduler_core::poll_backends(instant now) {
+    if (now >= next_members_) {
+        next_members_ = now + settings_.members_interval;
+        order(poll_members{});
+    }
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + settings_.status_interval;
+    for (const scheduling::backend_pool& each : pools_) {
+        for (const auto& [name, backend] : each.all()) {
+            order(poll_status{name, last_cache_event_[name]});
+        }
+    }
+}
+
+void scheduler_core::on_status(const status_answered& status) {
+    for (scheduling::backend_pool& each : pools_) {
+        const scheduling::backend_state* known = each.find(status.backend);
+        if (known == nullptr) {
+            continue;
+        }
+        if (status.load.leaving && !known->reported.leaving) {
+            event(event_id::backend_leaving, "backend=" + status.backend + " source=status");
+        }
+        each.report(status.backend, status.load);
+    }
+    std::uint64_t& last = last_cache_event_[status.backend];
+    for (const cache_event& happened : status.events) {
+        if (happened.number <= last && last != 0 && happened.number != 1) {
+            continue;
+        }
+        if (happened.number != last + 1) {
+            // Some events are lost: what is believed of this engine may be wrong in any part.
+            cache_.forget(status.backend);
+            event(event_id::cache_events_lost, "backend=" + status.backend +
+                                                   " expected=" + std::to_string(last + 1) +
+                                                   " got=" + std::to_string(happened.number));
+        }
+        last = happened.number;
+        if (happened.stored) {
+            cache_.stored(status.backend, happened.point);
+        } else {
+            cache_.removed(status.backend, happened.point.hash);
+        }
+    }
+}
+
+void scheduler_core::on_members(const members_answered& list) {
+    std::array<std::vector<scheduling::backend_member>, 3> by_kind;
+    for (const scheduling::backend_member& member : list.members) {
+        by_kind[static_cast<std::size_t>(member.kind)].push_back(member);
+    }
+    for (std::size_t kind = 0; kind < pools_.size(); ++kind) {
+        for (const scheduling::backend_member& member : by_kind[kind]) {
+            const scheduling::backend_state* known = pools_[kind].find(member.name);
+            if (member.leaving && known != nullptr && !known->member.leaving) {
+                event(event_id::backend_leaving, "backend=" + member.name + " source=members");
+            }
+        }
+        pools_[kind].update(by_kind[kind]);
+        for (const scheduling::backend_member& member : by_kind[kind]) {
+            pools_[kind].set_drained(member.name, configuration().drained(member.name));
+        }
+    }
+    std::erase_if(cache_releases_, [&](const auto& entry) {
+        return pool(engine_kind).find(entry.first.first) == nullptr;
+    });
+}
+
+void scheduler_core::queue_cache_release(const program_id& id, instant now) {
+    const journal::program_record* program = record_of(id);
+    if (program == nullptr) {
+        return;
+    }
+    for (const backend_name& engine : program->engines) {
+        cache_releases_[{engine, id}] = {now, 0};
+    }
+}
+
+void scheduler_core::repeat_cache_releases(instant now) {
+    std::map<backend_name, std::vector<program_id>> due;
+    for (auto& [key, release] : cache_releases_) {
+        if (now < release.next) {
+            continue;
+        }
+        if (release.tries > 0) {
+            ++counters_.cache_releases_repeated;
+            event(event_id::cache_release_repeated,
+                  "backend=" + key.first + " program=" + key.second);
+        }
+        const std::uint32_t doublings = std::min(release.tries, 5U);
+        release.next = now + std::min(release_patience * (1 << doublings), release_patience_limit);
+        ++release.tries;
+        due[key.first].push_back(key.second);
+    }
+    for (auto& [backend, programs] : due) {
+        order(release_cache{backend, std::move(programs)});
+    }
+}
+
+void scheduler_core::check_running_calls(instant now) {
+    std::vector<attempt_key> stalled;
+    for (auto& [id, call] : calls_) {
+        const bool streaming =
+            call.state == call_state::running && call.request.kind == journal::call_kind::model;
+        if (streaming && now - call.last_progress > settings_.stream_stall) {
+            stalled.push_back(key_of(call));
+        }
+        if (call.state == call_state::resolving && now >= call.next_try) {
+            resolve(call, now);
+        }
+        if (call.state == call_state::resuming && now >= call.next_try) {
+            call.state = call_state::running;
+            call.last_progress = now;
+            order(resume_stream{call.target, key_of(call), call.pieces.size()});
+        }
+    }
+    for (const attempt_key& key : stalled) {
+        on_attempt_failed({key, failure_kind::broken}, now);
+    }
+}
+
+void scheduler_core::reap_programs(instant now) {
+    std::vector<std::pair<program_id, shard_id>> idle;
+    for (const auto& [number, shard] : shards_) {
+        if (shard.phase != shard_phase::serving) {
+            continue;
+        }
+        for (const auto& [id, program] : shard.state.programs()) {
+            const configuration::class_settings* settings =
+                configuration().program_class(program.program_class);
+            if (program.closed || settings == nullptr || call_of_program_.contains(id)) {
+                continue;
+            }
+            const duration limit = std::chrono::milliseconds(settings->idle_timeout_ms);
+            // A parent waits as long as any of its sub-agents is at work.
+            const bool own_idle = now - programs_[id].last_activity > limit;
+            if (own_idle) {
+                idle.emplace_back(id, number);
+            }
+        }
+    }
+    for (const auto& [id, number] : idle) {
+        ++counters_.programs_reaped;
+        event(event_id::program_reaped, "program=" + id);
+        programs_[id].last_activity = now;
+        close_program(id, number, "abandoned", now);
+    }
+}
+
+}  // namespace tallyfold::scheduler
--- /dev/null
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -0,0 +1,147 @@
+#include "tallyfold/scheduling/backend_pool.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::scheduling {
+
+namespace {
+
+constexpr duration ejection_base = std::chrono::seconds(1);
+constexpr std::uint32_t ejection_doublings_limit = 5;
+
+double load_of(const backend_state& backend) {
+    return static_cast<double>(backend.outstanding()) /
+           static_cast<double>(std::max(1U, backend.member.slots));
+}
+
+}  // namespace
+
+std::uint32_t backend_state::outstanding() const {
+    const std::uint32_t total = reported.running + reported.waiting;
+    const std::uint32_t others = total > own_at_report ? total - own_at_report : 0;
+    return own_outstanding + others;
+}
+
+void backend_pool::index(const backend_state& backend) {
+    by_load_.insert({load_of(backend), backend.member.name});
+}
+
+void backend_pool::unindex(const backend_state& backend) {
+    by_load_.erase({load_of(backend), backend.member.name});
+}
+
+template <class Change>
+void backend_pool::change(const backend_name& name, Change&& apply) {
+    const auto found = backends_.find(name);
+    if (found == backends_.end()) {
+        return;
+    }
+    unindex(found->second);
+    apply(found->second);
+    index(found->second);
+}
+
+void backend_pool::update(const std::vector<backend_member>& members) {
+    std::map<backend_name, backend_state> next;
+    for (const backend_member& member : members) {
+        const auto found = backends_.find(member.name);
+        // A new address under an old name is a new process: nothing old holds for it.
+        const bool same =
+            found != backends_.end() && found->second.member.address == member.address;
+        backend_state state = same ? found->second : backend_state{};
+        state.member = member;
+        next.emplace(member.name, std::move(state));
+    }
+    backends_ = std::move(next);
+    by_load_.clear();
+    for (const auto& [name, state] : backends_) {
+        index(state);
+    }
+}
+
+void backend_pool::report(const backend_name& name, const load_report& load) {
+    change(name, [&](backend_state& backend) {
+        backend.reported = load;
+        backend.own_at_report = backend.own_outstanding;
+    });
+}
+
+void backend_pool::set_drained(const backend_name& name, bool drained) {
+    change(name, [&](backend_state& backend) { backend.drained = drained; });
+}
+
+void backend_pool::started(const backend_name& name, token_count prefill_tokens) {
+    change(name, [&](backend_state& backend) {
+        ++backend.own_outstanding;
+        backend.pending_prefill_tokens += prefill_tokens;
+    });
+}
+
+void backend_pool::prefilled(const backend_name& name, token_count prefill_tokens) {
+    change(name, [&](backend_state& backend) {
+        backend.pending_prefill_tokens -= std::min(prefill_tokens, backend.pending_prefill_tokens);
+    });
+}
+
+void backend_pool::finished(const backend_name& name) {
+    change(name, [](backend_state& backend) {
+        backend.own_outstanding -= backend.own_outstanding > 0 ? 1 : 0;
+    });
+}
+
+void backend_pool::succeeded(const backend_name& name) {
+    change(name, [](backend_state& backend) {
+        backend.consecutive_failures = 0;
+        backend.ejections = 0;
+    });
+}
+
+std::size_t backend_pool::ejected_count(instant now) const {
+    return static_cast<std::size_t>(
+        std::count_if(backends_.begin(), backends_.end(),
+                      [&](const auto& entry) { return entry.second.ejected_until > now; }));
+}
+
+void backend_pool::failed(const backend_name& name, instant now) {
+    const auto allowed =
+        static_cast<std::size_t>(static_cast<double>(backends_.size()) * ejected_share_limit);
+    const bool may_eject = ejected_count(now) < allowed;
+    change(name, [&](backend_state& backend) {
+        ++backend.consecutive_failures;
+        if (backend.consecutive_failures < ejection_threshold || !may_eject) {
+            return;
+        }
+        const std::uint32_t doublings = std::min(backend.ejections, ejection_doublings_limit);
+        backend.ejected_until = now + ejection_base * (1 << doublings);
+        ++backend.ejections;
+        backend.consecutive_failures = 0;
+    });
+}
+
+const backend_state* backend_pool::find(const backend_name& name) const {
+    const auto found = backends_.find(name);
+    return found == backends_.end() ? nullptr : &found->second;
+}
+
+bool backend_pool::available(const backend_state& backend, instant now) const {
+    return !backend.leaving() && backend.ejected_until <= now;
+}
+
+std::vector<const backend_state*> backend_pool::least_loaded(std::size_t limit,
+                                                             const std::string& model,
+                                                             bool include_busy, instant now) const {
+    std::vector<const backend_state*> chosen;
+    for (const auto& [load, name] : by_load_) {
+        if ((load >= 1.0 && !include_busy) || chosen.size() >= limit) {
+            break;
+        }
+        const backend_state& backend = backends_.at(name);
+        const bool fits = model.empty() || backend.member.model == model;
+        if (fits && available(backend, now)) {
+            chosen.push_back(&backend);
+        }
+    }
+    return chosen;
+}
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -0,0 +1,100 @@
+#pragma once
+/// @file
+/// Back ends of one kind as one scheduler sees them: who is live, how loaded, who is ejected.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/common/types.hpp"
+
+namespace tallyfold::scheduling {
+
+enum class backend_kind : std::uint8_t { engine, app, tool };
+
+struct backend_member {
+    backend_name name;
+    backend_kind kind = backend_kind::engine;
+    /// "ip:port" of its HTTP interface.
+    std::string address;
+    std::string zone;
+    /// Model that an engine has loaded; empty for the other kinds.
+    std::string model;
+    /// Calls that it takes at once.
+    std::uint32_t slots = 8;
+    bool leaving = false;
+
+    bool operator==(const backend_member&) const = default;
+};
+
+/// What a back end says of itself, with a lag.
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    double cache_fill = 0;
+    bool leaving = false;
+};
+
+struct backend_state {
+    backend_member member;
+    load_report reported;
+    /// Our own calls there at the time of the report; the rest of the report is others'.
+    std::uint32_t own_at_report = 0;
+    std::uint32_t own_outstanding = 0;
+    token_count pending_prefill_tokens = 0;
+    std::uint32_t consecutive_failures = 0;
+    std::uint32_t ejections = 0;
+    instant ejected_until{};
+    bool drained = false;
+
+    /// Our own calls plus the others' as last reported.
+    [[nodiscard]] std::uint32_t outstanding() const;
+    [[nodiscard]] bool leaving() const { return member.leaving || reported.leaving || drained; }
+};
+
+class backend_pool {
+  public:
+    /// Failures in a row after which a back end is left out for a while.
+    static constexpr std::uint32_t ejection_threshold = 3;
+    /// Share of the pool that may be ejected: a fault they all share must not empty it.
+    static constexpr double ejected_share_limit = 0.5;
+
+    /// Takes the membership list as it stands. Back ends that left it are dropped.
+    void update(const std::vector<backend_member>& members);
+    void report(const backend_name& name, const load_report& load);
+    void set_drained(const backend_name& name, bool drained);
+
+    void started(const backend_name& name, token_count prefill_tokens);
+    /// The first piece of an answer came: its prefill is done.
+    void prefilled(const backend_name& name, token_count prefill_tokens);
+    void finished(const backend_name& name);
+    void succeeded(const backend_name& name);
+    void failed(const backend_name& name, instant now);
+
+    [[nodiscard]] const backend_state* find(const backend_name& name) const;
+    [[nodiscard]] const std::map<backend_name, backend_state>& all() const { return backends_; }
+    /// True when the back end may get new work now.
+    [[nodiscard]] bool available(const backend_state& backend, instant now) const;
+    /// Available back ends, least loaded first, at most `limit`; with a free slot only, unless
+    /// `include_busy`.
+    [[nodiscard]] std::vector<const backend_state*> least_loaded(std::size_t limit,
+                                                                 const std::string& model,
+                                                                 bool include_busy,
+                                                                 instant now) const;
+
+  private:
+    void index(const backend_state& backend);
+    void unindex(const backend_state& backend);
+    template <class Change>
+    void change(const backend_name& name, Change&& apply);
+
+    std::map<backend_name, backend_state> backends_;
+    /// Order by share of slots in use, for picking without a scan.
+    std::set<std::pair<double, backend_name>> by_load_;
+    std::size_t ejected_count(instant now) const;
+};
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/cache_map.cpp
@@ -0,0 +1,95 @@
+#include "tallyfold/scheduling/cache_map.hpp"
+
+#include <algorithm>
+
+#include "tallyfold/common/hash.hpp"
+
+namespace tallyfold::scheduling {
+
+prefix_point extend_prefix(const prefix_point& before, const journal::message& added) {
+    const std::uint64_t content = stable_hash(added.content, stable_hash(added.role));
+    return {combine_hash(before.hash, combine_hash(content, added.tokens)),
+            before.tokens + added.tokens};
+}
+
+std::uint32_t cache_map::number_of(const backend_name& engine) {
+    const auto [position, added] =
+        numbers_.try_emplace(engine, static_cast<std::uint32_t>(names_.size()));
+    if (added) {
+        names_.push_back(engine);
+    }
+    return position->second;
+}
+
+void cache_map::stored(const backend_name& engine, const prefix_point& point) {
+    const std::uint32_t number = number_of(engine);
+    auto [position, added] = entries_.try_emplace(point.hash);
+    entry& known = position->second;
+    if (added) {
+        by_age_.push_front(point.hash);
+    } else {
+        by_age_.splice(by_age_.begin(), by_age_, known.age);
+    }
+    known.age = by_age_.begin();
+    known.tokens = point.tokens;
+    if (std::find(known.engines.begin(), known.engines.end(), number) == known.engines.end()) {
+        known.engines.push_back(number);
+    }
+    if (entries_.size() > capacity_) {
+        drop_oldest();
+    }
+}
+
+void cache_map::drop_oldest() {
+    entries_.erase(by_age_.back());
+    by_age_.pop_back();
+}
+
+void cache_map::removed(const backend_name& engine, prefix_hash hash) {
+    const auto found = entries_.find(hash);
+    if (found == entries_.end()) {
+        return;
+    }
+    std::erase(found->second.engines, number_of(engine));
+    if (found->second.engines.empty()) {
+        by_age_.erase(found->second.age);
+        entries_.erase(found);
+    }
+}
+
+void cache_map::forget(const backend_name& engine) {
+    const std::uint32_t number = number_of(engine);
+    for (auto position = entries_.begin(); position != entries_.end();) {
+        std::erase(position->second.engines, number);
+        if (position->second.engines.empty()) {
+            by_age_.erase(position->second.age);
+            position = entries_.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
+std::vector<cached_prefix> cache_map::find(const std::vector<prefix_point>& points) const {
+    std::vector<cached_prefix> matches;
+    for (auto point = points.rbegin(); point != points.rend(); ++point) {
+        const auto found = entries_.find(point->hash);
+        if (found == entries_.end()) {
+            continue;
+        }
+        for (const std::uint32_t number : found->second.engines) {
+            const backend_name& name = names_[number];
+            const bool known = std::any_of(matches.begin(), matches.end(),
+                                           [&](const auto& match) { return match.engine == name; });
+            if (!known) {
+                matches.push_back({name, point->tokens});
+            }
+        }
+        if (matches.size() >= matches_limit) {
+            break;
+        }
+    }
+    return matches;
+}
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/cache_map.hpp
@@ -0,0 +1,69 @@
+#pragma once
+/// @file
+/// Guess of which engine holds which cached prefix, fed by late events and own dispatches.
+///
+/// A wrong guess costs time, never correctness: the engine finds out what it really holds.
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "tallyfold/common/types.hpp"
+#include "tallyfold/journal/types.hpp"
+
+namespace tallyfold::scheduling {
+
+/// Hash of a conversation up to the end of one message; equal for equal beginnings.
+using prefix_hash = std::uint64_t;
+
+struct prefix_point {
+    prefix_hash hash = 0;
+    /// Tokens from the conversation's start to this point.
+    token_count tokens = 0;
+};
+
+/// Point after `added`, which follows a conversation that ends at `before`.
+prefix_point extend_prefix(const prefix_point& before, const journal::message& added);
+
+struct cached_prefix {
+    backend_name engine;
+    token_count tokens = 0;
+};
+
+class cache_map {
+  public:
+    /// Points remembered at most; the least recently touched go first.
+    explicit cache_map(std::size_t capacity = 200'000) : capacity_(capacity) {}
+
+    void stored(const backend_name& engine, const prefix_point& point);
+    void removed(const backend_name& engine, prefix_hash hash);
+    /// Forgets all that is believed of an engine: its events had a gap, or it restarted.
+    void forget(const backend_name& engine);
+
+    /// Engines believed to hold the longest beginnings of the conversation, longest first.
+    /// @param points the conversation's points, shortest first
+    [[nodiscard]] std::vector<cached_prefix> find(const std::vector<prefix_point>& points) const;
+    [[nodiscard]] std::size_t size() const { return entries_.size(); }
+
+  private:
+    /// Distinct engines that a lookup returns at most.
+    static constexpr std::size_t matches_limit = 4;
+    struct entry {
+        token_count tokens = 0;
+        std::vector<std::uint32_t> engines;
+        std::list<prefix_hash>::iterator age;
+    };
+    std::uint32_t number_of(const backend_name& engine);
+    void drop_oldest();
+
+    std::size_t capacity_;
+    std::unordered_map<prefix_hash, entry> entries_;
+    std::list<prefix_hash> by_age_;
+    std::map<backend_name, std::uint32_t> numbers_;
+    std::vector<backend_name> names_;
+};
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/call_queue.cpp
@@ -0,0 +1,104 @@
+#include "tallyfold/scheduling/call_queue.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::scheduling {
+
+void call_queue::push(const queued_call& call) {
+    calls_[call.id] = call;
+    by_arrival_.insert({call.arrived, call.id});
+    tenant_lane& lane = tiers_[call.priority][call.tenant];
+    lane.by_rank.insert({call.rank, call.id});
+    // A tenant that was away does not come back with credit for the time it did not use.
+    double& time = virtual_times_[call.tenant];
+    if (waiting_[call.tenant]++ == 0) {
+        time = std::max(time, virtual_now_);
+    }
+}
+
+std::vector<ticket> call_queue::next(std::size_t limit) const {
+    std::vector<ticket> chosen;
+    if (!calls_.empty() && taken_ % oldest_every == oldest_every - 1) {
+        chosen.push_back(by_arrival_.begin()->second);
+    }
+    for (const auto& [priority, lanes] : tiers_) {
+        append_tier(lanes, limit, chosen);
+        if (chosen.size() >= limit) {
+            break;
+        }
+    }
+    return chosen;
+}
+
+void call_queue::append_tier(const tier& lanes, std::size_t limit,
+                             std::vector<ticket>& chosen) const {
+    using position = std::set<std::pair<double, ticket>>::const_iterator;
+    // One cursor a tenant, ordered by the time that its next call would be served at.
+    std::multimap<double, std::pair<position, const tenant_lane*>> cursors;
+    for (const auto& [tenant, lane] : lanes) {
+        cursors.insert({virtual_times_.at(tenant), {lane.by_rank.begin(), &lane}});
+    }
+    while (!cursors.empty() && chosen.size() < limit) {
+        const auto first = cursors.begin();
+        const double time = first->first;
+        auto [current, lane] = first->second;
+        cursors.erase(first);
+        const ticket id = current->second;
+        chosen.push_back(id);
+        if (++current != lane->by_rank.end()) {
+            const queued_call& call = calls_.at(id);
+            cursors.insert({time + call.cost / call.tenant_weight, {current, lane}});
+        }
+    }
+}
+
+void call_queue::take(ticket id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const queued_call& call = found->second;
+    double& time = virtual_times_[call.tenant];
+    virtual_now_ = std::max(virtual_now_, time);
+    time += call.cost / call.tenant_weight;
+    ++taken_;
+    erase(id);
+}
+
+void call_queue::remove(ticket id) {
+    erase(id);
+}
+
+void call_queue::erase(ticket id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const queued_call call = found->second;
+    by_arrival_.erase({call.arrived, id});
+    const auto level = tiers_.find(call.priority);
+    const auto lane = level->second.find(call.tenant);
+    lane->second.by_rank.erase({call.rank, id});
+    if (lane->second.by_rank.empty()) {
+        level->second.erase(lane);
+    }
+    if (level->second.empty()) {
+        tiers_.erase(level);
+    }
+    --waiting_[call.tenant];
+    calls_.erase(found);
+}
+
+std::size_t call_queue::waiting_of(const std::string& tenant) const {
+    const auto found = waiting_.find(tenant);
+    return found == waiting_.end() ? 0 : found->second;
+}
+
+const queued_call* call_queue::oldest() const {
+    if (by_arrival_.empty()) {
+        return nullptr;
+    }
+    return &calls_.at(by_arrival_.begin()->second);
+}
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/call_queue.hpp
@@ -0,0 +1,68 @@
+#pragma once
+/// @file
+/// Calls that wait for a back end: priority first, then weighted fair between tenants, then the
+/// policy's rank; with a bound on how long any call can be passed over.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tallyfold/common/time.hpp"
+
+namespace tallyfold::scheduling {
+
+using ticket = std::uint64_t;
+
+struct queued_call {
+    ticket id = 0;
+    std::string tenant;
+    double tenant_weight = 1.0;
+    std::int32_t priority = 0;
+    /// From the policy; lower goes first within a tenant.
+    double rank = 0;
+    /// Tokens that serving the call will take, for the fair shares.
+    double cost = 1;
+    instant arrived{};
+};
+
+class call_queue {
+  public:
+    /// Every `oldest_every`-th call taken is the one that has waited longest, so that a call is
+    /// served after at most oldest_every times the calls that were ahead of it at its arrival.
+    static constexpr std::uint64_t oldest_every = 8;
+
+    void push(const queued_call& call);
+    /// The calls to try next, best first; they stay in the queue.
+    [[nodiscard]] std::vector<ticket> next(std::size_t limit) const;
+    /// Serves a call: removes it and charges its tenant's share.
+    void take(ticket id);
+    /// Removes a call that will not be served.
+    void remove(ticket id);
+    [[nodiscard]] std::size_t size() const { return calls_.size(); }
+    [[nodiscard]] std::size_t waiting_of(const std::string& tenant) const;
+    /// The call that has waited longest.
+    [[nodiscard]] const queued_call* oldest() const;
+
+  private:
+    struct tenant_lane {
+        std::set<std::pair<double, ticket>> by_rank;
+    };
+    using tier = std::map<std::string, tenant_lane>;
+
+    void erase(ticket id);
+    void append_tier(const tier& lanes, std::size_t limit, std::vector<ticket>& chosen) const;
+
+    std::map<ticket, queued_call> calls_;
+    std::set<std::pair<instant, ticket>> by_arrival_;
+    /// Lanes by priority, greatest first; a lane lives while it has calls.
+    std::map<std::int32_t, tier, std::greater<>> tiers_;
+    /// Cost served per tenant, divided by its weight.
+    std::map<std::string, double> virtual_times_;
+    std::map<std::string, std::size_t> waiting_;
+    double virtual_now_ = 0;
+    std::uint64_t taken_ = 0;
+};
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -0,0 +1,148 @@
+#include "tallyfold/scheduling/placement.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::scheduling {
+
+namespace {
+
+engine_features describe(const placement_request& request, const backend_state& engine,
+                         token_count cached_tokens) {
+    engine_features features;
+    features.cached_tokens = static_cast<double>(cached_tokens);
+    features.uncached_tokens = static_cast<double>(request.prompt_tokens - cached_tokens);
+    features.outstanding = engine.outstanding();
+    features.slots = std::max(1U, engine.member.slots);
+    features.pending_prefill_tokens = static_cast<double>(engine.pending_prefill_tokens);
+    features.cache_fill = engine.reported.cache_fill;
+    features.same_zone = engine.member.zone == request.zone;
+    return features;
+}
+
+/// Tokens of prefill that one running call is taken to delay a new one by.
+constexpr double tokens_per_running_call = 64;
+
+double built_in_cost(const engine_features& engine) {
+    return engine.uncached_tokens + engine.pending_prefill_tokens +
+           engine.outstanding * tokens_per_running_call;
+}
+
+bool has_free_slot(const backend_state& engine) {
+    return engine.outstanding() < engine.member.slots;
+}
+
+}  // namespace
+
+std::optional<strategy> parse_strategy(std::string_view name) {
+    if (name == "tallyfold") {
+        return strategy::policy;
+    }
+    if (name == "round_robin") {
+        return strategy::round_robin;
+    }
+    if (name == "least_outstanding") {
+        return strategy::least_outstanding;
+    }
+    if (name == "affinity_fcfs") {
+        return strategy::affinity_fcfs;
+    }
+    return std::nullopt;
+}
+
+double placement::cost_of(const placement_request& request, const candidate& option,
+                          policy* ranking) {
+    const engine_features features = describe(request, *option.engine, option.cached_tokens);
+    if (ranking != nullptr) {
+        if (const auto cost = ranking->place(request.call, features)) {
+            return *cost;
+        }
+    }
+    return built_in_cost(features);
+}
+
+const backend_state* placement::next_in_turn(const backend_pool& pool, const std::string& model,
+                                             instant now) {
+    const auto& all = pool.all();
+    auto position = all.upper_bound(last_in_turn_);
+    for (std::size_t step = 0; step < all.size(); ++step) {
+        if (position == all.end()) {
+            position = all.begin();
+        }
+        const backend_state& engine = position->second;
+        const bool fits = model.empty() || engine.member.model == model;
+        if (fits && pool.available(engine, now)) {
+            last_in_turn_ = position->first;
+            return &engine;
+        }
+        ++position;
+    }
+    return nullptr;
+}
+
+std::vector<placement::candidate> placement::gather(const placement_request& request,
+                                                    const backend_pool& pool,
+                                                    const cache_map& cache, instant now) const {
+    std::vector<candidate> options;
+    const bool uses_cache = strategy_ == strategy::policy || strategy_ == strategy::affinity_fcfs;
+    if (uses_cache && request.prompt != nullptr) {
+        for (const cached_prefix& match : cache.find(*request.prompt)) {
+            const backend_state* engine = pool.find(match.engine);
+            const bool usable = engine != nullptr && pool.available(*engine, now) &&
+                                (request.model.empty() || engine->member.model == request.model);
+            if (usable) {
+                options.push_back({engine, std::min(match.tokens, request.prompt_tokens)});
+            }
+        }
+    }
+    const std::size_t sample = strategy_ == strategy::policy ? sampled_engines : 1;
+    // A baseline sends a call at once and lets the engine queue it.
+    const bool include_busy = strategy_ != strategy::policy;
+    for (const backend_state* engine :
+         pool.least_loaded(sample, request.model, include_busy, now)) {
+        const bool known = std::any_of(options.begin(), options.end(), [&](const candidate& other) {
+            return other.engine == engine;
+        });
+        if (!known) {
+            options.push_back({engine, 0});
+        }
+    }
+    return options;
+}
+
+tl::expected<placement_choice, placement_refusal> placement::choose(
+    const placement_request& request, const backend_pool& pool, const cache_map& cache,
+    policy* ranking, instant now) {
+    if (strategy_ == strategy::round_robin) {
+        const backend_state* engine = next_in_turn(pool, request.model, now);
+        if (engine == nullptr) {
+            return tl::unexpected(placement_refusal::all_busy);
+        }
+        return placement_choice{engine->member.name, 0, 0, 1};
+    }
+    const std::vector<candidate> options = gather(request, pool, cache, now);
+    if (options.empty()) {
+        return tl::unexpected(pool.all().empty() ? placement_refusal::none_available
+                                                 : placement_refusal::all_busy);
+    }
+    if (strategy_ != strategy::policy) {
+        // The longest cached prefix comes first where the strategy looks at the cache at all.
+        const candidate& first = options.front();
+        return placement_choice{first.engine->member.name, first.cached_tokens, 0, options.size()};
+    }
+    const candidate* best = nullptr;
+    double best_cost = 0;
+    for (const candidate& option : options) {
+        const double cost = cost_of(request, option, ranking);
+        if (best == nullptr || cost < best_cost) {
+            best = &option;
+            best_cost = cost;
+        }
+    }
+    if (!has_free_slot(*best->engine)) {
+        return tl::unexpected(placement_refusal::wait_for_cache);
+    }
+    return placement_choice{best->engine->member.name, best->cached_tokens, best_cost,
+                            options.size()};
+}
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/placement.hpp
@@ -0,0 +1,76 @@
+#pragma once
+/// @file
+/// Chooses the engine for one call, by the class's policy or by a baseline strategy.
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "tallyfold/scheduling/backend_pool.hpp"
+#include "tallyfold/scheduling/cache_map.hpp"
+#include "tallyfold/scheduling/policy.hpp"
+
+namespace tallyfold::scheduling {
+
+/// How calls are ordered and placed. All but `policy` are baselines for measurements.
+enum class strategy : std::uint8_t { policy, round_robin, least_outstanding, affinity_fcfs };
+
+std::optional<strategy> parse_strategy(std::string_view name);
+
+struct placement_request {
+    call_features call;
+    std::string model;
+    std::string zone;
+    const std::vector<prefix_point>* prompt = nullptr;
+    token_count prompt_tokens = 0;
+};
+
+struct placement_choice {
+    backend_name engine;
+    token_count cached_tokens = 0;
+    /// Cost that the policy gave it; 0 for baselines.
+    double cost = 0;
+    std::size_t candidates = 0;
+};
+
+enum class placement_refusal : std::uint8_t {
+    /// Engines exist, but each has all its slots taken.
+    all_busy,
+    /// A busy engine holds the prompt and is worth waiting for.
+    wait_for_cache,
+    /// No engine can run the call at all.
+    none_available,
+};
+
+class placement {
+  public:
+    explicit placement(strategy chosen) : strategy_(chosen) {}
+
+    /// @param ranking the class's policy; null uses the built-in cost
+    tl::expected<placement_choice, placement_refusal> choose(const placement_request& request,
+                                                             const backend_pool& pool,
+                                                             const cache_map& cache,
+                                                             policy* ranking, instant now);
+
+  private:
+    /// Engines without a cached prefix that are weighed, least loaded first.
+    static constexpr std::size_t sampled_engines = 4;
+
+    struct candidate {
+        const backend_state* engine = nullptr;
+        token_count cached_tokens = 0;
+    };
+
+    std::vector<candidate> gather(const placement_request& request, const backend_pool& pool,
+                                  const cache_map& cache, instant now) const;
+    const backend_state* next_in_turn(const backend_pool& pool, const std::string& model,
+                                      instant now);
+    static double cost_of(const placement_request& request, const candidate& option,
+                          policy* ranking);
+
+    strategy strategy_;
+    backend_name last_in_turn_;
+};
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -0,0 +1,88 @@
+#pragma once
+/// @file
+/// Operators' policies: short Lua programs, run with bounded instructions and memory and
+/// without any library that reaches outside.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace tallyfold::scheduling {
+
+/// What a policy may know of a call. Units are in docs/POLICIES.md.
+struct call_features {
+    std::string program_class;
+    double priority = 0;
+    /// Tokens that the whole program (root and sub-agents) has used so far.
+    double attained_tokens = 0;
+    double turns = 0;
+    double prompt_tokens = 0;
+    double max_tokens = 0;
+    double budget_left = 0;
+    /// The tenant's calls under way at this scheduler.
+    double tenant_running = 0;
+    bool is_sub_agent = false;
+};
+
+/// What a policy may know of an engine, for one call.
+struct engine_features {
+    /// Tokens of the call's prompt that the engine is believed to hold.
+    double cached_tokens = 0;
+    double uncached_tokens = 0;
+    /// Calls under way there: this scheduler's own, plus the others' as last reported.
+    double outstanding = 0;
+    double slots = 1;
+    /// Prompt tokens sent there whose first token has not come back.
+    double pending_prefill_tokens = 0;
+    /// Share of the cache that is in use, 0 to 1.
+    double cache_fill = 0;
+    bool same_zone = false;
+};
+
+/// What a policy may know of a program whose call just ended.
+struct program_features {
+    std::string program_class;
+    double priority = 0;
+    double history_tokens = 0;
+    double turns = 0;
+    double attained_tokens = 0;
+    /// Mean pause between the program's calls so far, in milliseconds.
+    double mean_pause_ms = 0;
+    bool is_sub_agent = false;
+};
+
+/// Why a policy was refused or failed.
+struct policy_error {
+    /// 0 when the failure has no line.
+    int line = 0;
+    std::string reason;
+};
+
+/// One compiled policy. Not thread-safe.
+class policy {
+  public:
+    static constexpr int instruction_limit = 20'000;
+    static constexpr std::size_t memory_limit = 1U << 20U;
+
+    /// Compiles `text` and runs each function once on sample features.
+    static tl::expected<std::unique_ptr<policy>, policy_error> compile(const std::string& text);
+    ~policy();
+    policy(const policy&) = delete;
+    policy& operator=(const policy&) = delete;
+
+    /// Rank of a waiting call; lower goes first.
+    tl::expected<double, policy_error> order(const call_features& call);
+    /// Cost of running the call on the engine; lower is better.
+    tl::expected<double, policy_error> place(const call_features& call,
+                                             const engine_features& engine);
+    /// Value of keeping the program's history cached; higher is kept longer.
+    tl::expected<double, policy_error> retain(const program_features& program);
+
+  private:
+    struct runtime;
+    explicit policy(std::unique_ptr<runtime> state);
+    std::unique_ptr<runtime> runtime_;
+};
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/storage/file.cpp
@@ -0,0 +1,170 @@
+#include "tallyfold/storage/file.hpp"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <utility>
+
+namespace tallyfold::storage {
+
+namespace {
+
+constexpr mode_t file_mode = 0640;
+constexpr std::size_t read_block = 1U << 16U;
+
+storage_error system_error(const std::string& path, std::string_view step) {
+    return {storage_failure::input_output,
+            path + ": " + std::string(step) + ": " + std::strerror(errno)};
+}
+
+}  // namespace
+
+append_file::append_file(std::string path, int descriptor, std::uint64_t size)
+    : path_(std::move(path)), descriptor_(descriptor), size_(size) {}
+
+append_file::append_file(append_file&& other) noexcept
+    : path_(std::move(other.path_)),
+      descriptor_(std::exchange(other.descriptor_, -1)),
+      size_(other.size_),
+      failed_(other.failed_) {}
+
+append_file& append_file::operator=(append_file&& other) noexcept {
+    std::swap(path_, other.path_);
+    std::swap(descriptor_, other.descriptor_);
+    std::swap(size_, other.size_);
+    std::swap(failed_, other.failed_);
+    return *this;
+}
+
+append_file::~append_file() {
+    if (descriptor_ >= 0) {
+        ::close(descriptor_);
+    }
+}
+
+tl::expected<append_file, storage_error> append_file::create(const std::string& path) {
+    const int descriptor =
+        ::open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, file_mode);
+    if (descriptor < 0) {
+        return tl::unexpected(system_error(path, "create"));
+    }
+    return append_file(path, descriptor, 0);
+}
+
+tl::expected<append_file, storage_error> append_file::open_at(const std::string& path,
+                                                              std::uint64_t length) {
+    const int descriptor = ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return tl::unexpected(system_error(path, "open"));
+    }
+    append_file file(path, descriptor, length);
+    if (::ftruncate(descriptor, static_cast<off_t>(length)) != 0) {
+        return tl::unexpected(system_error(path, "truncate"));
+    }
+    if (::lseek(descriptor, 0, SEEK_END) < 0) {
+        return tl::unexpected(system_error(path, "seek"));
+    }
+    if (auto synced = file.sync(); !synced) {
+        return tl::unexpected(synced.error());
+    }
+    return file;
+}
+
+tl::expected<void, storage_error> append_file::fail(std::string_view step) {
+    failed_ = true;
+    return tl::unexpected(system_error(path_, step));
+}
+
+tl::expected<void, storage_error> append_file::append(std::string_view bytes) {
+    if (failed_) {
+        return tl::unexpected(
+            storage_error{storage_failure::input_output, path_ + ": an earlier write failed"});
+    }
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(descriptor_, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return fail("write");
+        }
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+        size_ += static_cast<std::uint64_t>(written);
+    }
+    return {};
+}
+
+tl::expected<void, storage_error> append_file::sync() {
+    if (failed_) {
+        return tl::unexpected(
+            storage_error{storage_failure::input_output, path_ + ": an earlier sync failed"});
+    }
+    if (::fdatasync(descriptor_) != 0) {
+        return fail("sync");
+    }
+    return {};
+}
+
+tl::expected<std::string, storage_error> read_file(const std::string& path) {
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return tl::unexpected(system_error(path, "open"));
+    }
+    std::string bytes;
+    std::array<char, read_block> block{};
+    ssize_t count = 0;
+    while ((count = ::read(descriptor, block.data(), block.size())) > 0) {
+        bytes.append(block.data(), static_cast<std::size_t>(count));
+    }
+    ::close(descriptor);
+    if (count < 0) {
+        return tl::unexpected(system_error(path, "read"));
+    }
+    return bytes;
+}
+
+tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes) {
+    const std::string temporary = path + ".tmp";
+    auto file = append_file::create(temporary);
+    if (!file) {
+        return tl::unexpected(file.error());
+    }
+    if (auto written = file->append(bytes); !written) {
+        return written;
+    }
+    if (auto synced = file->sync(); !synced) {
+        return synced;
+    }
+    if (::rename(temporary.c_str(), path.c_str()) != 0) {
+        return tl::unexpected(system_error(path, "rename"));
+    }
+    return sync_folder(std::filesystem::path(path).parent_path().string());
+}
+
+tl::expected<void, storage_error> sync_folder(const std::string& path) {
+    const int descriptor = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0) {
+        return tl::unexpected(system_error(path, "open folder"));
+    }
+    const int result = ::fsync(descriptor);
+    ::close(descriptor);
+    if (result != 0) {
+        return tl::unexpected(system_error(path, "sync folder"));
+    }
+    return {};
+}
+
+std::uint32_t checksum(std::string_view bytes) {
+    constexpr std::uint32_t castagnoli_polynomial = 0x1EDC6F41;
+    boost::crc_optimal<32, castagnoli_polynomial, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+}  // namespace tallyfold::storage
--- /dev/null
+++ b/src/tallyfold/storage/file.hpp
@@ -0,0 +1,55 @@
+#pragma once
+/// @file
+/// Thin owners of POSIX file calls, with the syncs that make a file last.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "tallyfold/consensus/persistence.hpp"
+
+namespace tallyfold::storage {
+
+using consensus::storage_error;
+using consensus::storage_failure;
+
+/// A file opened for appending. A failed write or sync is final for the handle.
+class append_file {
+  public:
+    static tl::expected<append_file, storage_error> create(const std::string& path);
+    /// Opens an existing file and cuts it to `length`.
+    static tl::expected<append_file, storage_error> open_at(const std::string& path,
+                                                            std::uint64_t length);
+    append_file(append_file&& other) noexcept;
+    append_file& operator=(append_file&& other) noexcept;
+    append_file(const append_file&) = delete;
+    append_file& operator=(const append_file&) = delete;
+    ~append_file();
+
+    tl::expected<void, storage_error> append(std::string_view bytes);
+    tl::expected<void, storage_error> sync();
+    [[nodiscard]] std::uint64_t size() const { return size_; }
+
+  private:
+    append_file(std::string path, int descriptor, std::uint64_t size);
+    tl::expected<void, storage_error> fail(std::string_view step);
+
+    std::string path_;
+    int descriptor_ = -1;
+    std::uint64_t size_ = 0;
+    bool failed_ = false;
+};
+
+tl::expected<std::string, storage_error> read_file(const std::string& path);
+
+/// Makes a file appear whole or not at all: temporary file, sync, rename, sync of the folder.
+tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes);
+
+/// Syncs the folder's own entries (names of files).
+tl::expected<void, storage_error> sync_folder(const std::string& path);
+
+/// CRC-32C of `bytes`.
+std::uint32_t checksum(std::string_view bytes);
+
+}  // namespace tallyfold::storage
--- /dev/null
+++ b/src/tallyfold/storage/log_store.cpp
@@ -0,0 +1,296 @@
+#include "tallyfold/storage/log_store.hpp"
+
+#include <charconv>
+#include <filesystem>
+#include <system_error>
+
+#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/storage/record_format.hpp"
+
+namespace tallyfold::storage {
+
+namespace {
+
+namespace fs = std::filesystem;
+using consensus::group_write;
+
+constexpr std::uint32_t format_version = 1;
+constexpr std::string_view segment_prefix = "segment-";
+constexpr std::string_view snapshot_prefix = "snapshot-";
+constexpr std::string_view identity_name = "identity";
+
+struct identity_record {
+    std::uint32_t version = format_version;
+    consensus::replica_id identity = consensus::no_replica;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(version, identity);
+    }
+};
+
+/// A group's write as the log holds it: the snapshot's state lies in a file of its own.
+struct log_record {
+    group_id group = 0;
+    std::optional<consensus::hard_state> state;
+    std::optional<consensus::log_index> snapshot_index;
+    std::vector<consensus::log_entry> entries;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(group, state, snapshot_index, entries);
+    }
+};
+
+std::optional<std::uint64_t> number_after(std::string_view name, std::string_view prefix) {
+    if (!name.starts_with(prefix)) {
+        return std::nullopt;
+    }
+    name.remove_prefix(prefix.size());
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(name.data(), name.data() + name.size(), number);
+    if (failure != std::errc{} || end != name.data() + name.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+tl::expected<std::string, storage_error> read_single_record(const std::string& path) {
+    const auto bytes = read_file(path);
+    if (!bytes) {
+        return tl::unexpected(bytes.error());
+    }
+    const auto scanned = scan_records(*bytes, path);
+    if (!scanned) {
+        return tl::unexpected(scanned.error());
+    }
+    // The file was renamed into place after a sync, so it is never legitimately short.
+    if (scanned->payloads.size() != 1 || scanned->valid_length != bytes->size()) {
+        return tl::unexpected(storage_error{storage_failure::damaged, path + ": incomplete"});
+    }
+    return std::string(scanned->payloads.front());
+}
+
+}  // namespace
+
+log_store::log_store(std::string folder, std::uint64_t segment_bytes)
+    : folder_(std::move(folder)), segment_bytes_(segment_bytes) {}
+
+std::string log_store::segment_path(std::uint64_t number) const {
+    return folder_ + "/" + std::string(segment_prefix) + std::to_string(number);
+}
+
+std::string log_store::snapshot_path(group_id group, consensus::log_index index) const {
+    return folder_ + "/" + std::string(snapshot_prefix) + std::to_string(group) + "-" +
+           std::to_string(index);
+}
+
+tl::expected<log_store, storage_error> log_store::open(const std::string& folder,
+                                                       consensus::replica_id fresh_identity,
+                                                       std::uint64_t segment_bytes) {
+    std::error_code failure;
+    fs::create_directories(folder, failure);
+    if (failure) {
+        return tl::unexpected(
+            storage_error{storage_failure::input_output, folder + ": " + failure.message()});
+    }
+    log_store store(folder, segment_bytes);
+    if (auto loaded = store.load_identity(fresh_identity); !loaded) {
+        return tl::unexpected(loaded.error());
+    }
+    if (auto loaded = store.load_segment(); !loaded) {
+        return tl::unexpected(loaded.error());
+    }
+    for (const auto& [group, durable] : store.groups_) {
+        store.recovered_.groups[group] = durable.state();
+    }
+    store.remove_stale_files();
+    return store;
+}
+
+tl::expected<void, storage_error> log_store::load_identity(consensus::replica_id fresh_identity) {
+    const std::string path = folder_ + "/" + std::string(identity_name);
+    if (fs::exists(path)) {
+        const auto payload = read_single_record(path);
+        if (!payload) {
+            return tl::unexpected(payload.error());
+        }
+        const auto record = protocol::decode<identity_record>(*payload);
+        if (!record || record->version != format_version) {
+            return tl::unexpected(
+                storage_error{storage_failure::foreign, path + ": unknown format version"});
+        }
+        recovered_.identity = record->identity;
+        return {};
+    }
+    for (const auto& entry : fs::directory_iterator(folder_)) {
+        const std::string name = entry.path().filename().string();
+        if (name.starts_with(segment_prefix) || name.starts_with(snapshot_prefix)) {
+            return tl::unexpected(storage_error{storage_failure::damaged,
+                                                path + ": missing, while the folder has " + name});
+        }
+    }
+    recovered_.identity = fresh_identity;
+    std::string bytes;
+    append_record(bytes, protocol::encode(identity_record{format_version, fresh_identity}));
+    return replace_file(path, bytes);
+}
+
+tl::expected<void, storage_error> log_store::load_segment() {
+    for (const auto& entry : fs::directory_iterator(folder_)) {
+        const auto number = number_after(entry.path().filename().string(), segment_prefix);
+        segment_number_ = std::max(segment_number_, number.value_or(0));
+    }
+    if (segment_number_ == 0) {
+        return rotate();
+    }
+    const std::string path = segment_path(segment_number_);
+    const auto bytes = read_file(path);
+    if (!bytes) {
+        return tl::unexpected(bytes.error());
+    }
+    const auto scanned = scan_records(*bytes, path);
+    if (!scanned) {
+        return tl::unexpected(scanned.error());
+    }
+    for (const std::string_view payload : scanned->payloads) {
+        if (auto applied = apply_payload(payload, path); !applied) {
+            return applied;
+        }
+    }
+    for (const auto& [group, index] : named_snapshots_) {
+        if (groups_[group].state().base.index != index) {
+            return tl::unexpected(
+                storage_error{storage_failure::damaged, snapshot_path(group, index) + ": missing"});
+        }
+    }
+    recovered_.cut_bytes = bytes->size() - scanned->valid_length;
+    auto file = append_file::open_at(path, scanned->valid_length);
+    if (!file) {
+        return tl::unexpected(file.error());
+    }
+    segment_.push_back(std::move(*file));
+    return {};
+}
+
+tl::expected<void, storage_error> log_store::apply_payload(std::string_view payload,
+                                                           const std::string& name) {
+    auto record = protocol::decode<log_record>(payload);
+    if (!record) {
+        return tl::unexpected(
+            storage_error{storage_failure::damaged, name + ": " + record.error().reason});
+    }
+    group_write write{record->group, record->state, std::nullopt, std::move(record->entries)};
+    if (record->snapshot_index.has_value()) {
+        named_snapshots_[record->group] = *record->snapshot_index;
+        const std::string path = snapshot_path(record->group, *record->snapshot_index);
+        // A later snapshot may have replaced this one; the record that names it comes later too.
+        if (fs::exists(path)) {
+            const auto bytes = read_single_record(path);
+            if (!bytes) {
+                return tl::unexpected(bytes.error());
+            }
+            auto base = protocol::decode<consensus::snapshot>(*bytes);
+            if (!base) {
+                return tl::unexpected(
+                    storage_error{storage_failure::damaged, path + ": " + base.error().reason});
+            }
+            write.base = std::move(*base);
+        }
+    }
+    groups_[write.group].apply(write);
+    return {};
+}
+
+void log_store::remove_stale_files() {
+    std::vector<fs::path> stale;
+    for (const auto& entry : fs::directory_iterator(folder_)) {
+        const std::string name = entry.path().filename().string();
+        const auto number = number_after(name, segment_prefix);
+        const bool old_segment = number.has_value() && *number < segment_number_;
+        bool old_snapshot = name.starts_with(snapshot_prefix);
+        for (const auto& [group, durable] : groups_) {
+            const consensus::log_index index = durable.state().base.index;
+            old_snapshot = old_snapshot && entry.path().string() != snapshot_path(group, index);
+        }
+        if (old_segment || old_snapshot || name.ends_with(".tmp")) {
+            stale.push_back(entry.path());
+        }
+    }
+    for (const fs::path& path : stale) {
+        std::error_code ignored;  // A file that stays is found again at the next start.
+        fs::remove(path, ignored);
+    }
+}
+
+tl::expected<void, storage_error> log_store::append_synced(const std::string& bytes) {
+    append_file& file = segment_.back();
+    if (auto written = file.append(bytes); !written) {
+        return written;
+    }
+    bytes_written_ += bytes.size();
+    ++syncs_;
+    return file.sync();
+}
+
+tl::expected<void, storage_error> log_store::write_snapshot(const group_write& write) {
+    std::string bytes;
+    append_record(bytes, protocol::encode(*write.base));
+    bytes_written_ += bytes.size();
+    return replace_file(snapshot_path(write.group, write.base->index), bytes);
+}
+
+tl::expected<void, storage_error> log_store::write(const std::vector<group_write>& batch) {
+    std::string bytes;
+    bool has_snapshot = false;
+    for (const group_write& write : batch) {
+        log_record record{write.group, write.state, std::nullopt, write.entries};
+        if (write.base.has_value()) {
+            // The file is durable before the log names it.
+            if (auto written = write_snapshot(write); !written) {
+                return written;
+            }
+            record.snapshot_index = write.base->index;
+            has_snapshot = true;
+        }
+        append_record(bytes, protocol::encode(record));
+    }
+    if (auto written = append_synced(bytes); !written) {
+        return written;
+    }
+    for (const group_write& write : batch) {
+        groups_[write.group].apply(write);
+    }
+    if (segment_.back().size() > segment_bytes_) {
+        return rotate();
+    }
+    if (has_snapshot) {
+        remove_stale_files();
+    }
+    return {};
+}
+
+tl::expected<void, storage_error> log_store::rotate() {
+    std::string bytes;
+    for (const auto& [group, durable] : groups_) {
+        const consensus::recovered_state& live = durable.state();
+        log_record record{group, live.state, std::nullopt, live.entries};
+        if (live.base.index > 0) {
+            record.snapshot_index = live.base.index;
+        }
+        append_record(bytes, protocol::encode(record));
+    }
+    const std::string path = segment_path(segment_number_ + 1);
+    if (auto replaced = replace_file(path, bytes); !replaced) {
+        return replaced;
+    }
+    auto file = append_file::open_at(path, bytes.size());
+    if (!file) {
+        return tl::unexpected(file.error());
+    }
+    segment_.clear();
+    segment_.push_back(std::move(*file));
+    ++segment_number_;
+    remove_stale_files();
+    return {};
+}
+
+}  // namespace tallyfold::storage
--- /dev/null
+++ b/src/tallyfold/storage/log_store.hpp
@@ -0,0 +1,62 @@
+#pragma once
+/// @file
+/// The durable store of one control node: one segmented log shared by all groups of the node,
+/// one snapshot file per group, and the replica's identity. All under one data folder.
+///
+/// One sync serves a batch of writes of all groups (group commit). Not thread-safe: the storage
+/// thread owns it.
+
+#include <map>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "tallyfold/consensus/persistence.hpp"
+#include "tallyfold/storage/file.hpp"
+
+namespace tallyfold::storage {
+
+class log_store final : public consensus::persistence {
+  public:
+    /// A segment larger than this is replaced by a new one that starts with the live state.
+    static constexpr std::uint64_t default_segment_bytes = 16U << 20U;
+
+    /// Opens the folder and reads it back; makes it, with `fresh_identity`, when it is empty.
+    static tl::expected<log_store, storage_error> open(
+        const std::string& folder, consensus::replica_id fresh_identity,
+        std::uint64_t segment_bytes = default_segment_bytes);
+
+    tl::expected<void, storage_error> write(
+        const std::vector<consensus::group_write>& batch) override;
+
+    /// What the folder held when it was opened.
+    [[nodiscard]] const consensus::recovered_node& recovered() const { return recovered_; }
+    [[nodiscard]] std::uint64_t bytes_written() const { return bytes_written_; }
+    [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
+
+  private:
+    log_store(std::string folder, std::uint64_t segment_bytes);
+    tl::expected<void, storage_error> load_identity(consensus::replica_id fresh_identity);
+    tl::expected<void, storage_error> load_segment();
+    tl::expected<void, storage_error> apply_payload(std::string_view payload,
+                                                    const std::string& name);
+    tl::expected<void, storage_error> write_snapshot(const consensus::group_write& write);
+    tl::expected<void, storage_error> rotate();
+    tl::expected<void, storage_error> append_synced(const std::string& bytes);
+    void remove_stale_files();
+    [[nodiscard]] std::string segment_path(std::uint64_t number) const;
+    [[nodiscard]] std::string snapshot_path(group_id group, consensus::log_index index) const;
+
+    std::string folder_;
+    std::uint64_t segment_bytes_;
+    std::uint64_t segment_number_ = 0;
+    std::vector<append_file> segment_;
+    std::map<group_id, consensus::durable_group> groups_;
+    /// While reading back: the snapshot that each group's newest record names.
+    std::map<group_id, consensus::log_index> named_snapshots_;
+    consensus::recovered_node recovered_;
+    std::uint64_t bytes_written_ = 0;
+    std::uint64_t syncs_ = 0;
+};
+
+}  // namespace tallyfold::storage
--- /dev/null
+++ b/src/tallyfold/storage/record_format.cpp
@@ -0,0 +1,79 @@
+#include "tallyfold/storage/record_format.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+#include "tallyfold/storage/file.hpp"
+
+namespace tallyfold::storage {
+
+namespace {
+
+struct record_header {
+    std::uint32_t length = 0;
+    std::uint32_t length_checksum = 0;
+    std::uint32_t payload_checksum = 0;
+};
+
+std::uint32_t checksum_of_length(std::uint32_t length) {
+    std::array<char, sizeof(length)> bytes{};
+    std::memcpy(bytes.data(), &length, sizeof(length));
+    return checksum({bytes.data(), bytes.size()});
+}
+
+bool all_zero(std::string_view bytes) {
+    return std::all_of(bytes.begin(), bytes.end(), [](char byte) { return byte == 0; });
+}
+
+consensus::storage_error damage(const std::string& name, std::uint64_t offset,
+                                std::string_view what) {
+    return {consensus::storage_failure::damaged, name + ": offset " + std::to_string(offset) +
+                                                     ": " + std::string(what) +
+                                                     "; recover this replica from its peers"};
+}
+
+}  // namespace
+
+void append_record(std::string& target, std::string_view payload) {
+    record_header header;
+    header.length = static_cast<std::uint32_t>(payload.size());
+    header.length_checksum = checksum_of_length(header.length);
+    header.payload_checksum = checksum(payload);
+    std::array<char, sizeof(header)> bytes{};
+    std::memcpy(bytes.data(), &header, sizeof(header));
+    target.append(bytes.data(), bytes.size());
+    target.append(payload);
+}
+
+tl::expected<scan_result, consensus::storage_error> scan_records(std::string_view bytes,
+                                                                 const std::string& name) {
+    scan_result result;
+    std::uint64_t offset = 0;
+    while (offset < bytes.size()) {
+        const std::string_view rest = bytes.substr(offset);
+        if (rest.size() < sizeof(record_header) || all_zero(rest)) {
+            break;
+        }
+        record_header header;
+        std::memcpy(&header, rest.data(), sizeof(header));
+        if (header.length_checksum != checksum_of_length(header.length)) {
+            return tl::unexpected(damage(name, offset, "bad checksum of a record's length"));
+        }
+        if (rest.size() < sizeof(header) + header.length) {
+            break;
+        }
+        const std::string_view payload = rest.substr(sizeof(header), header.length);
+        if (header.payload_checksum != checksum(payload)) {
+            // The length was written whole, so the record may have been synced and spoken of.
+            // Cutting it could take back a vote: the replica has to be rebuilt instead.
+            return tl::unexpected(damage(name, offset, "bad checksum of a record"));
+        }
+        result.payloads.push_back(payload);
+        offset += sizeof(header) + header.length;
+        result.valid_length = offset;
+    }
+    return result;
+}
+
+}  // namespace tallyfold::storage
--- /dev/null
+++ b/stand_ins/engine_core.cpp
@@ -0,0 +1,532 @@
+#include "stand_ins/engine_core.hpp"
+
+#include <algorithm>
+
+#include "stand_ins/answer_content.hpp"
+
+namespace tallyfold::stand_ins {
+
+namespace {
+
+using scheduling::prefix_hash;
+using scheduling::prefix_point;
+
+constexpr std::size_t kept_events = 20'000;
+constexpr std::size_t events_per_status = 2'000;
+constexpr duration expiry_interval = std::chrono::seconds(1);
+constexpr std::size_t kept_loads = 64;
+
+}  // namespace
+
+void prefill_ledger::record(prefix_hash hash, token_count tokens) {
+    prefilled_ += tokens;
+    if (!seen_.insert(hash).second) {
+        rebuilt_ += tokens;
+    }
+}
+
+engine_core::engine_core(engine_settings settings, std::shared_ptr<prefill_ledger> ledger,
+                         instant now)
+    : settings_(std::move(settings)),
+      ledger_(std::move(ledger)),
+      random_(settings_.seed),
+      step_due_(now) {}
+
+tl::expected<void, engine_refusal> engine_core::start(const scheduler::start_stream& request,
+                                                      instant now) {
+    lease_epoch& epoch = epochs_[request.fence.shard];
+    if (request.fence.epoch < epoch) {
+        return tl::unexpected(engine_refusal::stale_epoch);
+    }
+    epoch = request.fence.epoch;
+    if (leaving_) {
+        return tl::unexpected(engine_refusal::leaving);
+    }
+    if (!request.model.empty() && request.model != settings_.model) {
+        return tl::unexpected(engine_refusal::wrong_model);
+    }
+    if (streams_.contains(request.key)) {
+        // The same attempt again is the same stream.
+        return resume({request.backend, request.key, request.prefix.size()}, now);
+    }
+    stream added;
+    added.request = request;
+    for (const journal::message& message : *request.prompt) {
+        const prefix_point before = added.points.empty() ? prefix_point{} : added.points.back();
+        added.points.push_back(scheduling::extend_prefix(before, message));
+    }
+    added.prompt_tokens = added.points.empty() ? 0 : added.points.back().tokens;
+    added.pieces = request.prefix;
+    added.sent = request.prefix.size();
+    added.changed = now;
+    added.order = next_order_++;
+    waiting_[{-request.priority, added.order}] = request.key;
+    streams_[request.key] = std::move(added);
+    if (running_.empty()) {
+        step_due_ = std::max(step_due_, now);
+    }
+    return {};
+}
+
+tl::expected<void, engine_refusal> engine_core::resume(const scheduler::resume_stream& request,
+                                                       instant now) {
+    const auto found = streams_.find(request.key);
+    if (found == streams_.end()) {
+        return tl::unexpected(engine_refusal::unknown);
+    }
+    stream& target = found->second;
+    target.attached = true;
+    target.changed = now;
+    target.sent = std::min<std::uint64_t>(request.offset, target.pieces.size());
+    send_pieces(target);
+    if (target.finished) {
+        reports_.push_back(scheduler::stream_finished{request.key, target.prompt_tokens,
+                                                      target.pieces.size(), target.cached_tokens});
+    }
+    return {};
+}
+
+void engine_core::detach(const scheduler::attempt_key& key, instant now) {
+    const auto found = streams_.find(key);
+    if (found != streams_.end()) {
+        found->second.attached = false;
+        found->second.changed = now;
+    }
+}
+
+void engine_core::cancel(const scheduler::attempt_key& key, instant now) {
+    const auto found = streams_.find(key);
+    if (found == streams_.end()) {
+        return;
+    }
+    stream& target = found->second;
+    waiting_.erase({-target.request.priority, target.order});
+    std::erase(running_, key);
+    if (!target.finished && target.admitted) {
+        release_holds(target);
+        entries_[target.entry].finished = now;
+        entries_[target.entry].tokens += target.pieces.size() - target.request.prefix.size();
+    }
+    streams_.erase(found);
+}
+
+void engine_core::send_pieces(stream& target) {
+    if (!target.attached || target.sent >= target.pieces.size()) {
+        return;
+    }
+    scheduler::stream_pieces report;
+    report.key = target.request.key;
+    report.offset = target.sent;
+    report.pieces.assign(target.pieces.begin() + static_cast<std::ptrdiff_t>(target.sent),
+                         target.pieces.end());
+    target.sent = target.pieces.size();
+    reports_.push_back(std::move(report));
+}
+
+// --- batching ------------------------------------------------------------------------------
+
+instant engine_core::tick(instant now) {
+    if (now >= next_expiry_) {
+        next_expiry_ = now + expiry_interval;
+        expire(now);
+    }
+    while (step_due_ <= now && !idle()) {
+        const instant at = step_due_;
+        admit(at);
+        if (running_.empty()) {
+            // Nothing fits in memory yet; look again after an ordinary step's time.
+            step_due_ = at + settings_.step_base;
+            continue;
+        }
+        step_due_ = at + run_step(at);
+        loads_.emplace_back(at, current_load());
+        if (loads_.size() > kept_loads) {
+            loads_.pop_front();
+        }
+    }
+    return idle() ? next_expiry_ : step_due_;
+}
+
+bool engine_core::fits(const stream& target) const {
+    // Worst case: the whole prompt and the whole answer, beside what others hold.
+    token_count held = 0;
+    for (const scheduler::attempt_key& key : running_) {
+        const stream& other = streams_.at(key);
+        held += other.prompt_tokens + other.request.max_tokens;
+    }
+    return running_.empty() ||
+           held + target.prompt_tokens + target.request.max_tokens <= settings_.cache_tokens;
+}
+
+void engine_core::admit(instant now) {
+    while (running_.size() < settings_.batch_limit && !waiting_.empty()) {
+        const auto first = waiting_.begin();
+        stream& target = streams_.at(first->second);
+        if (!fits(target)) {
+            return;
+        }
+        running_.push_back(first->second);
+        waiting_.erase(first);
+        hold_cached(target, now);
+        // An attempt runs from here on: one that is cancelled while it waits has not run.
+        target.entry = entries_.size();
+        target.admitted = true;
+        ledger_entry entry;
+        entry.key = target.request.key;
+        entry.backend = settings_.name;
+        entry.started = now;
+        entry.tokens = target.prompt_tokens;
+        entries_.push_back(std::move(entry));
+    }
+}
+
+void engine_core::hold_cached(stream& target, instant now) {
+    for (const prefix_point& point : target.points) {
+        const auto found = cache_.find(point.hash);
+        if (found == cache_.end()) {
+            break;
+        }
+        cache_node& node = found->second;
+        unindex(node);
+        ++node.users;
+        node.used = now;
+        ++target.held_points;
+        target.cached_tokens = point.tokens;
+    }
+    target.cached_points = target.held_points;
+    target.prefilled = target.cached_tokens;
+}
+
+duration engine_core::run_step(instant now) {
+    duration spent = settings_.step_base;
+    const token_count computed = prefill_step(now);
+    spent += settings_.prefill_per_token * static_cast<std::int64_t>(computed);
+    std::int64_t decoding = 0;
+    for (const scheduler::attempt_key& key : running_) {
+        const stream& target = streams_.at(key);
+        decoding += target.prefilled >= target.prompt_tokens ? 1 : 0;
+    }
+    spent += settings_.step_per_sequence * decoding;
+    decode_step(now + spent);
+    return spent;
+}
+
+token_count engine_core::prefill_step(instant now) {
+    token_count left = settings_.prefill_chunk;
+    for (const scheduler::attempt_key& key : running_) {
+        stream& target = streams_.at(key);
+        if (target.prefilled >= target.prompt_tokens) {
+            continue;
+        }
+        const token_count part = std::min(left, target.prompt_tokens - target.prefilled);
+        target.prefilled += part;
+        left -= part;
+        if (target.prefilled >= target.prompt_tokens) {
+            store_prefilled(target, now);
+        }
+        if (left == 0) {
+            break;
+        }
+    }
+    return settings_.prefill_chunk - left;
+}
+
+void engine_core::store_prefilled(stream& target, instant now) {
+    for (std::size_t index = target.cached_points; index < target.points.size(); ++index) {
+        const prefix_point& point = target.points[index];
+        const prefix_point before = index == 0 ? prefix_point{} : target.points[index - 1];
+        ledger_->record(point.hash, point.tokens - before.tokens);
+        insert_node(before.hash, point, point.tokens - before.tokens, target.request.key.program,
+                    now);
+        const auto found = cache_.find(point.hash);
+        if (found == cache_.end()) {
+            continue;
+        }
+        unindex(found->second);
+        ++found->second.users;
+        target.held_points = index + 1;
+    }
+}
+
+void engine_core::decode_step(instant now) {
+    std::vector<scheduler::attempt_key> done;
+    for (const scheduler::attempt_key& key : running_) {
+        stream& target = streams_.at(key);
+        if (target.prefilled < target.prompt_tokens) {
+            continue;
+        }
+        if (target.pieces.size() < target.request.max_tokens) {
+            const prefix_hash history = target.points.empty() ? 0 : target.points.back().hash;
+            target.pieces.push_back(
+                completion_piece(key.program, key.sequence, history, target.pieces.size()));
+        }
+        send_pieces(target);
+        if (target.pieces.size() >= target.request.max_tokens) {
+            done.push_back(key);
+        }
+    }
+    for (const scheduler::attempt_key& key : done) {
+        finish(streams_.at(key), now);
+    }
+}
+
+void engine_core::finish(stream& target, instant now) {
+    std::erase(running_, target.request.key);
+    target.finished = true;
+    target.changed = now;
+    std::string answer;
+    for (const std::string& piece : target.pieces) {
+        answer += piece;
+    }
+    const prefix_point before = target.points.empty() ? prefix_point{} : target.points.back();
+    const prefix_point after =
+        scheduling::extend_prefix(before, {"assistant", answer, target.pieces.size()});
+    insert_node(before.hash, after, target.pieces.size(), target.request.key.program, now);
+    release_holds(target);
+    ledger_entry& entry = entries_[target.entry];
+    entry.finished = now;
+    entry.completed = true;
+    entry.tokens += target.pieces.size() - target.request.prefix.size();
+    if (target.attached) {
+        reports_.push_back(scheduler::stream_finished{target.request.key, target.prompt_tokens,
+                                                      target.pieces.size(), target.cached_tokens});
+    }
+}
+
+void engine_core::release_holds(stream& target) {
+    for (std::size_t index = 0; index < target.held_points; ++index) {
+        const auto found = cache_.find(target.points[index].hash);
+        if (found != cache_.end() && found->second.users > 0) {
+            --found->second.users;
+            index_if_evictable(found->second);
+        }
+    }
+    target.held_points = 0;
+}
+
+void engine_core::expire(instant now) {
+    std::vector<scheduler::attempt_key> gone;
+    for (auto& [key, target] : streams_) {
+        const bool orphaned = !target.attached && now - target.changed > settings_.orphan_limit;
+        const bool old = target.finished && now - target.changed > settings_.finished_keep;
+        if (old || (orphaned && !target.finished)) {
+            gone.push_back(key);
+        }
+    }
+    for (const scheduler::attempt_key& key : gone) {
+        cancel(key, now);
+    }
+    std::vector<prefix_hash> lapsed;
+    for (const auto& [hash, node] : cache_) {
+        if (node.value > 0 && node.value_until < now) {
+            lapsed.push_back(hash);
+        }
+    }
+    for (const prefix_hash hash : lapsed) {
+        cache_node& node = cache_.at(hash);
+        unindex(node);
+        node.value = 0;
+        index_if_evictable(node);
+    }
+}
+
+// --- prefix cache --------------------------------------------------------------------------
+
+void engine_core::index_if_evictable(const cache_node& node) {
+    if (node.users == 0 && node.children == 0) {
+        evictable_.insert({node.value, node.used, node.point.hash});
+    }
+}
+
+void engine_core::unindex(const cache_node& node) {
+    evictable_.erase({node.value, node.used, node.point.hash});
+}
+
+bool engine_core::make_room(token_count needed, instant now) {
+    while (cached_tokens_ + needed > settings_.cache_tokens && !evictable_.empty()) {
+        const prefix_hash victim = std::get<prefix_hash>(*evictable_.begin());
+        publish(false, cache_.at(victim).point, now);
+        remove_node(victim);
+    }
+    return cached_tokens_ + needed <= settings_.cache_tokens;
+}
+
+void engine_core::insert_node(prefix_hash parent, const prefix_point& point, token_count tokens,
+                              const program_id& program, instant now) {
+    if (cache_.contains(point.hash) || !make_room(tokens, now)) {
+        return;
+    }
+    const auto above = cache_.find(parent);
+    if (above == cache_.end() && parent != 0) {
+        return;  // Without its beginning a prefix is of no use.
+    }
+    cache_node node;
+    node.parent = parent;
+    node.point = point;
+    node.tokens = tokens;
+    node.program = program;
+    node.used = now;
+    if (above != cache_.end()) {
+        unindex(above->second);
+        ++above->second.children;
+        node.value = above->second.value;
+        node.value_until = above->second.value_until;
+    }
+    cached_tokens_ += tokens;
+    nodes_of_program_[program].insert(point.hash);
+    const cache_node& stored = cache_.emplace(point.hash, std::move(node)).first->second;
+    index_if_evictable(stored);
+    publish(true, point, now);
+}
+
+void engine_core::remove_node(prefix_hash hash) {
+    const auto found = cache_.find(hash);
+    const cache_node node = found->second;
+    unindex(node);
+    cached_tokens_ -= node.tokens;
+    const auto of_program = nodes_of_program_.find(node.program);
+    of_program->second.erase(hash);
+    if (of_program->second.empty()) {
+        nodes_of_program_.erase(of_program);
+    }
+    cache_.erase(found);
+    const auto above = cache_.find(node.parent);
+    if (above != cache_.end()) {
+        --above->second.children;
+        index_if_evictable(above->second);
+    }
+}
+
+void engine_core::retain(const scheduler::retain_cache& hint, instant now) {
+    const auto found = nodes_of_program_.find(hint.program);
+    if (found == nodes_of_program_.end()) {
+        return;
+    }
+    for (const prefix_hash hash : found->second) {
+        cache_node& node = cache_.at(hash);
+        unindex(node);
+        node.value = hint.value;
+        node.value_until = now + hint.lease;
+        index_if_evictable(node);
+    }
+}
+
+void engine_core::release(const program_id& program, instant now) {
+    // Leaves first; a node that others built on stays until they go.
+    bool removed = true;
+    while (removed) {
+        removed = false;
+        const auto found = nodes_of_program_.find(program);
+        if (found == nodes_of_program_.end()) {
+            return;
+        }
+        const std::set<prefix_hash> hashes = found->second;
+        for (const prefix_hash hash : hashes) {
+            const cache_node& node = cache_.at(hash);
+            if (node.users == 0 && node.children == 0) {
+                publish(false, node.point, now);
+                remove_node(hash);
+                removed = true;
+            }
+        }
+    }
+}
+
+token_count engine_core::cached_tokens_of(const program_id& program) const {
+    const auto found = nodes_of_program_.find(program);
+    token_count total = 0;
+    if (found != nodes_of_program_.end()) {
+        for (const prefix_hash hash : found->second) {
+            total += cache_.at(hash).tokens;
+        }
+    }
+    return total;
+}
+
+exported_prefix engine_core::export_prefix(const program_id& program) const {
+    exported_prefix exported;
+    exported.program = program;
+    const auto found = nodes_of_program_.find(program);
+    if (found == nodes_of_program_.end()) {
+        return exported;
+    }
+    for (const prefix_hash hash : found->second) {
+        const cache_node& node = cache_.at(hash);
+        exported.nodes.push_back({node.parent, node.point, node.tokens});
+    }
+    // Beginnings come before what follows them.
+    std::sort(
+        exported.nodes.begin(), exported.nodes.end(),
+        [](const auto& left, const auto& right) { return left.point.tokens < right.point.tokens; });
+    return exported;
+}
+
+void engine_core::import_prefix(const exported_prefix& prefix, instant now) {
+    for (const exported_prefix::node& node : prefix.nodes) {
+        insert_node(node.parent, node.point, node.tokens, prefix.program, now);
+    }
+}
+
+tl::expected<void, engine_refusal> engine_core::apply(const engine_order& order) {
+    if (order.fence <= order_fence_) {
+        return tl::unexpected(engine_refusal::stale_order);
+    }
+    order_fence_ = order.fence;
+    if (!order.model.empty()) {
+        settings_.model = order.model;
+    }
+    return {};
+}
+
+// --- what is published ---------------------------------------------------------------------
+
+void engine_core::publish(bool stored, const prefix_point& point, instant now) {
+    const std::uint64_t number = next_event_++;
+    if (random_.chance(settings_.event_loss)) {
+        return;
+    }
+    events_.push_back({now + settings_.event_lag, {number, stored, point}});
+    if (events_.size() > kept_events) {
+        events_.pop_front();
+    }
+}
+
+scheduling::load_report engine_core::current_load() const {
+    scheduling::load_report load;
+    load.running = static_cast<std::uint32_t>(running_.size());
+    load.waiting = static_cast<std::uint32_t>(waiting_.size());
+    load.cache_fill =
+        static_cast<double>(cached_tokens_) / static_cast<double>(settings_.cache_tokens);
+    return load;
+}
+
+scheduler::status_answered engine_core::status(std::uint64_t after_event, instant now) {
+    scheduler::status_answered answer;
+    answer.backend = settings_.name;
+    for (const auto& [at, load] : loads_) {
+        if (at + settings_.load_lag <= now) {
+            answer.load = load;
+        }
+    }
+    if (idle() && (loads_.empty() || loads_.back().first + settings_.load_lag <= now)) {
+        answer.load = current_load();
+    }
+    answer.load.leaving = leaving_;
+    // An engine that restarted counts from one again.
+    const std::uint64_t from = after_event >= next_event_ ? 0 : after_event;
+    for (const dated_event& dated : events_) {
+        if (dated.visible <= now && dated.event.number > from &&
+            answer.events.size() < events_per_status) {
+            answer.events.push_back(dated.event);
+        }
+    }
+    return answer;
+}
+
+std::vector<scheduler::backend_report> engine_core::take_reports() {
+    std::vector<scheduler::backend_report> taken;
+    std::swap(taken, reports_);
+    return taken;
+}
+
+}  // namespace tallyfold::stand_ins
