--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -644,10 +644,6 @@
                 const token_count held = engine.core ? engine.core->cached_tokens_of(program) : 0;
                 if (held > 0) {
                     seen_.held_after_end[program] += held;
-                    if (std::getenv("DBG"))
-                        fprintf(stderr, "HELD %s on %s %llu ended %lld\n", program.c_str(),
-                                name.c_str(), (unsigned long long)held,
-                                (long long)ended.time_since_epoch().count());
                 }
             }
         }
--- a/src/tallyfold/control/control_core.cpp
+++ b/src/tallyfold/control/control_core.cpp
@@ -130,7 +130,9 @@
         }
         if (group != configuration_group) {
             send_leases(heartbeat, group, runtime, now);
-            continue;
+            if (heartbeat.role != protocol::node_role::scheduler) {
+                continue;
+            }
         }
         // The answer waits for a quorum's confirmation: a leader that was replaced without
         // knowing it must not call an old configuration current.
@@ -410,7 +412,11 @@
     }
 }
 
-void control_core::answer_read(const pending_read& read) {
+void control_core::answer_read(group_id group, const pending_read& read) {
+    if (group != configuration_group) {
+        send(read.node, protocol::lease_confirmation{group, read.heartbeat_number});
+        return;
+    }
     const configuration::configuration_view& view = configuration_.view();
     if (read.admin_token != 0) {
         admin_reply reply;
@@ -433,7 +439,7 @@
     for (const std::uint64_t token : work.confirmed_reads) {
         const auto read = runtime.reads.find(token);
         if (read != runtime.reads.end()) {
-            answer_read(read->second);
+            answer_read(group, read->second);
             runtime.reads.erase(read);
         }
     }
--- a/src/tallyfold/control/control_core.hpp
+++ b/src/tallyfold/control/control_core.hpp
@@ -163,7 +163,7 @@
     void assign_leases(group_id group, group_runtime& runtime, instant now);
     void send_leases(const protocol::node_heartbeat& heartbeat, group_id group,
                      const group_runtime& runtime, instant now);
-    void answer_read(const pending_read& read);
+    void answer_read(group_id group, const pending_read& read);
     void apply_ready(group_id group, group_runtime& runtime, consensus::ready& work);
     void apply_entry(group_id group, group_runtime& runtime, const consensus::log_entry& entry);
     void finish_append(group_id group, const pending_append& append, bool committed,
--- a/src/tallyfold/membership/control_session.cpp
+++ b/src/tallyfold/membership/control_session.cpp
@@ -35,15 +35,30 @@
         return false;
     }
     // The copy was current at some moment after the heartbeat left: the lease counts from there.
-    const auto sent = heartbeats_sent_.find(update.heartbeat_number);
-    if (sent != heartbeats_sent_.end()) {
-        configuration_confirmed_ = std::max(configuration_confirmed_, sent->second);
+    if (const auto sent = sent_at(update.heartbeat_number)) {
+        configuration_confirmed_ = std::max(configuration_confirmed_, *sent);
         configuration_known_ = true;
-        heartbeats_sent_.erase(heartbeats_sent_.begin(), std::next(sent));
     }
     return configuration_.version() != before;
 }
 
+std::optional<instant> control_session::sent_at(std::uint64_t heartbeat_number) const {
+    const auto sent = heartbeats_sent_.find(heartbeat_number);
+    return sent == heartbeats_sent_.end() ? std::nullopt : std::optional(sent->second);
+}
+
+void control_session::on_confirmation(const protocol::lease_confirmation& confirmation) {
+    if (const auto sent = sent_at(confirmation.heartbeat_number)) {
+        instant& confirmed = lease_confirmed_[confirmation.group];
+        confirmed = std::max(confirmed, *sent);
+    }
+}
+
+bool control_session::lease_valid(group_id group, instant now) const {
+    const auto found = lease_confirmed_.find(group);
+    return found != lease_confirmed_.end() && now - found->second < settings_.shard_lease;
+}
+
 bool control_session::on_leases(const protocol::lease_update& update) {
     protocol::known_leases& known = known_leases_[update.group];
     if (update.version.version < known.version) {
--- a/src/tallyfold/membership/control_session.hpp
+++ b/src/tallyfold/membership/control_session.hpp
@@ -24,6 +24,8 @@
     duration heartbeat_interval = std::chrono::milliseconds(200);
     /// How long a confirmed configuration may be used for new work.
     duration configuration_lease = std::chrono::milliseconds(3000);
+    /// Below the leaders' scheduler_timeout, by a margin for clocks that run apart.
+    duration shard_lease = std::chrono::milliseconds(1200);
 };
 
 class control_session {
@@ -41,6 +43,10 @@
     /// @return false when the update is older than what is known
     bool on_leases(const protocol::lease_update& update);
 
+    void on_confirmation(const protocol::lease_confirmation& confirmation);
+
+    /// True while no leader of the group can have taken a shard of this scheduler away.
+    [[nodiscard]] bool lease_valid(group_id group, instant now) const;
     /// True while the configuration is known to have been current within the lease.
     [[nodiscard]] bool configuration_fresh(instant now) const;
     /// True once any configuration was confirmed.
@@ -53,6 +59,9 @@
     [[nodiscard]] const std::map<node_name, std::string>& schedulers() const { return schedulers_; }
 
   private:
+    /// When a heartbeat left; nothing when it is too old or unknown.
+    [[nodiscard]] std::optional<instant> sent_at(std::uint64_t heartbeat_number) const;
+
     static constexpr std::size_t kept_heartbeats = 64;
 
     session_settings settings_;
@@ -60,6 +69,7 @@
     configuration::configuration_view configuration_;
     bool configuration_known_ = false;
     instant configuration_confirmed_{};
+    std::map<group_id, instant> lease_confirmed_;
     std::map<group_id, protocol::known_leases> known_leases_;
     std::map<shard_id, journal::shard_lease> leases_;
     std::map<node_name, std::string> schedulers_;
--- a/src/tallyfold/protocol/messages.hpp
+++ b/src/tallyfold/protocol/messages.hpp
@@ -86,6 +86,17 @@
     }
 };
 
+/// From the leader of a journal group, after it confirmed its leadership: it had heard the
+/// scheduler's heartbeat, so it takes none of its shards away before scheduler_timeout.
+struct lease_confirmation {
+    group_id group = 0;
+    std::uint64_t heartbeat_number = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(group, heartbeat_number);
+    }
+};
+
 /// Asks the leader to append a journal command.
 struct journal_append {
     group_id group = 0;
@@ -231,7 +242,7 @@
 using internal_message =
     std::variant<consensus::replica_message, node_heartbeat, configuration_update, lease_update,
                  journal_append, journal_append_reply, shard_read, shard_contents, join_request,
-                 scheduler_request, answer_pieces, scheduler_reply>;
+                 scheduler_request, answer_pieces, scheduler_reply, lease_confirmation>;
 
 /// A message and the node that it goes to.
 struct outbound_message {
--- a/src/tallyfold/scheduler/commands/attempt_progress.cpp
+++ b/src/tallyfold/scheduler/commands/attempt_progress.cpp
@@ -148,6 +148,11 @@
     if (call == nullptr || call->state != call_state::running) {
         return;
     }
+    if (finished.completion_tokens != call->pieces.size()) {
+        // Some pieces were lost on the way; the stream can be read again.
+        on_attempt_failed({finished.key, failure_kind::broken}, now);
+        return;
+    }
     pool(engine_kind).succeeded(call->target);
     release_slot(*call);
     outcome result;
--- a/src/tallyfold/scheduler/commands/program_commands.cpp
+++ b/src/tallyfold/scheduler/commands/program_commands.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "tallyfold/control/control_core.hpp"
 #include "tallyfold/scheduler/scheduler_core.hpp"
 
 namespace tallyfold::scheduler {
@@ -65,6 +66,14 @@
         on_inspect(asker, *inspect, shard, now);
         return;
     }
+    const group_id group = control::group_of_shard(number, settings_.journal_groups);
+    if (!session_.lease_valid(group, now) && !joins) {
+        // This copy of the shard may be old: it must not be the ground of a refusal.
+        reply(asker, refusal(answer_code::owner_changed,
+                             "this scheduler cannot confirm that it still owns the program",
+                             owner_retry_after_ms));
+        return;
+    }
     touch(id, now);
     const bool is_call = std::holds_alternative<protocol::program_call>(request.call);
     if (!session_.configuration_fresh(now) && !is_call) {
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -180,6 +180,8 @@
         on_contents(*contents, now);
     } else if (const auto* configured = std::get_if<protocol::configuration_update>(&message)) {
         on_configuration(*configured, now);
+    } else if (const auto* confirmed = std::get_if<protocol::lease_confirmation>(&message)) {
+        session_.on_confirmation(*confirmed);
     } else if (const auto* appended = std::get_if<protocol::journal_append_reply>(&message)) {
         if (const auto finished = journal_.on_reply(*appended, now)) {
             on_append_finished(*finished, now);
