Replies to an earlier life no longer match a request of this one

Change: correlations start from a number drawn at each start. A call of a sub-agent under way keeps its tree from being closed.

--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -136,6 +136,7 @@
         options.node = name;
         options.control_nodes = names("control-");
         options.shard_count = settings_.shard_count;
+        options.seed = seed;
         gateway->core = std::make_unique<gateway::gateway_core>(options);
     } else if (auto* engine = dynamic_cast<engine_node*>(&base)) {
         stand_ins::engine_settings options = settings_.engine;
--- a/src/tallyfold/gateway/gateway_core.cpp
+++ b/src/tallyfold/gateway/gateway_core.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/gateway/gateway_core.hpp"
 
+#include "tallyfold/common/random.hpp"
 #include "tallyfold/journal/shard_state.hpp"
 
 namespace tallyfold::gateway {
@@ -48,7 +49,8 @@
     : settings_(std::move(settings)),
       session_({settings_.node, protocol::node_role::gateway, settings_.address, settings_.zone,
                 settings_.control_nodes, settings_.heartbeat_interval,
-                settings_.configuration_lease}) {}
+                settings_.configuration_lease}),
+      next_correlation_(random_source(settings_.seed).next()) {}
 
 bool gateway_core::ready(instant now) const {
     return !draining_ && session_.configuration_fresh(now) && !session_.schedulers().empty();
--- a/src/tallyfold/gateway/gateway_core.hpp
+++ b/src/tallyfold/gateway/gateway_core.hpp
@@ -28,6 +28,8 @@
     duration failover_limit = std::chrono::milliseconds(8000);
     duration heartbeat_interval = std::chrono::milliseconds(200);
     duration configuration_lease = std::chrono::milliseconds(3000);
+    /// Drawn anew at each start: a reply to an earlier life must not match a request of this one.
+    std::uint64_t seed = 0;
 };
 
 /// New pieces of a streamed answer, in order and without repeats.
@@ -109,7 +111,7 @@
     membership::control_session session_;
     std::map<request_token, pending_request> pending_;
     std::map<protocol::correlation_id, request_token> by_correlation_;
-    protocol::correlation_id next_correlation_ = 1;
+    protocol::correlation_id next_correlation_;
     bool draining_ = false;
     gateway_counters counters_;
     gateway_output output_;
--- a/src/tallyfold/scheduler/journal_client.hpp
+++ b/src/tallyfold/scheduler/journal_client.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "tallyfold/common/random.hpp"
 #include "tallyfold/common/time.hpp"
 #include "tallyfold/journal/types.hpp"
 #include "tallyfold/protocol/messages.hpp"
@@ -33,8 +34,13 @@
 
 class journal_client {
   public:
-    journal_client(std::vector<node_name> control_nodes, std::uint32_t journal_groups)
-        : control_nodes_(std::move(control_nodes)), journal_groups_(journal_groups) {}
+    /// @param seed drawn anew at each start: a reply to an earlier life must not match a command
+    /// of this one
+    journal_client(std::vector<node_name> control_nodes, std::uint32_t journal_groups,
+                   std::uint64_t seed)
+        : control_nodes_(std::move(control_nodes)),
+          journal_groups_(journal_groups),
+          next_correlation_(random_source(seed).next()) {}
 
     void append(const append_key& key, journal::journal_command command, instant now);
     /// @return the command that the reply finishes, if it finishes one
@@ -70,7 +76,7 @@
     std::map<group_id, node_name> leaders_;
     std::map<append_key, std::deque<journal::journal_command>> queues_;
     std::map<protocol::correlation_id, sent_append> sent_;
-    protocol::correlation_id next_correlation_ = 1;
+    protocol::correlation_id next_correlation_;
     std::vector<protocol::outbound_message> messages_;
 };
 
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -27,7 +27,7 @@
 scheduler_core::scheduler_core(scheduler_settings settings, instant now)
     : settings_(std::move(settings)),
       random_(settings_.seed),
-      journal_(settings_.control_nodes, settings_.journal_groups),
+      journal_(settings_.control_nodes, settings_.journal_groups, settings_.seed),
       session_({settings_.node, protocol::node_role::scheduler, settings_.address, settings_.zone,
                 settings_.control_nodes, settings_.heartbeat_interval,
                 settings_.configuration_lease}),
@@ -588,6 +588,10 @@
 
 void scheduler_core::reap_programs(instant now) {
     std::vector<std::pair<program_id, shard_id>> idle;
+    // A call under way keeps its whole tree: a parent waits as long as a sub-agent is at work.
+    for (const auto& [id, ticket] : call_of_program_) {
+        touch(id, now);
+    }
     for (const auto& [number, shard] : shards_) {
         if (shard.phase != shard_phase::serving) {
             continue;
@@ -599,9 +603,7 @@
                 continue;
             }
             const duration limit = std::chrono::milliseconds(settings->idle_timeout_ms);
-            // A parent waits as long as any of its sub-agents is at work.
-            const bool own_idle = now - programs_[id].last_activity > limit;
-            if (own_idle) {
+            if (now - programs_[id].last_activity > limit) {
                 idle.emplace_back(id, number);
             }
         }
--- a/stand_ins/caller_core.hpp
+++ b/stand_ins/caller_core.hpp
@@ -63,8 +63,9 @@
     struct settings {
         /// Makes the identities of this run's requests unique.
         std::string run;
-        /// A request without any sign of life for this long is sent again.
-        duration patience = std::chrono::seconds(20);
+        /// A request without any sign of life for this long is sent again. Below the classes' idle
+        /// timeout: a caller that is silent for longer has its programs closed as abandoned.
+        duration patience = std::chrono::seconds(8);
         /// The caller calls a request lost after this long.
         duration lost_after = std::chrono::seconds(180);
     };
