Separate processes serve programs end to end on loopback

The gateway, two schedulers and three control processes with a replicated log synced at a quorum, tallyfoldctl, and stand-ins for engines, app and tool services, membership list, weight store, callers and the links between zones.

--- /dev/null
+++ b/scripts/lib/fleet.sh
@@ -0,0 +1,237 @@
+# Starts and stops a fleet of separate processes on loopback addresses. Sourced by the scripts
+# that need one; everything lies in the folder $run, and only processes started here are ended.
+#
+# Each process listens on 127.0.R.N; links to it go through the relay on 127.1.R.N, which adds the
+# one-way delay of the profile.
+
+declare -A fleet_pids=()
+
+# fleet_start NAME PROGRAM ARGUMENTS...
+fleet_start() {
+    local name=$1 program=$2
+    shift 2
+    "$build/$program" "$@" >>"$run/$name.out" 2>>"$run/$name.log" &
+    fleet_pids[$name]=$!
+    echo "${fleet_pids[$name]}" >"$run/$name.pid"
+}
+
+fleet_signal() {
+    kill "-$2" "${fleet_pids[$1]}" 2>/dev/null || true
+}
+
+fleet_wait_exit() {
+    local name=$1
+    wait "${fleet_pids[$name]}"
+    local code=$?
+    unset "fleet_pids[$name]"
+    return $code
+}
+
+# Ends what is still running, whatever state it is in.
+fleet_cleanup() {
+    local name
+    for name in "${!fleet_pids[@]}"; do
+        kill -CONT "${fleet_pids[$name]}" 2>/dev/null || true
+        kill -KILL "${fleet_pids[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+
+wait_until() {
+    local what=$1 tries=400
+    shift
+    until "$@" >/dev/null 2>&1; do
+        tries=$((tries - 1))
+        if [ $tries -le 0 ]; then
+            echo "gave up waiting for $what" >&2
+            return 1
+        fi
+        sleep 0.05
+    done
+}
+
+http_ok() { curl -sf --noproxy '*' -o /dev/null --max-time 2 "$1"; }
+
+ctl() {
+    "$build/tallyfoldctl" --control "$control_http" --operator ops --key-file "$run/ops.key" "$@"
+}
+
+fleet_profile() {
+    case $1 in
+        huayin)
+            zones=(neihu-a neihu-b banqiao taoyuan)
+            link_us=1500 client_us=3000
+            classes=("licensing 10" "assistant 5" "draft 0")
+            tenants=(adspark lotus-drama pixelgate harbour-ads)
+            ;;
+        hobart)
+            zones=(hobart-a hobart-b kingston-c)
+            link_us=500 client_us=1000
+            classes=("coach 5" "trade 5" "lookup 8")
+            tenants=(league-app league-web partner-desk)
+            ;;
+        *)
+            echo "profile must be huayin or hobart" >&2
+            return 2
+            ;;
+    esac
+}
+
+zone_of() { echo "${zones[$(($1 % ${#zones[@]}))]}"; }
+
+control_table() {
+    local n
+    echo "[control]"
+    for n in 1 2 3; do echo "control-$n = \"127.1.1.$n:7100\""; done
+}
+
+write_settings() {
+    local n
+    for n in 1 2 3; do
+        {
+            echo "node = \"control-$n\""
+            echo "listen = \"127.0.1.$n:7100\""
+            echo "http_listen = \"127.0.1.$n:7101\""
+            echo "key_file = \"$run/cluster.key\""
+            echo "operator_file = \"$run/operators\""
+            echo "data_folder = \"$run/control-$n.data\""
+            control_table
+        } >"$run/control-$n.toml"
+    done
+    for n in $(seq "$scheduler_count"); do
+        {
+            echo "node = \"scheduler-$n\""
+            echo "zone = \"$(zone_of "$n")\""
+            echo "listen = \"127.0.2.$n:7200\""
+            echo "advertise = \"127.1.2.$n:7200\""
+            echo "http_listen = \"127.0.2.$n:7201\""
+            echo "key_file = \"$run/cluster.key\""
+            echo "members_address = \"127.0.7.1:8000\""
+            control_table
+        } >"$run/scheduler-$n.toml"
+    done
+    for n in $(seq "$gateway_count"); do
+        {
+            echo "node = \"gateway-$n\""
+            echo "zone = \"$(zone_of "$n")\""
+            echo "http_listen = \"127.0.3.$n:7300\""
+            echo "key_file = \"$run/cluster.key\""
+            control_table
+        } >"$run/gateway-$n.toml"
+    done
+}
+
+relay_arguments=()
+add_route() { relay_arguments+=(--route "$1,$2,$3,$4"); }
+
+start_engine() {
+    fleet_start "engine-$1" stand-in-engine --name "engine-$1" --listen "127.0.4.$1:8000" \
+        --zone "$(zone_of "$1")" --ledger "$run/engine-$1.ledger" --weight-store 127.0.7.1:8000 \
+        --seed "$seed"
+}
+start_service() {
+    local kind=$1 n=$2 row=5
+    [ "$kind" = tool ] && row=6
+    fleet_start "$kind-$n" stand-in-service --name "$kind-$n" --listen "127.0.$row.$n:8000" \
+        --ledger "$run/$kind-$n.ledger" --record "$run/$kind-$n.record" --seed "$seed"
+}
+start_control() { fleet_start "control-$1" tallyfold-control --settings "$run/control-$1.toml"; }
+start_scheduler() {
+    fleet_start "scheduler-$1" tallyfold-scheduler --settings "$run/scheduler-$1.toml"
+}
+start_gateway() { fleet_start "gateway-$1" tallyfold-gateway --settings "$run/gateway-$1.toml"; }
+
+start_platform() {
+    local members=() n
+    for n in $(seq "$engine_count"); do
+        members+=(--member "engine,engine-$n,127.1.4.$n:8000,$(zone_of "$n"),default,8")
+    done
+    for n in $(seq "$app_count"); do
+        members+=(--member "app,app-$n,127.1.5.$n:8000,$(zone_of "$n"),,16")
+    done
+    for n in $(seq "$tool_count"); do
+        members+=(--member "tool,tool-$n,127.1.6.$n:8000,$(zone_of "$n"),,16")
+    done
+    fleet_start platform stand-in-platform --listen 127.0.7.1:8000 "${members[@]}"
+}
+
+start_relay() {
+    local n
+    for n in 1 2 3; do add_route "control-$n" "127.1.1.$n:7100" "127.0.1.$n:7100" "$link_us"; done
+    for n in $(seq "$scheduler_count"); do
+        add_route "scheduler-$n" "127.1.2.$n:7200" "127.0.2.$n:7200" "$link_us"
+    done
+    for n in $(seq "$gateway_count"); do
+        add_route "gateway-$n" "127.1.3.$n:7300" "127.0.3.$n:7300" "$client_us"
+    done
+    for n in $(seq "$engine_count"); do
+        add_route "engine-$n" "127.1.4.$n:8000" "127.0.4.$n:8000" "$link_us"
+    done
+    for n in $(seq "$app_count"); do
+        add_route "app-$n" "127.1.5.$n:8000" "127.0.5.$n:8000" "$link_us"
+    done
+    for n in $(seq "$tool_count"); do
+        add_route "tool-$n" "127.1.6.$n:8000" "127.0.6.$n:8000" "$link_us"
+    done
+    fleet_start relay stand-in-relay --http-listen 127.0.8.1:8000 "${relay_arguments[@]}"
+}
+
+configure_cluster() {
+    local entry tenant
+    ctl cluster init >/dev/null
+    for policy in huayin hobart; do
+        ctl policy submit "$policy" "$root/policies/$policy.lua" >/dev/null
+    done
+    for tenant in "${tenants[@]}"; do ctl tenant set "$tenant" >/dev/null; done
+    for entry in "${classes[@]}"; do
+        read -r name priority <<<"$entry"
+        ctl class set "$name" priority="$priority" policy="$profile" model=default \
+            budget_limit=10000000 >/dev/null
+    done
+}
+
+# Starts everything for $profile and waits until the gateways are ready.
+fleet_up() {
+    fleet_profile "$profile"
+    : "${scheduler_count:=2}" "${gateway_count:=2}" "${engine_count:=10}" "${app_count:=10}"
+    : "${tool_count:=2}" "${seed:=1}"
+    control_http="127.0.1.1:7101,127.0.1.2:7101,127.0.1.3:7101"
+    (umask 077 && head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/cluster.key")
+    (umask 077 && head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/ops.key")
+    (umask 077 && echo "ops administrator $(cat "$run/ops.key")" >"$run/operators")
+    write_settings
+    start_relay
+    start_platform
+    local n
+    for n in $(seq "$engine_count"); do start_engine "$n"; done
+    for n in $(seq "$app_count"); do start_service app "$n"; done
+    for n in $(seq "$tool_count"); do start_service tool "$n"; done
+    for n in 1 2 3; do start_control "$n"; done
+    for n in $(seq "$scheduler_count"); do start_scheduler "$n"; done
+    for n in $(seq "$gateway_count"); do start_gateway "$n"; done
+    for n in 1 2 3; do wait_until "control-$n" http_ok "http://127.0.1.$n:7101/healthz"; done
+    configure_cluster
+    for n in $(seq "$gateway_count"); do
+        wait_until "gateway-$n" http_ok "http://127.0.3.$n:7300/readyz"
+    done
+    for n in $(seq "$scheduler_count"); do
+        wait_until "scheduler-$n" http_ok "http://127.0.2.$n:7201/readyz"
+    done
+}
+
+# A planned stop of everything; fails when a process does not end with 0.
+fleet_down() {
+    local name failed=0
+    for prefix in gateway scheduler control; do
+        for name in "${!fleet_pids[@]}"; do
+            [[ $name == $prefix-* ]] && fleet_signal "$name" TERM
+        done
+        for name in "${!fleet_pids[@]}"; do
+            if [[ $name == $prefix-* ]]; then
+                fleet_wait_exit "$name" || { echo "$name ended with an error" >&2; failed=1; }
+            fi
+        done
+    done
+    fleet_cleanup
+    return $failed
+}
--- /dev/null
+++ b/src/tallyfold/control/control_shell.hpp
@@ -0,0 +1,15 @@
+#pragma once
+/// @file
+/// The control process: internal messages, operators' requests and durable batches meet on its
+/// logic thread.
+
+#include <atomic>
+
+#include "tallyfold/settings/process_settings.hpp"
+
+namespace tallyfold::control {
+
+/// Runs until `stop` is set or storage fails. @return the exit code
+int run_control(settings::control_process settings, const std::atomic<bool>& stop);
+
+}  // namespace tallyfold::control
--- a/src/tallyfold/gateway/gateway_shell.cpp
+++ b/src/tallyfold/gateway/gateway_shell.cpp
@@ -8,9 +8,11 @@
 #include "tallyfold/gateway/gateway_core.hpp"
 #include "tallyfold/gateway/queries/render_answer.hpp"
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/net/cluster_keys.hpp"
 #include "tallyfold/net/http_server.hpp"
 #include "tallyfold/net/logic_thread.hpp"
 #include "tallyfold/net/metrics.hpp"
+#include "tallyfold/net/peer_inputs.hpp"
 #include "tallyfold/net/transport.hpp"
 
 namespace tallyfold::gateway {
@@ -28,12 +30,6 @@
     caller_request request;
 };
 
-struct peer_input {
-    node_name from;
-    /// Empty when the connection was lost.
-    std::optional<protocol::internal_message> message;
-};
-
 class gateway_process_runtime {
   public:
     explicit gateway_process_runtime(const settings::gateway_process& settings)
@@ -41,8 +37,8 @@
           core_(settings.core),
           logic_([this](instant now) { turn(now); }),
           http_inputs_(ring_capacity, logic_.notifier()),
-          peer_inputs_(ring_capacity, logic_.notifier()),
-          transport_({settings.core.node, {}, settings.key_file}, handlers()),
+          peers_(logic_.notifier()),
+          transport_({settings.core.node, {}, settings.key_file}, peers_.handlers()),
           server_({settings.http_listen, settings.largest_body},
                   [this](net::exchange_pointer exchange) { on_http(std::move(exchange)); }) {}
 
@@ -74,25 +70,6 @@
     }
 
   private:
-    net::transport_handlers handlers() {
-        net::transport_handlers handlers;
-        handlers.on_message = [this](const node_name& from, protocol::internal_message& message) {
-            peer_input input{from, std::move(message)};
-            if (peer_inputs_.try_push(input)) {
-                return true;
-            }
-            message = std::move(*input.message);
-            return false;
-        };
-        handlers.on_lost = [this](const node_name& node) {
-            peer_inputs_.push({node, std::nullopt});
-        };
-        handlers.on_event = [](const logging::event_record& record) {
-            logging::write_event(record);
-        };
-        return handlers;
-    }
-
     void on_http(net::exchange_pointer exchange) {
         if (exchange->path() == "/healthz") {
             exchange->respond(200, "text/plain", "ok\n", 0);
@@ -131,7 +108,7 @@
     }
 
     void turn(instant now) {
-        net::drain_ring(peer_inputs_, [&](peer_input& input) {
+        peers_.drain([&](net::peer_input& input) {
             if (input.message.has_value()) {
                 core_.receive(input.from, *input.message, now);
             } else {
@@ -243,7 +220,7 @@
     gateway_core core_;
     net::logic_thread logic_;
     bounded_ring<http_input> http_inputs_;
-    bounded_ring<peer_input> peer_inputs_;
+    net::peer_input_ring peers_;
     net::metrics_board metrics_;
     net::transport transport_;
     net::http_server server_;
@@ -259,7 +236,8 @@
 
 }  // namespace
 
-int run_gateway(const settings::gateway_process& settings, const std::atomic<bool>& stop) {
+int run_gateway(settings::gateway_process settings, const std::atomic<bool>& stop) {
+    settings.core.seed = net::random_number();
     return gateway_process_runtime(settings).run(stop);
 }
 
--- a/src/tallyfold/gateway/gateway_shell.hpp
+++ b/src/tallyfold/gateway/gateway_shell.hpp
@@ -10,6 +10,6 @@
 namespace tallyfold::gateway {
 
 /// Runs until `stop` is set and everything under way is finished. @return the exit code
-int run_gateway(const settings::gateway_process& settings, const std::atomic<bool>& stop);
+int run_gateway(settings::gateway_process settings, const std::atomic<bool>& stop);
 
 }  // namespace tallyfold::gateway
--- a/src/tallyfold/net/http_client.cpp
+++ b/src/tallyfold/net/http_client.cpp
@@ -61,7 +61,10 @@
         return commands_.try_push(command);
     }
 
-    void cancel(http_call_id id) { commands_.push(cancel_call{id}); }
+    bool cancel(http_call_id id) {
+        client_command command(cancel_call{id});
+        return commands_.try_push(command);
+    }
 
   private:
     struct running_call {
@@ -199,8 +202,8 @@
 bool http_client::submit(http_call call) {
     return engine_->submit(std::move(call));
 }
-void http_client::cancel(http_call_id id) {
-    engine_->cancel(id);
+bool http_client::cancel(http_call_id id) {
+    return engine_->cancel(id);
 }
 
 }  // namespace tallyfold::net
--- a/src/tallyfold/net/http_client.hpp
+++ b/src/tallyfold/net/http_client.hpp
@@ -54,8 +54,9 @@
     /// From one thread only. @return false when too many requests are waiting to be sent; the
     /// request was not sent then
     [[nodiscard]] bool submit(http_call call);
-    /// Gives a request up; no further event comes for it. From the submitting thread.
-    void cancel(http_call_id id);
+    /// Gives a request up. From the submitting thread. @return false when too much is waiting;
+    /// try again later
+    [[nodiscard]] bool cancel(http_call_id id);
 
   private:
     class engine;
--- a/src/tallyfold/net/logic_thread.hpp
+++ b/src/tallyfold/net/logic_thread.hpp
@@ -22,9 +22,13 @@
 
 class logic_thread {
   public:
+    static constexpr std::chrono::microseconds default_tick_interval{10'000};
+
     /// @param turn drains inputs, ticks, and emits outputs; called on every wake and at least
     /// every tick interval
-    explicit logic_thread(std::function<void(instant now)> turn) : turn_(std::move(turn)) {}
+    explicit logic_thread(std::function<void(instant now)> turn,
+                          std::chrono::microseconds tick_interval = default_tick_interval)
+        : turn_(std::move(turn)), tick_interval_(tick_interval) {}
     ~logic_thread() { stop(); }
     logic_thread(const logic_thread&) = delete;
     logic_thread& operator=(const logic_thread&) = delete;
@@ -37,7 +41,7 @@
     void start() {
         thread_ = std::thread([this] {
             while (!stopping_) {
-                signal_.wait_for(tick_interval);
+                signal_.wait_for(tick_interval_);
                 turn_(monotonic_now());
             }
         });
@@ -52,9 +56,8 @@
     }
 
   private:
-    static constexpr std::chrono::microseconds tick_interval{10'000};
-
     std::function<void(instant)> turn_;
+    std::chrono::microseconds tick_interval_;
     wake_signal signal_;
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- /dev/null
+++ b/src/tallyfold/scheduler/backend_client.hpp
@@ -0,0 +1,57 @@
+#pragma once
+/// @file
+/// Carries a scheduler's orders to back ends over HTTP. Its thread of use is the scheduler's
+/// logic thread; the HTTP library's thread hands its events over through a bounded ring.
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tallyfold/common/bounded_ring.hpp"
+#include "tallyfold/net/http_client.hpp"
+#include "tallyfold/scheduler/backend_http_codec.hpp"
+
+namespace tallyfold::scheduler {
+
+class backend_client {
+  public:
+    /// @param members_address "ip:port" of the platform's membership list
+    /// @param notify wakes the logic thread
+    backend_client(std::string members_address, std::function<void()> notify);
+
+    void start() { client_.start(); }
+    void stop() { client_.stop(); }
+
+    /// Sends an order. What cannot be sent is reported as not handed over.
+    void submit(const backend_order& order);
+    /// Reports that have come in since the last call.
+    std::vector<backend_report> take_reports();
+
+  private:
+    struct running_order {
+        backend_order order;
+        event_stream_splitter splitter;
+        bool finished = false;
+    };
+
+    void on_event(net::http_event& event);
+    void on_stream_bytes(running_order& running, const std::string& bytes);
+    void on_finished(running_order& running, const net::http_event& event);
+    void stop_reading(const attempt_key& key);
+    void learn_addresses(const members_answered& members);
+    void retry_cancels();
+
+    std::string members_address_;
+    bounded_ring<net::http_event> events_;
+    net::http_client client_;
+    std::map<backend_name, std::string> addresses_;
+    std::map<net::http_call_id, running_order> running_;
+    /// The HTTP request that reads each attempt's stream.
+    std::map<attempt_key, net::http_call_id> readers_;
+    std::vector<net::http_call_id> cancels_;
+    net::http_call_id next_call_ = 1;
+    std::vector<backend_report> reports_;
+};
+
+}  // namespace tallyfold::scheduler
--- /dev/null
+++ b/src/tallyfold/scheduler/backend_http_codec.cpp
@@ -0,0 +1,427 @@
+#include "tallyfold/scheduler/backend_http_codec.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace tallyfold::scheduler {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds poll_timeout{1000};
+constexpr std::chrono::milliseconds order_timeout{2000};
+constexpr int status_leaving = 503;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+
+std::string dump(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+template <class Number>
+std::optional<Number> parse_number(std::string_view text) {
+    Number value = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (failure != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// Runs `read`; whatever is wrong with the JSON becomes a codec error.
+template <class Read>
+auto guarded(const std::string& body, Read read) -> codec_result<decltype(read(json{}))> {
+    try {
+        return read(json::parse(body));
+    } catch (const json::exception& failure) {
+        return tl::unexpected(backend_codec_error{failure.what()});
+    } catch (const std::invalid_argument& failure) {
+        return tl::unexpected(backend_codec_error{failure.what()});
+    }
+}
+
+attempt_key key_field(const json& body) {
+    const auto key = parse_attempt_key(body.at("key").get<std::string>());
+    if (!key) {
+        throw std::invalid_argument("field 'key' is not program/sequence/attempt");
+    }
+    return *key;
+}
+
+ownership_fence fence_field(const json& body) {
+    const json& fence = body.at("fence");
+    return {fence.at("shard").get<shard_id>(), fence.at("epoch").get<lease_epoch>()};
+}
+
+json render_fence(const ownership_fence& fence) {
+    return {{"shard", fence.shard}, {"epoch", fence.epoch}};
+}
+
+json render_messages(const std::vector<journal::message>& messages) {
+    json list = json::array();
+    for (const journal::message& message : messages) {
+        list.push_back(
+            {{"role", message.role}, {"content", message.content}, {"tokens", message.tokens}});
+    }
+    return list;
+}
+
+std::vector<journal::message> parse_messages(const json& list) {
+    std::vector<journal::message> messages;
+    for (const json& entry : list) {
+        messages.push_back({entry.at("role").get<std::string>(),
+                            entry.at("content").get<std::string>(),
+                            entry.at("tokens").get<token_count>()});
+    }
+    return messages;
+}
+
+backend_http_request post(std::string path, const json& body, std::chrono::milliseconds timeout) {
+    return {"POST", std::move(path), dump(body), timeout, false, false};
+}
+
+backend_http_request render(const start_stream& order) {
+    const json body = {{"key", order.key.text()},   {"fence", render_fence(order.fence)},
+                       {"model", order.model},      {"messages", render_messages(*order.prompt)},
+                       {"prefix", order.prefix},    {"max_tokens", order.max_tokens},
+                       {"priority", order.priority}};
+    backend_http_request request = post("/v1/streams", body, {});
+    request.streamed = true;
+    return request;
+}
+
+backend_http_request render(const resume_stream& order) {
+    const json body = {{"key", order.key.text()}, {"offset", order.offset}};
+    backend_http_request request = post("/v1/streams/resume", body, {});
+    request.streamed = true;
+    return request;
+}
+
+backend_http_request render(const cancel_stream& order) {
+    return post("/v1/streams/cancel", {{"key", order.key.text()}}, order_timeout);
+}
+
+backend_http_request render(const run_request& order) {
+    const json body = {{"key", order.key.text()},       {"fence", render_fence(order.fence)},
+                       {"kind", to_string(order.kind)}, {"operation", order.operation},
+                       {"argument", order.argument},    {"repeatable", order.repeatable}};
+    backend_http_request request = post(
+        "/v1/requests", body, std::chrono::duration_cast<std::chrono::milliseconds>(order.timeout));
+    request.fresh_connection = !order.repeatable;
+    return request;
+}
+
+backend_http_request render(const seal_request& order) {
+    return post("/v1/requests/seal", {{"key", order.key.text()}}, order_timeout);
+}
+
+backend_http_request render(const retain_cache& order) {
+    return post("/v1/cache/retain",
+                {{"program", order.program},
+                 {"value", order.value},
+                 {"lease_ms", to_milliseconds(order.lease)}},
+                order_timeout);
+}
+
+backend_http_request render(const release_cache& order) {
+    return post("/v1/cache/release", {{"programs", order.programs}}, order_timeout);
+}
+
+backend_http_request render(const poll_status& order) {
+    return {"GET", "/v1/status?after=" + std::to_string(order.after_event), {}, poll_timeout, false,
+            false};
+}
+
+backend_http_request render(const poll_members& /*order*/) {
+    return {"GET", "/v1/members", {}, poll_timeout, false, false};
+}
+
+backend_report parse_status(const backend_name& backend, const json& body) {
+    status_answered status;
+    status.backend = backend;
+    status.load.running = body.at("running").get<std::uint32_t>();
+    status.load.waiting = body.at("waiting").get<std::uint32_t>();
+    status.load.cache_fill = body.at("cache_fill").get<double>();
+    status.load.leaving = body.at("leaving").get<bool>();
+    for (const json& event : body.at("events")) {
+        status.events.push_back({event.at("number").get<std::uint64_t>(),
+                                 event.at("stored").get<bool>(),
+                                 {event.at("hash").get<scheduling::prefix_hash>(),
+                                  event.at("tokens").get<token_count>()}});
+    }
+    return status;
+}
+
+members_answered parse_member_list(const json& body) {
+    members_answered list;
+    for (const json& entry : body.at("members")) {
+        scheduling::backend_member member;
+        const auto kind = parse_backend_kind(entry.at("kind").get<std::string>());
+        if (!kind) {
+            throw std::invalid_argument("a member's kind must be engine, app or tool");
+        }
+        member.kind = *kind;
+        member.name = entry.at("name").get<std::string>();
+        member.address = entry.at("address").get<std::string>();
+        member.zone = entry.at("zone").get<std::string>();
+        member.model = entry.at("model").get<std::string>();
+        member.slots = entry.at("slots").get<std::uint32_t>();
+        member.leaving = entry.at("leaving").get<bool>();
+        list.members.push_back(std::move(member));
+    }
+    return list;
+}
+
+std::optional<backend_report> report_answer(const backend_order& order, const json& body) {
+    if (const auto* run = std::get_if<run_request>(&order)) {
+        return request_answered{run->key, body.at("answer").get<std::string>()};
+    }
+    if (const auto* seal = std::get_if<seal_request>(&order)) {
+        return seal_answered{seal->key, body.at("ran").get<bool>(),
+                             body.value("answer", std::string{})};
+    }
+    if (const auto* poll = std::get_if<poll_status>(&order)) {
+        return parse_status(poll->backend, body);
+    }
+    if (const auto* release = std::get_if<release_cache>(&order)) {
+        return release_confirmed{release->backend, release->programs};
+    }
+    if (std::holds_alternative<poll_members>(order)) {
+        return parse_member_list(body);
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view to_string(scheduling::backend_kind kind) {
+    switch (kind) {
+        case scheduling::backend_kind::engine:
+            return "engine";
+        case scheduling::backend_kind::app:
+            return "app";
+        case scheduling::backend_kind::tool:
+            return "tool";
+    }
+    return "invalid";
+}
+
+std::optional<scheduling::backend_kind> parse_backend_kind(std::string_view text) {
+    for (const auto kind : {scheduling::backend_kind::engine, scheduling::backend_kind::app,
+                            scheduling::backend_kind::tool}) {
+        if (to_string(kind) == text) {
+            return kind;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<attempt_key> parse_attempt_key(std::string_view text) {
+    const std::size_t last = text.rfind('/');
+    const std::size_t middle =
+        last == std::string_view::npos || last == 0 ? last : text.rfind('/', last - 1);
+    if (middle == std::string_view::npos || middle == 0 || last == 0) {
+        return std::nullopt;
+    }
+    const auto sequence = parse_number<sequence_number>(text.substr(middle + 1, last - middle - 1));
+    const auto attempt = parse_number<std::uint32_t>(text.substr(last + 1));
+    if (!sequence || !attempt) {
+        return std::nullopt;
+    }
+    return attempt_key{program_id(text.substr(0, middle)), *sequence, *attempt};
+}
+
+backend_name target_of(const backend_order& order) {
+    return std::visit(
+        [](const auto& body) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(body)>, poll_members>) {
+                return backend_name{};
+            } else {
+                return body.backend;
+            }
+        },
+        order);
+}
+
+std::optional<attempt_key> attempt_of(const backend_order& order) {
+    return std::visit(
+        [](const auto& body) -> std::optional<attempt_key> {
+            if constexpr (requires { body.key; }) {
+                return body.key;
+            } else {
+                return std::nullopt;
+            }
+        },
+        order);
+}
+
+backend_http_request render_order(const backend_order& order) {
+    return std::visit([](const auto& body) { return render(body); }, order);
+}
+
+codec_result<std::optional<backend_report>> parse_answer(const backend_order& order,
+                                                         const std::string& body) {
+    return guarded(body, [&](const json& parsed) { return report_answer(order, parsed); });
+}
+
+std::optional<backend_report> report_refusal(const backend_order& order, int status) {
+    if (const auto* resume = std::get_if<resume_stream>(&order)) {
+        return attempt_failed{resume->key, failure_kind::unknown_stream};
+    }
+    if (std::holds_alternative<start_stream>(order) || std::holds_alternative<run_request>(order)) {
+        const failure_kind kind = status == status_leaving ? failure_kind::leaving
+                                  : status == status_conflict || status == status_not_found
+                                      ? failure_kind::refused
+                                      : failure_kind::failed;
+        return attempt_failed{*attempt_of(order), kind};
+    }
+    return report_no_answer(order, true);
+}
+
+std::optional<backend_report> report_no_answer(const backend_order& order, bool handed_over) {
+    const failure_kind kind = handed_over ? failure_kind::broken : failure_kind::unreachable;
+    if (std::holds_alternative<start_stream>(order) || std::holds_alternative<run_request>(order)) {
+        return attempt_failed{*attempt_of(order), kind};
+    }
+    if (const auto* resume = std::get_if<resume_stream>(&order)) {
+        return attempt_failed{resume->key,
+                              handed_over ? failure_kind::broken : failure_kind::unknown_stream};
+    }
+    if (const auto* seal = std::get_if<seal_request>(&order)) {
+        return seal_failed{seal->key};
+    }
+    if (const auto* poll = std::get_if<poll_status>(&order)) {
+        return status_failed{poll->backend};
+    }
+    return std::nullopt;
+}
+
+codec_result<backend_report> parse_stream_event(const attempt_key& key, std::string_view text) {
+    return guarded(std::string(text), [&](const json& event) -> backend_report {
+        if (event.contains("finished")) {
+            return stream_finished{key, event.at("prompt_tokens").get<token_count>(),
+                                   event.at("completion_tokens").get<token_count>(),
+                                   event.at("cached_tokens").get<token_count>()};
+        }
+        return stream_pieces{key, event.at("offset").get<std::uint64_t>(),
+                             event.at("pieces").get<std::vector<std::string>>()};
+    });
+}
+
+std::vector<std::string> event_stream_splitter::add(std::string_view bytes) {
+    constexpr std::string_view separator = "\n\n";
+    constexpr std::string_view prefix = "data: ";
+    rest_.append(bytes);
+    std::vector<std::string> events;
+    std::size_t begin = 0;
+    for (std::size_t end = rest_.find(separator); end != std::string::npos;
+         end = rest_.find(separator, begin)) {
+        std::string_view event(rest_.data() + begin, end - begin);
+        if (event.starts_with(prefix)) {
+            events.emplace_back(event.substr(prefix.size()));
+        }
+        begin = end + separator.size();
+    }
+    rest_.erase(0, begin);
+    return events;
+}
+
+codec_result<backend_order> parse_order(const std::string& method, const std::string& path,
+                                        const std::string& after, const std::string& body) {
+    if (method == "GET" && path == "/v1/status") {
+        return poll_status{{}, parse_number<std::uint64_t>(after).value_or(0)};
+    }
+    return guarded(body, [&](const json& parsed) -> backend_order {
+        if (path == "/v1/streams") {
+            start_stream order;
+            order.key = key_field(parsed);
+            order.fence = fence_field(parsed);
+            order.model = parsed.at("model").get<std::string>();
+            order.prompt = std::make_shared<const std::vector<journal::message>>(
+                parse_messages(parsed.at("messages")));
+            order.prefix = parsed.at("prefix").get<std::vector<std::string>>();
+            order.max_tokens = parsed.at("max_tokens").get<token_count>();
+            order.priority = parsed.at("priority").get<std::int32_t>();
+            return order;
+        }
+        if (path == "/v1/streams/resume") {
+            return resume_stream{{}, key_field(parsed), parsed.at("offset").get<std::uint64_t>()};
+        }
+        if (path == "/v1/streams/cancel") {
+            return cancel_stream{{}, key_field(parsed)};
+        }
+        if (path == "/v1/requests") {
+            run_request order;
+            order.key = key_field(parsed);
+            order.fence = fence_field(parsed);
+            order.kind =
+                parsed.at("kind") == "tool" ? journal::call_kind::tool : journal::call_kind::app;
+            order.operation = parsed.at("operation").get<std::string>();
+            order.argument = parsed.at("argument").get<std::string>();
+            order.repeatable = parsed.at("repeatable").get<bool>();
+            return order;
+        }
+        if (path == "/v1/requests/seal") {
+            return seal_request{{}, key_field(parsed)};
+        }
+        if (path == "/v1/cache/retain") {
+            return retain_cache{{},
+                                parsed.at("program").get<std::string>(),
+                                parsed.at("value").get<double>(),
+                                std::chrono::milliseconds(parsed.at("lease_ms").get<int>())};
+        }
+        if (path == "/v1/cache/release") {
+            return release_cache{{}, parsed.at("programs").get<std::vector<program_id>>()};
+        }
+        throw std::invalid_argument("no such path");
+    });
+}
+
+std::string render_stream_event(const stream_pieces& pieces) {
+    return "data: " + dump({{"offset", pieces.offset}, {"pieces", pieces.pieces}}) + "\n\n";
+}
+
+std::string render_stream_event(const stream_finished& finished) {
+    return "data: " +
+           dump({{"finished", true},
+                 {"prompt_tokens", finished.prompt_tokens},
+                 {"completion_tokens", finished.completion_tokens},
+                 {"cached_tokens", finished.cached_tokens}}) +
+           "\n\n";
+}
+
+std::string render_status(const status_answered& status) {
+    json events = json::array();
+    for (const cache_event& event : status.events) {
+        events.push_back({{"number", event.number},
+                          {"stored", event.stored},
+                          {"hash", event.point.hash},
+                          {"tokens", event.point.tokens}});
+    }
+    return dump({{"running", status.load.running},
+                 {"waiting", status.load.waiting},
+                 {"cache_fill", status.load.cache_fill},
+                 {"leaving", status.load.leaving},
+                 {"events", std::move(events)}});
+}
+
+std::string render_members(const members_answered& members) {
+    json list = json::array();
+    for (const scheduling::backend_member& member : members.members) {
+        list.push_back({{"kind", to_string(member.kind)},
+                        {"name", member.name},
+                        {"address", member.address},
+                        {"zone", member.zone},
+                        {"model", member.model},
+                        {"slots", member.slots},
+                        {"leaving", member.leaving}});
+    }
+    return dump({{"members", std::move(list)}});
+}
+
+codec_result<members_answered> parse_members(const std::string& body) {
+    return guarded(body, [](const json& parsed) { return parse_member_list(parsed); });
+}
+
+}  // namespace tallyfold::scheduler
--- /dev/null
+++ b/src/tallyfold/scheduler/backend_http_codec.hpp
@@ -0,0 +1,82 @@
+#pragma once
+/// @file
+/// The back ends' HTTP interface as data: orders to requests, answers and streamed events to
+/// reports. docs/BACKENDS.md describes it; the stand-ins read requests with the same functions.
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "tallyfold/scheduler/backend_messages.hpp"
+
+namespace tallyfold::scheduler {
+
+/// One HTTP request to a back end.
+struct backend_http_request {
+    std::string method;
+    /// With the query, if any.
+    std::string path;
+    std::string body;
+    std::chrono::milliseconds timeout{0};
+    bool streamed = false;
+    /// The request must not be sent twice by the HTTP library.
+    bool fresh_connection = false;
+};
+
+/// Why bytes from the other side could not be understood.
+struct backend_codec_error {
+    std::string reason;
+};
+template <class Value>
+using codec_result = tl::expected<Value, backend_codec_error>;
+
+// --- the scheduler's side ------------------------------------------------------------------
+
+/// Name of the back end that an order goes to; empty for poll_members.
+backend_name target_of(const backend_order& order);
+/// The attempt that an order is about, if it is about one.
+std::optional<attempt_key> attempt_of(const backend_order& order);
+
+backend_http_request render_order(const backend_order& order);
+/// The report that an answer with a status below 300 amounts to; nothing for answers that carry
+/// no news.
+codec_result<std::optional<backend_report>> parse_answer(const backend_order& order,
+                                                         const std::string& body);
+/// The report for an order that was answered with an error status.
+std::optional<backend_report> report_refusal(const backend_order& order, int status);
+/// The report for an order without an answer.
+/// @param handed_over false when no connection was made
+std::optional<backend_report> report_no_answer(const backend_order& order, bool handed_over);
+/// One event of a stream: stream_pieces or stream_finished.
+codec_result<backend_report> parse_stream_event(const attempt_key& key, std::string_view text);
+
+/// Splits a text/event-stream into the data of its events.
+class event_stream_splitter {
+  public:
+    /// @return the data of the events that `bytes` completes
+    std::vector<std::string> add(std::string_view bytes);
+
+  private:
+    std::string rest_;
+};
+
+// --- the back end's side -------------------------------------------------------------------
+
+/// @param after the query parameter of the same name
+codec_result<backend_order> parse_order(const std::string& method, const std::string& path,
+                                        const std::string& after, const std::string& body);
+std::string render_stream_event(const stream_pieces& pieces);
+std::string render_stream_event(const stream_finished& finished);
+std::string render_status(const status_answered& status);
+std::string render_members(const members_answered& members);
+codec_result<members_answered> parse_members(const std::string& body);
+
+std::string_view to_string(scheduling::backend_kind kind);
+std::optional<scheduling::backend_kind> parse_backend_kind(std::string_view text);
+/// Reads "program/sequence/attempt" back.
+std::optional<attempt_key> parse_attempt_key(std::string_view text);
+
+}  // namespace tallyfold::scheduler
--- a/src/tallyfold/settings/process_settings.cpp
+++ b/src/tallyfold/settings/process_settings.cpp
@@ -59,7 +59,8 @@
     scheduler_process settings;
     settings.core.node = reader.text("node");
     settings.core.zone = reader.text_or("zone", "");
-    settings.core.address = reader.address("listen");
+    settings.listen = reader.address("listen");
+    settings.core.address = reader.text_or("advertise", settings.listen);
     settings.http_listen = reader.address("http_listen");
     settings.key_file = reader.text("key_file");
     settings.control = reader.address_table("control");
--- a/src/tallyfold/settings/process_settings.hpp
+++ b/src/tallyfold/settings/process_settings.hpp
@@ -28,6 +28,8 @@
 
 struct scheduler_process {
     scheduler::scheduler_settings core;
+    /// Where internal messages are accepted; core.address is what gateways are told.
+    std::string listen;
     std::string http_listen;
     std::string key_file;
     node_addresses control;
--- a/stand_ins/engine_core.cpp
+++ b/stand_ins/engine_core.cpp
@@ -443,6 +443,14 @@
     return total;
 }
 
+std::map<program_id, token_count> engine_core::held_programs() const {
+    std::map<program_id, token_count> held;
+    for (const auto& [program, hashes] : nodes_of_program_) {
+        held[program] = cached_tokens_of(program);
+    }
+    return held;
+}
+
 exported_prefix engine_core::export_prefix(const program_id& program) const {
     exported_prefix exported;
     exported.program = program;
--- a/stand_ins/engine_core.hpp
+++ b/stand_ins/engine_core.hpp
@@ -117,6 +117,8 @@
     [[nodiscard]] const std::vector<ledger_entry>& entries() const { return entries_; }
     [[nodiscard]] token_count cached_tokens() const { return cached_tokens_; }
     [[nodiscard]] token_count cached_tokens_of(const program_id& program) const;
+    /// Programs of which something is cached, with their tokens.
+    [[nodiscard]] std::map<program_id, token_count> held_programs() const;
     [[nodiscard]] const engine_settings& settings() const { return settings_; }
 
   private:
