An attempt that was held up never starts behind its successor

Epoch fences do not help within one owner. Change: attempts carry a start limit on the back end's own clock, worked out from its last status answers, and the back end refuses to start later; asking for an unknown stream seals it; the next attempt begins only after the back end showed that the last one runs or never will, or after the limit. A new owner goes on with the stream of the old one in place of a second attempt. A scheduler dispatches only under a confirmed lease.

--- a/apps/tallyfold_prove.cpp
+++ b/apps/tallyfold_prove.cpp
@@ -54,6 +54,8 @@
                                         "policies", "folder", line);
     TCLAP::ValueArg<unsigned> threads("", "threads", "Runs at once", false,
                                       std::thread::hardware_concurrency(), "N", line);
+    TCLAP::ValueArg<std::string> trace("", "trace", "Print the first seed's lines that hold this",
+                                       false, "", "text", line);
     TCLAP::SwitchArg list("", "list", "Print the properties and how each is proved", line);
     line.parse(argument_count, arguments);
     if (list.getValue()) {
@@ -61,6 +63,16 @@
         return 0;
     }
     const auto policies = read_policies(folder.getValue());
+    if (trace.isSet()) {
+        const std::string wanted = trace.getValue();
+        (void)tallyfold::sim::run_with_faults(first.getValue(), policies,
+                                              [&wanted](const std::string& text) {
+                                                  if (text.find(wanted) != std::string::npos) {
+                                                      std::cout << text << '\n';
+                                                  }
+                                              });
+        return 0;
+    }
     std::map<std::string, property_row> rows;
     std::map<std::string, std::uint64_t> faults;
     std::vector<std::int64_t> gaps;
--- a/sim/run.cpp
+++ b/sim/run.cpp
@@ -2,11 +2,14 @@
 
 namespace tallyfold::sim {
 
-run_result run_with_faults(std::uint64_t seed, const std::map<std::string, std::string>& policies) {
+run_result run_with_faults(std::uint64_t seed, const std::map<std::string, std::string>& policies,
+                           const std::function<void(const std::string& line)>& trace) {
     run_result result;
     result.seed = seed;
     result.plan = to_string(plan_of(seed));
-    world deployment(fault_world(seed, policies));
+    world_settings settings = fault_world(seed, policies);
+    settings.trace = trace;
+    world deployment(std::move(settings));
     result.booted = deployment.boot();
     if (!result.booted) {
         result.violations["whole_answers"].push_back("the cluster did not come up");
--- a/sim/run.hpp
+++ b/sim/run.hpp
@@ -2,6 +2,7 @@
 /// @file
 /// One simulated run from a seed, and what came of it.
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,6 +24,8 @@
 };
 
 /// Runs the seed's plan and checks every property.
-run_result run_with_faults(std::uint64_t seed, const std::map<std::string, std::string>& policies);
+/// @param trace gets a line for each message, order and fault; empty for none
+run_result run_with_faults(std::uint64_t seed, const std::map<std::string, std::string>& policies,
+                           const std::function<void(const std::string& line)>& trace = {});
 
 }  // namespace tallyfold::sim
--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -199,6 +199,7 @@
 }
 
 void world::kill(const std::string& name) {
+    trace_line("kill " + name);
     node_base& node = *nodes_.at(name);
     if (!node.alive) {
         return;
@@ -228,6 +229,7 @@
 }
 
 void world::restart(const std::string& name) {
+    trace_line("restart " + name);
     if (!nodes_.at(name)->alive) {
         start_node(name);
     }
@@ -241,10 +243,12 @@
 }
 
 void world::freeze(const std::string& name) {
+    trace_line("freeze " + name);
     nodes_.at(name)->frozen = true;
 }
 
 void world::thaw(const std::string& name) {
+    trace_line("thaw " + name);
     node_base& node = *nodes_.at(name);
     if (!node.alive || !node.frozen) {
         return;
@@ -333,6 +337,7 @@
     if (!nodes_.contains(to)) {
         return;
     }
+    trace_message(from, to, message);
     const bool replica = std::holds_alternative<consensus::replica_message>(message);
     if (network_.chaotic() && replica && network_.random().chance(0.05)) {
         deliver(from, to, message);
@@ -802,6 +807,7 @@
 // --- faults on links and clocks ------------------------------------------------------------
 
 void world::cut(const std::string& from, const std::string& to, bool both_ways) {
+    trace_line("cut " + from + " -> " + to + (both_ways ? " and back" : ""));
     network_.cut(from, to);
     if (both_ways) {
         network_.cut(to, from);
@@ -809,6 +815,7 @@
 }
 
 void world::heal_links() {
+    trace_line("heal links");
     network_.heal_all();
 }
 void world::slow(const std::string& node, duration extra) {
--- a/sim/world.hpp
+++ b/sim/world.hpp
@@ -44,6 +44,8 @@
     duration limit = std::chrono::minutes(10);
     /// How long engines may hold what closed programs left.
     duration settle = std::chrono::seconds(15);
+    /// When set, gets a line for each message and order about a program.
+    std::function<void(const std::string& line)> trace;
 };
 
 /// A configuration change as an operator saw it.
@@ -171,6 +173,9 @@
     void answer_caller(stand_ins::caller_token token, const journal::outcome& result);
     void notify_lost(const std::string& dead);
     void watch_silence();
+    void trace_message(const std::string& from, const std::string& to,
+                       const protocol::internal_message& message);
+    void trace_line(const std::string& text);
     void operator_loop(std::size_t record);
     void sample_configuration();
     void gather_ledger();
--- a/sim/world_backends.cpp
+++ b/sim/world_backends.cpp
@@ -5,6 +5,7 @@
 
 #include "sim/world.hpp"
 #include "sim/world_nodes.hpp"
+#include "tallyfold/scheduler/backend_http_codec.hpp"
 
 namespace tallyfold::sim {
 
@@ -15,18 +16,6 @@
 constexpr duration list_lag = std::chrono::milliseconds(1500);
 constexpr const char* list_name = "members";
 
-backend_name target_of(const scheduler::backend_order& order) {
-    return std::visit(
-        [](const auto& body) {
-            if constexpr (std::is_same_v<std::decay_t<decltype(body)>, scheduler::poll_members>) {
-                return backend_name(list_name);
-            } else {
-                return body.backend;
-            }
-        },
-        order);
-}
-
 }  // namespace
 
 scheduler::members_answered world::member_list() const {
@@ -75,10 +64,14 @@
 }
 
 void world::send_order(scheduler_node& from, const scheduler::backend_order& order) {
-    const backend_name target = target_of(order);
+    const backend_name target = scheduler::target_of(order);
+    if (const auto key = scheduler::attempt_of(order)) {
+        trace_line(from.name + " -> " + target + ": order " + std::to_string(order.index()) +
+                   " for " + key->text());
+    }
     const std::string name = from.name;
     const std::uint64_t generation = from.generation;
-    if (target == list_name) {
+    if (target.empty()) {
         const auto list = member_list();
         report_to(name, generation, list_name, list);
         return;
@@ -215,7 +208,8 @@
             [](const auto& body) -> std::optional<scheduler::attempt_key> {
                 using body_type = std::decay_t<decltype(body)>;
                 if constexpr (std::is_same_v<body_type, scheduler::stream_pieces> ||
-                              std::is_same_v<body_type, scheduler::stream_finished>) {
+                              std::is_same_v<body_type, scheduler::stream_finished> ||
+                              std::is_same_v<body_type, scheduler::attempt_failed>) {
                     return body.key;
                 } else {
                     return std::nullopt;
@@ -224,7 +218,7 @@
             report);
         const auto reader = key ? node.readers.find(*key) : node.readers.end();
         if (reader != node.readers.end()) {
-            const bool last = std::holds_alternative<scheduler::stream_finished>(report);
+            const bool last = !std::holds_alternative<scheduler::stream_pieces>(report);
             report_to(reader->second.first, reader->second.second, node.name, std::move(report));
             if (last) {
                 node.readers.erase(reader);
@@ -251,7 +245,7 @@
     } else if (const auto* seal = std::get_if<scheduler::seal_request>(&order)) {
         report_to(name, generation, node.name, core.seal(seal->key));
     } else if (std::holds_alternative<scheduler::poll_status>(order)) {
-        report_to(name, generation, node.name, core.status());
+        report_to(name, generation, node.name, core.status(now));
     }
     node.disk = core.record();
     wake_service(node, now);
--- a/src/tallyfold/scheduler/backend_client_shell.cpp
+++ b/src/tallyfold/scheduler/backend_client_shell.cpp
@@ -107,7 +107,7 @@
             reports_.push_back(attempt_failed{key, failure_kind::broken});
             return;
         }
-        running.finished = std::holds_alternative<stream_finished>(*report);
+        running.finished = !std::holds_alternative<stream_pieces>(*report);
         reports_.push_back(std::move(*report));
     }
 }
--- a/src/tallyfold/scheduler/backend_http_codec.cpp
+++ b/src/tallyfold/scheduler/backend_http_codec.cpp
@@ -82,10 +82,10 @@
 }
 
 backend_http_request render(const start_stream& order) {
-    const json body = {{"key", order.key.text()},   {"fence", render_fence(order.fence)},
-                       {"model", order.model},      {"messages", render_messages(*order.prompt)},
-                       {"prefix", order.prefix},    {"max_tokens", order.max_tokens},
-                       {"priority", order.priority}};
+    const json body = {{"key", order.key.text()},    {"fence", render_fence(order.fence)},
+                       {"model", order.model},       {"messages", render_messages(*order.prompt)},
+                       {"prefix", order.prefix},     {"max_tokens", order.max_tokens},
+                       {"priority", order.priority}, {"not_after", order.not_after}};
     backend_http_request request = post("/v1/streams", body, {});
     request.streamed = true;
     return request;
@@ -105,7 +105,8 @@
 backend_http_request render(const run_request& order) {
     const json body = {{"key", order.key.text()},       {"fence", render_fence(order.fence)},
                        {"kind", to_string(order.kind)}, {"operation", order.operation},
-                       {"argument", order.argument},    {"repeatable", order.repeatable}};
+                       {"argument", order.argument},    {"repeatable", order.repeatable},
+                       {"not_after", order.not_after}};
     backend_http_request request = post(
         "/v1/requests", body, std::chrono::duration_cast<std::chrono::milliseconds>(order.timeout));
     request.fresh_connection = !order.repeatable;
@@ -144,6 +145,7 @@
     status.load.waiting = body.at("waiting").get<std::uint32_t>();
     status.load.cache_fill = body.at("cache_fill").get<double>();
     status.load.leaving = body.at("leaving").get<bool>();
+    status.clock = body.at("clock").get<backend_clock>();
     for (const json& event : body.at("events")) {
         status.events.push_back({event.at("number").get<std::uint64_t>(),
                                  event.at("stored").get<bool>(),
@@ -299,6 +301,9 @@
 
 codec_result<backend_report> parse_stream_event(const attempt_key& key, std::string_view text) {
     return guarded(std::string(text), [&](const json& event) -> backend_report {
+        if (event.contains("refused")) {
+            return attempt_failed{key, failure_kind::refused};
+        }
         if (event.contains("finished")) {
             return stream_finished{key, event.at("prompt_tokens").get<token_count>(),
                                    event.at("completion_tokens").get<token_count>(),
@@ -343,6 +348,7 @@
             order.prefix = parsed.at("prefix").get<std::vector<std::string>>();
             order.max_tokens = parsed.at("max_tokens").get<token_count>();
             order.priority = parsed.at("priority").get<std::int32_t>();
+            order.not_after = parsed.value("not_after", no_start_limit);
             return order;
         }
         if (path == "/v1/streams/resume") {
@@ -360,6 +366,7 @@
             order.operation = parsed.at("operation").get<std::string>();
             order.argument = parsed.at("argument").get<std::string>();
             order.repeatable = parsed.at("repeatable").get<bool>();
+            order.not_after = parsed.value("not_after", no_start_limit);
             return order;
         }
         if (path == "/v1/requests/seal") {
@@ -391,6 +398,10 @@
            "\n\n";
 }
 
+std::string render_stream_refused() {
+    return "data: " + dump({{"refused", true}}) + "\n\n";
+}
+
 std::string render_status(const status_answered& status) {
     json events = json::array();
     for (const cache_event& event : status.events) {
@@ -403,6 +414,7 @@
                  {"waiting", status.load.waiting},
                  {"cache_fill", status.load.cache_fill},
                  {"leaving", status.load.leaving},
+                 {"clock", status.clock},
                  {"events", std::move(events)}});
 }
 
--- a/src/tallyfold/scheduler/backend_http_codec.hpp
+++ b/src/tallyfold/scheduler/backend_http_codec.hpp
@@ -70,6 +70,8 @@
                                         const std::string& after, const std::string& body);
 std::string render_stream_event(const stream_pieces& pieces);
 std::string render_stream_event(const stream_finished& finished);
+/// The last event of a stream that was taken, waited, and was not started in time.
+std::string render_stream_refused();
 std::string render_status(const status_answered& status);
 std::string render_members(const members_answered& members);
 codec_result<members_answered> parse_members(const std::string& body);
--- a/src/tallyfold/scheduler/backend_messages.hpp
+++ b/src/tallyfold/scheduler/backend_messages.hpp
@@ -35,6 +35,11 @@
     lease_epoch epoch = 0;
 };
 
+/// A moment on a back end's own monotonic clock, in microseconds. An attempt must not start after
+/// its limit: one that was held up on the way would otherwise start behind the next attempt.
+using backend_clock = std::int64_t;
+constexpr backend_clock no_start_limit = 0;
+
 struct start_stream {
     backend_name backend;
     attempt_key key;
@@ -45,8 +50,10 @@
     std::vector<std::string> prefix;
     token_count max_tokens = 0;
     std::int32_t priority = 0;
+    backend_clock not_after = no_start_limit;
 };
 
+/// Asks for the rest of a stream. An engine that does not know the attempt never starts it.
 struct resume_stream {
     backend_name backend;
     attempt_key key;
@@ -68,6 +75,7 @@
     std::string argument;
     bool repeatable = true;
     duration timeout{};
+    backend_clock not_after = no_start_limit;
 };
 
 /// Asks whether an attempt ran, and forbids it to run if it has not.
@@ -165,6 +173,8 @@
     backend_name backend;
     scheduling::load_report load;
     std::vector<cache_event> events;
+    /// The back end's clock when it answered.
+    backend_clock clock = 0;
 };
 
 struct status_failed {
--- a/src/tallyfold/scheduler/commands/attempt_progress.cpp
+++ b/src/tallyfold/scheduler/commands/attempt_progress.cpp
@@ -128,6 +128,7 @@
         return;
     }
     call->last_progress = now;
+    call->start_settled = true;
     if (call->prefill_pending) {
         call->prefill_pending = false;
         pool(engine_kind).prefilled(call->target, call->prefill_tokens);
@@ -293,21 +294,40 @@
         return;
     }
     release_slot(*call);
-    if (model) {
-        // The attempt may still be generating there for nobody.
-        order(cancel_stream{call->target, failed.key});
-    }
-    if (!call->request.repeatable) {
+    if (!model) {
         event(event_id::outcome_open, describe(failed.key) + " backend=" + call->target);
-        call->state = call_state::resolving;
-        call->resolving_since = now;
-        call->seal_tries = 0;
-        resolve(*call, now);
+        start_resolving(*call, now);
+        return;
+    }
+    // The attempt may still be generating there for nobody.
+    order(cancel_stream{call->target, failed.key});
+    const bool settled = call->start_settled || failed.kind != failure_kind::broken;
+    if (!settled && now < call->start_limit) {
+        call->state = call_state::fencing;
         return;
     }
     journal_failure(*call, ran_state::unknown, now);
 }
 
+void scheduler_core::start_resolving(active_call& call, instant now) {
+    call.state = call_state::resolving;
+    call.resolving_since = now;
+    call.seal_tries = 0;
+    resolve(call, now);
+}
+
+void scheduler_core::take_over(active_call& call, instant now) {
+    // An earlier owner began the attempt. It may run, or start late: until that is settled no
+    // further attempt begins.
+    set_start_limit(call, now);
+    if (call.request.kind != call_kind::model) {
+        start_resolving(call, now);
+        return;
+    }
+    call.state = call_state::resuming;
+    call.next_try = now;
+}
+
 void scheduler_core::journal_failure(active_call& call, ran_state ran, instant now) {
     call.state = call_state::failing;
     const journal::fail_attempt change{call.request.program, call.request.sequence, call.attempt,
@@ -365,6 +385,11 @@
 }
 
 void scheduler_core::resolve(active_call& call, instant now) {
+    if (call.request.repeatable && now >= call.start_limit && call.seal_tries > 0) {
+        // It cannot start any more; whether it ran matters little for a request that may repeat.
+        journal_failure(call, ran_state::unknown, now);
+        return;
+    }
     const std::uint32_t doublings = std::min(call.seal_tries, 4U);
     call.next_try = now + std::min(seal_patience * (1 << doublings), seal_patience_limit);
     ++call.seal_tries;
--- a/src/tallyfold/scheduler/commands/dispatch.cpp
+++ b/src/tallyfold/scheduler/commands/dispatch.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "tallyfold/control/control_core.hpp"
 #include "tallyfold/scheduler/scheduler_core.hpp"
 
 namespace tallyfold::scheduler {
@@ -181,9 +182,34 @@
     }
 }
 
+void scheduler_core::set_start_limit(active_call& call, instant now) {
+    const bool model = call.request.kind == call_kind::model;
+    call.start_limit = now + (model ? settings_.stream_stall : settings_.request_start_window);
+    call.start_settled = false;
+}
+
+backend_clock scheduler_core::start_limit_there(const active_call& call) {
+    const scheduling::backend_state* target = pool_for(call.request.kind).find(call.target);
+    const auto ahead = target == nullptr ? std::nullopt : target->clock_ahead();
+    if (!ahead) {
+        // The back end left the list since it was chosen: this limit has passed on any clock.
+        return 1;
+    }
+    return (call.start_limit.time_since_epoch() + *ahead).count();
+}
+
 void scheduler_core::dispatch(active_call& call, instant now) {
     call.state = call_state::running;
     call.last_progress = now;
+    set_start_limit(call, now);
+    const group_id group = control::group_of_shard(call.shard, settings_.journal_groups);
+    if (!session_.lease_valid(group, now)) {
+        // Another owner may be at work. Nothing was handed over, so this attempt has not run.
+        release_slot(call);
+        call.free_retry = true;
+        journal_failure(call, ran_state::no, now);
+        return;
+    }
     const journal::program_record* program = record_of(call.request.program);
     const configuration::class_settings* settings =
         program == nullptr ? nullptr : configuration().program_class(program->program_class);
@@ -199,6 +225,7 @@
         start.prefix = call.pieces;
         start.max_tokens = call.request.max_tokens;
         start.priority = by_policy && settings != nullptr ? settings->priority : 0;
+        start.not_after = start_limit_there(call);
         order(std::move(start));
         return;
     }
@@ -207,7 +234,8 @@
         timeout = std::chrono::milliseconds(settings->tool_timeout_ms);
     }
     order(run_request{call.target, key_of(call), fence, call.request.kind, call.request.operation,
-                      call.request.argument, call.request.repeatable, timeout});
+                      call.request.argument, call.request.repeatable, timeout,
+                      start_limit_there(call)});
 }
 
 void scheduler_core::expire_queued(instant now) {
--- a/src/tallyfold/scheduler/commands/program_commands.cpp
+++ b/src/tallyfold/scheduler/commands/program_commands.cpp
@@ -32,6 +32,11 @@
     return result;
 }
 
+bool is_same_request(const protocol::program_call& left, const protocol::program_call& right) {
+    return left.sequence == right.sequence && left.request_identity == right.request_identity &&
+           left.request_hash == right.request_hash;
+}
+
 constexpr std::uint32_t owner_retry_after_ms = 200;
 constexpr std::uint32_t configuration_retry_after_ms = 1000;
 
@@ -67,7 +72,8 @@
         return;
     }
     const group_id group = control::group_of_shard(number, settings_.journal_groups);
-    if (!session_.lease_valid(group, now) && !joins) {
+    const bool confirmed = session_.lease_valid(group, now);
+    if (!confirmed && !repeats_active(request.call)) {
         // This copy of the shard may be old: it must not be the ground of a refusal.
         reply(asker, refusal(answer_code::owner_changed,
                              "this scheduler cannot confirm that it still owns the program",
@@ -91,6 +97,12 @@
     }
 }
 
+bool scheduler_core::repeats_active(const protocol::scheduler_call& call) {
+    const auto* repeated = std::get_if<protocol::program_call>(&call);
+    const active_call* active = repeated == nullptr ? nullptr : call_of(repeated->program);
+    return active != nullptr && is_same_request(active->request, *repeated);
+}
+
 void scheduler_core::touch(const program_id& id, instant now) {
     // A request for a sub-agent shows that its whole tree is alive.
     for (const program_id& alive : {id, journal::root_of_identifier(id)}) {
@@ -204,10 +216,7 @@
     if (active == nullptr) {
         return false;
     }
-    const bool same = active->request.sequence == call.sequence &&
-                      active->request.request_identity == call.request_identity &&
-                      active->request.request_hash == call.request_hash;
-    if (!same) {
+    if (!is_same_request(active->request, call)) {
         const bool same_sequence = active->request.sequence == call.sequence;
         reply(asker,
               refusal(same_sequence ? answer_code::identity_conflict
@@ -351,12 +360,9 @@
     }
     const bool open =
         record != program.calls.end() && record->second.phase == journal::call_phase::begun;
-    if (open && !call.repeatable) {
-        // An earlier owner began it, and nobody here knows whether it ran.
+    if (open) {
         note(call.program, call.sequence, "asking " + active.target + " whether it ran", now);
-        active.state = call_state::resolving;
-        active.resolving_since = now;
-        resolve(active, now);
+        take_over(active, now);
         return;
     }
     enqueue(active);
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -211,7 +211,7 @@
                     cache_releases_.erase({body.backend, program});
                 }
             } else if constexpr (std::is_same_v<body_type, status_answered>) {
-                on_status(body);
+                on_status(body, now);
             } else if constexpr (std::is_same_v<body_type, status_failed>) {
                 for (scheduling::backend_pool& each : pools_) {
                     each.failed(body.backend, now);
@@ -402,26 +402,23 @@
         }
         drop_call(id);
     }
-    for (const auto& [id, program] : found->second.state.programs()) {
-        const auto runtime = programs_.find(id);
-        if (runtime == programs_.end()) {
-            continue;
+    // Programs whose opening was still on its way to the journal have waiters too.
+    journal::outcome moved;
+    moved.code = journal::answer_code::owner_changed;
+    moved.ran = journal::ran_state::unknown;
+    moved.retry_after_ms = shortest_retry_after_ms;
+    moved.detail = "the program has moved to another scheduler; send the request again";
+    std::erase_if(programs_, [&](const auto& entry) {
+        if (shard_number(entry.first) != number) {
+            return false;
         }
-        journal::outcome moved;
-        moved.code = journal::answer_code::owner_changed;
-        moved.ran = journal::ran_state::unknown;
-        moved.retry_after_ms = shortest_retry_after_ms;
-        moved.detail = "the program has moved to another scheduler; send the request again";
-        for (const waiter& asker : runtime->second.open_waiters) {
+        for (const waiter& asker : entry.second.open_waiters) {
             reply(asker, moved);
         }
-        for (const waiter& asker : runtime->second.close_waiters) {
+        for (const waiter& asker : entry.second.close_waiters) {
             reply(asker, moved);
         }
-        programs_.erase(runtime);
-    }
-    std::erase_if(programs_, [&](const auto& entry) {
-        return entry.second.open_waiters.empty() && shard_number(entry.first) == number;
+        return true;
     });
     shards_.erase(found);
     (void)now;
@@ -479,8 +476,10 @@
     }
 }
 
-void scheduler_core::on_status(const status_answered& status) {
+void scheduler_core::on_status(const status_answered& status, instant now) {
+    const duration ahead = duration(status.clock) - now.time_since_epoch();
     for (scheduling::backend_pool& each : pools_) {
+        each.add_clock_sample(status.backend, ahead);
         const scheduling::backend_state* known = each.find(status.backend);
         if (known == nullptr) {
             continue;
@@ -566,6 +565,7 @@
 
 void scheduler_core::check_running_calls(instant now) {
     std::vector<attempt_key> stalled;
+    std::vector<scheduling::ticket> fenced;
     for (auto& [id, call] : calls_) {
         const bool streaming =
             call.state == call_state::running && call.request.kind == journal::call_kind::model;
@@ -575,6 +575,9 @@
         if (call.state == call_state::resolving && now >= call.next_try) {
             resolve(call, now);
         }
+        if (call.state == call_state::fencing && now >= call.start_limit) {
+            fenced.push_back(id);
+        }
         if (call.state == call_state::resuming && now >= call.next_try) {
             call.state = call_state::running;
             call.last_progress = now;
@@ -584,6 +587,9 @@
     for (const attempt_key& key : stalled) {
         on_attempt_failed({key, failure_kind::broken}, now);
     }
+    for (const scheduling::ticket id : fenced) {
+        journal_failure(calls_.at(id), journal::ran_state::unknown, now);
+    }
 }
 
 void scheduler_core::reap_programs(instant now) {
--- a/src/tallyfold/scheduler/scheduler_core.hpp
+++ b/src/tallyfold/scheduler/scheduler_core.hpp
@@ -46,6 +46,8 @@
     duration members_interval = std::chrono::milliseconds(500);
     /// A stream without a piece for this long counts as broken.
     duration stream_stall = std::chrono::milliseconds(5000);
+    /// An app or tool request that has not started within this never starts.
+    duration request_start_window = std::chrono::milliseconds(1000);
     /// Attempts of one call at most.
     std::uint32_t attempt_limit = 4;
     std::uint64_t seed = 0;
@@ -129,8 +131,10 @@
         resuming,
         /// The attempt failed; the journal is being told.
         failing,
-        /// Asking the back end whether a request that must not repeat ran.
+        /// Asking the back end whether a request ran, and forbidding it to run from now on.
         resolving,
+        /// The back end cannot be asked; waiting until the attempt can no longer start there.
+        fencing,
         ending,
     };
 
@@ -158,6 +162,10 @@
         instant last_progress{};
         instant next_try{};
         instant resolving_since{};
+        /// From then on the back end refuses to start the attempt.
+        instant start_limit{};
+        /// True once the back end showed that the attempt runs, or that it will not start.
+        bool start_settled = false;
         std::uint32_t resumes = 0;
         std::uint32_t seal_tries = 0;
         /// What the waiters get if the attempt that failed cannot be repeated.
@@ -211,7 +219,7 @@
         return session_.configuration();
     }
     void poll_backends(instant now);
-    void on_status(const status_answered& status);
+    void on_status(const status_answered& status, instant now);
     void on_members(const members_answered& list);
     void repeat_cache_releases(instant now);
     void check_running_calls(instant now);
@@ -220,6 +228,8 @@
 
     // Commands (commands/*.cpp).
     void on_request(const node_name& from, const protocol::scheduler_request& request, instant now);
+    /// True for a repeat of a call that is under way here: it may wait for the same answer.
+    bool repeats_active(const protocol::scheduler_call& call);
     void touch(const program_id& id, instant now);
     void on_open(const waiter& asker, const protocol::open_call& call, owned_shard& shard,
                  shard_id number, instant now);
@@ -265,6 +275,10 @@
     void on_seal_answered(const seal_answered& answered, instant now);
     void on_seal_failed(const seal_failed& failed, instant now);
     void resolve(active_call& call, instant now);
+    void start_resolving(active_call& call, instant now);
+    void take_over(active_call& call, instant now);
+    void set_start_limit(active_call& call, instant now);
+    [[nodiscard]] backend_clock start_limit_there(const active_call& call);
     void journal_failure(active_call& call, journal::ran_state ran, instant now);
     void finish_call(active_call& call, journal::outcome result,
                      std::vector<journal::message> appended, token_count charged, instant now);
--- a/src/tallyfold/scheduling/backend_pool.cpp
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -8,6 +8,7 @@
 
 constexpr duration ejection_base = std::chrono::seconds(1);
 constexpr std::uint32_t ejection_doublings_limit = 5;
+constexpr std::size_t kept_clock_samples = 8;
 
 double load_of(const backend_state& backend) {
     return static_cast<double>(backend.outstanding()) /
@@ -22,6 +23,11 @@
     return own_outstanding + others;
 }
 
+std::optional<duration> backend_state::clock_ahead() const {
+    const auto best = std::max_element(clock_samples.begin(), clock_samples.end());
+    return best == clock_samples.end() ? std::nullopt : std::optional(*best);
+}
+
 void backend_pool::index(const backend_state& backend) {
     by_load_.insert({load_of(backend), backend.member.name});
 }
@@ -66,6 +72,16 @@
     });
 }
 
+void backend_pool::add_clock_sample(const backend_name& name, duration ahead) {
+    change(name, [&](backend_state& backend) {
+        // Only the latest count: either clock may have jumped since.
+        if (backend.clock_samples.size() >= kept_clock_samples) {
+            backend.clock_samples.erase(backend.clock_samples.begin());
+        }
+        backend.clock_samples.push_back(ahead);
+    });
+}
+
 void backend_pool::set_drained(const backend_name& name, bool drained) {
     change(name, [&](backend_state& backend) { backend.drained = drained; });
 }
@@ -124,7 +140,8 @@
 }
 
 bool backend_pool::available(const backend_state& backend, instant now) const {
-    return !backend.leaving() && backend.ejected_until <= now;
+    const bool heard = !backend.clock_samples.empty();
+    return heard && !backend.leaving() && backend.ejected_until <= now;
 }
 
 std::vector<const backend_state*> backend_pool::least_loaded(std::size_t limit,
--- a/src/tallyfold/scheduling/backend_pool.hpp
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,7 +50,12 @@
     std::uint32_t ejections = 0;
     instant ejected_until{};
     bool drained = false;
+    /// Latest differences between the back end's clock and ours, each too small by the time that
+    /// the answer was under way.
+    std::vector<duration> clock_samples;
 
+    /// How far the back end's clock is ahead of ours, at least; nothing before its first status.
+    [[nodiscard]] std::optional<duration> clock_ahead() const;
     /// Our own calls plus the others' as last reported.
     [[nodiscard]] std::uint32_t outstanding() const;
     [[nodiscard]] bool leaving() const { return member.leaving || reported.leaving || drained; }
@@ -65,6 +71,8 @@
     /// Takes the membership list as it stands. Back ends that left it are dropped.
     void update(const std::vector<backend_member>& members);
     void report(const backend_name& name, const load_report& load);
+    /// @param ahead the back end's clock as it reported it, less ours when the report came
+    void add_clock_sample(const backend_name& name, duration ahead);
     void set_drained(const backend_name& name, bool drained);
 
     void started(const backend_name& name, token_count prefill_tokens);
--- a/stand_ins/backend_process_shell.cpp
+++ b/stand_ins/backend_process_shell.cpp
@@ -237,6 +237,12 @@
                 reader->second->write(scheduler::render_stream_event(*finished));
             }
             close(finished->key);
+        } else if (const auto* refused = std::get_if<scheduler::attempt_failed>(&report)) {
+            const auto reader = readers_.find(refused->key);
+            if (reader != readers_.end()) {
+                reader->second->write(scheduler::render_stream_refused());
+            }
+            close(refused->key);
         }
     }
 
@@ -354,7 +360,7 @@
             respond(*exchange, 200,
                     nlohmann::json{{"ran", answer.ran}, {"answer", answer.answer}}.dump());
         } else if (std::holds_alternative<scheduler::poll_status>(order)) {
-            respond(*exchange, 200, scheduler::render_status(core_.status()));
+            respond(*exchange, 200, scheduler::render_status(core_.status(now)));
         } else {
             refuse(*exchange, status_unknown, "this is a service");
         }
--- a/stand_ins/engine_core.cpp
+++ b/stand_ins/engine_core.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t events_per_status = 2'000;
 constexpr duration expiry_interval = std::chrono::seconds(1);
 constexpr std::size_t kept_loads = 64;
+/// A seal is kept for longer than any start limit reaches.
+constexpr duration seal_keep = std::chrono::seconds(60);
+
+bool is_late(scheduler::backend_clock not_after, instant now) {
+    return not_after != scheduler::no_start_limit && now.time_since_epoch().count() > not_after;
+}
 
 }  // namespace
 
@@ -39,6 +45,9 @@
         return tl::unexpected(engine_refusal::stale_epoch);
     }
     epoch = request.fence.epoch;
+    if (is_late(request.not_after, now) || sealed_.contains(request.key)) {
+        return tl::unexpected(engine_refusal::too_late);
+    }
     if (leaving_) {
         return tl::unexpected(engine_refusal::leaving);
     }
@@ -72,6 +81,7 @@
                                                        instant now) {
     const auto found = streams_.find(request.key);
     if (found == streams_.end()) {
+        sealed_[request.key] = now;
         return tl::unexpected(engine_refusal::unknown);
     }
     stream& target = found->second;
@@ -95,6 +105,7 @@
 }
 
 void engine_core::cancel(const scheduler::attempt_key& key, instant now) {
+    sealed_[key] = now;
     const auto found = streams_.find(key);
     if (found == streams_.end()) {
         return;
@@ -158,7 +169,21 @@
            held + target.prompt_tokens + target.request.max_tokens <= settings_.cache_tokens;
 }
 
+void engine_core::drop_late(instant now) {
+    std::vector<scheduler::attempt_key> late;
+    for (const auto& [place, key] : waiting_) {
+        if (is_late(streams_.at(key).request.not_after, now)) {
+            late.push_back(key);
+        }
+    }
+    for (const scheduler::attempt_key& key : late) {
+        reports_.push_back(scheduler::attempt_failed{key, scheduler::failure_kind::refused});
+        cancel(key, now);
+    }
+}
+
 void engine_core::admit(instant now) {
+    drop_late(now);
     while (running_.size() < settings_.batch_limit && !waiting_.empty()) {
         const auto first = waiting_.begin();
         stream& target = streams_.at(first->second);
@@ -316,6 +341,7 @@
     for (const scheduler::attempt_key& key : gone) {
         cancel(key, now);
     }
+    std::erase_if(sealed_, [&](const auto& entry) { return now - entry.second > seal_keep; });
     std::vector<prefix_hash> lapsed;
     for (const auto& [hash, node] : cache_) {
         if (node.value > 0 && node.value_until < now) {
@@ -511,6 +537,7 @@
 scheduler::status_answered engine_core::status(std::uint64_t after_event, instant now) {
     scheduler::status_answered answer;
     answer.backend = settings_.name;
+    answer.clock = now.time_since_epoch().count();
     for (const auto& [at, load] : loads_) {
         if (at + settings_.load_lag <= now) {
             answer.load = load;
--- a/stand_ins/engine_core.hpp
+++ b/stand_ins/engine_core.hpp
@@ -68,7 +68,9 @@
     stale_order,
     leaving,
     wrong_model,
-    unknown
+    unknown,
+    /// The attempt was held up beyond its start limit, or was sealed.
+    too_late,
 };
 
 /// An order to the engine itself; one with a lower fence than the last is refused.
@@ -154,6 +156,7 @@
     using wait_key = std::tuple<std::int32_t, std::uint64_t>;
 
     void admit(instant now);
+    void drop_late(instant now);
     duration run_step(instant now);
     token_count prefill_step(instant now);
     void decode_step(instant now);
@@ -181,6 +184,8 @@
     std::map<shard_id, lease_epoch> epochs_;
 
     std::map<scheduler::attempt_key, stream> streams_;
+    /// Attempts that were asked about before they arrived, and must not start; with the time.
+    std::map<scheduler::attempt_key, instant> sealed_;
     std::map<wait_key, scheduler::attempt_key> waiting_;
     std::vector<scheduler::attempt_key> running_;
     std::uint64_t next_order_ = 1;
--- a/stand_ins/service_core.cpp
+++ b/stand_ins/service_core.cpp
@@ -26,6 +26,11 @@
         reports_.push_back(scheduler::request_answered{request.key, known->second});
         return {};
     }
+    const bool late = request.not_after != scheduler::no_start_limit &&
+                      now.time_since_epoch().count() > request.not_after;
+    if (late) {
+        return tl::unexpected(service_refusal::too_late);
+    }
     if (leaving_) {
         return tl::unexpected(service_refusal::leaving);
     }
@@ -74,8 +79,9 @@
     return taken;
 }
 
-scheduler::status_answered service_core::status() const {
+scheduler::status_answered service_core::status(instant now) const {
     scheduler::status_answered answer;
+    answer.clock = now.time_since_epoch().count();
     answer.backend = settings_.name;
     answer.load.running = static_cast<std::uint32_t>(due_.size());
     answer.load.leaving = leaving_;
--- a/stand_ins/service_core.hpp
+++ b/stand_ins/service_core.hpp
@@ -32,7 +32,7 @@
     std::map<shard_id, lease_epoch> epochs;
 };
 
-enum class service_refusal : std::uint8_t { stale_epoch, sealed, leaving };
+enum class service_refusal : std::uint8_t { stale_epoch, sealed, leaving, too_late };
 
 class service_core {
   public:
@@ -46,7 +46,7 @@
     std::vector<scheduler::backend_report> take_reports();
     void leave() { leaving_ = true; }
 
-    [[nodiscard]] scheduler::status_answered status() const;
+    [[nodiscard]] scheduler::status_answered status(instant now) const;
     [[nodiscard]] const service_record& record() const { return record_; }
     [[nodiscard]] const std::vector<ledger_entry>& entries() const { return entries_; }
     [[nodiscard]] bool idle() const { return due_.empty(); }
