--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -438,6 +438,10 @@
 void scheduler_core::release_idle_shards(instant now) {
     for (auto& [number, shard] : shards_) {
         const bool asked = draining_ || hand_over_.contains(number);
+        if (!asked && shard.phase == shard_phase::handing_over && !shard.release_sent) {
+            // The one that was to take it has gone: go on here.
+            shard.phase = shard_phase::serving;
+        }
         if (!asked || shard.phase == shard_phase::loading) {
             continue;
         }
