A replica votes by the candidate's log, not by its own older membership

Ruled out: lost entries (control-1 had them all), the repair of the lost disk. Change: any replica that has a membership votes by term and log; one that has none yet does not, since forming it would forget the vote.

--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -236,6 +236,8 @@
 }
 
 void world::lose_disk(const std::string& name) {
+    trace_line("lose the disk of " + name);
+    trace_replicas();
     kill(name);
     auto& node = node_as<control_node>(name);
     node.disk.clear();
@@ -612,6 +614,7 @@
 }
 
 observations world::finish() {
+    trace_replicas();
     heal_links();
     set_chaotic(false);
     for (const auto& [name, node] : nodes_) {
--- a/sim/world.hpp
+++ b/sim/world.hpp
@@ -176,6 +176,7 @@
     void trace_message(const std::string& from, const std::string& to,
                        const protocol::internal_message& message);
     void trace_line(const std::string& text);
+    void trace_replicas();
     void operator_loop(std::size_t record);
     void sample_configuration();
     void gather_ledger();
--- a/sim/world_trace.cpp
+++ b/sim/world_trace.cpp
@@ -76,4 +76,27 @@
     }
 }
 
+void world::trace_replicas() {
+    for (const std::string& name : names("control-")) {
+        const auto& node = node_as<control_node>(name);
+        if (!settings_.trace || !node.core) {
+            continue;
+        }
+        for (const control::group_status& group : node.core->status(events_.now()).groups) {
+            std::string members;
+            for (const auto& [replica, member] : group.members.members) {
+                members += " " + member.node + "=" + std::to_string(replica % 10'000) +
+                           (member.learner ? "(learner)" : "");
+            }
+            trace_line(name + " replica " + std::to_string(node.identity % 10'000) + " group " +
+                       std::to_string(group.group) + " role " +
+                       std::to_string(static_cast<int>(node.core->replica(group.group).role())) +
+                       " term " + std::to_string(group.term) + " commit " +
+                       std::to_string(group.commit_index) + " last " +
+                       std::to_string(node.core->replica(group.group).log().last_index()) +
+                       " snapshot " + std::to_string(group.snapshot_index) + " members" + members);
+        }
+    }
+}
+
 }  // namespace tallyfold::sim
--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -223,9 +223,10 @@
 void replica_fsm::on_vote_request(const replica_message& message, const vote_request& body,
                                   instant now) {
     const bool current = log_is_current(body.last_index, body.last_term);
-    // A replica that has removed this candidate does not vote for it, and one that is no voter
-    // itself does not vote at all: its vote would be counted against another membership.
-    const bool entitled = is_voter() && members().is_voter(message.from);
+    // The candidate's membership decides whose votes count, not ours: ours may be older, and its
+    // newer one may need this vote. A removed candidate fails by its log, which lacks its removal.
+    // A replica without any membership has not been formed yet; forming it would forget its vote.
+    const bool entitled = !members().members.empty();
     if (body.pre_vote) {
         const bool granted =
             entitled && current && message.term > state_.term && !heard_from_leader_recently(now);
