A message that finds no connection counts as a lost peer

Ruled out: the hand-over of leases, the gateway's search. Change: the transport reports such a message as a lost peer, as the simulated network now does; the stand-in does not make up for steps after a stop.

--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -266,24 +266,28 @@
     }
 }
 
-void world::notify_lost(const std::string& dead) {
-    for (const auto& [name, node] : nodes_) {
-        auto* gateway = dynamic_cast<gateway_node*>(node.get());
-        if (gateway == nullptr || !node->alive) {
-            continue;
+void world::tell_lost(const std::string& name, const std::string& dead) {
+    auto* gateway = dynamic_cast<gateway_node*>(nodes_.at(name).get());
+    if (gateway == nullptr || !gateway->alive) {
+        return;
+    }
+    const std::uint64_t generation = gateway->generation;
+    events_.after(reset_delay, [this, name, dead, generation] {
+        auto& target = node_as<gateway_node>(name);
+        if (target.generation != generation || !network_.passes(dead, name)) {
+            return;
         }
-        const std::uint64_t generation = node->generation;
-        events_.after(reset_delay, [this, name = name, dead, generation] {
-            auto& target = node_as<gateway_node>(name);
-            if (target.generation != generation || !network_.passes(dead, name)) {
-                return;
-            }
-            run_on(name, [this, name, dead] {
-                auto& woken = node_as<gateway_node>(name);
-                woken.core->peer_lost(dead, local_now(woken));
-                pump_gateway(woken);
-            });
+        run_on(name, [this, name, dead] {
+            auto& woken = node_as<gateway_node>(name);
+            woken.core->peer_lost(dead, local_now(woken));
+            pump_gateway(woken);
         });
+    });
+}
+
+void world::notify_lost(const std::string& dead) {
+    for (const std::string& name : names("gateway-")) {
+        tell_lost(name, dead);
     }
     // Callers see their connection break when a gateway dies.
     for (auto& [token, request] : requests_) {
@@ -340,6 +344,10 @@
         return;
     }
     trace_message(from, to, message);
+    if (!alive(to) && network_.passes(to, from)) {
+        // The connection is refused, and the sender's transport says so.
+        tell_lost(from, to);
+    }
     const bool replica = std::holds_alternative<consensus::replica_message>(message);
     if (network_.chaotic() && replica && network_.random().chance(0.05)) {
         deliver(from, to, message);
--- a/src/tallyfold/net/peer_inputs.hpp
+++ b/src/tallyfold/net/peer_inputs.hpp
@@ -33,7 +33,10 @@
             message = std::move(*input.message);
             return false;
         };
-        handlers.on_lost = [this](const node_name& node) { ring_.push({node, std::nullopt}); };
+        handlers.on_lost = [this](const node_name& node) {
+            peer_input input{node, std::nullopt};
+            return ring_.try_push(input);
+        };
         handlers.on_event = [](const logging::event_record& record) {
             logging::write_event(record);
         };
--- a/src/tallyfold/net/transport.cpp
+++ b/src/tallyfold/net/transport.cpp
@@ -115,6 +115,7 @@
     void redial(const node_name& node, dialled_peer& peer);
     void opened(const std::shared_ptr<connection>& link);
     void closed(const std::shared_ptr<connection>& link);
+    void tell_lost(const node_name& node);
     void event(event_id id, std::string fields) { handlers_.on_event({id, std::move(fields)}); }
 
     transport_settings settings_;
@@ -129,6 +130,8 @@
     std::set<std::shared_ptr<connection>> links_;
     /// Open connections by node; a node may have two when both sides dial.
     std::multimap<node_name, std::shared_ptr<connection>> open_;
+    /// Losses that the handler could not take yet.
+    std::set<node_name> untold_lost_;
     std::thread thread_;
 };
 
@@ -438,10 +441,19 @@
     protocol::outbound_message outbound;
     while (outgoing_.try_pop(outbound)) {
         const auto link = open_.find(outbound.to);
-        if (link != open_.end()) {
-            const std::shared_ptr<connection> target = link->second;
-            target->write(frame(protocol::encode(outbound.message)));
+        if (link == open_.end()) {
+            // Nobody got it: whoever waits for an answer must hear so.
+            tell_lost(outbound.to);
+            continue;
         }
+        const std::shared_ptr<connection> target = link->second;
+        target->write(frame(protocol::encode(outbound.message)));
+    }
+}
+
+void transport::engine::tell_lost(const node_name& node) {
+    if (!handlers_.on_lost(node)) {
+        untold_lost_.insert(node);
     }
 }
 
@@ -487,6 +499,7 @@
             redial(node, peer);
         }
     }
+    std::erase_if(untold_lost_, handlers_.on_lost);
     const std::vector<std::shared_ptr<connection>> links(links_.begin(), links_.end());
     for (const std::shared_ptr<connection>& link : links) {
         link->check(now);
@@ -512,7 +525,7 @@
             open_.erase(candidate);
             event(event_id::peer_lost,
                   "peer=" + link->node() + " reason=\"" + link->reason() + "\"");
-            handlers_.on_lost(link->node());
+            tell_lost(link->node());
             return;
         }
     }
--- a/src/tallyfold/net/transport.hpp
+++ b/src/tallyfold/net/transport.hpp
@@ -28,7 +28,8 @@
     /// @return false to have the message handed over again a little later; the connection is
     /// not read meanwhile (back-pressure to the peer).
     std::function<bool(const node_name& from, protocol::internal_message& message)> on_message;
-    std::function<void(const node_name& node)> on_lost;
+    /// A connection was lost, or a message found none. @return false to be told again later.
+    std::function<bool(const node_name& node)> on_lost;
     std::function<void(const logging::event_record& record)> on_event;
 };
 
--- a/stand_ins/engine_core.cpp
+++ b/stand_ins/engine_core.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t events_per_status = 2'000;
 constexpr duration expiry_interval = std::chrono::seconds(1);
 constexpr std::size_t kept_loads = 64;
+constexpr duration longest_backlog = std::chrono::milliseconds(100);
 /// A seal is kept for longer than any start limit reaches.
 constexpr duration seal_keep = std::chrono::seconds(60);
 
@@ -141,6 +142,10 @@
         next_expiry_ = now + expiry_interval;
         expire(now);
     }
+    if (now - step_due_ > longest_backlog) {
+        // The process was stopped; the steps that it missed are not made up for.
+        step_due_ = now;
+    }
     while (step_due_ <= now && !idle()) {
         const instant at = step_due_;
         admit(at);
@@ -199,7 +204,8 @@
         ledger_entry entry;
         entry.key = target.request.key;
         entry.backend = settings_.name;
-        entry.started = now;
+        // A step that is made up for later does not start what had not arrived then.
+        entry.started = std::max(now, target.changed);
         entry.tokens = target.prompt_tokens;
         entries_.push_back(std::move(entry));
     }
