--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -490,7 +490,7 @@
 
 void world::send_request(const stand_ins::caller_action& action) {
     const std::vector<std::string> gateways = names("gateway-");
-    const std::string gateway = gateways[next_gateway_++ % gateways.size()];
+    const std::string& gateway = gateways[next_gateway_++ % gateways.size()];
     requests_.at(action.token).gateway = gateway;
     const stand_ins::caller_token token = action.token;
     events_.after(network_.delay("caller", gateway), [this, gateway, action, token] {
@@ -702,7 +702,7 @@
     }
     // Asks a random control node; repeats with the same identity until an answer arrives.
     const std::vector<std::string> controls = names("control-");
-    const std::string name = controls[random_.below(controls.size())];
+    const std::string& name = controls[random_.below(controls.size())];
     run_on(name, [this, name, record] {
         auto& node = node_as<control_node>(name);
         const std::uint64_t token = random_.next();
--- a/src/tallyfold/configuration/configuration_state.cpp
+++ b/src/tallyfold/configuration/configuration_state.cpp
@@ -143,7 +143,7 @@
     if (known != results_.end()) {
         return known->second;
     }
-    const change_result result = apply_new(*command);
+    change_result result = apply_new(*command);
     remember(command->command_identity, result);
     return result;
 }
--- a/src/tallyfold/control/control_core.cpp
+++ b/src/tallyfold/control/control_core.cpp
@@ -319,9 +319,11 @@
         if (!caught_up) {
             continue;
         }
-        const auto old = std::find_if(next.members.begin(), next.members.end(), [&](const auto& m) {
-            return m.second.node == node && m.first != replica;
-        });
+        const auto old =
+            std::find_if(next.members.begin(), next.members.end(),
+                         [&joined = replica, &name = node](const auto& member) {
+                             return member.second.node == name && member.first != joined;
+                         });
         if (old != next.members.end()) {
             next.members.erase(old);
         } else {
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -447,10 +447,11 @@
         }
         // From here on new calls are sent elsewhere, and the shard empties.
         shard.phase = shard_phase::handing_over;
-        const bool in_use = journal_.busy(number) ||
-                            std::any_of(calls_.begin(), calls_.end(), [&](const auto& entry) {
-                                return entry.second.shard == number;
-                            });
+        const bool in_use =
+            journal_.busy(number) ||
+            std::any_of(calls_.begin(), calls_.end(), [shard_id = number](const auto& entry) {
+                return entry.second.shard == shard_id;
+            });
         if (in_use || shard.release_sent) {
             continue;
         }
--- a/src/tallyfold/settings/settings_reader.cpp
+++ b/src/tallyfold/settings/settings_reader.cpp
@@ -50,7 +50,7 @@
 }
 
 std::string settings_reader::text(const std::string& key) {
-    const std::string value = text_or(key, {});
+    std::string value = text_or(key, {});
     if (value.empty() && parsed_->table.get(key) == nullptr) {
         problem(key, "is missing");
     } else if (value.empty()) {
@@ -105,7 +105,7 @@
 }
 
 std::string settings_reader::address(const std::string& key) {
-    const std::string value = text(key);
+    std::string value = text(key);
     if (!value.empty() && !is_ip_address(value)) {
         problem(key, address_reason);
     }
