--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -21,7 +21,7 @@
 
 fleet_wait_exit() {
     local name=$1
-    wait "${fleet_pids[$name]}"
+    { wait "${fleet_pids[$name]}"; } 2>/dev/null
     local code=$?
     unset "fleet_pids[$name]"
     return $code
@@ -177,7 +177,7 @@
 }
 
 configure_cluster() {
-    local entry tenant
+    local entry tenant policy name priority
     ctl cluster init >/dev/null
     for policy in huayin hobart; do
         ctl policy submit "$policy" "$root/policies/$policy.lua" >/dev/null
--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -129,6 +129,7 @@
         options.journal_groups = settings_.journal_groups;
         options.shard_count = settings_.shard_count;
         options.placement = settings_.strategy;
+        options.stream_stall = settings_.stream_stall;
         options.seed = seed;
         scheduler->core = std::make_unique<scheduler::scheduler_core>(options, now);
     } else if (auto* gateway = dynamic_cast<gateway_node*>(&base)) {
@@ -564,7 +565,7 @@
         submit_change(std::move(command));
     };
     for (const std::string& tenant : stand_ins::tenants_of(settings_.workload.profile)) {
-        submit({configuration::item_kind::tenant, tenant}, configuration::tenant_settings{});
+        submit({configuration::item_kind::tenant, tenant}, settings_.tenant);
     }
     for (const auto& [name, text] : settings_.policies) {
         submit({configuration::item_kind::policy, name}, configuration::policy_source{text});
@@ -599,6 +600,7 @@
     for (std::size_t index = 0; index < scripts.size(); ++index) {
         stand_ins::caller_core::settings options;
         options.run = "run" + std::to_string(settings_.seed) + "-";
+        options.patience = settings_.caller_patience;
         callers_.push_back(std::make_unique<stand_ins::caller_core>(
             options, scripts[index], "c" + std::to_string(index), program_id{}, program_id{}));
         stand_ins::caller_core* caller = callers_.back().get();
--- a/sim/world.hpp
+++ b/sim/world.hpp
@@ -38,6 +38,10 @@
     /// Lines of the configuration that the operator submits at the start.
     std::map<std::string, std::string> policies;
     std::map<std::string, configuration::class_settings> classes;
+    configuration::tenant_settings tenant;
+    duration stream_stall = std::chrono::milliseconds(5000);
+    /// How long the simulated callers wait without a sign of life.
+    duration caller_patience = std::chrono::seconds(8);
     std::uint64_t snapshot_interval = 400;
     std::uint64_t seed = 1;
     /// The run ends at the latest this long after its start.
