--- a/src/tallyfold/control/control_core.cpp
+++ b/src/tallyfold/control/control_core.cpp
@@ -18,13 +18,9 @@
 constexpr consensus::log_index initial_index = 1;
 constexpr consensus::term_number initial_term = 1;
 
-std::uint64_t hash_schedulers(const std::vector<protocol::scheduler_address>& schedulers,
-                              const std::vector<shard_id>& hand_over) {
-    std::uint64_t hash = 1;
-    for (const protocol::scheduler_address& scheduler : schedulers) {
-        hash = combine_hash(hash, stable_hash(scheduler.node + "@" + scheduler.address));
-    }
-    for (const shard_id shard : hand_over) {
+std::uint64_t hash_hand_over(std::uint64_t directory_hash, const std::vector<shard_id>& shards) {
+    std::uint64_t hash = directory_hash;
+    for (const shard_id shard : shards) {
         hash = combine_hash(hash, shard);
     }
     return hash;
@@ -55,7 +51,7 @@
     settings.election_timeout = settings_.election_timeout;
     settings.heartbeat_interval = settings_.heartbeat_interval;
     settings.seed = combine_hash(settings_.seed, group);
-    group_runtime runtime{consensus::replica_fsm(settings, recovered, now), {}, 0, 0, {}, {}, {}};
+    group_runtime runtime{consensus::replica_fsm(settings, recovered, now), {}, 0, {}, {}, {}};
     auto [position, added] = groups_.insert_or_assign(group, std::move(runtime));
     restore(group, position->second, recovered.base);
 }
@@ -87,7 +83,6 @@
 void control_core::restore(group_id group, group_runtime& runtime,
                            const consensus::snapshot& base) {
     runtime.applied = base.index;
-    runtime.lease_version = base.index;
     if (group == configuration_group) {
         configuration_.restore(base.state);
     } else {
@@ -129,7 +124,7 @@
             continue;
         }
         if (group != configuration_group) {
-            send_leases(heartbeat, group, runtime, now);
+            send_leases(heartbeat, group, runtime);
             if (heartbeat.role != protocol::node_role::scheduler) {
                 continue;
             }
@@ -145,17 +140,16 @@
 }
 
 void control_core::send_leases(const protocol::node_heartbeat& heartbeat, group_id group,
-                               const group_runtime& runtime, instant now) {
+                               const group_runtime& runtime) {
     if (!runtime.replica.has_committed_in_term()) {
         return;
     }
     protocol::lease_update update;
     update.group = group;
-    for (const auto& [node, scheduler] : live_schedulers(now)) {
-        update.schedulers.push_back({node, scheduler.address});
-    }
+    const bool has_directory = group == protocol::directory_group;
     update.hand_over = runtime.assigner.hand_over();
-    update.version = {runtime.lease_version, hash_schedulers(update.schedulers, update.hand_over)};
+    update.version = {runtime.journal.lease_version(),
+                      hash_hand_over(has_directory ? directory_hash_ : 0, update.hand_over)};
     const auto known = heartbeat.leases.find(group);
     const bool current = known != heartbeat.leases.end() &&
                          known->second.version == update.version.version &&
@@ -163,8 +157,16 @@
     if (current) {
         return;
     }
+    if (has_directory) {
+        for (const auto& [node, scheduler] : live_schedulers_) {
+            update.schedulers.push_back({node, scheduler.address});
+        }
+    }
+    const consensus::log_index seen = known == heartbeat.leases.end() ? 0 : known->second.version;
     for (const auto& [shard, entry] : runtime.journal.shards()) {
-        update.leases[shard] = entry.lease;
+        if (entry.lease_changed_at > seen) {
+            update.leases[shard] = entry.lease;
+        }
     }
     send(heartbeat.node, std::move(update));
 }
@@ -234,15 +236,17 @@
     return found == members.end() ? node_name{} : found->second.node;
 }
 
-std::map<node_name, live_scheduler> control_core::live_schedulers(instant now) const {
-    std::map<node_name, live_scheduler> live;
+void control_core::refresh_live_schedulers(instant now) {
+    live_schedulers_.clear();
+    directory_hash_ = 1;
     for (const auto& [node, heard] : nodes_) {
         const bool recent = now - heard.heard < settings_.scheduler_timeout;
         if (heard.last.role == protocol::node_role::scheduler && recent) {
-            live[node] = {heard.last.address, heard.last.draining};
+            live_schedulers_[node] = {heard.last.address, heard.last.draining};
+            directory_hash_ =
+                combine_hash(directory_hash_, stable_hash(node + "@" + heard.last.address));
         }
     }
-    return live;
 }
 
 void control_core::tick(instant now) {
@@ -263,6 +267,7 @@
     }
     if (now >= next_duty_) {
         next_duty_ = now + duty_interval;
+        refresh_live_schedulers(now);
         for (auto& [group, runtime] : groups_) {
             if (runtime.replica.has_committed_in_term()) {
                 advance_members(runtime);
@@ -290,7 +295,7 @@
             shards[shard] = runtime.journal.lease_of(shard);
         }
     }
-    const lease_assigner::plan plan = runtime.assigner.decide(shards, live_schedulers(now), now);
+    const lease_assigner::plan plan = runtime.assigner.decide(shards, live_schedulers_, now);
     for (const journal::assign_shard& assignment : plan.assignments) {
         // Dropped when leadership is lost; the next leader decides again.
         (void)runtime.replica.propose(protocol::encode(journal::journal_command(assignment)));
@@ -399,11 +404,7 @@
         if (group == configuration_group) {
             change = configuration_.apply(entry.payload);
         } else {
-            result = runtime.journal.apply(entry.payload);
-            const auto command = protocol::decode<journal::journal_command>(entry.payload);
-            if (command && !std::holds_alternative<journal::owner_command>(*command)) {
-                runtime.lease_version = entry.index;
-            }
+            result = runtime.journal.apply(entry.payload, entry.index);
         }
     }
     const auto waiting = runtime.appends.find(entry.index);
--- a/src/tallyfold/control/control_core.hpp
+++ b/src/tallyfold/control/control_core.hpp
@@ -142,7 +142,6 @@
         consensus::replica_fsm replica;
         journal::journal_state_machine journal;
         consensus::log_index applied = 0;
-        consensus::log_index lease_version = 0;
         std::map<consensus::log_index, pending_append> appends;
         std::map<std::uint64_t, pending_read> reads;
         lease_assigner assigner;
@@ -162,7 +161,7 @@
     void advance_members(group_runtime& runtime);
     void assign_leases(group_id group, group_runtime& runtime, instant now);
     void send_leases(const protocol::node_heartbeat& heartbeat, group_id group,
-                     const group_runtime& runtime, instant now);
+                     const group_runtime& runtime);
     void answer_read(group_id group, const pending_read& read);
     void apply_ready(group_id group, group_runtime& runtime, consensus::ready& work);
     void apply_entry(group_id group, group_runtime& runtime, const consensus::log_entry& entry);
@@ -173,7 +172,7 @@
                         batch_mark& mark);
     void restore(group_id group, group_runtime& runtime, const consensus::snapshot& base);
     [[nodiscard]] std::string save(group_id group, const group_runtime& runtime) const;
-    [[nodiscard]] std::map<node_name, live_scheduler> live_schedulers(instant now) const;
+    void refresh_live_schedulers(instant now);
     [[nodiscard]] node_name leader_node(const group_runtime& runtime) const;
     [[nodiscard]] node_name node_of(const consensus::replica_message& message) const;
     void send(const node_name& to, protocol::internal_message message);
@@ -188,6 +187,9 @@
         instant heard{};
     };
     std::map<node_name, heard_node> nodes_;
+    /// Schedulers heard of recently, as of the last tick, and a hash of their addresses.
+    std::map<node_name, live_scheduler> live_schedulers_;
+    std::uint64_t directory_hash_ = 0;
     std::map<node_name, consensus::replica_id> joining_;
     std::map<consensus::replica_id, node_name> replica_nodes_;
     instant last_tick_{};
--- a/src/tallyfold/gateway/gateway_core.hpp
+++ b/src/tallyfold/gateway/gateway_core.hpp
@@ -26,7 +26,7 @@
     std::size_t request_limit = 4096;
     /// How long a request whose owner is gone may look for the next one.
     duration failover_limit = std::chrono::milliseconds(8000);
-    duration heartbeat_interval = std::chrono::milliseconds(200);
+    duration heartbeat_interval = std::chrono::milliseconds(400);
     duration configuration_lease = std::chrono::milliseconds(3000);
     /// Drawn anew at each start: a reply to an earlier life must not match a request of this one.
     std::uint64_t seed = 0;
--- a/src/tallyfold/membership/control_session.cpp
+++ b/src/tallyfold/membership/control_session.cpp
@@ -70,6 +70,9 @@
             leases_[shard] = lease;
         }
     }
+    if (update.group != protocol::directory_group) {
+        return true;
+    }
     schedulers_.clear();
     for (const protocol::scheduler_address& scheduler : update.schedulers) {
         schedulers_[scheduler.node] = scheduler.address;
--- a/src/tallyfold/membership/control_session.hpp
+++ b/src/tallyfold/membership/control_session.hpp
@@ -21,7 +21,7 @@
     std::string address;
     std::string zone;
     std::vector<node_name> control_nodes;
-    duration heartbeat_interval = std::chrono::milliseconds(200);
+    duration heartbeat_interval = std::chrono::milliseconds(400);
     /// How long a confirmed configuration may be used for new work.
     duration configuration_lease = std::chrono::milliseconds(3000);
     /// Below the leaders' scheduler_timeout, by a margin for clocks that run apart.
--- a/src/tallyfold/protocol/messages.hpp
+++ b/src/tallyfold/protocol/messages.hpp
@@ -86,6 +86,9 @@
     }
 };
 
+/// The group whose lease updates also list the schedulers; once is enough for each node.
+constexpr group_id directory_group = 1;
+
 /// From the leader of a journal group, after it confirmed its leadership: it had heard the
 /// scheduler's heartbeat, so it takes none of its shards away before scheduler_timeout.
 struct lease_confirmation {
--- a/src/tallyfold/scheduler/scheduler_core.hpp
+++ b/src/tallyfold/scheduler/scheduler_core.hpp
@@ -39,7 +39,7 @@
     std::uint32_t journal_groups = 2;
     std::uint32_t shard_count = 64;
     scheduling::strategy placement = scheduling::strategy::policy;
-    duration heartbeat_interval = std::chrono::milliseconds(200);
+    duration heartbeat_interval = std::chrono::milliseconds(400);
     /// Without a confirmed configuration for this long, new work is refused.
     duration configuration_lease = std::chrono::milliseconds(3000);
     duration status_interval = std::chrono::milliseconds(250);
--- a/tests/journal/shard_state_test.cpp
+++ b/tests/journal/shard_state_test.cpp
@@ -138,8 +138,9 @@
 
     void an_older_owner_is_refused() {
         journal_state_machine machine;
+        std::uint64_t index = 0;
         const auto apply = [&](const journal_command& command) {
-            return machine.apply(protocol::encode(command));
+            return machine.apply(protocol::encode(command), ++index);
         };
         const program_change open = open_program{"p", "p", "t", "c", "id", budget};
         CPPUNIT_ASSERT(apply(assign_shard{3, 0, "a"}) == journal_error::none);
@@ -152,6 +153,11 @@
         // A lease decided from an older view changes nothing.
         CPPUNIT_ASSERT(apply(assign_shard{3, 1, "c"}) != journal_error::none);
         CPPUNIT_ASSERT_EQUAL(node_name("b"), machine.lease_of(3).holder);
+        // Only lease changes move the version that nodes compare, also over a snapshot.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, machine.lease_version());
+        journal_state_machine restored;
+        restored.restore(machine.save());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, restored.lease_version());
     }
 
     void a_snapshot_holds_everything() {
