Programs in the order of their start; beliefs about caches outlive lost events

Least attained service first spread memory over many half-done programs. Ruled out: the engine's eviction, releases at the end of programs, placement by load.

--- a/policies/hobart.lua
+++ b/policies/hobart.lua
@@ -1,8 +1,9 @@
 -- Hobart: season-long histories stay warm; a call goes where its history is.
 
--- Lower goes first.
+-- Lower goes first: programs in the order in which they began, so that fewer are half done, and
+-- their histories in memory, at any time.
 function order(call)
-  return call.attained_tokens - 400 * call.turns
+  return call.started_ms
 end
 
 -- Cost in prompt tokens; a cached history is given up only when its engine is full.
--- a/policies/huayin.lua
+++ b/policies/huayin.lua
@@ -1,15 +1,16 @@
 -- Huayin: licensing first (by class priority), then the tail of the whole program.
 
--- Lower goes first. Programs that have used least go first, so that a short program is not
--- caught behind a long one; each turn taken counts for a little, so that sessions end.
+-- Lower goes first: programs in the order in which they began, so that none of them is overtaken
+-- again and again. That is what the slowest programs in a hundred feel.
 function order(call)
-  return call.attained_tokens - 400 * call.turns
+  return call.started_ms
 end
 
--- Cost in prompt tokens that have to be computed before this call gets its first token.
+-- Cost in prompt tokens. What must be computed again counts several times: it delays everyone on
+-- that engine, and it pushes other histories out.
 function place(call, engine)
   local busy = engine.outstanding / engine.slots
-  return engine.uncached_tokens + engine.pending_prefill_tokens + 600 * busy
+  return 4 * engine.uncached_tokens + engine.pending_prefill_tokens + 600 * busy
 end
 
 -- Long histories of sessions that come back soon are worth most.
--- a/src/tallyfold/scheduler/commands/dispatch.cpp
+++ b/src/tallyfold/scheduler/commands/dispatch.cpp
@@ -30,6 +30,11 @@
     features.priority = settings.priority;
     features.attained_tokens = static_cast<double>(attained(program));
     features.turns = program.last_sequence;
+    const auto runtime = programs_.find(program.root);
+    if (runtime != programs_.end()) {
+        features.started_ms =
+            static_cast<double>(to_milliseconds(runtime->second.first_heard.time_since_epoch()));
+    }
     features.prompt_tokens = static_cast<double>(call.prompt_tokens);
     features.max_tokens = static_cast<double>(call.request.max_tokens);
     features.budget_left = static_cast<double>(budget_left(program));
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -360,6 +360,7 @@
     shard.phase = shard_phase::serving;
     for (const auto& [id, program] : shard.state.programs()) {
         programs_[id].last_activity = now;
+        programs_[id].first_heard = now;
         if (program.closed) {
             // The last owner may have gone before its release was confirmed.
             queue_cache_release(id, now);
@@ -496,12 +497,16 @@
     }
     std::uint64_t& last = last_cache_event_[status.backend];
     for (const cache_event& happened : status.events) {
-        if (happened.number <= last && last != 0 && happened.number != 1) {
+        if (happened.number <= last && happened.number != 1) {
             continue;
         }
-        if (happened.number != last + 1) {
-            // Some events are lost: what is believed of this engine may be wrong in any part.
+        if (happened.number <= last) {
+            // The engine restarted: it holds nothing of what was believed.
             cache_.forget(status.backend);
+        } else if (happened.number != last + 1 && last != 0) {
+            // What is believed stays: a belief that has become wrong costs one prefill, which
+            // would have been needed anyhow, while forgetting all of them sends every program of
+            // this engine elsewhere.
             event(event_id::cache_events_lost, "backend=" + status.backend +
                                                    " expected=" + std::to_string(last + 1) +
                                                    " got=" + std::to_string(happened.number));
--- a/src/tallyfold/scheduler/scheduler_core.hpp
+++ b/src/tallyfold/scheduler/scheduler_core.hpp
@@ -189,6 +189,7 @@
     };
 
     struct program_runtime {
+        instant first_heard{};
         instant last_activity{};
         instant last_end{};
         duration pause_total{};
--- a/src/tallyfold/scheduling/policy.cpp
+++ b/src/tallyfold/scheduling/policy.cpp
@@ -70,6 +70,7 @@
     set_number(state, "priority", call.priority);
     set_number(state, "attained_tokens", call.attained_tokens);
     set_number(state, "turns", call.turns);
+    set_number(state, "started_ms", call.started_ms);
     set_number(state, "prompt_tokens", call.prompt_tokens);
     set_number(state, "max_tokens", call.max_tokens);
     set_number(state, "budget_left", call.budget_left);
@@ -92,6 +93,7 @@
     set_number(state, "priority", program.priority);
     set_number(state, "history_tokens", program.history_tokens);
     set_number(state, "turns", program.turns);
+    set_number(state, "started_ms", program.started_ms);
     set_number(state, "attained_tokens", program.attained_tokens);
     set_number(state, "mean_pause_ms", program.mean_pause_ms);
     set_boolean(state, "is_sub_agent", program.is_sub_agent);
--- a/src/tallyfold/scheduling/policy.hpp
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -17,6 +17,9 @@
     /// Tokens that the whole program (root and sub-agents) has used so far.
     double attained_tokens = 0;
     double turns = 0;
+    /// When this scheduler first heard of the program, in milliseconds on its own clock: lower is
+    /// older.
+    double started_ms = 0;
     double prompt_tokens = 0;
     double max_tokens = 0;
     double budget_left = 0;
@@ -46,6 +49,8 @@
     double priority = 0;
     double history_tokens = 0;
     double turns = 0;
+    /// As for calls.
+    double started_ms = 0;
     double attained_tokens = 0;
     /// Mean pause between the program's calls so far, in milliseconds.
     double mean_pause_ms = 0;
