--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -5,6 +5,8 @@
 # one-way delay of the profile.
 
 declare -A fleet_pids=()
+# 127.1 goes through the relay, 127.0 straight to the process.
+via=${via:-127.1}
 
 # fleet_start NAME PROGRAM ARGUMENTS...
 fleet_start() {
@@ -82,7 +84,7 @@
 control_table() {
     local n
     echo "[control]"
-    for n in 1 2 3; do echo "control-$n = \"127.1.1.$n:7100\""; done
+    for n in 1 2 3; do echo "control-$n = \"$via.1.$n:7100\""; done
 }
 
 write_settings() {
@@ -103,7 +105,7 @@
             echo "node = \"scheduler-$n\""
             echo "zone = \"$(zone_of "$n")\""
             echo "listen = \"127.0.2.$n:7200\""
-            echo "advertise = \"127.1.2.$n:7200\""
+            echo "advertise = \"$via.2.$n:7200\""
             echo "http_listen = \"127.0.2.$n:7201\""
             echo "key_file = \"$run/cluster.key\""
             echo "members_address = \"127.0.7.1:8000\""
@@ -144,13 +146,13 @@
 start_platform() {
     local members=() n
     for n in $(seq "$engine_count"); do
-        members+=(--member "engine,engine-$n,127.1.4.$n:8000,$(zone_of "$n"),default,8")
+        members+=(--member "engine,engine-$n,$via.4.$n:8000,$(zone_of "$n"),default,8")
     done
     for n in $(seq "$app_count"); do
-        members+=(--member "app,app-$n,127.1.5.$n:8000,$(zone_of "$n"),,16")
+        members+=(--member "app,app-$n,$via.5.$n:8000,$(zone_of "$n"),,16")
     done
     for n in $(seq "$tool_count"); do
-        members+=(--member "tool,tool-$n,127.1.6.$n:8000,$(zone_of "$n"),,16")
+        members+=(--member "tool,tool-$n,$via.6.$n:8000,$(zone_of "$n"),,16")
     done
     fleet_start platform stand-in-platform --listen 127.0.7.1:8000 "${members[@]}"
 }
--- a/src/tallyfold/net/http_server.cpp
+++ b/src/tallyfold/net/http_server.cpp
@@ -130,6 +130,10 @@
                 options.address(host)
                     .port(port)
                     .request_handler(handler)
+                    // Without this a streamed piece waits for the acknowledgement of the last one.
+                    .socket_options_setter([](auto& socket) {
+                        socket.set_option(restinio::asio_ns::ip::tcp::no_delay(true));
+                    })
                     .read_next_http_message_timelimit(read_timeout)
                     .handle_request_timeout(handle_timeout)
                     .write_http_response_timelimit(read_timeout)
