--- a/apps/tallyfold_capacity.cpp
+++ b/apps/tallyfold_capacity.cpp
@@ -38,9 +38,8 @@
         last = measure_control(nodes);
         std::cout << "| " << nodes << " | " << last.node_bytes_per_second << " | "
                   << last.node_core_percent << " | " << last.control_core_percent << " | "
-                  << last.control_bytes_per_second / kilobyte << " | "
-                  << last.change_bytes_per_node << " | " << last.takeover_bytes_per_node
-                  << " |\n";
+                  << last.control_bytes_per_second / kilobyte << " | " << last.change_bytes_per_node
+                  << " | " << last.takeover_bytes_per_node << " |\n";
     }
     const double changes = last.change_bytes_per_node * target_changes_per_day / seconds_per_day;
     const double takeovers = last.takeover_bytes_per_node * restarts_per_day / seconds_per_day;
@@ -64,8 +63,8 @@
     }
     const double commands = target_requests * commands_per_call;
     const double cores = commands * last.microseconds_per_command / 1e6;
-    std::cout << "\nAt " << target_programs << " programs of this size: "
-              << target_programs * last.bytes_per_program / gigabyte
+    std::cout << "\nAt " << target_programs
+              << " programs of this size: " << target_programs * last.bytes_per_program / gigabyte
               << " GB a copy, three copies over " << target_machines << " machines: "
               << 3 * target_programs * last.bytes_per_program / gigabyte / target_machines
               << " GB each. " << commands << " commands/s cost " << cores
@@ -91,12 +90,12 @@
     for (const std::size_t streams : {100U, 300U, 1'000U}) {
         last = measure_tokens(streams);
         std::cout << "| " << streams << " | " << last.scheduler_microseconds_per_token << " | "
-                  << last.gateway_microseconds_per_token << " | " << last.bytes_per_token
-                  << " |\n";
+                  << last.gateway_microseconds_per_token << " | " << last.bytes_per_token << " |\n";
     }
     const double scheduler_cores = target_tokens * last.scheduler_microseconds_per_token / 1e6;
     const double gateway_cores = target_tokens * last.gateway_microseconds_per_token / 1e6;
-    std::cout << "\n" << target_tokens << " tokens/s, a message each: " << scheduler_cores
+    std::cout << "\n"
+              << target_tokens << " tokens/s, a message each: " << scheduler_cores
               << " cores of schedulers and " << gateway_cores << " of gateways over "
               << target_nodes << " nodes: " << (scheduler_cores + gateway_cores) / target_nodes
               << " of a core a node, without sockets.\n";
--- a/sim/capacity.cpp
+++ b/sim/capacity.cpp
@@ -80,8 +80,8 @@
         for (std::size_t number = 0; number < nodes; ++number) {
             membership::session_settings settings;
             settings.node = "node-" + std::to_string(number);
-            settings.role = number % 2 == 0 ? protocol::node_role::scheduler
-                                            : protocol::node_role::gateway;
+            settings.role =
+                number % 2 == 0 ? protocol::node_role::scheduler : protocol::node_role::gateway;
             settings.address = "10.0.0.1:7200";
             settings.zone = "zone-1";
             settings.control_nodes = names_;
@@ -360,7 +360,8 @@
         request.prompt_tokens = prompt.back().tokens;
         const instant now(std::chrono::seconds(10));
         work.start();
-        const auto choice = placement.choose(request, pool, cache, policy ? policy->get() : nullptr, now);
+        const auto choice =
+            placement.choose(request, pool, cache, policy ? policy->get() : nullptr, now);
         work.stop();
         if (choice) {
             pool.started(choice->engine, request.prompt_tokens);
@@ -395,8 +396,8 @@
             const auto texts = splitter.add(event);
             const auto report = scheduler::parse_stream_event(key, texts.front());
             const auto& pieces = std::get<scheduler::stream_pieces>(*report);
-            const std::string message = protocol::encode(protocol::internal_message(
-                protocol::answer_pieces{stream, token, pieces.pieces}));
+            const std::string message = protocol::encode(
+                protocol::internal_message(protocol::answer_pieces{stream, token, pieces.pieces}));
             scheduling_work.stop();
             gateway_work.start();
             const auto decoded = protocol::decode<protocol::internal_message>(message);
--- a/src/tallyfold/journal/journal_state_machine.cpp
+++ b/src/tallyfold/journal/journal_state_machine.cpp
@@ -38,7 +38,8 @@
     return found == shards_.end() ? shard_lease{} : found->second.lease;
 }
 
-journal_error journal_state_machine::apply_command(const assign_shard& command, std::uint64_t index) {
+journal_error journal_state_machine::apply_command(const assign_shard& command,
+                                                   std::uint64_t index) {
     shard_entry& entry = shards_[command.shard];
     if (entry.lease.epoch != command.expected_epoch) {
         return journal_error::stale_epoch;
@@ -49,7 +50,8 @@
     return journal_error::none;
 }
 
-journal_error journal_state_machine::apply_command(const release_shard& command, std::uint64_t index) {
+journal_error journal_state_machine::apply_command(const release_shard& command,
+                                                   std::uint64_t index) {
     shard_entry& entry = shards_[command.shard];
     if (entry.lease.epoch != command.epoch) {
         return journal_error::stale_epoch;
@@ -59,7 +61,8 @@
     return journal_error::none;
 }
 
-journal_error journal_state_machine::apply_command(const owner_command& command, std::uint64_t /*index*/) {
+journal_error journal_state_machine::apply_command(const owner_command& command,
+                                                   std::uint64_t /*index*/) {
     shard_entry& entry = shards_[command.shard];
     if (entry.lease.epoch != command.epoch || entry.lease.holder.empty()) {
         return journal_error::stale_epoch;
