--- a/apps/tallyfold_experiment.cpp
+++ b/apps/tallyfold_experiment.cpp
@@ -5,24 +5,15 @@
 
 #include <fstream>
 #include <iostream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "sim/experiment_report.hpp"
+#include "sim/policy_files.hpp"
 
 namespace {
 
 using namespace tallyfold;
 
-std::map<std::string, std::string> read_policies(const std::string& folder) {
-    std::map<std::string, std::string> policies;
-    for (const std::string name : {"huayin", "hobart"}) {
-        std::ifstream file(folder + "/" + name + ".lua");
-        policies[name] = std::string((std::istreambuf_iterator<char>(file)), {});
-    }
-    return policies;
-}
-
 nlohmann::json render(const sim::experiment_settings& settings,
                       const sim::experiment_result& result) {
     nlohmann::json classes;
@@ -81,7 +72,7 @@
     settings.seed = seed.getValue();
     settings.programs = programs.getValue();
     settings.span = std::chrono::seconds(span.getValue());
-    settings.policies = read_policies(folder.getValue());
+    settings.policies = tallyfold::sim::read_policies(folder.getValue());
     if (report.isSet()) {
         const auto points = sim::sweep(settings, loads.getValue(), seeds.getValue());
         std::ofstream(report.getValue()) << sim::render_report(settings, points);
--- a/apps/tallyfold_prove.cpp
+++ b/apps/tallyfold_prove.cpp
@@ -4,27 +4,17 @@
 #include <tclap/CmdLine.h>
 
 #include <atomic>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <mutex>
 #include <thread>
 
+#include "sim/policy_files.hpp"
 #include "sim/run.hpp"
 
 namespace {
 
 using tallyfold::sim::run_result;
 
-std::map<std::string, std::string> read_policies(const std::string& folder) {
-    std::map<std::string, std::string> policies;
-    for (const std::string name : {"huayin", "hobart"}) {
-        std::ifstream file(folder + "/" + name + ".lua");
-        policies[name] = std::string((std::istreambuf_iterator<char>(file)), {});
-    }
-    return policies;
-}
-
 struct property_row {
     std::uint64_t runs = 0;
     std::uint64_t violated_runs = 0;
@@ -62,7 +52,7 @@
         print_list();
         return 0;
     }
-    const auto policies = read_policies(folder.getValue());
+    const auto policies = tallyfold::sim::read_policies(folder.getValue());
     if (trace.isSet()) {
         const std::string wanted = trace.getValue();
         (void)tallyfold::sim::run_with_faults(first.getValue(), policies,
--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -192,7 +192,16 @@
     done
 }
 
-# Starts everything for $profile and waits until the gateways are ready.
+# True when each gateway and scheduler serves with the newest configuration.
+configuration_in_force() {
+    local newest expected=$((gateway_count + scheduler_count))
+    newest=$(ctl tenant list --json | jq 'map(.changed_at) | max')
+    newest=$(ctl class list --json | jq --argjson tenants "$newest" 'map(.changed_at) + [$tenants] | max')
+    ctl status --json | jq -e --argjson newest "$newest" --argjson expected "$expected" \
+        '[.nodes[] | select(.configuration >= $newest)] | length >= $expected'
+}
+
+# Starts everything for $profile and waits until it serves with its configuration.
 fleet_up() {
     fleet_profile "$profile"
     : "${scheduler_count:=2}" "${gateway_count:=2}" "${engine_count:=10}" "${app_count:=10}"
@@ -219,6 +228,7 @@
     for n in $(seq "$scheduler_count"); do
         wait_until "scheduler-$n" http_ok "http://127.0.2.$n:7201/readyz"
     done
+    wait_until "the configuration to be in force" configuration_in_force
 }
 
 # A planned stop of everything; fails when a process does not end with 0.
--- /dev/null
+++ b/sim/policy_files.hpp
@@ -0,0 +1,22 @@
+#pragma once
+/// @file
+/// The policies that are shipped, read from their folder.
+
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <string>
+
+namespace tallyfold::sim {
+
+/// Texts by name, "huayin" and "hobart".
+inline std::map<std::string, std::string> read_policies(const std::string& folder) {
+    std::map<std::string, std::string> policies;
+    for (const std::string name : {"huayin", "hobart"}) {
+        std::ifstream file(folder + "/" + name + ".lua");
+        policies[name] = std::string((std::istreambuf_iterator<char>(file)), {});
+    }
+    return policies;
+}
+
+}  // namespace tallyfold::sim
--- a/sim/world_nodes.hpp
+++ b/sim/world_nodes.hpp
@@ -6,6 +6,8 @@
 
 namespace tallyfold::sim {
 
+constexpr duration tick_interval = std::chrono::milliseconds(10);
+
 struct world::node_base {
     virtual ~node_base() = default;
     std::string name;
--- a/src/tallyfold/control/control_shell.cpp
+++ b/src/tallyfold/control/control_shell.cpp
@@ -15,6 +15,7 @@
 #include "tallyfold/net/metrics.hpp"
 #include "tallyfold/net/operator_keys.hpp"
 #include "tallyfold/net/peer_inputs.hpp"
+#include "tallyfold/net/process_runtime.hpp"
 #include "tallyfold/net/transport.hpp"
 #include "tallyfold/settings/program_flags.hpp"
 
@@ -27,7 +28,6 @@
 
 constexpr std::size_t ring_capacity = 1024;
 constexpr auto metrics_interval = std::chrono::seconds(1);
-constexpr auto stop_poll = std::chrono::milliseconds(20);
 constexpr auto admin_limit = std::chrono::seconds(5);
 constexpr unsigned leader_retry_seconds = 1;
 
@@ -65,11 +65,8 @@
                   [this](net::exchange_pointer exchange) { on_http(std::move(exchange)); }) {}
 
     int run(const std::atomic<bool>& stop) {
-        for (const std::string& failure : {transport_.start(), server_.start()}) {
-            if (!failure.empty()) {
-                logging::write_event(event_id::settings_refused, "reason=\"" + failure + "\"");
-                return static_cast<int>(settings::exit_code::failure);
-            }
+        if (!net::start_listening(transport_, server_)) {
+            return static_cast<int>(settings::exit_code::failure);
         }
         for (const auto& [node, address] : settings_.control) {
             if (node != settings_.core.node) {
@@ -79,9 +76,7 @@
         storage_.start();
         logic_.start();
         logging::write_event(event_id::process_started, "listen=" + settings_.listen);
-        while (!stop && !storage_.failed()) {
-            std::this_thread::sleep_for(stop_poll);
-        }
+        net::wait_until([&] { return stop || storage_.failed(); });
         const bool failed = storage_.failed();
         logging::write_event(event_id::process_stopping, "");
         logic_.stop();
@@ -99,14 +94,10 @@
     void on_http(net::exchange_pointer exchange) {
         const std::string& path = exchange->path();
         const bool reads = exchange->method() == "GET";
-        if (reads && path == "/healthz") {
-            exchange->respond(200, "text/plain", "ok\n");
-        } else if (reads && path == "/readyz") {
-            const bool ready = ready_;
-            exchange->respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
-        } else if (reads && path == "/metrics") {
-            exchange->respond(200, "text/plain; version=0.0.4", metrics_.render());
-        } else if (reads && path == "/") {
+        if (reads && net::answer_health(*exchange, ready_, metrics_)) {
+            return;
+        }
+        if (reads && path == "/") {
             pass_on(std::move(exchange), local_query::status_page);
         } else if (reads && path == "/v1/status") {
             if (allowed(*exchange, operator_role::viewer)) {
--- a/src/tallyfold/gateway/gateway_shell.cpp
+++ b/src/tallyfold/gateway/gateway_shell.cpp
@@ -13,6 +13,7 @@
 #include "tallyfold/net/logic_thread.hpp"
 #include "tallyfold/net/metrics.hpp"
 #include "tallyfold/net/peer_inputs.hpp"
+#include "tallyfold/net/process_runtime.hpp"
 #include "tallyfold/net/transport.hpp"
 
 namespace tallyfold::gateway {
@@ -23,7 +24,6 @@
 
 constexpr std::size_t ring_capacity = 8192;
 constexpr auto metrics_interval = std::chrono::seconds(1);
-constexpr auto stop_poll = std::chrono::milliseconds(20);
 
 struct http_input {
     net::exchange_pointer exchange;
@@ -43,25 +43,18 @@
                   [this](net::exchange_pointer exchange) { on_http(std::move(exchange)); }) {}
 
     int run(const std::atomic<bool>& stop) {
-        for (const std::string& failure : {transport_.start(), server_.start()}) {
-            if (!failure.empty()) {
-                logging::write_event(event_id::settings_refused, "reason=\"" + failure + "\"");
-                return 1;
-            }
+        if (!net::start_listening(transport_, server_)) {
+            return 1;
         }
         for (const auto& [node, address] : settings_.control) {
             transport_.dial(node, address);
         }
         logic_.start();
         logging::write_event(event_id::process_started, "http=" + settings_.http_listen);
-        while (!stop) {
-            std::this_thread::sleep_for(stop_poll);
-        }
+        net::wait_until([&] { return stop.load(); });
         logging::write_event(event_id::process_stopping, "");
         draining_ = true;
-        while (!drained_) {
-            std::this_thread::sleep_for(stop_poll);
-        }
+        net::wait_until([this] { return drained_.load(); });
         server_.stop();
         logic_.stop();
         transport_.stop();
@@ -71,18 +64,7 @@
 
   private:
     void on_http(net::exchange_pointer exchange) {
-        if (exchange->path() == "/healthz") {
-            exchange->respond(200, "text/plain", "ok\n", 0);
-            return;
-        }
-        if (exchange->path() == "/readyz") {
-            const bool ready = ready_;
-            exchange->respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n",
-                              0);
-            return;
-        }
-        if (exchange->path() == "/metrics") {
-            exchange->respond(200, "text/plain; version=0.0.4", metrics_.render(), 0);
+        if (net::answer_health(*exchange, ready_, metrics_)) {
             return;
         }
         auto request = parse_request(exchange->method(), exchange->path(), exchange->body(),
--- /dev/null
+++ b/src/tallyfold/scheduler/backends.cpp
@@ -0,0 +1,126 @@
+/// @file
+/// What a scheduler learns of back ends, and the releases of their memory.
+
+#include <algorithm>
+
+#include "tallyfold/scheduler/scheduler_core.hpp"
+
+namespace tallyfold::scheduler {
+
+namespace {
+
+using logging::event_id;
+
+constexpr duration release_patience = std::chrono::milliseconds(500);
+constexpr duration release_patience_limit = std::chrono::seconds(10);
+
+}  // namespace
+
+void scheduler_core::poll_backends(instant now) {
+    if (now >= next_members_) {
+        next_members_ = now + settings_.members_interval;
+        order(poll_members{});
+    }
+    if (now < next_status_) {
+        return;
+    }
+    next_status_ = now + settings_.status_interval;
+    for (const scheduling::backend_pool& each : pools_) {
+        for (const auto& [name, backend] : each.all()) {
+            order(poll_status{name, last_cache_event_[name]});
+        }
+    }
+}
+
+void scheduler_core::on_status(const status_answered& status, instant now) {
+    const duration ahead = duration(status.clock) - now.time_since_epoch();
+    for (scheduling::backend_pool& each : pools_) {
+        each.add_clock_sample(status.backend, ahead);
+        const scheduling::backend_state* known = each.find(status.backend);
+        if (known == nullptr) {
+            continue;
+        }
+        if (status.load.leaving && !known->reported.leaving) {
+            event(event_id::backend_leaving, "backend=" + status.backend + " source=status");
+        }
+        each.report(status.backend, status.load);
+    }
+    std::uint64_t& last = last_cache_event_[status.backend];
+    for (const cache_event& happened : status.events) {
+        if (happened.number <= last && happened.number != 1) {
+            continue;
+        }
+        if (happened.number <= last) {
+            // The engine restarted: it holds nothing of what was believed.
+            cache_.forget(status.backend);
+        } else if (happened.number != last + 1 && last != 0) {
+            // What is believed stays: a belief that has become wrong costs one prefill, which
+            // would have been needed anyhow, while forgetting all of them sends every program of
+            // this engine elsewhere.
+            event(event_id::cache_events_lost, "backend=" + status.backend +
+                                                   " expected=" + std::to_string(last + 1) +
+                                                   " got=" + std::to_string(happened.number));
+        }
+        last = happened.number;
+        if (happened.stored) {
+            cache_.stored(status.backend, happened.point);
+        } else {
+            cache_.removed(status.backend, happened.point.hash);
+        }
+    }
+}
+
+void scheduler_core::on_members(const members_answered& list) {
+    std::array<std::vector<scheduling::backend_member>, 3> by_kind;
+    for (const scheduling::backend_member& member : list.members) {
+        by_kind[static_cast<std::size_t>(member.kind)].push_back(member);
+    }
+    for (std::size_t kind = 0; kind < pools_.size(); ++kind) {
+        for (const scheduling::backend_member& member : by_kind[kind]) {
+            const scheduling::backend_state* known = pools_[kind].find(member.name);
+            if (member.leaving && known != nullptr && !known->member.leaving) {
+                event(event_id::backend_leaving, "backend=" + member.name + " source=members");
+            }
+        }
+        pools_[kind].update(by_kind[kind]);
+        for (const scheduling::backend_member& member : by_kind[kind]) {
+            pools_[kind].set_drained(member.name, configuration().drained(member.name));
+        }
+    }
+    std::erase_if(cache_releases_, [&](const auto& entry) {
+        return pool(engine_kind).find(entry.first.first) == nullptr;
+    });
+}
+
+void scheduler_core::queue_cache_release(const program_id& id, instant now) {
+    const journal::program_record* program = record_of(id);
+    if (program == nullptr) {
+        return;
+    }
+    for (const backend_name& engine : program->engines) {
+        cache_releases_[{engine, id}] = {now, 0};
+    }
+}
+
+void scheduler_core::repeat_cache_releases(instant now) {
+    std::map<backend_name, std::vector<program_id>> due;
+    for (auto& [key, release] : cache_releases_) {
+        if (now < release.next) {
+            continue;
+        }
+        if (release.tries > 0) {
+            ++counters_.cache_releases_repeated;
+            event(event_id::cache_release_repeated,
+                  "backend=" + key.first + " program=" + key.second);
+        }
+        const std::uint32_t doublings = std::min(release.tries, 5U);
+        release.next = now + std::min(release_patience * (1 << doublings), release_patience_limit);
+        ++release.tries;
+        due[key.first].push_back(key.second);
+    }
+    for (auto& [backend, programs] : due) {
+        order(release_cache{backend, std::move(programs)});
+    }
+}
+
+}  // namespace tallyfold::scheduler
--- a/src/tallyfold/scheduler/scheduler_shell.cpp
+++ b/src/tallyfold/scheduler/scheduler_shell.cpp
@@ -9,6 +9,7 @@
 #include "tallyfold/net/logic_thread.hpp"
 #include "tallyfold/net/metrics.hpp"
 #include "tallyfold/net/peer_inputs.hpp"
+#include "tallyfold/net/process_runtime.hpp"
 #include "tallyfold/net/transport.hpp"
 #include "tallyfold/scheduler/backend_client.hpp"
 
@@ -19,7 +20,6 @@
 using logging::event_id;
 
 constexpr auto metrics_interval = std::chrono::seconds(1);
-constexpr auto stop_poll = std::chrono::milliseconds(20);
 
 class scheduler_process_runtime {
   public:
@@ -34,11 +34,8 @@
                   [this](net::exchange_pointer exchange) { on_http(*exchange); }) {}
 
     int run(const std::atomic<bool>& stop) {
-        for (const std::string& failure : {transport_.start(), server_.start()}) {
-            if (!failure.empty()) {
-                logging::write_event(event_id::settings_refused, "reason=\"" + failure + "\"");
-                return 1;
-            }
+        if (!net::start_listening(transport_, server_)) {
+            return 1;
         }
         for (const auto& [node, address] : settings_.control) {
             transport_.dial(node, address);
@@ -46,14 +43,10 @@
         backends_.start();
         logic_.start();
         logging::write_event(event_id::process_started, "listen=" + settings_.listen);
-        while (!stop) {
-            std::this_thread::sleep_for(stop_poll);
-        }
+        net::wait_until([&] { return stop.load(); });
         logging::write_event(event_id::process_stopping, "");
         draining_ = true;
-        while (!drained_) {
-            std::this_thread::sleep_for(stop_poll);
-        }
+        net::wait_until([this] { return drained_.load(); });
         logic_.stop();
         backends_.stop();
         transport_.stop();
@@ -64,14 +57,7 @@
 
   private:
     void on_http(net::http_exchange& exchange) {
-        if (exchange.path() == "/healthz") {
-            exchange.respond(200, "text/plain", "ok\n");
-        } else if (exchange.path() == "/readyz") {
-            const bool ready = ready_;
-            exchange.respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
-        } else if (exchange.path() == "/metrics") {
-            exchange.respond(200, "text/plain; version=0.0.4", metrics_.render());
-        } else {
+        if (!net::answer_health(exchange, ready_, metrics_)) {
             exchange.respond(404, "text/plain", "paths: /healthz /readyz /metrics\n");
         }
     }
--- /dev/null
+++ b/src/tallyfold/scheduler/shard_ownership.cpp
@@ -0,0 +1,179 @@
+/// @file
+/// How a scheduler gains, loads, hands over and loses shards.
+
+#include <algorithm>
+
+#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/scheduler/scheduler_core.hpp"
+
+namespace tallyfold::scheduler {
+
+namespace {
+
+using logging::event_id;
+
+constexpr duration shard_read_patience = std::chrono::milliseconds(300);
+constexpr std::uint32_t moved_retry_after_ms = 100;
+
+}  // namespace
+
+void scheduler_core::on_leases(const node_name& from, const protocol::lease_update& update,
+                               instant now) {
+    journal_.set_leader(update.group, from);
+    if (!session_.on_leases(update)) {
+        return;
+    }
+    for (const auto& [shard, lease] : update.leases) {
+        const auto owned = shards_.find(shard);
+        const bool ours = lease.holder == settings_.node;
+        if (owned != shards_.end() && (owned->second.epoch < lease.epoch || !ours)) {
+            if (owned->second.epoch <= lease.epoch) {
+                lose_shard(shard, now);
+            }
+        }
+        if (ours && !shards_.contains(shard)) {
+            shards_[shard].epoch = lease.epoch;
+            event(event_id::shard_assigned,
+                  "shard=" + std::to_string(shard) + " epoch=" + std::to_string(lease.epoch));
+        }
+        hand_over_.erase(shard);
+    }
+    hand_over_.insert(update.hand_over.begin(), update.hand_over.end());
+    load_shards(now);
+}
+
+void scheduler_core::load_shards(instant now) {
+    for (auto& [number, shard] : shards_) {
+        if (shard.phase != shard_phase::loading || now < shard.asked + shard_read_patience) {
+            continue;
+        }
+        shard.asked = now;
+        const group_id group = control::group_of_shard(number, settings_.journal_groups);
+        const node_name leader = journal_.leader_of(group);
+        if (!leader.empty()) {
+            output_.messages.push_back({leader, protocol::shard_read{group, number, shard.epoch}});
+        }
+    }
+}
+
+void scheduler_core::on_contents(const protocol::shard_contents& contents, instant now) {
+    const auto found = shards_.find(contents.shard);
+    if (found == shards_.end() || found->second.phase != shard_phase::loading ||
+        found->second.epoch != contents.epoch) {
+        return;
+    }
+    auto state = protocol::decode<journal::shard_state>(contents.state);
+    if (!state) {
+        return;
+    }
+    owned_shard& shard = found->second;
+    shard.state = std::move(*state);
+    shard.phase = shard_phase::serving;
+    for (const auto& [id, program] : shard.state.programs()) {
+        programs_[id].last_activity = now;
+        programs_[id].first_heard = now;
+        if (program.closed) {
+            // The last owner may have gone before its release was confirmed.
+            queue_cache_release(id, now);
+        }
+    }
+    event(event_id::shard_loaded, "shard=" + std::to_string(contents.shard) +
+                                      " epoch=" + std::to_string(contents.epoch) +
+                                      " programs=" + std::to_string(shard.state.programs().size()));
+}
+
+void scheduler_core::lose_shard(shard_id number, instant now) {
+    const auto found = shards_.find(number);
+    if (found == shards_.end()) {
+        return;
+    }
+    if (!found->second.release_sent) {
+        event(event_id::shard_lost,
+              "shard=" + std::to_string(number) + " epoch=" + std::to_string(found->second.epoch));
+    }
+    journal_.abandon(number);
+    std::vector<scheduling::ticket> lost;
+    for (auto& [id, call] : calls_) {
+        if (call.shard == number) {
+            lost.push_back(id);
+        }
+    }
+    for (const scheduling::ticket id : lost) {
+        active_call& call = calls_.at(id);
+        journal::outcome result;
+        result.code = journal::answer_code::owner_changed;
+        // A begin that was handed to the journal may be committed: only a call that was still
+        // queued is known not to have run.
+        const bool untouched = call.state == call_state::queued && !call.maybe_ran;
+        result.ran = untouched ? journal::ran_state::no : journal::ran_state::unknown;
+        result.detail = "the program has moved to another scheduler; send the request again";
+        result.retry_after_ms = moved_retry_after_ms;
+        reply_all(call, result);
+        if (call.state == call_state::running && call.request.kind == journal::call_kind::model) {
+            order(cancel_stream{call.target, key_of(call)});
+        }
+        drop_call(id);
+    }
+    // Programs whose opening was still on its way to the journal have waiters too.
+    journal::outcome moved;
+    moved.code = journal::answer_code::owner_changed;
+    moved.ran = journal::ran_state::unknown;
+    moved.retry_after_ms = moved_retry_after_ms;
+    moved.detail = "the program has moved to another scheduler; send the request again";
+    std::erase_if(programs_, [&](const auto& entry) {
+        if (shard_number(entry.first) != number) {
+            return false;
+        }
+        for (const waiter& asker : entry.second.open_waiters) {
+            reply(asker, moved);
+        }
+        for (const waiter& asker : entry.second.close_waiters) {
+            reply(asker, moved);
+        }
+        return true;
+    });
+    shards_.erase(found);
+    (void)now;
+}
+
+void scheduler_core::drain(instant now) {
+    (void)now;
+    draining_ = true;
+    session_.set_draining();
+    session_.hurry();
+}
+
+bool scheduler_core::drained() const {
+    return draining_ && shards_.empty() && calls_.empty() && cache_releases_.empty();
+}
+
+void scheduler_core::release_idle_shards(instant now) {
+    for (auto& [number, shard] : shards_) {
+        const bool asked = draining_ || hand_over_.contains(number);
+        if (!asked && shard.phase == shard_phase::handing_over && !shard.release_sent) {
+            // The one that was to take it has gone: go on here.
+            shard.phase = shard_phase::serving;
+        }
+        if (!asked || shard.phase == shard_phase::loading) {
+            continue;
+        }
+        // From here on new calls are sent elsewhere, and the shard empties.
+        shard.phase = shard_phase::handing_over;
+        const bool in_use =
+            journal_.busy(number) ||
+            std::any_of(calls_.begin(), calls_.end(), [shard_id = number](const auto& entry) {
+                return entry.second.shard == shard_id;
+            });
+        if (in_use || shard.release_sent) {
+            continue;
+        }
+        shard.release_sent = true;
+        journal_.append({number, shard.epoch, {}},
+                        journal::journal_command(journal::release_shard{number, shard.epoch}), now);
+        event(event_id::shard_released,
+              "shard=" + std::to_string(number) + " epoch=" + std::to_string(shard.epoch));
+    }
+}
+
+}  // namespace tallyfold::scheduler
--- a/src/tallyfold/settings/program_flags.hpp
+++ b/src/tallyfold/settings/program_flags.hpp
@@ -3,9 +3,11 @@
 /// What every program does at its start: flags, settings, log, signals.
 
 #include <atomic>
+#include <iostream>
 #include <string>
 #include <vector>
 
+#include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/settings/settings_reader.hpp"
 
 namespace tallyfold::settings {
@@ -35,4 +37,23 @@
 /// Prints each problem on its own line and gives the exit code.
 int refuse(const std::vector<settings_problem>& problems);
 
+/// The main function of a long-running program.
+/// @param read turns the settings file into settings or problems
+/// @param run runs the process until a stop is requested, and gives its exit code
+template <class Read, class Run>
+int program_main(int argument_count, char** arguments, const std::string& description, Read read,
+                 Run run) {
+    const program_flags flags = parse_flags(argument_count, arguments, description);
+    const auto loaded = read(flags.settings_file);
+    if (!loaded) {
+        return refuse(loaded.error());
+    }
+    if (flags.check_only) {
+        std::cout << flags.settings_file << ": ok\n";
+        return static_cast<int>(exit_code::success);
+    }
+    logging::open_log(loaded->core.node, flags.log_level);
+    return run(*loaded, stop_requested());
+}
+
 }  // namespace tallyfold::settings
--- a/tests/sim/found_failures_test.cpp
+++ b/tests/sim/found_failures_test.cpp
@@ -1,6 +1,4 @@
-#include <fstream>
-#include <iterator>
-
+#include "sim/policy_files.hpp"
 #include "sim/run.hpp"
 #include "tests/support/suite.hpp"
 
@@ -15,12 +13,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static std::map<std::string, std::string> policies() {
-        std::map<std::string, std::string> texts;
-        for (const std::string name : {"huayin", "hobart"}) {
-            std::ifstream file(std::string(TALLYFOLD_SOURCE_ROOT) + "/policies/" + name + ".lua");
-            texts[name] = std::string((std::istreambuf_iterator<char>(file)), {});
-        }
-        return texts;
+        return sim::read_policies(std::string(TALLYFOLD_SOURCE_ROOT) + "/policies");
     }
 
     void seeds_that_failed_pass() {
