--- a/apps/stand_in_callers.cpp
+++ b/apps/stand_in_callers.cpp
@@ -7,10 +7,12 @@
 #include <algorithm>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "sim/checkers.hpp"
 #include "stand_ins/caller_process.hpp"
 #include "stand_ins/ledger_file.hpp"
+#include "tallyfold/net/blocking_http.hpp"
 #include "tallyfold/net/cluster_keys.hpp"
 #include "tallyfold/settings/program_flags.hpp"
 
@@ -40,6 +42,43 @@
     return 0;
 }
 
+/// Tokens that an engine still holds for programs of this run which have ended.
+token_count held_at(const std::string& engine,
+                    const std::vector<stand_ins::caller_report>& reports) {
+    net::blocking_request request;
+    request.url = "http://" + engine + "/v1/cache";
+    const auto answer = nlohmann::json::parse(net::fetch(request).body, nullptr, false);
+    if (!answer.is_object()) {
+        return 0;  // An engine that is gone holds nothing.
+    }
+    token_count held = 0;
+    for (const stand_ins::caller_report& report : reports) {
+        for (const auto& [program, ended] : report.members) {
+            held += report.abandoned ? 0 : answer.at("held").value(program, token_count{0});
+        }
+    }
+    return held;
+}
+
+/// Waits until engines have given back what ended programs held. @return what they kept
+token_count wait_for_releases(const std::vector<std::string>& engines,
+                              const std::vector<stand_ins::caller_report>& reports) {
+    constexpr int rounds = 60;
+    constexpr auto pause = std::chrono::milliseconds(250);
+    token_count held = 0;
+    for (int round = 0; round < rounds; ++round) {
+        held = 0;
+        for (const std::string& engine : engines) {
+            held += held_at(engine, reports);
+        }
+        if (held == 0) {
+            break;
+        }
+        std::this_thread::sleep_for(pause);
+    }
+    return held;
+}
+
 nlohmann::json summarise(const sim::observations& seen, const std::string& profile) {
     std::vector<duration> latencies;
     std::vector<duration> first_tokens;
@@ -98,6 +137,8 @@
                                    line);
     TCLAP::ValueArg<std::string> ledgers("", "ledgers", "Folder of the back ends' ledgers", false,
                                          "", "folder", line);
+    TCLAP::MultiArg<std::string> engines("", "engine", "An engine whose memory is judged", false,
+                                         "ip:port", line);
     TCLAP::ValueArg<unsigned> limit("", "limit-seconds", "Give up after", false, 240, "s", line);
     TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed", false, 1, "S", line);
     line.parse(argument_count, arguments);
@@ -123,10 +164,11 @@
     if (!ledgers.getValue().empty()) {
         seen.ledger = stand_ins::read_ledgers(ledgers.getValue());
     }
-    const nlohmann::json summary = summarise(seen, profile.getValue());
+    nlohmann::json summary = summarise(seen, profile.getValue());
+    summary["held_after_end"] = wait_for_releases(engines.getValue(), seen.callers);
     std::cout << summary.dump() << std::endl;
     const bool clean = summary["lost"] == 0 && summary["doubled"] == 0 && summary["mixed"] == 0 &&
                        summary["out_of_order"] == 0 && summary["over_budget"] == 0 &&
-                       summary["not_run_but_ran"] == 0;
+                       summary["not_run_but_ran"] == 0 && summary["held_after_end"] == 0;
     return clean && results.finished && summary["completed"] == summary["programs"] ? 0 : 1;
 }
--- /dev/null
+++ b/tests/journal/trace_replay_test.cpp
@@ -0,0 +1,136 @@
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "tallyfold/journal/journal_state_machine.hpp"
+#include "tallyfold/protocol/binary_codec.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace journal;
+
+/// Replays recorded journal commands against the outcome stated beside each. A line is
+/// "command arguments = outcome", or "state shard program …" with the record's stated fields.
+class trace_replay_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(trace_replay_test);
+    CPPUNIT_TEST(every_trace_gives_its_stated_outcomes);
+    CPPUNIT_TEST(a_snapshot_in_between_changes_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    static journal_command read_command(const std::string& name, std::istream& words) {
+        shard_id shard = 0;
+        lease_epoch epoch = 0;
+        words >> shard >> epoch;
+        if (name == "assign") {
+            node_name holder;
+            words >> holder;
+            return assign_shard{shard, epoch, holder};
+        }
+        return owner_command{shard, epoch, read_change(name, words)};
+    }
+
+    static program_change read_change(const std::string& name, std::istream& words) {
+        program_id program;
+        words >> program;
+        if (name == "open") {
+            open_program change{program, program, "tenant", "class", "identity", 0};
+            words >> change.budget;
+            return change;
+        }
+        if (name == "close") {
+            return close_program{program, "closed by the caller"};
+        }
+        sequence_number sequence = 0;
+        std::uint32_t attempt = 0;
+        words >> sequence >> attempt;
+        if (name == "begin") {
+            begin_attempt change;
+            std::string repeats;
+            words >> change.target >> change.reservation >> repeats;
+            change.program = program;
+            change.sequence = sequence;
+            change.attempt = attempt;
+            change.request_identity = "request " + std::to_string(sequence);
+            change.repeatable = repeats == "repeat";
+            return change;
+        }
+        if (name == "fail") {
+            std::string ran;
+            words >> ran;
+            return fail_attempt{program, sequence, attempt,
+                                ran == "no" ? ran_state::no : ran_state::unknown};
+        }
+        end_call change{program, sequence, attempt, 0, {}, {}};
+        words >> change.charged;
+        return change;
+    }
+
+    static void check_state(const journal_state_machine& machine, std::istream& words,
+                            const std::string& place) {
+        shard_id shard = 0;
+        program_id program;
+        std::string label;
+        token_count charged = 0;
+        token_count reserved = 0;
+        sequence_number last = 0;
+        std::string closed;
+        words >> shard >> program >> label >> charged >> label >> reserved >> label >> last >>
+            label >> closed;
+        const program_record* record = machine.shards().at(shard).programs.find(program);
+        CPPUNIT_ASSERT_MESSAGE(place, record != nullptr);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(place, charged, record->charged);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(place, reserved, record->reserved);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(place, last, record->last_sequence);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(place, closed == "yes", record->closed);
+    }
+
+    static void replay(const std::filesystem::path& path, bool with_snapshots) {
+        journal_state_machine machine;
+        std::ifstream file(path);
+        std::string line;
+        std::uint64_t index = 0;
+        while (std::getline(file, line)) {
+            const std::string place = path.filename().string() + ": " + line;
+            std::istringstream words(line);
+            std::string name;
+            words >> name;
+            if (name.empty() || name == "#") {
+                continue;
+            }
+            if (name == "state") {
+                check_state(machine, words, place);
+                continue;
+            }
+            const journal_command command = read_command(name, words);
+            std::string equals;
+            std::string stated;
+            words >> equals >> stated;
+            const journal_error outcome = machine.apply(protocol::encode(command), ++index);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(place, stated, std::string(to_string(outcome)));
+            if (with_snapshots) {
+                journal_state_machine restored;
+                restored.restore(machine.save());
+                machine = restored;
+            }
+        }
+        CPPUNIT_ASSERT(index > 0);
+    }
+
+    static void replay_all(bool with_snapshots) {
+        std::size_t count = 0;
+        for (const auto& file : std::filesystem::directory_iterator(
+                 std::string(TALLYFOLD_SOURCE_ROOT) + "/tests/traces")) {
+            replay(file.path(), with_snapshots);
+            ++count;
+        }
+        CPPUNIT_ASSERT(count >= 3);
+    }
+
+    void every_trace_gives_its_stated_outcomes() { replay_all(false); }
+    void a_snapshot_in_between_changes_nothing() { replay_all(true); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(trace_replay_test);
+
+}  // namespace tallyfold::tests
