--- a/src/tallyfold/control/control_core.cpp
+++ b/src/tallyfold/control/control_core.cpp
@@ -20,10 +20,6 @@
 
 }  // namespace
 
-group_id group_of_shard(shard_id shard, std::uint32_t journal_groups) {
-    return 1 + shard % journal_groups;
-}
-
 control_core::control_core(control_settings settings, const consensus::recovered_node& recovered,
                            instant now)
     : settings_(std::move(settings)), identity_(recovered.identity), last_tick_(now) {
--- a/src/tallyfold/control/control_core.hpp
+++ b/src/tallyfold/control/control_core.hpp
@@ -35,9 +35,6 @@
     std::uint64_t seed = 0;
 };
 
-/// The group that a shard's programs are journalled in.
-group_id group_of_shard(shard_id shard, std::uint32_t journal_groups);
-
 /// An operator's request, as the administration API hands it in.
 struct admin_change {
     configuration::change_command command;
--- a/src/tallyfold/control/members_and_leases.cpp
+++ b/src/tallyfold/control/members_and_leases.cpp
@@ -94,7 +94,7 @@
     }
     std::map<shard_id, journal::shard_lease> shards;
     for (shard_id shard = 0; shard < settings_.shard_count; ++shard) {
-        if (group_of_shard(shard, settings_.journal_groups) == group) {
+        if (journal::group_of_shard(shard, settings_.journal_groups) == group) {
             shards[shard] = runtime.journal.lease_of(shard);
         }
     }
--- a/src/tallyfold/journal/shard_state.cpp
+++ b/src/tallyfold/journal/shard_state.cpp
@@ -14,6 +14,10 @@
     return static_cast<shard_id>(stable_hash(root_of_identifier(id)) % shard_count);
 }
 
+group_id group_of_shard(shard_id shard, std::uint32_t journal_groups) {
+    return configuration_group + 1 + shard % journal_groups;
+}
+
 journal_error shard_state::apply(const program_change& change) {
     return std::visit([this](const auto& body) { return apply_change(body); }, change);
 }
--- a/src/tallyfold/journal/shard_state.hpp
+++ b/src/tallyfold/journal/shard_state.hpp
@@ -50,4 +50,7 @@
 /// The shard that a program belongs to.
 shard_id shard_of(const program_id& id, std::uint32_t shard_count);
 
+/// The group that a shard's programs are journalled in; the configuration's group comes first.
+group_id group_of_shard(shard_id shard, std::uint32_t journal_groups);
+
 }  // namespace tallyfold::journal
--- a/src/tallyfold/scheduler/commands/dispatch.cpp
+++ b/src/tallyfold/scheduler/commands/dispatch.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/journal/shard_state.hpp"
 #include "tallyfold/scheduler/scheduler_core.hpp"
 
 namespace tallyfold::scheduler {
@@ -207,7 +207,7 @@
     call.state = call_state::running;
     call.last_progress = now;
     set_start_limit(call, now);
-    const group_id group = control::group_of_shard(call.shard, settings_.journal_groups);
+    const group_id group = journal::group_of_shard(call.shard, settings_.journal_groups);
     if (!session_.lease_valid(group, now)) {
         // Another owner may be at work. Nothing was handed over, so this attempt has not run.
         release_slot(call);
--- a/src/tallyfold/scheduler/commands/program_commands.cpp
+++ b/src/tallyfold/scheduler/commands/program_commands.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/journal/shard_state.hpp"
 #include "tallyfold/scheduler/scheduler_core.hpp"
 
 namespace tallyfold::scheduler {
@@ -71,7 +71,7 @@
         on_inspect(asker, *inspect, shard, now);
         return;
     }
-    const group_id group = control::group_of_shard(number, settings_.journal_groups);
+    const group_id group = journal::group_of_shard(number, settings_.journal_groups);
     const bool confirmed = session_.lease_valid(group, now);
     if (!confirmed && !repeats_active(request.call)) {
         // This copy of the shard may be old: it must not be the ground of a refusal.
--- a/src/tallyfold/scheduler/journal_client.cpp
+++ b/src/tallyfold/scheduler/journal_client.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/journal/shard_state.hpp"
 #include "tallyfold/protocol/binary_codec.hpp"
 
 namespace tallyfold::scheduler {
@@ -19,7 +19,7 @@
     const protocol::correlation_id correlation = next_correlation_++;
     sent_append& append = sent_[correlation];
     append.key = key;
-    append.group = control::group_of_shard(key.shard, journal_groups_);
+    append.group = journal::group_of_shard(key.shard, journal_groups_);
     append.command = queues_.at(key).front();
     append.encoded = protocol::encode(append.command);
     transmit(correlation, append, now);
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "tallyfold/control/control_core.hpp"
 #include "tallyfold/protocol/binary_codec.hpp"
 
 namespace tallyfold::scheduler {
--- a/src/tallyfold/scheduler/shard_ownership.cpp
+++ b/src/tallyfold/scheduler/shard_ownership.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-#include "tallyfold/control/control_core.hpp"
+#include "tallyfold/journal/shard_state.hpp"
 #include "tallyfold/protocol/binary_codec.hpp"
 #include "tallyfold/scheduler/scheduler_core.hpp"
 
@@ -49,7 +49,7 @@
             continue;
         }
         shard.asked = now;
-        const group_id group = control::group_of_shard(number, settings_.journal_groups);
+        const group_id group = journal::group_of_shard(number, settings_.journal_groups);
         const node_name leader = journal_.leader_of(group);
         if (!leader.empty()) {
             output_.messages.push_back({leader, protocol::shard_read{group, number, shard.epoch}});
