--- a/sim/capacity.cpp
+++ b/sim/capacity.cpp
@@ -207,7 +207,7 @@
             for (const auto& message : output.batch->messages_after) {
                 control_bytes_[index] += send(index, message);
             }
-            controls_[index]->persisted(output.batch->number, now_);
+            controls_[index]->persisted(output.batch->number);
         }
         control_work_[index].stop();
     }
--- a/sim/fault_plan.cpp
+++ b/sim/fault_plan.cpp
@@ -375,9 +375,7 @@
         return command;
     };
     // Two operators submit from equal versions; each repeats until an answer arrives.
-    const auto& view = world_.accepted_version();
     const std::uint64_t version = next_command_ / 2;
-    (void)view;
     world_.count("operator_race");
     world_.count("operator_resend");
     world_.submit_change(make(1.0 + random_.unit(), version));
--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -431,7 +431,7 @@
             for (protocol::outbound_message& message : batch.messages_after) {
                 transmit(name, message.to, std::move(message.message));
             }
-            synced.core->persisted(batch.number, local_now(synced));
+            synced.core->persisted(batch.number);
             pump_control(synced);
         });
     });
@@ -476,7 +476,7 @@
     run_on(name, [this, name] {
         node_base& base = *nodes_.at(name);
         if (auto* scheduler = dynamic_cast<scheduler_node*>(&base)) {
-            scheduler->core->drain(local_now(base));
+            scheduler->core->drain();
         } else if (auto* gateway = dynamic_cast<gateway_node*>(&base)) {
             gateway->core->drain();
         }
--- a/src/tallyfold/control/control_core.cpp
+++ b/src/tallyfold/control/control_core.cpp
@@ -206,8 +206,7 @@
     }
 }
 
-void control_core::persisted(std::uint64_t batch_number, instant now) {
-    (void)now;
+void control_core::persisted(std::uint64_t batch_number) {
     const auto found = batches_.find(batch_number);
     if (found == batches_.end()) {
         return;
--- a/src/tallyfold/control/control_core.hpp
+++ b/src/tallyfold/control/control_core.hpp
@@ -101,7 +101,7 @@
     void request(std::uint64_t token, const admin_request& request, instant now);
     void tick(instant now);
     /// The batch with this number is durable.
-    void persisted(std::uint64_t batch_number, instant now);
+    void persisted(std::uint64_t batch_number);
 
     /// Forms the first membership of an empty cluster. @return false when this node already
     /// belongs to one, or the membership does not name it.
--- a/src/tallyfold/control/control_shell.cpp
+++ b/src/tallyfold/control/control_shell.cpp
@@ -179,7 +179,7 @@
 
     void turn(instant now) {
         net::drain_ring(storage_.results(), [&](durable_batch& batch) {
-            core_.persisted(batch.number, now);
+            core_.persisted(batch.number);
             for (protocol::outbound_message& message : batch.messages) {
                 transport_.send(std::move(message));
             }
--- a/src/tallyfold/scheduler/commands/attempt_progress.cpp
+++ b/src/tallyfold/scheduler/commands/attempt_progress.cpp
@@ -45,13 +45,13 @@
         return;
     }
     if (finished.result == journal_error::stale_epoch) {
-        lose_shard(finished.key.shard, now);
+        lose_shard(finished.key.shard);
         return;
     }
     const auto* command = std::get_if<journal::owner_command>(&finished.command);
     if (command == nullptr) {
         // The lease is given up.
-        lose_shard(finished.key.shard, now);
+        lose_shard(finished.key.shard);
         hand_over_.erase(finished.key.shard);
         return;
     }
@@ -216,7 +216,7 @@
                 cache_.stored(call->target, point);
             }
         }
-        update_retention(*call, *program, now);
+        update_retention(*call, *program);
     }
     note(change.program, change.sequence, "ended: " + std::string(to_string(change.result.code)),
          now);
@@ -225,7 +225,7 @@
 }
 
 void scheduler_core::update_retention(const active_call& call,
-                                      const journal::program_record& program, instant now) {
+                                      const journal::program_record& program) {
     const configuration::class_settings* settings =
         configuration().program_class(program.program_class);
     if (settings == nullptr || settings_.placement != scheduling::strategy::policy) {
@@ -257,7 +257,6 @@
     }
     order(retain_cache{call.target, program.id, *value,
                        std::chrono::milliseconds(settings->idle_timeout_ms)});
-    (void)now;
 }
 
 void scheduler_core::on_attempt_failed(const attempt_failed& failed, instant now) {
@@ -374,7 +373,7 @@
     result.code = answer_code::backend_failed;
     result.ran = call.maybe_ran ? ran_state::unknown : ran_state::no;
     result.detail = "the back end failed and the retries are used up";
-    result.retry_after_ms = retry_after(now);
+    result.retry_after_ms = retry_after();
     if (result.ran == ran_state::no) {
         // The journal shows it released: the same request may begin again.
         reply_all(call, result);
@@ -423,12 +422,6 @@
     journal_failure(*call, ran_state::no, now);
 }
 
-void scheduler_core::on_seal_failed(const seal_failed& failed, instant now) {
-    // The timer asks again.
-    (void)failed;
-    (void)now;
-}
-
 void scheduler_core::release_slot(active_call& call) {
     if (!call.slot_held) {
         return;
--- a/src/tallyfold/scheduler/commands/dispatch.cpp
+++ b/src/tallyfold/scheduler/commands/dispatch.cpp
@@ -261,7 +261,7 @@
             result.code = no_backend ? answer_code::no_backend : answer_code::deadline_exceeded;
             result.ran = call.maybe_ran ? ran_state::unknown : ran_state::no;
             result.detail = "the call waited too long for a back end";
-            result.retry_after_ms = retry_after(now);
+            result.retry_after_ms = retry_after();
             reply_all(call, result);
             drop_call(call.id);
         }
--- a/src/tallyfold/scheduler/commands/program_commands.cpp
+++ b/src/tallyfold/scheduler/commands/program_commands.cpp
@@ -173,11 +173,11 @@
         reply(asker, refusal(answer_code::program_not_found, "no such program; open one first"));
         return;
     }
-    if (join_active(asker, call, now) || answer_from_record(asker, call, *program, now) ||
+    if (join_active(asker, call) || answer_from_record(asker, call, *program) ||
         repeat_refusal(asker, call)) {
         return;
     }
-    if (std::optional<outcome> refused = refuse_call(call, *program, shard, now)) {
+    if (std::optional<outcome> refused = refuse_call(call, *program, now)) {
         event(event_id::call_refused, "program=" + call.program +
                                           " sequence=" + std::to_string(call.sequence) +
                                           " code=" + std::string(to_string(refused->code)));
@@ -212,9 +212,7 @@
     return true;
 }
 
-bool scheduler_core::join_active(const waiter& asker, const protocol::program_call& call,
-                                 instant now) {
-    (void)now;
+bool scheduler_core::join_active(const waiter& asker, const protocol::program_call& call) {
     active_call* active = call_of(call.program);
     if (active == nullptr) {
         return false;
@@ -240,8 +238,7 @@
 }
 
 bool scheduler_core::answer_from_record(const waiter& asker, const protocol::program_call& call,
-                                        const journal::program_record& program, instant now) {
-    (void)now;
+                                        const journal::program_record& program) {
     const auto found = program.calls.find(call.sequence);
     if (found == program.calls.end()) {
         if (call.sequence == 0 || call.sequence > program.last_sequence) {
@@ -270,7 +267,7 @@
 
 std::optional<outcome> scheduler_core::refuse_call(const protocol::program_call& call,
                                                    const journal::program_record& program,
-                                                   owned_shard& shard, instant now) {
+                                                   instant now) {
     if (program.closed) {
         return refusal(answer_code::program_closed, "the program is closed; open another");
     }
@@ -316,9 +313,8 @@
     const std::size_t of_tenant = queue_for(call.kind).waiting_of(program.tenant);
     const std::size_t of_class = waiting_of_class_[program.program_class];
     if (of_tenant >= tenant->queue_limit || of_class >= settings->queue_limit) {
-        return refusal(answer_code::overloaded, "too many calls are waiting", retry_after(now));
+        return refusal(answer_code::overloaded, "too many calls are waiting", retry_after());
     }
-    (void)shard;
     return std::nullopt;
 }
 
--- a/src/tallyfold/scheduler/scheduler_core.cpp
+++ b/src/tallyfold/scheduler/scheduler_core.cpp
@@ -112,8 +112,7 @@
     output_.events.push_back({id, std::move(fields)});
 }
 
-std::uint32_t scheduler_core::retry_after(instant now) {
-    (void)now;
+std::uint32_t scheduler_core::retry_after() {
     std::size_t waiting = 0;
     for (const scheduling::call_queue& queue : queues_) {
         waiting += queue.size();
@@ -175,7 +174,7 @@
     } else if (const auto* contents = std::get_if<protocol::shard_contents>(&message)) {
         on_contents(*contents, now);
     } else if (const auto* configured = std::get_if<protocol::configuration_update>(&message)) {
-        on_configuration(*configured, now);
+        on_configuration(*configured);
     } else if (const auto* confirmed = std::get_if<protocol::lease_confirmation>(&message)) {
         session_.on_confirmation(*confirmed);
     } else if (const auto* appended = std::get_if<protocol::journal_append_reply>(&message)) {
@@ -201,7 +200,7 @@
             } else if constexpr (std::is_same_v<body_type, seal_answered>) {
                 on_seal_answered(body, now);
             } else if constexpr (std::is_same_v<body_type, seal_failed>) {
-                on_seal_failed(body, now);
+                // The timer of the call asks again.
             } else if constexpr (std::is_same_v<body_type, release_confirmed>) {
                 for (const program_id& program : body.programs) {
                     cache_releases_.erase({body.backend, program});
@@ -257,8 +256,7 @@
 
 // --- configuration -------------------------------------------------------------------------
 
-void scheduler_core::on_configuration(const protocol::configuration_update& update, instant now) {
-    (void)now;
+void scheduler_core::on_configuration(const protocol::configuration_update& update) {
     if (!session_.on_configuration(update)) {
         return;
     }
--- a/src/tallyfold/scheduler/scheduler_core.hpp
+++ b/src/tallyfold/scheduler/scheduler_core.hpp
@@ -96,7 +96,7 @@
     void report(const backend_report& report, instant now);
     void tick(instant now);
     /// Starts a planned stop: shards are handed over, and what is under way is finished.
-    void drain(instant now);
+    void drain();
     /// True when a drain has finished.
     [[nodiscard]] bool drained() const;
 
@@ -210,8 +210,8 @@
     // Leases, configuration and back ends (scheduler_core.cpp).
     void on_leases(const node_name& from, const protocol::lease_update& update, instant now);
     void on_contents(const protocol::shard_contents& contents, instant now);
-    void on_configuration(const protocol::configuration_update& update, instant now);
-    void lose_shard(shard_id shard, instant now);
+    void on_configuration(const protocol::configuration_update& update);
+    void lose_shard(shard_id shard);
     void load_shards(instant now);
     void release_idle_shards(instant now);
     void compile_policies();
@@ -239,13 +239,13 @@
     void on_close(const waiter& asker, const protocol::close_call& call, owned_shard& shard,
                   shard_id number, instant now);
     bool answer_from_record(const waiter& asker, const protocol::program_call& call,
-                            const journal::program_record& program, instant now);
-    bool join_active(const waiter& asker, const protocol::program_call& call, instant now);
+                            const journal::program_record& program);
+    bool join_active(const waiter& asker, const protocol::program_call& call);
     void remember_refusal(const protocol::program_call& call, const journal::outcome& result);
     bool repeat_refusal(const waiter& asker, const protocol::program_call& call);
     std::optional<journal::outcome> refuse_call(const protocol::program_call& call,
                                                 const journal::program_record& program,
-                                                owned_shard& shard, instant now);
+                                                instant now);
     void admit(const waiter& asker, const protocol::program_call& call,
                const journal::program_record& program, shard_id number, instant now);
     void enqueue(active_call& call);
@@ -274,7 +274,6 @@
     void on_request_answered(const request_answered& answered, instant now);
     void on_attempt_failed(const attempt_failed& failed, instant now);
     void on_seal_answered(const seal_answered& answered, instant now);
-    void on_seal_failed(const seal_failed& failed, instant now);
     void resolve(active_call& call, instant now);
     void start_resolving(active_call& call, instant now);
     void take_over(active_call& call, instant now);
@@ -306,7 +305,7 @@
     void note(const program_id& id, sequence_number sequence, std::string text, instant now);
     void event(logging::event_id id, std::string fields);
     void order(backend_order item) { output_.orders.push_back(std::move(item)); }
-    [[nodiscard]] std::uint32_t retry_after(instant now);
+    [[nodiscard]] std::uint32_t retry_after();
     scheduling::backend_pool& pool(scheduling::backend_kind kind);
     [[nodiscard]] const scheduling::backend_pool& pool(scheduling::backend_kind kind) const;
     scheduling::backend_pool& pool_for(journal::call_kind kind);
@@ -316,8 +315,7 @@
     scheduling::call_features features_of(const active_call& call,
                                           const journal::program_record& program,
                                           const configuration::class_settings& settings) const;
-    void update_retention(const active_call& call, const journal::program_record& program,
-                          instant now);
+    void update_retention(const active_call& call, const journal::program_record& program);
     void queue_cache_release(const program_id& id, instant now);
 
     scheduler_settings settings_;
--- a/src/tallyfold/scheduler/scheduler_shell.cpp
+++ b/src/tallyfold/scheduler/scheduler_shell.cpp
@@ -73,7 +73,7 @@
         }
         if (draining_ && !drain_told_) {
             drain_told_ = true;
-            core_.drain(now);
+            core_.drain();
         }
         core_.tick(now);
         emit(core_.take_output());
--- a/src/tallyfold/scheduler/shard_ownership.cpp
+++ b/src/tallyfold/scheduler/shard_ownership.cpp
@@ -29,7 +29,7 @@
         const bool ours = lease.holder == settings_.node;
         if (owned != shards_.end() && (owned->second.epoch < lease.epoch || !ours)) {
             if (owned->second.epoch <= lease.epoch) {
-                lose_shard(shard, now);
+                lose_shard(shard);
             }
         }
         if (ours && !shards_.contains(shard)) {
@@ -83,7 +83,7 @@
                                       " programs=" + std::to_string(shard.state.programs().size()));
 }
 
-void scheduler_core::lose_shard(shard_id number, instant now) {
+void scheduler_core::lose_shard(shard_id number) {
     const auto found = shards_.find(number);
     if (found == shards_.end()) {
         return;
@@ -134,11 +134,9 @@
         return true;
     });
     shards_.erase(found);
-    (void)now;
 }
 
-void scheduler_core::drain(instant now) {
-    (void)now;
+void scheduler_core::drain() {
     draining_ = true;
     session_.set_draining();
     session_.hurry();
--- a/stand_ins/backend_process_shell.cpp
+++ b/stand_ins/backend_process_shell.cpp
@@ -167,7 +167,6 @@
     }
 
     bool on_other(net::exchange_pointer exchange, instant now) override {
-        (void)now;
         const std::string& path = exchange->path();
         if (path == "/v1/orders") {
             on_engine_order(std::move(exchange));
