--- a/src/tallyfold/gateway/gateway_shell.cpp
+++ b/src/tallyfold/gateway/gateway_shell.cpp
@@ -23,6 +23,9 @@
 using logging::event_id;
 
 constexpr std::size_t ring_capacity = 8192;
+/// Bodies up to this many times the limit are read, so that they get an answer; for longer ones the
+/// connection is closed.
+constexpr std::size_t drained_body_factor = 4;
 constexpr auto metrics_interval = std::chrono::seconds(1);
 
 struct http_input {
@@ -39,7 +42,7 @@
           http_inputs_(ring_capacity, logic_.notifier()),
           peers_(logic_.notifier()),
           transport_({settings.core.node, {}, settings.key_file}, peers_.handlers()),
-          server_({settings.http_listen, settings.largest_body},
+          server_({settings.http_listen, settings.largest_body * drained_body_factor},
                   [this](net::exchange_pointer exchange) { on_http(std::move(exchange)); }) {}
 
     int run(const std::atomic<bool>& stop) {
@@ -67,6 +70,14 @@
         if (net::answer_health(*exchange, ready_, metrics_)) {
             return;
         }
+        if (exchange->body().size() > settings_.largest_body) {
+            journal::outcome refused;
+            refused.code = journal::answer_code::too_large;
+            refused.detail = "the body has more than " + std::to_string(settings_.largest_body) +
+                             " bytes; send a shorter one";
+            respond(*exchange, {}, refused);
+            return;
+        }
         auto request = parse_request(exchange->method(), exchange->path(), exchange->body(),
                                      exchange->header("Idempotency-Key"));
         if (!request) {
