--- a/apps/tallyfold_prove.cpp
+++ b/apps/tallyfold_prove.cpp
@@ -27,8 +27,12 @@
         for (const std::string& fault : property.faults) {
             std::cout << ' ' << fault;
         }
-        std::cout << "\n  proved: simulation (scripts/prove --property " << property.name
-                  << "); processes: see scripts/fault --list\n";
+        std::cout << "\n  tests: " << property.tests << "\n  proved by: "
+                  << (property.scenarios.empty()
+                          ? "simulation"
+                          : "both, simulation and processes (scripts/fault: " + property.scenarios +
+                                ")")
+                  << '\n';
     }
 }
 
@@ -127,6 +131,16 @@
                   << " times, median " << gaps[gaps.size() / 2] << " ms, p99 "
                   << gaps[gaps.size() * 99 / 100] << " ms\n";
     }
+    std::uint64_t not_injected = 0;
+    constexpr std::uint64_t seeds_for_every_fault = 200;
+    for (const auto& [name, row] : rows) {
+        for (const auto& [fault, count] : row.faults) {
+            if (count == 0 && seeds.getValue() >= seeds_for_every_fault) {
+                std::cout << "NOT INJECTED " << fault << ", which concerns " << name << '\n';
+                ++not_injected;
+            }
+        }
+    }
     std::cout << seeds.getValue() - failed_runs << " passed, " << failed_runs << " failed\n";
-    return failed_runs == 0 ? 0 : 1;
+    return failed_runs == 0 && not_injected == 0 ? 0 : 1;
 }
--- a/sim/checkers.hpp
+++ b/sim/checkers.hpp
@@ -18,6 +18,10 @@
     std::string statement;
     /// Kinds of faults that concern it.
     std::vector<std::string> faults;
+    /// Suites that test its mechanism, and scenarios of scripts/fault that judge it; empty for
+    /// none.
+    std::string tests;
+    std::string scenarios;
     /// Violations found, each with enough to find it again.
     std::function<std::vector<std::string>(const observations&)> check;
 };
