--- a/sim/fault_plan.cpp
+++ b/sim/fault_plan.cpp
@@ -350,18 +350,18 @@
     troubled_.insert(victim);
     world_.count(scheduler ? "drain_scheduler" : "drain_gateway");
     world_.drain(victim);
-    // The process ends when its drain is done, and a new one takes its place.
-    const auto poll = std::make_shared<std::function<void()>>();
-    *poll = [this, victim, poll] {
-        if (!world_.drained(victim)) {
-            world_.events().after(repair_poll, *poll);
-            return;
-        }
-        world_.kill(victim);
-        troubled_.erase(victim);
-        restart_later(victim, 200, 1500);
-    };
-    world_.events().after(repair_poll, *poll);
+    await_drain(victim);
+}
+
+void fault_plan::await_drain(const std::string& victim) {
+    if (!world_.drained(victim)) {
+        world_.events().after(repair_poll, [this, victim] { await_drain(victim); });
+        return;
+    }
+    // The process has ended, and a new one takes its place.
+    world_.kill(victim);
+    troubled_.erase(victim);
+    restart_later(victim, 200, 1500);
 }
 
 void fault_plan::inject_operator_action() {
--- a/sim/fault_plan.hpp
+++ b/sim/fault_plan.hpp
@@ -46,6 +46,7 @@
     void inject_planned_stop();
     void inject_operator_action();
     void await_repair(const std::string& repaired);
+    void await_drain(const std::string& victim);
     void restart_later(const std::string& node, std::int64_t low_ms, std::int64_t high_ms);
     [[nodiscard]] std::string pick(const std::string& prefix);
     [[nodiscard]] bool may_harm_control() const;
