--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -124,7 +124,6 @@
 }
 
 relay_arguments=()
-add_route() { relay_arguments+=(--route "$1,$2,$3,$4"); }
 
 start_engine() {
     fleet_start "engine-$1" stand-in-engine --name "engine-$1" --listen "127.0.4.$1:8000" \
@@ -157,24 +156,21 @@
     fleet_start platform stand-in-platform --listen 127.0.7.1:8000 "${members[@]}"
 }
 
-start_relay() {
+# add_routes KIND ROW PORT COUNT DELAY: a route to each process of a kind.
+add_routes() {
     local n
-    for n in 1 2 3; do add_route "control-$n" "127.1.1.$n:7100" "127.0.1.$n:7100" "$link_us"; done
-    for n in $(seq "$scheduler_count"); do
-        add_route "scheduler-$n" "127.1.2.$n:7200" "127.0.2.$n:7200" "$link_us"
-    done
-    for n in $(seq "$gateway_count"); do
-        add_route "gateway-$n" "127.1.3.$n:7300" "127.0.3.$n:7300" "$client_us"
-    done
-    for n in $(seq "$engine_count"); do
-        add_route "engine-$n" "127.1.4.$n:8000" "127.0.4.$n:8000" "$link_us"
-    done
-    for n in $(seq "$app_count"); do
-        add_route "app-$n" "127.1.5.$n:8000" "127.0.5.$n:8000" "$link_us"
-    done
-    for n in $(seq "$tool_count"); do
-        add_route "tool-$n" "127.1.6.$n:8000" "127.0.6.$n:8000" "$link_us"
+    for n in $(seq "$4"); do
+        relay_arguments+=(--route "$1-$n,127.1.$2.$n:$3,127.0.$2.$n:$3,$5")
     done
+}
+
+start_relay() {
+    add_routes control 1 7100 3 "$link_us"
+    add_routes scheduler 2 7200 "$scheduler_count" "$link_us"
+    add_routes gateway 3 7300 "$gateway_count" "$client_us"
+    add_routes engine 4 8000 "$engine_count" "$link_us"
+    add_routes app 5 8000 "$app_count" "$link_us"
+    add_routes tool 6 8000 "$tool_count" "$link_us"
     fleet_start relay stand-in-relay --http-listen 127.0.8.1:8000 "${relay_arguments[@]}"
 }
 
