--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -305,7 +305,9 @@
 asio::awaitable<http::endpoint_response> directory_node::replace(
     const http::endpoint_request& request, const replace_call& call) {
     const routing::configuration_version version = call.parsed.version;
-    const answer_kind kind = co_await submit(replace_configuration{call.parsed, call.text});
+    // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
+    directory_command command = replace_configuration{call.parsed, call.text};
+    const answer_kind kind = co_await submit(std::move(command));
     logging::write_event(
         logging::event_id::configuration_changed,
         "version=" + std::to_string(version) + " outcome=" +
@@ -349,7 +351,8 @@
     if (!core_->may_retire(node)) {
         co_return dialect_.refused(409, "too few stores would be left");
     }
-    const answer_kind kind = co_await submit(retire_store{node});
+    directory_command command = retire_store{node};
+    const answer_kind kind = co_await submit(std::move(command));
     co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
 }
 
--- a/src/tallyfold/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/http/endpoint_server_shell.cpp
@@ -106,7 +106,9 @@
             if (too_large) {
                 response.status = 413;
             } else {
-                response = co_await on_request_({head.method, head.target, std::move(body)});
+                // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
+                endpoint_request request{head.method, head.target, std::move(body)};
+                response = co_await on_request_(std::move(request));
             }
         }
         const auto written =
