--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -22,7 +22,7 @@
     on_map_ = std::move(on_map);
     describe_store_ = std::move(describe_store);
     heard_ = http::steady_now();
-    use_seeds(process_.settings().seed_peers());
+    use_seeds(process_.settings().seed_directories());
     process_.every(settings_.report_interval, [this] { report(); });
 }
 
--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -187,7 +187,7 @@
 }
 
 void directory_core::lead(instant now) {
-    if (const auto members = member_planner_.plan(replica_, identity_, now)) {
+    if (const auto members = member_planner_.plan(view_of(replica_), identity_, now)) {
         if (replica_.propose_membership(*members)) {
             event(logging::event_id::membership_changed,
                   "voters=" + std::to_string(members->voter_count()) +
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -104,7 +104,7 @@
                                const operator_dialect& dialect)
     : process_(settings),
       dialect_(dialect),
-      peers_(process_.loop(), settings.peer_address()),
+      peers_(process_.loop(), settings.directory_address()),
       operators_(process_.loop(), settings.operators_address, largest_body),
       writes_(counter(process_.metrics(), "tallyfold_directory_writes_total",
                       "Synced writes of the directory's log")),
@@ -116,10 +116,11 @@
 directory_settings directory_node::core_settings() const {
     const settings::node_settings& settings = process_.settings();
     directory_settings chosen;
-    chosen.address = settings.peer_address();
-    chosen.seeds = settings.seed_peers();
+    chosen.address = settings.directory_address();
+    chosen.seeds = settings.seed_directories();
     chosen.first_start = settings.first_start;
     chosen.members.most_voters = 2 * settings.losses_borne + 3;
+    chosen.members.fewest_voters = 2 * settings.losses_borne + 1;
     chosen.stores.losses = settings.losses_borne;
     chosen.seed = draw_number();
     return chosen;
@@ -194,7 +195,7 @@
 }
 
 void directory_node::send(addressed_message message) {
-    if (message.to.empty() || message.to == process_.settings().peer_address()) {
+    if (message.to.empty() || message.to == process_.settings().directory_address()) {
         return;
     }
     auto& link = links_[message.to];
@@ -209,7 +210,7 @@
                     });
     }
     if (auto* replica = std::get_if<consensus::replica_message>(&message.body)) {
-        link->send(messaging::replica_envelope{process_.settings().peer_address(),
+        link->send(messaging::replica_envelope{process_.settings().directory_address(),
                                                std::move(*replica)});
     } else {
         link->send(std::get<join_request>(message.body));
--- a/src/tallyfold/directory/member_planner.cpp
+++ b/src/tallyfold/directory/member_planner.cpp
@@ -14,6 +14,16 @@
 
 }  // namespace
 
+replication_view view_of(const consensus::replica_fsm& replica) {
+    replication_view view;
+    view.members = replica.members();
+    view.commit_index = replica.commit_index();
+    for (const auto& [id, member] : view.members.members) {
+        view.matched[id] = replica.match_index(id);
+    }
+    return view;
+}
+
 void member_planner::start(instant now) {
     started_ = now;
     heard_.clear();
@@ -45,12 +55,12 @@
     return std::nullopt;
 }
 
-std::optional<replica_id> member_planner::ready_learner(const consensus::replica_fsm& replica,
+std::optional<replica_id> member_planner::ready_learner(const replication_view& view,
                                                         instant now) const {
-    for (const auto& [id, member] : replica.members().members) {
-        const bool caught_up =
-            replica.match_index(id) + caught_up_lag >= replica.commit_index() &&
-            replica.match_index(id) > 0;
+    for (const auto& [id, member] : view.members.members) {
+        const auto found = view.matched.find(id);
+        const consensus::log_index matched = found == view.matched.end() ? 0 : found->second;
+        const bool caught_up = matched > 0 && matched + caught_up_lag >= view.commit_index;
         if (member.learner && caught_up && !silent(id, join_lifetime, now)) {
             return id;
         }
@@ -58,9 +68,9 @@
     return std::nullopt;
 }
 
-std::optional<membership> member_planner::plan(const consensus::replica_fsm& replica,
-                                               replica_id self, instant now) const {
-    membership next = replica.members();
+std::optional<membership> member_planner::plan(const replication_view& view, replica_id self,
+                                               instant now) const {
+    membership next = view.members;
     if (const auto lost = lost_disk(next, now); lost && *lost != self) {
         next.members.erase(*lost);
         return next;
@@ -71,16 +81,18 @@
             return next;
         }
     }
-    const auto learner = ready_learner(replica, now);
+    const auto learner = ready_learner(view, now);
     if (learner && next.voter_count() < settings_.most_voters) {
         next.members[*learner].learner = false;
         return next;
     }
-    for (const auto& [id, member] : replica.members().members) {
+    const bool others_suffice = next.voter_count() > settings_.fewest_voters;
+    for (const auto& [id, member] : view.members.members) {
         if (id == self) {
             continue;
         }
-        const bool replaceable = !member.learner && learner && silent(id, settings_.silence, now);
+        const bool removable = learner.has_value() || others_suffice;
+        const bool replaceable = !member.learner && removable && silent(id, settings_.silence, now);
         const bool forgotten = member.learner && silent(id, settings_.learner_silence, now);
         if (replaceable || forgotten) {
             next.members.erase(id);
--- a/src/tallyfold/directory/member_planner.hpp
+++ b/src/tallyfold/directory/member_planner.hpp
@@ -12,10 +12,24 @@
 
 namespace tallyfold::directory {
 
+/// What the leader's replica says of its group.
+struct replication_view {
+    consensus::membership members;
+    consensus::log_index commit_index = 0;
+    /// Last index that each member is known to hold durably.
+    std::map<consensus::replica_id, consensus::log_index> matched;
+};
+
+/// The view of a replica that leads.
+replication_view view_of(const consensus::replica_fsm& replica);
+
 struct member_planner_settings {
     /// Replicas with a vote at most; more members stay learners.
     std::size_t most_voters = 5;
-    /// A voter that was silent for this long makes room when a caught-up learner stands ready.
+    /// Voters that have to remain when a silent one is removed without a successor.
+    std::size_t fewest_voters = 3;
+    /// A voter that was silent for this long makes room for a caught-up learner, or is removed
+    /// when enough others remain: a dead voter costs the group one further loss.
     duration silence = std::chrono::seconds(4);
     /// A learner that was silent for this long is forgotten.
     duration learner_silence = std::chrono::seconds(15);
@@ -31,7 +45,7 @@
     void heard(consensus::replica_id replica, instant now) { heard_[replica] = now; }
     void on_join(const join_request& request, instant now);
     /// The membership to propose, or nothing.
-    [[nodiscard]] std::optional<consensus::membership> plan(const consensus::replica_fsm& replica,
+    [[nodiscard]] std::optional<consensus::membership> plan(const replication_view& view,
                                                             consensus::replica_id self,
                                                             instant now) const;
 
@@ -43,8 +57,8 @@
     [[nodiscard]] bool silent(consensus::replica_id id, duration limit, instant now) const;
     [[nodiscard]] std::optional<consensus::replica_id> lost_disk(
         const consensus::membership& members, instant now) const;
-    [[nodiscard]] std::optional<consensus::replica_id> ready_learner(
-        const consensus::replica_fsm& replica, instant now) const;
+    [[nodiscard]] std::optional<consensus::replica_id> ready_learner(const replication_view& view,
+                                                                     instant now) const;
 
     member_planner_settings settings_;
     instant started_{};
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -251,7 +251,7 @@
     }
     return process_.run([this] { stop(); },
                         [this](const settings::node_settings& settings) {
-                            directory_.use_seeds(settings.seed_peers());
+                            directory_.use_seeds(settings.seed_directories());
                         });
 }
 
--- a/src/tallyfold/settings/node_settings.cpp
+++ b/src/tallyfold/settings/node_settings.cpp
@@ -25,14 +25,18 @@
 
 }  // namespace
 
-std::string node_settings::peer_address() const { return net::join_address(ip, peer_port); }
+std::string node_settings::directory_address() const {
+    return net::join_address(ip, directory_port);
+}
+
+std::string node_settings::store_address() const { return net::join_address(ip, store_port); }
 
-std::vector<std::string> node_settings::seed_peers() const {
-    std::vector<std::string> peers;
+std::vector<std::string> node_settings::seed_directories() const {
+    std::vector<std::string> addresses;
     for (const std::string& seed : seeds) {
-        peers.push_back(net::join_address(net::ip_of(seed), peer_port));
+        addresses.push_back(net::join_address(net::ip_of(seed), directory_port));
     }
-    return peers;
+    return addresses;
 }
 
 tl::expected<node_settings, std::vector<settings_problem>> read_node_settings(
@@ -46,8 +50,10 @@
     read.node = reader.text("node");
     read.zone = reader.text("zone");
     read.ip = reader.text("ip");
-    read.peer_port =
-        static_cast<std::uint16_t>(reader.integer_or("peer_port", 0, 1, largest_port));
+    read.directory_port =
+        static_cast<std::uint16_t>(reader.integer_or("directory_port", 0, 1, largest_port));
+    read.store_port =
+        static_cast<std::uint16_t>(reader.integer_or("store_port", 0, 1, largest_port));
     read.seeds = reader.text_list("seeds");
     for (const std::string& seed : read.seeds) {
         if (!is_endpoint(seed)) {
--- a/src/tallyfold/settings/node_settings.hpp
+++ b/src/tallyfold/settings/node_settings.hpp
@@ -18,8 +18,9 @@
     std::string zone;
     /// Address of this machine, without a port.
     std::string ip;
-    /// Port at which nodes reach each other, the same on every machine.
-    std::uint16_t peer_port = 0;
+    /// Ports at which other nodes reach the directory and the stores, the same on every machine.
+    std::uint16_t directory_port = 0;
+    std::uint16_t store_port = 0;
     /// Addresses ("ip:port") of operators' interfaces of some directory nodes.
     std::vector<std::string> seeds;
     /// True on the very first start of the whole system.
@@ -40,9 +41,11 @@
     /// Time that an operator waits for an acknowledgement.
     duration acknowledge{};
 
-    [[nodiscard]] std::string peer_address() const;
-    /// Addresses of the seeds between nodes.
-    [[nodiscard]] std::vector<std::string> seed_peers() const;
+    /// Where other nodes reach this node's directory or store.
+    [[nodiscard]] std::string directory_address() const;
+    [[nodiscard]] std::string store_address() const;
+    /// Where other nodes reach the directory of the seeds.
+    [[nodiscard]] std::vector<std::string> seed_directories() const;
 };
 
 /// Reads and checks the file.
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -85,7 +85,7 @@
 store_node::store_node(const settings::node_settings& settings)
     : process_(settings),
       directory_(process_, {std::chrono::milliseconds(300), true, false}),
-      peers_(process_.loop(), settings.peer_address()),
+      peers_(process_.loop(), settings.store_address()),
       changes_(prometheus::BuildCounter()
                    .Name("tallyfold_store_changes_total")
                    .Help("Reservations and settlements taken")
@@ -141,7 +141,7 @@
 
 directory::store_report store_node::describe() const {
     const settings::node_settings& settings = process_.settings();
-    return {{log_->identity(), settings.node, settings.peer_address(), settings.zone},
+    return {{log_->identity(), settings.node, settings.store_address(), settings.zone},
             copied_epoch_};
 }
 
@@ -403,7 +403,7 @@
     process_.every(copy_interval, [this] { copy_more(); });
     return process_.run([this] { process_.after(stop_delay, [this] { process_.finish(); }); },
                         [this](const settings::node_settings& settings) {
-                            directory_.use_seeds(settings.seed_peers());
+                            directory_.use_seeds(settings.seed_directories());
                         });
 }
 
--- /dev/null
+++ b/tests/directory/member_planner_test.cpp
@@ -0,0 +1,95 @@
+#include "tallyfold/directory/member_planner.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace directory;
+using consensus::replica_id;
+
+class member_planner_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(member_planner_test);
+    CPPUNIT_TEST(a_dead_voter_goes_when_enough_others_remain);
+    CPPUNIT_TEST(a_dead_voter_stays_when_too_few_would_remain);
+    CPPUNIT_TEST(a_caught_up_learner_takes_a_dead_voters_place);
+    CPPUNIT_TEST(a_lost_disk_is_removed_as_soon_as_its_machine_joins_anew);
+    CPPUNIT_TEST(a_learner_votes_only_once_it_has_caught_up);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr replica_id self = 1;
+    static instant at(int milliseconds) {
+        return instant(std::chrono::milliseconds(milliseconds));
+    }
+
+    static replication_view voters(std::size_t count) {
+        replication_view view;
+        view.commit_index = 10;
+        for (replica_id id = 1; id <= count; ++id) {
+            view.members.members[id] = {"10.0.0." + std::to_string(id) + ":7000", false};
+            view.matched[id] = 10;
+        }
+        return view;
+    }
+
+    /// A planner that heard all members but `dead` until shortly before `now`.
+    static member_planner listening(const replication_view& view, replica_id dead, instant now) {
+        member_planner planner({});
+        planner.start(at(0));
+        for (const auto& [id, member] : view.members.members) {
+            planner.heard(id, id == dead ? at(0) : now);
+        }
+        return planner;
+    }
+
+    void a_dead_voter_goes_when_enough_others_remain() {
+        // Found on a day that emptied a machine for good and then wiped another one: two of four
+        // voters were left, and no majority ever again.
+        const replication_view view = voters(4);
+        const auto next = listening(view, 3, at(6000)).plan(view, self, at(6000));
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT(!next->members.contains(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, next->voter_count());
+    }
+
+    void a_dead_voter_stays_when_too_few_would_remain() {
+        const replication_view view = voters(3);
+        CPPUNIT_ASSERT(!listening(view, 3, at(6000)).plan(view, self, at(6000)).has_value());
+    }
+
+    void a_caught_up_learner_takes_a_dead_voters_place() {
+        replication_view view = voters(5);
+        view.members.members[9] = {"10.0.0.9:7000", true};
+        view.matched[9] = 10;
+        const auto next = listening(view, 2, at(6000)).plan(view, self, at(6000));
+        CPPUNIT_ASSERT(next.has_value());
+        CPPUNIT_ASSERT(!next->members.contains(2));
+        CPPUNIT_ASSERT(next->members.contains(9));
+    }
+
+    void a_lost_disk_is_removed_as_soon_as_its_machine_joins_anew() {
+        const replication_view view = voters(3);
+        member_planner planner = listening(view, 0, at(1000));
+        planner.on_join({77, "10.0.0.2:7000"}, at(1000));
+        const auto removed = planner.plan(view, self, at(1000));
+        CPPUNIT_ASSERT(removed.has_value() && !removed->members.contains(2));
+        replication_view rest = view;
+        rest.members = *removed;
+        const auto added = planner.plan(rest, self, at(1000));
+        CPPUNIT_ASSERT(added.has_value() && added->members.at(77).learner);
+    }
+
+    void a_learner_votes_only_once_it_has_caught_up() {
+        replication_view view = voters(3);
+        view.members.members[9] = {"10.0.0.9:7000", true};
+        view.matched[9] = 2;
+        member_planner planner = listening(view, 0, at(1000));
+        CPPUNIT_ASSERT(!planner.plan(view, self, at(1000)).has_value());
+        view.matched[9] = 9;
+        const auto next = planner.plan(view, self, at(1000));
+        CPPUNIT_ASSERT(next.has_value() && !next->members.at(9).learner);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(member_planner_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/http/message_parser_test.cpp
@@ -0,0 +1,108 @@
+#include "tallyfold/http/message_parser.hpp"
+
+#include "tallyfold/http/event_stream.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace http;
+
+class message_parser_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(message_parser_test);
+    CPPUNIT_TEST(a_request_split_at_any_byte_reads_the_same);
+    CPPUNIT_TEST(bytes_behind_a_message_are_left_alone);
+    CPPUNIT_TEST(an_answer_without_a_length_ends_with_its_connection);
+    CPPUNIT_TEST(a_cut_answer_is_not_whole);
+    CPPUNIT_TEST(bytes_that_are_no_answer_are_refused);
+    CPPUNIT_TEST(a_head_over_its_bound_is_told_apart);
+    CPPUNIT_TEST(fields_of_one_connection_are_not_passed_on);
+    CPPUNIT_TEST(events_split_at_any_byte_read_the_same);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::size_t bound = 16U << 10U;
+
+    void a_request_split_at_any_byte_reads_the_same() {
+        const std::string text =
+            "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            message_parser parser(message_kind::request, bound);
+            CPPUNIT_ASSERT(parser.feed(text.substr(0, cut)).has_value());
+            CPPUNIT_ASSERT(parser.feed(text.substr(cut)).has_value());
+            CPPUNIT_ASSERT(parser.complete());
+            CPPUNIT_ASSERT_EQUAL(std::string("POST"), parser.head().method);
+            CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), parser.head().target);
+            CPPUNIT_ASSERT_EQUAL(std::string("h.example"), *parser.head().headers.find("host"));
+            CPPUNIT_ASSERT_EQUAL(std::string("abcde"), parser.take_body());
+        }
+    }
+
+    void bytes_behind_a_message_are_left_alone() {
+        message_parser parser(message_kind::response, bound);
+        const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        const auto consumed = parser.feed(first + "HTTP/1.1 200 OK\r\n");
+        CPPUNIT_ASSERT(consumed.has_value());
+        CPPUNIT_ASSERT_EQUAL(first.size(), *consumed);
+        CPPUNIT_ASSERT(parser.complete());
+    }
+
+    void an_answer_without_a_length_ends_with_its_connection() {
+        message_parser parser(message_kind::response, bound);
+        CPPUNIT_ASSERT(parser.feed("HTTP/1.1 200 OK\r\n\r\nsome").has_value());
+        CPPUNIT_ASSERT(parser.head().framing == body_framing::until_close);
+        CPPUNIT_ASSERT(!parser.complete());
+        CPPUNIT_ASSERT(parser.finish());
+        CPPUNIT_ASSERT_EQUAL(std::string("some"), parser.take_body());
+    }
+
+    void a_cut_answer_is_not_whole() {
+        message_parser counted(message_kind::response, bound);
+        CPPUNIT_ASSERT(counted.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome").has_value());
+        CPPUNIT_ASSERT(!counted.finish());
+        message_parser chunked(message_kind::response, bound);
+        CPPUNIT_ASSERT(
+            chunked.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n")
+                .has_value());
+        CPPUNIT_ASSERT(!chunked.finish());
+    }
+
+    void bytes_that_are_no_answer_are_refused() {
+        message_parser parser(message_kind::response, bound);
+        CPPUNIT_ASSERT(!parser.feed("\x01\x02 nonsense\r\n\r\n").has_value());
+    }
+
+    void a_head_over_its_bound_is_told_apart() {
+        message_parser parser(message_kind::request, 64);
+        const auto fed = parser.feed("GET / HTTP/1.1\r\nA: " + std::string(100, 'x'));
+        CPPUNIT_ASSERT(!fed.has_value());
+        CPPUNIT_ASSERT(fed.error() == parse_failure::head_too_large);
+    }
+
+    void fields_of_one_connection_are_not_passed_on() {
+        header_list headers;
+        headers.add("Connection", "close, X-Hop");
+        headers.add("X-Hop", "1");
+        headers.add("Keep-Alive", "timeout=5");
+        headers.add("X-Kept", "2");
+        const header_list kept = headers.end_to_end();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.fields().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("X-Kept"), kept.fields().front().name);
+    }
+
+    void events_split_at_any_byte_read_the_same() {
+        const std::string text =
+            "id: 1\ndata: one\n\nid: 2\nx-weight-versions: 4\ndata: two\n\nid: 3\ndata: cut";
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            event_stream_reader reader;
+            reader.feed(text.substr(0, cut));
+            reader.feed(text.substr(cut));
+            CPPUNIT_ASSERT_EQUAL(std::string("one\ntwo\n"), reader.data());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, reader.events());
+            CPPUNIT_ASSERT(!reader.at_boundary());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(message_parser_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/turns/quorum_operations_test.cpp
@@ -0,0 +1,177 @@
+#include "tallyfold/turns/quorum_operations.hpp"
+
+#include <rapidcheck.h>
+
+#include "tallyfold/common/random.hpp"
+#include "tallyfold/turns/copy_progress.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace turns;
+
+class quorum_operations_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(quorum_operations_test);
+    CPPUNIT_TEST(a_minority_decides_nothing);
+    CPPUNIT_TEST(a_disk_that_refuses_writes_does_not_count);
+    CPPUNIT_TEST(an_unknown_turn_is_known_by_a_majority_only);
+    CPPUNIT_TEST(the_budget_counts_open_turns_at_their_most);
+    CPPUNIT_TEST(a_change_of_the_map_asks_both_majorities);
+    CPPUNIT_TEST(a_line_is_put_together_from_several_stores);
+    CPPUNIT_TEST(two_turns_that_begin_at_once_never_both_overlook_each_other);
+    CPPUNIT_TEST(a_copy_meets_every_majority);
+    CPPUNIT_TEST_SUITE_END();
+
+    static store_member member(store_id id) {
+        return {id, std::to_string(id), "10.0.0.1:" + std::to_string(7000 + id), "zone"};
+    }
+    static store_map map_of(std::vector<store_id> current, std::vector<store_id> next = {}) {
+        store_map map;
+        map.epoch = 1;
+        for (const store_id id : current) {
+            map.current.push_back(member(id));
+        }
+        for (const store_id id : next) {
+            map.next.push_back(member(id));
+        }
+        return map;
+    }
+    static begin_reply durable(store_id store, program_ledger ledger = {}) {
+        begin_reply reply;
+        reply.store = store;
+        reply.durable = true;
+        reply.ledger = std::move(ledger);
+        return reply;
+    }
+    static begin_operation operation(store_map map, std::string previous = {},
+                                     token_count budget = 0) {
+        return {std::move(map), turn_reservation{"program", "own", 100, 60'000},
+                std::move(previous), budget};
+    }
+
+    void a_minority_decides_nothing() {
+        begin_operation begin = operation(map_of({1, 2, 3}));
+        begin.on_reply(durable(1));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(1));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(3));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::admitted);
+    }
+
+    void a_disk_that_refuses_writes_does_not_count() {
+        begin_operation begin = operation(map_of({1, 2, 3}));
+        begin_reply full = durable(1);
+        full.durable = false;
+        begin.on_reply(full);
+        begin.on_reply(durable(2));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(3));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::admitted);
+    }
+
+    void an_unknown_turn_is_known_by_a_majority_only() {
+        begin_operation begin = operation(map_of({1, 2, 3}), "before");
+        begin.on_reply(durable(1));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(2));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::unknown_previous);
+    }
+
+    void the_budget_counts_open_turns_at_their_most() {
+        begin_operation fits = operation(map_of({1, 2, 3}), {}, 250);
+        fits.on_reply(durable(1, {{"x", {100, false}}}));
+        fits.on_reply(durable(2, {{"x", {40, true}}, {"y", {100, false}}}));
+        CPPUNIT_ASSERT_EQUAL(token_count{140}, fits.used_tokens());
+        CPPUNIT_ASSERT(fits.outcome() == begin_outcome::admitted);
+        begin_operation exceeds = operation(map_of({1, 2, 3}), {}, 239);
+        exceeds.on_reply(durable(1, {{"x", {40, true}}}));
+        exceeds.on_reply(durable(2, {{"y", {100, false}}}));
+        CPPUNIT_ASSERT(exceeds.outcome() == begin_outcome::over_budget);
+    }
+
+    void a_change_of_the_map_asks_both_majorities() {
+        begin_operation begin = operation(map_of({1, 2, 3}, {2, 3, 4, 5, 6}));
+        begin.on_reply(durable(1));
+        begin.on_reply(durable(2));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(4));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        begin.on_reply(durable(5));
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::admitted);
+    }
+
+    void a_line_is_put_together_from_several_stores() {
+        begin_operation begin = operation(map_of({1, 2, 3}), "b");
+        begin_reply first = durable(1);
+        first.knows_previous = true;
+        first.chain.records = {{"b", "a", "in-b", "out-b"}};
+        begin.on_reply(first);
+        begin.on_reply(durable(2));
+        CPPUNIT_ASSERT(begin.reserved());
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::pending);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), begin.missing_turn());
+        chain_reply rest;
+        rest.chain.records = {{"a", "", "in-a", "out-a"}};
+        begin.on_chain(rest);
+        CPPUNIT_ASSERT(begin.outcome() == begin_outcome::admitted);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), begin.chain().front()->request);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), begin.chain().back()->request);
+    }
+
+    /// Runs two begins against stores that take their messages in an order drawn by a seed.
+    static bool one_sees_the_other(std::uint64_t seed) {
+        random_source random(seed);
+        std::map<store_id, program_ledger> stores{{1, {}}, {2, {}}, {3, {}}};
+        // A budget that holds one of the two turns only.
+        begin_operation left = operation(map_of({1, 2, 3}), {}, 150);
+        begin_operation right{map_of({1, 2, 3}), turn_reservation{"program", "other", 100, 60'000},
+                              {}, 150};
+        std::vector<std::pair<bool, store_id>> messages;
+        for (const store_id id : {1, 2, 3}) {
+            messages.emplace_back(true, id);
+            messages.emplace_back(false, id);
+        }
+        while (!messages.empty()) {
+            const std::size_t pick = random.below(messages.size());
+            const auto [is_left, id] = messages[pick];
+            messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(pick));
+            begin_operation& begin = is_left ? left : right;
+            if (begin.outcome() != begin_outcome::pending || random.chance(0.1)) {
+                continue;
+            }
+            stores[id][is_left ? "own" : "other"] = {100, false};
+            begin.on_reply(durable(id, stores[id]));
+        }
+        return !(left.outcome() == begin_outcome::admitted &&
+                 right.outcome() == begin_outcome::admitted);
+    }
+
+    void two_turns_that_begin_at_once_never_both_overlook_each_other() {
+        const bool holds = rc::check("of two begins at least one sees the other",
+                                     [](std::uint64_t seed) { RC_ASSERT(one_sees_the_other(seed)); });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void a_copy_meets_every_majority() {
+        for (std::size_t stores = 1; stores <= 9; ++stores) {
+            std::vector<store_id> current;
+            for (store_id id = 1; id <= stores; ++id) {
+                current.push_back(id);
+            }
+            copy_progress copy(map_of(current, {100}), 100);
+            CPPUNIT_ASSERT(copy.wanted());
+            std::size_t copied = 0;
+            while (!copy.whole()) {
+                copy.finished(copy.sources().front().id);
+                ++copied;
+            }
+            const std::size_t majority = stores / 2 + 1;
+            CPPUNIT_ASSERT(copied + majority > stores);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quorum_operations_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/turns/turn_book_test.cpp
@@ -0,0 +1,101 @@
+#include "tallyfold/turns/turn_book.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace turns;
+
+class turn_book_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(turn_book_test);
+    CPPUNIT_TEST(a_late_reservation_does_not_reopen_a_settled_turn);
+    CPPUNIT_TEST(a_line_is_walked_back_to_its_first_turn);
+    CPPUNIT_TEST(a_line_tells_which_turn_is_missing);
+    CPPUNIT_TEST(a_living_turn_keeps_the_line_behind_it);
+    CPPUNIT_TEST(contents_rebuild_the_same_book);
+    CPPUNIT_TEST(a_copy_comes_in_pages_and_leaves_out_what_is_known);
+    CPPUNIT_TEST_SUITE_END();
+
+    static instant at(int seconds) { return instant(std::chrono::seconds(seconds)); }
+    static turn_settlement whole(const std::string& request, const std::string& previous,
+                                 std::uint32_t retention_ms = 60'000) {
+        return {"program", request, 9, retention_ms,
+                turn_record{request, previous, "in-" + request, "out-" + request}};
+    }
+
+    void a_late_reservation_does_not_reopen_a_settled_turn() {
+        turn_book book;
+        book.apply(turn_settlement{"program", "a", 18, 60'000, std::nullopt}, at(0));
+        book.apply(turn_reservation{"program", "a", 288, 60'000}, at(0));
+        const ledger_entry entry = book.ledger_of("program").at("a");
+        CPPUNIT_ASSERT(entry.settled);
+        CPPUNIT_ASSERT_EQUAL(token_count{18}, entry.tokens);
+    }
+
+    void a_line_is_walked_back_to_its_first_turn() {
+        turn_book book;
+        book.apply(whole("a", ""), at(0));
+        book.apply(whole("b", "a"), at(0));
+        book.apply(whole("c", "b"), at(0));
+        const chain_part part = book.chain_from("c");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, part.records.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), part.records.back().request);
+        CPPUNIT_ASSERT(part.missing.empty());
+    }
+
+    void a_line_tells_which_turn_is_missing() {
+        turn_book book;
+        book.apply(whole("b", "a"), at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), book.chain_from("b").missing);
+    }
+
+    void a_living_turn_keeps_the_line_behind_it() {
+        turn_book book;
+        book.apply(whole("a", ""), at(0));
+        book.apply(whole("b", "a"), at(50));
+        book.expire(at(100), duration::zero());
+        CPPUNIT_ASSERT(book.holds_turn("a"));
+        book.expire(at(111), duration::zero());
+        CPPUNIT_ASSERT(!book.holds_turn("a"));
+        CPPUNIT_ASSERT(!book.holds_turn("b"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, book.bytes());
+    }
+
+    void contents_rebuild_the_same_book() {
+        turn_book book;
+        book.apply(turn_reservation{"other", "r", 288, 60'000}, at(0));
+        book.apply(whole("a", ""), at(0));
+        book.apply(whole("b", "a"), at(0));
+        turn_book rebuilt;
+        for (const book_change& change : book.contents()) {
+            rebuilt.apply(change, at(0));
+        }
+        CPPUNIT_ASSERT(book.ledger_of("program") == rebuilt.ledger_of("program"));
+        CPPUNIT_ASSERT(book.ledger_of("other") == rebuilt.ledger_of("other"));
+        CPPUNIT_ASSERT(book.chain_from("b").records == rebuilt.chain_from("b").records);
+    }
+
+    void a_copy_comes_in_pages_and_leaves_out_what_is_known() {
+        turn_book book;
+        for (const char* request : {"a", "b", "c", "d"}) {
+            book.apply(whole(request, ""), at(0));
+        }
+        std::string next;
+        std::set<std::string> copied;
+        int pages = 0;
+        do {
+            const std::string from = next;
+            for (const book_change& change : book.missing_from({"b"}, from, 1, next)) {
+                copied.insert(std::get<turn_settlement>(change).request);
+            }
+            ++pages;
+        } while (!next.empty());
+        const std::set<std::string> expected{"a", "c", "d"};
+        CPPUNIT_ASSERT(copied == expected);
+        CPPUNIT_ASSERT(pages >= 3);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(turn_book_test);
+
+}  // namespace tallyfold::tests
