Recovery after a lost power: applied state synced, short connects, quick pre-votes

The applied state was noted without a sync and lost with the power; opening packets to machines still dark were waited for 400 ms; a pre-vote whose messages found no connection was asked again only after a whole election timeout. Ruled out: the stores (back at 35.2 s), elections as such (one term).

--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -42,11 +42,14 @@
     }
     commit_index_ = log_.snapshot_index();
     persisted_index_ = log_.last_index();
+    reset_election_deadline(now);
+    wait_for_first_leader(now);
+}
+
+void replica_fsm::wait_for_first_leader(instant now) {
     const std::int64_t first = settings_.first_election_timeout.count();
     if (first > 0) {
         election_deadline_ = now + duration(random_.between(first, 2 * first));
-    } else {
-        reset_election_deadline(now);
     }
 }
 
@@ -111,6 +114,7 @@
         start_election(now);
         return;
     }
+    wait_for_first_leader(now);
     for (const auto& [id, member] : members().members) {
         if (id != settings_.self && !member.learner) {
             send(id, vote_request{true, log_.last_index(), log_.last_term()}, false);
--- a/src/tallyfold/consensus/replica_fsm.hpp
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -26,9 +26,9 @@
     /// An election starts after a silence drawn from [election_timeout, 2 * election_timeout).
     duration election_timeout = std::chrono::milliseconds(500);
     duration heartbeat_interval = std::chrono::milliseconds(100);
-    /// A replica that has just started waits only this long, up to twice, for a leader to show:
-    /// a pre-vote disturbs none, and after a stop of the whole group nobody leads. Zero waits
-    /// like any other time.
+    /// A replica that has just started, or has asked for a pre-vote in vain, waits only this long,
+    /// up to twice, for a leader to show: a pre-vote disturbs none, and after a stop of the whole
+    /// group nobody leads. Zero waits like any other time.
     duration first_election_timeout = duration::zero();
     std::size_t max_entries_per_message = 256;
     std::uint64_t seed = 0;
@@ -125,6 +125,7 @@
     void start_election(instant now);
     void become_leader(instant now);
     void reset_election_deadline(instant now);
+    void wait_for_first_leader(instant now);
 
     void on_vote_request(const replica_message& message, const vote_request& body, instant now);
     void on_vote_reply(const replica_message& message, const vote_reply& body, instant now);
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -45,7 +45,10 @@
                 on_beat(*beat);
             }
         },
-        [address](bool up, const std::string& reason) {
+        [this, address](bool up, const std::string& reason) {
+            if (up && version_ == routing::no_version) {
+                report();
+            }
             logging::write_event(
                 up ? logging::event_id::peer_connected : logging::event_id::peer_lost,
                 "peer=" + address + " role=directory" +
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/directory/directory_shell.hpp"
 
+#include <array>
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/use_awaitable.hpp>
 #include <filesystem>
@@ -28,8 +29,9 @@
 constexpr duration stop_delay = std::chrono::milliseconds(300);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
-/// Holds the state applied last. It is written without a sync: only its checksum is trusted.
-constexpr const char* applied_file = "/applied-state";
+/// Hold the state applied last and the one before: written in turn, so that a lost power tears one
+/// of them at most.
+constexpr std::array<const char*, 2> applied_files{"/applied-state-0", "/applied-state-1"};
 
 std::uint64_t draw_number() {
     std::random_device source;
@@ -83,6 +85,7 @@
     bool pumping_ = false;
     /// Version and epoch of the state that was noted last.
     std::pair<routing::configuration_version, turns::map_epoch> noted_{};
+    std::size_t next_note_ = 0;
     std::map<request_token, std::shared_ptr<waiting_call>> waiting_;
     request_token next_token_ = 1;
     prometheus::Counter& writes_;
@@ -171,16 +174,26 @@
 }
 
 void directory_node::recall_state() {
-    const std::string path = process_.settings().data_folder + applied_file;
-    const auto bytes = storage::read_file(path);
-    const auto scanned = bytes ? storage::scan_records(*bytes, path)
-                               : tl::unexpected(storage::storage_error{});
-    if (!scanned || scanned->payloads.size() != 1) {
-        return;
+    directory_state newest;
+    for (std::size_t number = 0; number < applied_files.size(); ++number) {
+        const std::string path = process_.settings().data_folder + applied_files[number];
+        const auto bytes = storage::read_file(path);
+        if (!bytes) {
+            continue;
+        }
+        const auto scanned = storage::scan_records(*bytes, path);
+        if (!scanned || scanned->payloads.size() != 1) {
+            continue;
+        }
+        directory_state earlier;
+        earlier.restore(std::string(scanned->payloads.front()));
+        const std::pair found{earlier.configuration().version, earlier.map().epoch};
+        if (found > std::pair{newest.configuration().version, newest.map().epoch}) {
+            newest = std::move(earlier);
+            next_note_ = 1 - number;
+        }
     }
-    directory_state earlier;
-    earlier.restore(std::string(scanned->payloads.front()));
-    core_->remember(std::move(earlier));
+    core_->remember(std::move(newest));
 }
 
 void directory_node::note_state() {
@@ -191,7 +204,10 @@
     noted_ = now;
     std::string bytes;
     storage::append_record(bytes, core_->state().save());
-    storage::replace_file_unsynced(process_.settings().data_folder + applied_file, bytes);
+    const std::string path = process_.settings().data_folder + applied_files[next_note_];
+    if (storage::overwrite_file(path, bytes)) {
+        next_note_ = 1 - next_note_;
+    }
 }
 
 void directory_node::send(addressed_message message) {
--- a/src/tallyfold/messaging/peer_link_shell.cpp
+++ b/src/tallyfold/messaging/peer_link_shell.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-constexpr auto connect_timeout = std::chrono::milliseconds(400);
-constexpr auto retry_pause = std::chrono::milliseconds(150);
+/// Short, since the opening packet to a machine that is just coming back is lost, and the system
+/// itself sends it again only after a second.
+constexpr auto connect_timeout = std::chrono::milliseconds(250);
+constexpr auto retry_pause = std::chrono::milliseconds(60);
 /// Bytes that another machine doesn't acknowledge for this long end the connection.
 constexpr int user_timeout_milliseconds = 1'200;
 
--- a/src/tallyfold/storage/file.cpp
+++ b/src/tallyfold/storage/file.cpp
@@ -147,12 +147,18 @@
     return sync_folder(std::filesystem::path(path).parent_path().string());
 }
 
-void replace_file_unsynced(const std::string& path, std::string_view bytes) {
-    const std::string temporary = path + ".tmp";
-    auto file = append_file::create(temporary);
-    if (file && file->append(bytes)) {
-        ::rename(temporary.c_str(), path.c_str());
+tl::expected<void, storage_error> overwrite_file(const std::string& path, std::string_view bytes) {
+    if (!std::filesystem::exists(path)) {
+        return replace_file(path, bytes);
+    }
+    auto file = append_file::create(path);
+    if (!file) {
+        return tl::unexpected(file.error());
+    }
+    if (auto written = file->append(bytes); !written) {
+        return written;
     }
+    return file->sync();
 }
 
 tl::expected<void, storage_error> sync_folder(const std::string& path) {
--- a/src/tallyfold/storage/file.hpp
+++ b/src/tallyfold/storage/file.hpp
@@ -46,9 +46,9 @@
 /// Makes a file appear whole or not at all: temporary file, sync, rename, sync of the folder.
 tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes);
 
-/// Like replace_file, but the file may be lost or torn when power is: for what is only a help.
-/// A failure is not reported.
-void replace_file_unsynced(const std::string& path, std::string_view bytes);
+/// Writes a file's contents anew in place, with a single sync: the old contents are gone as soon
+/// as it begins, so a lost power may leave neither. For pairs of files that are written in turn.
+tl::expected<void, storage_error> overwrite_file(const std::string& path, std::string_view bytes);
 
 /// Syncs the folder's own entries (names of files).
 tl::expected<void, storage_error> sync_folder(const std::string& path);
