--- a/src/tallyfold/http/message_parser.cpp
+++ b/src/tallyfold/http/message_parser.cpp
@@ -41,6 +41,16 @@
         in_value = false;
     }
 
+    /// Bytes of the head as it stands on the wire, about.
+    [[nodiscard]] std::size_t head_size() const {
+        constexpr std::size_t line_overhead = 4;
+        std::size_t size = head.target.size() + line_overhead;
+        for (const header_field& field : head.headers.fields()) {
+            size += field.name.size() + field.value.size() + line_overhead;
+        }
+        return size;
+    }
+
     void finish_head() {
         store_field();
         head_complete = true;
@@ -142,7 +152,9 @@
     const http_errno failure = HTTP_PARSER_ERRNO(&state_->parser);
     if (in_head) {
         state_->head_bytes += consumed;
-        const bool too_large = state_->head_bytes > state_->largest_head && !state_->head_complete;
+        const std::size_t size =
+            state_->head_complete ? state_->head_size() : state_->head_bytes;
+        const bool too_large = size > state_->largest_head;
         if (too_large || failure == HPE_HEADER_OVERFLOW) {
             return tl::unexpected(parse_failure::head_too_large);
         }
--- a/src/tallyfold/logging/event_log.hpp
+++ b/src/tallyfold/logging/event_log.hpp
@@ -1,24 +1,24 @@
 #pragma once
 /// @file
-/// Writes numbered events as structured lines through log4cplus.
+/// Writes numbered events as structured lines. Where the lines go is set up once, at the start.
 
+#include <functional>
 #include <string>
 
 #include "tallyfold/logging/event_catalogue.hpp"
 
 namespace tallyfold::logging {
 
-/// Sets up the process's log on standard error. @param level "debug", "info", "warning", "error"
-void open_log(const std::string& node, const std::string& level);
+/// Takes one event's line, without time and level.
+using line_writer = std::function<void(event_level level, const std::string& line)>;
 
-/// Sets the process up to write its events through a bounded sink on standard output that never
-/// waits, in place of log4cplus: for processes whose machines are charged for each wake-up.
-void open_bounded_log(const std::string& node, const std::string& level);
-/// Hands over lines that are held, and reports how many were left out since the last call.
-/// Call it a few times a second from the thread that writes the events.
-void flush_bounded_log();
+/// Sets up where the process's events go.
+void set_line_writer(const std::string& node, line_writer writer);
 
-/// Writes one event. Thread-safe with log4cplus; with the bounded sink, for one thread.
+/// Least level by its name: "debug", "info", "warning", "error".
+event_level parse_level(const std::string& level);
+
+/// Writes one event. As safe for threads as the writer that was set.
 void write_event(const event_record& record);
 void write_event(event_id id, const std::string& fields);
 
--- a/src/tallyfold/net/node_process_shell.cpp
+++ b/src/tallyfold/net/node_process_shell.cpp
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <sstream>
 
+#include "tallyfold/logging/bounded_log.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/net/socket_address.hpp"
 
--- a/src/tallyfold/settings/node_main.hpp
+++ b/src/tallyfold/settings/node_main.hpp
@@ -5,7 +5,7 @@
 #include <iostream>
 #include <string>
 
-#include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/logging/bounded_log.hpp"
 #include "tallyfold/settings/node_settings.hpp"
 #include "tallyfold/settings/program_flags.hpp"
 
--- a/src/tallyfold/settings/program_flags.hpp
+++ b/src/tallyfold/settings/program_flags.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/logging/threaded_log.hpp"
 #include "tallyfold/settings/settings_reader.hpp"
 
 namespace tallyfold::settings {
