--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -239,6 +239,7 @@
         if (!backend) {
             break;
         }
+        ++sends_;
         backend_name_ = backend->name;
         cached_tokens_ = backend->cached_tokens;
         question.tried.insert(backend->name);
@@ -554,7 +555,7 @@
                        " route=" + (route_ != nullptr ? route_->name : std::string("-")) +
                        " version=" + std::to_string(table_ ? table_->version() : 0) +
                        " backend=" + (backend_name_.empty() ? "-" : backend_name_) +
-                       " sends=" + std::to_string(policy_ ? policy_->sends() + 1 : 0) +
+                       " sends=" + std::to_string(sends_) +
                        " list_age_ms=" + std::to_string(to_milliseconds(list_age)) +
                        " first_byte_ms=" + std::to_string(to_milliseconds(first_byte_)) +
                        " total_ms=" + std::to_string(to_milliseconds(now - request_.received));
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -91,6 +91,7 @@
     bool caller_usable_ = true;
     /// For the log line.
     std::string backend_name_;
+    std::uint32_t sends_ = 0;
     std::string outcome_ = "unknown";
     std::string reason_;
     unsigned status_ = 0;
