A store copies from the current stores only, not from a new disk at an old address

A wiped store draws a new identity; the map still lists the old one at the same address until the change is complete, so copy requests for the old store reached the new, empty one (for the new one: itself), and its answer counted as a source. A copy could be whole with one true source of three; when the only other holder was wiped later, the turn was gone. Change: only members of the current map count as sources. A copy also waits for what was taken under the older map but isn't synced. A new disk replaces the old one as soon as it reports, not once the old one counts as silent, which saves a map with both and a second change. Tests a_new_disk_at_an_old_address_is_no_source and a_new_disk_is_seen_while_the_old_one_still_counts_as_live failed first.

--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -44,12 +44,14 @@
 std::vector<store_member> store_planner::wanted(const directory_state& state, instant now) const {
     const store_map& map = state.map();
     std::vector<store_member> members;
-    // A disk whose machine reports another one is gone.
+    // A disk whose machine has since reported another one is gone.
     const auto replaced = [&](const store_member& member) {
+        const auto old = stores_.find(member.id);
+        const instant heard = old == stores_.end() ? instant::min() : old->second.heard;
         return std::any_of(stores_.begin(), stores_.end(), [&](const auto& entry) {
             const store_member& other = entry.second.report.member;
             return other.node == member.node && other.id != member.id && live(other.id, now) &&
-                   !live(member.id, now);
+                   entry.second.heard > heard;
         });
     };
     for (const store_member& member : map.current) {
@@ -63,7 +65,8 @@
     for (const auto& [id, entry] : stores_) {
         const bool known = std::any_of(members.begin(), members.end(),
                                        [&](const store_member& other) { return other.id == id; });
-        if (!known && live(id, now) && !state.retired().contains(id)) {
+        const bool gone = state.retired().contains(id) || replaced(entry.report.member);
+        if (!known && live(id, now) && !gone) {
             members.push_back(entry.report.member);
         }
     }
--- a/src/tallyfold/turns/copy_progress.cpp
+++ b/src/tallyfold/turns/copy_progress.cpp
@@ -5,10 +5,15 @@
 namespace tallyfold::turns {
 
 copy_progress::copy_progress(store_map map, store_id self) : map_(std::move(map)), self_(self) {
-    for (const store_member& member : map_.current) {
-        if (member.id == self_) {
-            done_.insert(self_);
-        }
+    finished(self_);
+}
+
+void copy_progress::finished(store_id source) {
+    const bool current = std::any_of(
+        map_.current.begin(), map_.current.end(),
+        [source](const store_member& member) { return member.id == source; });
+    if (current) {
+        done_.insert(source);
     }
 }
 
--- a/src/tallyfold/turns/copy_progress.hpp
+++ b/src/tallyfold/turns/copy_progress.hpp
@@ -20,7 +20,9 @@
     [[nodiscard]] bool wanted() const;
     /// Stores that may be copied from and were not yet.
     [[nodiscard]] std::vector<store_member> sources() const;
-    void finished(store_id source) { done_.insert(source); }
+    /// The store that answered has given all it holds. One that is not among the current stores,
+    /// such as a new disk at an old one's address, doesn't count.
+    void finished(store_id source);
     [[nodiscard]] bool whole() const;
 
   private:
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -224,6 +224,9 @@
 }
 
 void store_node::write_waiting() {
+    if (waiting_.empty()) {
+        return;
+    }
     std::vector<waiting_change> batch;
     batch.swap(waiting_);
     std::vector<book_change> changes;
@@ -279,6 +282,8 @@
     if (log_->kept_map().epoch < request.map.epoch) {
         return;
     }
+    // What was taken under the older map but isn't synced yet belongs to the copy too.
+    write_waiting();
     copy_reply reply;
     reply.store = log_->identity();
     reply.epoch = request.map.epoch;
--- a/tests/directory/store_planner_test.cpp
+++ b/tests/directory/store_planner_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(store_planner_test);
     CPPUNIT_TEST(the_first_map_waits_for_enough_stores);
     CPPUNIT_TEST(a_new_disk_takes_the_place_of_the_old_one);
+    CPPUNIT_TEST(a_new_disk_is_seen_while_the_old_one_still_counts_as_live);
     CPPUNIT_TEST(a_change_ends_only_when_each_new_member_has_copied);
     CPPUNIT_TEST(a_change_whose_new_member_died_is_planned_again);
     CPPUNIT_TEST(a_retired_store_leaves_and_does_not_return);
@@ -69,6 +70,18 @@
         CPPUNIT_ASSERT(map->next == next);
     }
 
+    void a_new_disk_is_seen_while_the_old_one_still_counts_as_live() {
+        store_planner planner({});
+        planner.start(at(0));
+        for (const store_member& store : three()) {
+            report(planner, store, at(2800));
+        }
+        report(planner, member(30, "3"), at(3000));
+        const auto map = planner.plan(with_map(three()), at(3000));
+        const std::vector<store_member> next{three()[0], three()[1], member(30, "3")};
+        CPPUNIT_ASSERT(map.has_value() && map->next == next);
+    }
+
     void a_change_ends_only_when_each_new_member_has_copied() {
         const std::vector<store_member> next{three()[0], three()[1], member(30, "3")};
         const directory_state state = with_map(three(), next);
--- a/tests/turns/quorum_operations_test.cpp
+++ b/tests/turns/quorum_operations_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(a_line_is_put_together_from_several_stores);
     CPPUNIT_TEST(two_turns_that_begin_at_once_never_both_overlook_each_other);
     CPPUNIT_TEST(a_copy_meets_every_majority);
+    CPPUNIT_TEST(a_new_disk_at_an_old_address_is_no_source);
     CPPUNIT_TEST_SUITE_END();
 
     static store_member member(store_id id) {
@@ -170,6 +171,16 @@
             CPPUNIT_ASSERT(copied + majority > stores);
         }
     }
+
+    void a_new_disk_at_an_old_address_is_no_source() {
+        // Store 3 was wiped and is store 30 now, at the same address; it answers as itself.
+        copy_progress copy(map_of({1, 2, 3}, {1, 2, 30}), 30);
+        copy.finished(30);
+        copy.finished(1);
+        CPPUNIT_ASSERT(!copy.whole());
+        copy.finished(2);
+        CPPUNIT_ASSERT(copy.whole());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(quorum_operations_test);
