Passive health by a failure score and by silence

Change: each outcome decays a failure score, three failures in a row or as many among a few more outcomes eject; answers 5xx of a back end's own count. A back end that keeps a call without a byte for 0.7 s and five times the usual is left out; the floor (half of the pool) stays.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -8,6 +8,17 @@
 using scheduling::backend_pool;
 using scheduling::backend_state;
 
+namespace {
+
+/// A call without a byte for this long, and for this many times the usual, makes its back end
+/// suspect.
+constexpr duration least_silence = std::chrono::milliseconds(700);
+constexpr int silence_factor = 5;
+/// Answers over which the usual time is averaged, about.
+constexpr int usual_samples = 16;
+
+}  // namespace
+
 backend_registry::backend_registry(std::string zone, std::uint64_t seed)
     : zone_(std::move(zone)), random_(seed) {}
 
@@ -106,12 +117,54 @@
 }
 
 void backend_registry::started(const std::string& service, const backend_name& name,
-                               token_count prompt_tokens) {
+                               token_count prompt_tokens, instant now) {
     pools_[service].started(name, prompt_tokens);
+    waiting_[service].since[name].insert(now);
+}
+
+void backend_registry::answering(const std::string& service, const backend_name& name,
+                                 instant since, instant now) {
+    waiting_calls& calls = waiting_[service];
+    const duration took = now - since;
+    calls.usual += (took - calls.usual) / usual_samples;
+    const auto found = calls.since.find(name);
+    if (found != calls.since.end()) {
+        if (const auto call = found->second.find(since); call != found->second.end()) {
+            found->second.erase(call);
+        }
+    }
 }
 
-void backend_registry::finished(const std::string& service, const backend_name& name) {
+void backend_registry::finished(const std::string& service, const backend_name& name,
+                                instant since) {
     pools_[service].finished(name);
+    const auto found = waiting_[service].since.find(name);
+    if (found == waiting_[service].since.end()) {
+        return;
+    }
+    if (const auto call = found->second.find(since); call != found->second.end()) {
+        found->second.erase(call);
+    }
+    if (found->second.empty()) {
+        waiting_[service].since.erase(found);
+    }
+}
+
+std::vector<backend_name> backend_registry::suspect_silent(instant now) {
+    std::vector<backend_name> suspected;
+    for (const auto& [service, calls] : waiting_) {
+        backend_pool& pool = pools_[service];
+        const duration limit = std::max(least_silence, calls.usual * silence_factor);
+        for (const auto& [name, since] : calls.since) {
+            const backend_state* backend = pool.find(name);
+            const bool silent = !since.empty() && now - *since.begin() > limit;
+            if (silent && backend != nullptr && pool.available(*backend, now)) {
+                pool.unreachable(name, now);
+                suspected.push_back(name);
+            }
+        }
+    }
+    return suspected;
 }
 
 void backend_registry::succeeded(const std::string& service, const backend_name& name) {
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -42,8 +42,16 @@
     /// Nothing when no back end of the service can be given the request.
     std::optional<chosen_backend> choose(const backend_question& question, instant now);
 
-    void started(const std::string& service, const backend_name& name, token_count prompt_tokens);
-    void finished(const std::string& service, const backend_name& name);
+    void started(const std::string& service, const backend_name& name, token_count prompt_tokens,
+                 instant now);
+    /// The first byte of the answer to a call that began at `since` is here.
+    void answering(const std::string& service, const backend_name& name, instant since,
+                   instant now);
+    /// A call that began at `since` has ended, however.
+    void finished(const std::string& service, const backend_name& name, instant since);
+    /// Leaves out back ends that keep a call without a byte for much longer than is usual.
+    /// @return those that are newly suspected
+    std::vector<backend_name> suspect_silent(instant now);
     void succeeded(const std::string& service, const backend_name& name);
     void failed(const std::string& service, const backend_name& name, instant now);
     void unreachable(const std::string& service, const backend_name& name, instant now);
@@ -58,6 +66,12 @@
     [[nodiscard]] std::size_t size() const;
 
   private:
+    /// Calls of one service that have not got a byte yet, and how long that takes as a rule.
+    struct waiting_calls {
+        std::map<backend_name, std::multiset<instant>> since;
+        duration usual{};
+    };
+
     std::optional<chosen_backend> choose_engine(const backend_question& question,
                                                 const scheduling::backend_pool& pool, instant now);
     std::optional<chosen_backend> choose_service(const backend_question& question,
@@ -67,6 +81,7 @@
     random_source random_;
     std::map<std::string, scheduling::backend_pool> pools_;
     std::map<std::string, std::vector<scheduling::backend_member>> listed_;
+    std::map<std::string, waiting_calls> waiting_;
     scheduling::cache_map cache_{20'000};
     scheduling::placement placement_{scheduling::strategy::policy};
     instant listed_at_{};
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 
+constexpr duration silence_check_interval = std::chrono::milliseconds(100);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 /// After a stop, new connections still come until the platform has seen that the node isn't
 /// ready: the listener stays for this long.
@@ -235,6 +236,12 @@
         }
     });
     process_.every(housekeeping_interval, [this] { connections_.expire(http::steady_now()); });
+    process_.every(silence_check_interval, [this] {
+        for (const backend_name& name : backends_.suspect_silent(http::steady_now())) {
+            logging::write_event(logging::event_id::backend_ejected,
+                                 "backend=" + name + " reason=silent");
+        }
+    });
     std::string problem = http::listen_on(callers_, process_.settings().callers_address);
     if (problem.empty()) {
         accept();
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -243,9 +243,11 @@
         backend_name_ = backend->name;
         cached_tokens_ = backend->cached_tokens;
         question.tried.insert(backend->name);
-        context_.backends.started(question.service, backend->name, facts_.prompt_tokens);
+        attempt_started_ = http::steady_now();
+        context_.backends.started(question.service, backend->name, facts_.prompt_tokens,
+                                  attempt_started_);
         last = co_await send_to(*backend);
-        context_.backends.finished(question.service, backend->name);
+        context_.backends.finished(question.service, backend->name, attempt_started_);
         backend_.reset();
         if (last.end == attempt_end::answered) {
             co_return;
@@ -367,7 +369,9 @@
         opened->abort();
         co_return result;
     }
-    first_byte_ = http::steady_now() - request_.received;
+    const instant now = http::steady_now();
+    context_.backends.answering(service_->name, backend.name, attempt_started_, now);
+    first_byte_ = now - request_.received;
     context_.metrics.first_byte(first_byte_);
     if (service_->is_engine) {
         context_.backends.read_prompt(backend.name, facts_.prompt, facts_.prompt_tokens,
@@ -376,7 +380,11 @@
     status_ = status;
     result = co_await relay_answer(opened, facts, until);
     if (result.end == attempt_end::answered) {
-        context_.backends.succeeded(service_->name, backend.name);
+        if (status / 100 == 5) {
+            context_.backends.failed(service_->name, backend.name, http::steady_now());
+        } else {
+            context_.backends.succeeded(service_->name, backend.name);
+        }
         if (opened->head().keep_alive && opened->message_complete()) {
             context_.connections.put(backend.address, opened, facts.idle_limit,
                                      http::steady_now());
@@ -384,6 +392,9 @@
             opened->close();
         }
     } else {
+        if (!gone_ && !result.timed_out) {
+            context_.backends.failed(service_->name, backend.name, http::steady_now());
+        }
         opened->abort();
     }
     co_return result;
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -80,6 +80,7 @@
     const routing::route* route_ = nullptr;
     const routing::service* service_ = nullptr;
     instant deadline_{};
+    instant attempt_started_{};
     std::optional<attempt_policy> policy_;
     /// Body as it goes to back ends: with the line of turns before it.
     std::string outgoing_body_;
--- a/src/tallyfold/scheduling/backend_pool.cpp
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -107,8 +107,8 @@
 
 void backend_pool::succeeded(const backend_name& name) {
     change(name, [](backend_state& backend) {
-        backend.consecutive_failures = 0;
-        backend.ejections = 0;
+        backend.failure_score *= failure_decay;
+        backend.ejections = backend.failure_score < recovered_score ? 0 : backend.ejections;
     });
 }
 
@@ -118,27 +118,26 @@
                       [&](const auto& entry) { return entry.second.ejected_until > now; }));
 }
 
-void backend_pool::failed(const backend_name& name, instant now) {
-    count_failures(name, 1, now);
-}
+void backend_pool::failed(const backend_name& name, instant now) { add_failure(name, 1, now); }
 
 void backend_pool::unreachable(const backend_name& name, instant now) {
-    count_failures(name, ejection_threshold, now);
+    add_failure(name, ejection_threshold, now);
 }
 
-void backend_pool::count_failures(const backend_name& name, std::uint32_t failures, instant now) {
+void backend_pool::add_failure(const backend_name& name, double weight, instant now) {
     const auto allowed =
         static_cast<std::size_t>(static_cast<double>(backends_.size()) * ejected_share_limit);
     const bool may_eject = ejected_count(now) < allowed;
     change(name, [&](backend_state& backend) {
-        backend.consecutive_failures += failures;
-        if (backend.consecutive_failures < ejection_threshold || !may_eject) {
+        backend.failure_score = backend.failure_score * failure_decay + weight;
+        if (backend.failure_score < ejection_threshold || !may_eject) {
             return;
         }
         const std::uint32_t doublings = std::min(backend.ejections, ejection_doublings_limit);
         backend.ejected_until = now + ejection_base * (1 << doublings);
         ++backend.ejections;
-        backend.consecutive_failures = 0;
+        // On probation: it keeps a part of its score, so that the next failures weigh sooner.
+        backend.failure_score = 1;
     });
 }
 
--- a/src/tallyfold/scheduling/backend_pool.hpp
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -48,7 +48,8 @@
     std::uint32_t own_at_report = 0;
     std::uint32_t own_outstanding = 0;
     token_count pending_prefill_tokens = 0;
-    std::uint32_t consecutive_failures = 0;
+    /// Recent failures, older ones counting less with each further outcome.
+    double failure_score = 0;
     std::uint32_t ejections = 0;
     instant ejected_until{};
     bool drained = false;
@@ -65,8 +66,13 @@
 
 class backend_pool {
   public:
-    /// Failures in a row after which a back end is left out for a while.
-    static constexpr std::uint32_t ejection_threshold = 3;
+    /// What of the failure score is left with each further outcome.
+    static constexpr double failure_decay = 0.75;
+    /// Score from which on a back end is left out for a while: three failures in a row, or as many
+    /// among a few more outcomes, so that one that fails only part of its calls is found too.
+    static constexpr double ejection_threshold = 2.2;
+    /// Score below which earlier ejections are forgotten.
+    static constexpr double recovered_score = 0.2;
     /// Share of the pool that may be ejected: a fault they all share must not empty it.
     static constexpr double ejected_share_limit = 0.5;
 
@@ -98,7 +104,7 @@
                                                                  instant now) const;
 
   private:
-    void count_failures(const backend_name& name, std::uint32_t failures, instant now);
+    void add_failure(const backend_name& name, double weight, instant now);
     void index(const backend_state& backend);
     void unindex(const backend_state& backend);
     template <class Change>
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(a_leaving_back_end_is_not_chosen);
     CPPUNIT_TEST(calls_of_a_program_go_to_one_engine);
     CPPUNIT_TEST(an_unreachable_back_end_is_left_out_at_once);
+    CPPUNIT_TEST(a_back_end_that_keeps_calls_without_a_byte_is_suspected);
+    CPPUNIT_TEST(slowness_of_all_back_ends_suspects_none);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr duration second = std::chrono::seconds(1);
@@ -119,6 +121,41 @@
             CPPUNIT_ASSERT(registry.choose(question, instant{})->name != "b0");
         }
     }
+
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
+
+    void a_back_end_that_keeps_calls_without_a_byte_is_suspected() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), at(0));
+        for (int count = 0; count < 50; ++count) {
+            registry.started("s", "b1", 0, at(0));
+            registry.answering("s", "b1", at(0), at(60));
+            registry.finished("s", "b1", at(0));
+        }
+        registry.started("s", "b0", 0, at(100));
+        CPPUNIT_ASSERT(registry.suspect_silent(at(700)).empty());
+        const std::vector<std::string> suspected = registry.suspect_silent(at(900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, suspected.size());
+        backend_question question;
+        question.service = "s";
+        for (int count = 0; count < 50; ++count) {
+            CPPUNIT_ASSERT(registry.choose(question, at(900))->name != "b0");
+        }
+        registry.finished("s", "b0", at(100));
+        CPPUNIT_ASSERT(registry.suspect_silent(at(5000)).empty());
+    }
+
+    void slowness_of_all_back_ends_suspects_none() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), at(0));
+        for (int count = 0; count < 100; ++count) {
+            registry.started("s", "b1", 0, at(0));
+            registry.answering("s", "b1", at(0), at(400));
+            registry.finished("s", "b1", at(0));
+        }
+        registry.started("s", "b0", 0, at(0));
+        CPPUNIT_ASSERT(registry.suspect_silent(at(1500)).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(attempt_policy_test);
--- a/tests/scheduling/backend_pool_test.cpp
+++ b/tests/scheduling/backend_pool_test.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST_SUITE(backend_pool_test);
     CPPUNIT_TEST(own_work_counts_on_top_of_a_lagging_report);
     CPPUNIT_TEST(a_shared_fault_does_not_empty_the_pool);
+    CPPUNIT_TEST(one_that_fails_part_of_its_calls_is_left_out);
+    CPPUNIT_TEST(rare_failures_leave_it_in);
     CPPUNIT_TEST(whichever_source_says_leaving_counts);
     CPPUNIT_TEST(an_unheard_back_end_gets_no_work);
     CPPUNIT_TEST(the_clock_is_never_taken_for_further_ahead_than_it_is);
@@ -54,6 +56,33 @@
         CPPUNIT_ASSERT(engines.least_loaded(size, {}, false, now).size() < size);
     }
 
+    void one_that_fails_part_of_its_calls_is_left_out() {
+        // Never three failures in a row, yet half of its calls fail.
+        backend_pool engines = pool();
+        const instant now(std::chrono::seconds(5));
+        bool ejected = false;
+        for (int round = 0; round < 6; ++round) {
+            engines.failed("engine-0", now);
+            engines.failed("engine-0", now);
+            ejected = ejected || !engines.available(*engines.find("engine-0"), now);
+            engines.succeeded("engine-0");
+            engines.succeeded("engine-0");
+        }
+        CPPUNIT_ASSERT(ejected);
+    }
+
+    void rare_failures_leave_it_in() {
+        backend_pool engines = pool();
+        const instant now(std::chrono::seconds(5));
+        for (int round = 0; round < 100; ++round) {
+            engines.failed("engine-0", now);
+            for (int good = 0; good < 9; ++good) {
+                engines.succeeded("engine-0");
+            }
+            CPPUNIT_ASSERT(engines.available(*engines.find("engine-0"), now));
+        }
+    }
+
     void whichever_source_says_leaving_counts() {
         const instant now(std::chrono::seconds(5));
         backend_pool engines = pool();
