The directory reads the list of back ends and tells the forwarders

Cause: each forwarder read the list once a second. Ruled out: a longer interval (the time to leave a draining back end counts from when any of our machines saw it). Change: directory nodes read the list; their answers to reports, which every forwarder sends each 120 ms anyway, bring it when it is newer, by fingerprint and age. A forwarder reads it itself once nobody has seen it for 1.8 s. The list is an area of its own (listing/), its wire form platform/replica_list.

--- a/apps/tallyfold_directory.cpp
+++ b/apps/tallyfold_directory.cpp
@@ -2,6 +2,7 @@
 /// The directory program on the users' platform; docs/design/platform.md says what it does.
 
 #include "platform/operator_calls.hpp"
+#include "platform/replica_list.hpp"
 #include "tallyfold/directory/directory_shell.hpp"
 #include "tallyfold/settings/node_main.hpp"
 
@@ -10,6 +11,7 @@
     return settings::node_main(argument_count, arguments, "tallyfold directory",
                                [](const settings::node_settings& settings) {
                                    const platform::operator_calls dialect;
-                                   return directory::run_directory(settings, dialect);
+                                   const platform::replica_list lists;
+                                   return directory::run_directory(settings, dialect, lists);
                                });
 }
--- a/apps/tallyfold_forwarder.cpp
+++ b/apps/tallyfold_forwarder.cpp
@@ -2,6 +2,7 @@
 /// The forwarder program on the users' platform; docs/design/platform.md says what it does.
 
 #include "platform/replica_calls.hpp"
+#include "platform/replica_list.hpp"
 #include "tallyfold/forwarding/forwarder_shell.hpp"
 #include "tallyfold/settings/node_main.hpp"
 
@@ -10,6 +11,7 @@
     return settings::node_main(argument_count, arguments, "tallyfold forwarder",
                                [](const settings::node_settings& settings) {
                                    const platform::replica_calls dialect;
-                                   return forwarding::run_forwarder(settings, dialect);
+                                   const platform::replica_list lists;
+                                   return forwarding::run_forwarder(settings, dialect, lists);
                                });
 }
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -26,6 +26,12 @@
     process_.every(settings_.report_interval, [this] { report(); });
 }
 
+void directory_client::share_list(listing::list_memory& list,
+                                  std::function<void(bool changed)> on_list) {
+    list_ = &list;
+    on_list_ = std::move(on_list);
+}
+
 void directory_client::use_seeds(const std::vector<std::string>& peers) {
     seeds_ = {peers.begin(), peers.end()};
     for (const std::string& peer : peers) {
@@ -69,6 +75,9 @@
     report.configuration = version_;
     report.map = map_.epoch;
     report.wants_configuration = settings_.wants_configuration;
+    if (list_ != nullptr) {
+        report.list = list_->fingerprint();
+    }
     if (describe_store_) {
         report.store = describe_store_();
     }
@@ -106,6 +115,11 @@
     for (const turns::store_map& map : beat.newer_map) {
         learn_map(map);
     }
+    for (const listing::list_sight& sight : beat.list) {
+        if (list_ != nullptr) {
+            on_list_(list_->learn(sight, heard_));
+        }
+    }
     for (const routing::configuration& configuration : beat.newer_configuration) {
         if (configuration.version > version_) {
             version_ = configuration.version;
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -32,6 +32,8 @@
     /// @param describe_store what a store says of itself; empty for other nodes
     void start(configuration_handler on_configuration, map_handler on_map,
                std::function<std::vector<store_report>()> describe_store);
+    /// Takes part in spreading the list of back ends. @param on_list called with each newer sight
+    void share_list(listing::list_memory& list, std::function<void(bool changed)> on_list);
     /// Takes over a map that came from elsewhere.
     void learn_map(const turns::store_map& map);
     /// The settings changed: other seeds may be known.
@@ -59,6 +61,8 @@
     configuration_handler on_configuration_;
     map_handler on_map_;
     std::function<std::vector<store_report>()> describe_store_;
+    listing::list_memory* list_ = nullptr;
+    std::function<void(bool changed)> on_list_;
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -78,7 +78,9 @@
     }
 }
 
-bool directory_core::is_member() const { return replica_.members().members.contains(identity_); }
+bool directory_core::is_member() const {
+    return replica_.members().members.contains(identity_);
+}
 
 bool directory_core::leads() const {
     return replica_.role() == consensus::replica_role::leader;
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -10,6 +10,7 @@
 
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_core.hpp"
+#include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
@@ -48,7 +49,8 @@
 
 class directory_node {
   public:
-    directory_node(const settings::node_settings& settings, const operator_dialect& dialect);
+    directory_node(const settings::node_settings& settings, const operator_dialect& dialect,
+                   const listing::list_dialect& lists);
     int run();
 
   private:
@@ -59,8 +61,7 @@
     void recall_state();
     void note_state();
     void send(addressed_message message);
-    void receive(const messaging::channel_pointer& channel,
-                 const messaging::peer_message& message);
+    void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
     asio::awaitable<http::endpoint_response> serve(http::endpoint_request request);
     asio::awaitable<http::endpoint_response> replace(const http::endpoint_request& request,
                                                      const replace_call& call);
@@ -77,6 +78,8 @@
 
     net::node_process process_;
     const operator_dialect& dialect_;
+    listing::list_poller poller_;
+    listing::list_memory list_;
     messaging::peer_server peers_;
     http::endpoint_server operators_;
     std::map<std::string, messaging::link_pointer> links_;
@@ -104,9 +107,10 @@
 }
 
 directory_node::directory_node(const settings::node_settings& settings,
-                               const operator_dialect& dialect)
+                               const operator_dialect& dialect, const listing::list_dialect& lists)
     : process_(settings),
       dialect_(dialect),
+      poller_(process_, lists),
       peers_(process_.loop(), settings.directory_address()),
       operators_(process_.loop(), settings.operators_address, largest_body),
       writes_(counter(process_.metrics(), "tallyfold_directory_writes_total",
@@ -143,8 +147,8 @@
 bool directory_node::open_storage() {
     const settings::node_settings& settings = process_.settings();
     const directory_settings chosen = core_settings();
-    const bool is_seed = std::find(chosen.seeds.begin(), chosen.seeds.end(), chosen.address) !=
-                         chosen.seeds.end();
+    const bool is_seed =
+        std::find(chosen.seeds.begin(), chosen.seeds.end(), chosen.address) != chosen.seeds.end();
     const consensus::replica_id fresh =
         settings.first_start && is_seed ? first_identity(chosen.address) : draw_number();
     auto opened = storage::log_store::open(settings.data_folder, fresh, segment_bytes,
@@ -311,7 +315,11 @@
     } else if (const auto* join = std::get_if<join_request>(&message)) {
         core_->receive(*join, now);
     } else if (const auto* report = std::get_if<node_report>(&message)) {
-        channel->send(core_->receive(*report, now));
+        directory_beat beat = core_->receive(*report, now);
+        if (report->wants_configuration) {
+            beat.list = list_.tell(report->list, now);
+        }
+        channel->send(beat);
     }
     pump();
 }
@@ -454,10 +462,9 @@
     if (!open_storage()) {
         process_.after(reopen_interval, [this] { open_storage(); });
     }
-    std::string problem = peers_.start(
-        [this](const messaging::channel_pointer& channel, const messaging::peer_message& message) {
-            receive(channel, message);
-        });
+    std::string problem =
+        peers_.start([this](const messaging::channel_pointer& channel,
+                            const messaging::peer_message& message) { receive(channel, message); });
     if (problem.empty()) {
         problem = operators_.start(
             [this](http::endpoint_request request) { return serve(std::move(request)); });
@@ -466,6 +473,11 @@
         logging::write_event(logging::event_id::settings_refused, "reason=\"" + problem + "\"");
         return 1;
     }
+    poller_.start(
+        [this](const std::vector<listing::listed_backend>& backends) {
+            list_.see(backends, http::steady_now());
+        },
+        [] { return true; });
     process_.every(tick_interval, [this] {
         if (core_) {
             core_->tick(http::steady_now());
@@ -478,8 +490,9 @@
 
 }  // namespace
 
-int run_directory(const settings::node_settings& settings, const operator_dialect& dialect) {
-    return directory_node(settings, dialect).run();
+int run_directory(const settings::node_settings& settings, const operator_dialect& dialect,
+                  const listing::list_dialect& lists) {
+    return directory_node(settings, dialect, lists).run();
 }
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/directory/directory_state.cpp
+++ b/src/tallyfold/directory/directory_state.cpp
@@ -25,7 +25,9 @@
     }
 }
 
-std::string directory_state::save() const { return protocol::encode(*this); }
+std::string directory_state::save() const {
+    return protocol::encode(*this);
+}
 
 void directory_state::restore(const std::string& bytes) {
     if (bytes.empty()) {
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tallyfold/consensus/messages.hpp"
+#include "tallyfold/listing/types.hpp"
 #include "tallyfold/routing/configuration.hpp"
 #include "tallyfold/turns/types.hpp"
 
@@ -33,10 +34,12 @@
     std::vector<store_report> store;
     /// False when the node has no use for the configuration.
     bool wants_configuration = true;
+    /// The list of back ends that the node holds.
+    listing::list_fingerprint list = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(node, configuration, map, store, wants_configuration);
+        archive(node, configuration, map, store, wants_configuration, list);
     }
 };
 
@@ -48,10 +51,13 @@
     std::vector<turns::store_map> newer_map;
     /// Addresses ("ip:port") of the directory's nodes.
     std::vector<std::string> directory_addresses;
+    /// The list of back ends as this node saw it; at most one entry. It isn't part of the log: any
+    /// node's own sight is as good as another's.
+    std::vector<listing::list_sight> list;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(configuration, newer_configuration, newer_map, directory_addresses);
+        archive(configuration, newer_configuration, newer_map, directory_addresses, list);
     }
 };
 
--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -89,11 +89,11 @@
         return store_map{map.epoch + 1, map.next, {}};
     }
     // A joining store that died would hold the change up for ever: plan again without it.
-    const bool stuck = std::any_of(
-        map.next.begin(), map.next.end(), [&](const store_member& member) {
+    const bool stuck =
+        std::any_of(map.next.begin(), map.next.end(), [&](const store_member& member) {
             const auto found = stores_.find(member.id);
-            const bool copied_here = found != stores_.end() &&
-                                     found->second.report.copied_epoch == map.epoch;
+            const bool copied_here =
+                found != stores_.end() && found->second.report.copied_epoch == map.epoch;
             return !copied_here && !live(member.id, now) && now - started_ > settings_.live;
         });
     if (!stuck) {
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -22,9 +22,9 @@
 backend_registry::backend_registry(std::string zone, std::uint64_t seed)
     : zone_(std::move(zone)), random_(seed) {}
 
-bool backend_registry::update(const std::vector<listed_backend>& backends, instant now) {
+bool backend_registry::update(const std::vector<listing::listed_backend>& backends, instant now) {
     std::map<std::string, std::vector<backend_member>> listed;
-    for (const listed_backend& backend : backends) {
+    for (const listing::listed_backend& backend : backends) {
         listed[backend.service].push_back(backend.member);
     }
     listed_at_ = now;
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "tallyfold/common/random.hpp"
-#include "tallyfold/forwarding/dialect.hpp"
+#include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/placement.hpp"
 
 namespace tallyfold::forwarding {
@@ -38,7 +38,7 @@
     backend_registry(std::string zone, std::uint64_t seed);
 
     /// Takes the whole list as it stands. @return true when it differs from the one before
-    bool update(const std::vector<listed_backend>& backends, instant now);
+    bool update(const std::vector<listing::listed_backend>& backends, instant now);
     /// Nothing when no back end of the service can be given the request.
     std::optional<chosen_backend> choose(const backend_question& question, instant now);
 
--- a/src/tallyfold/forwarding/dialect.hpp
+++ b/src/tallyfold/forwarding/dialect.hpp
@@ -1,17 +1,15 @@
 #pragma once
 /// @file
-/// How callers, back ends and the list of back ends spell what the forwarder decides by. The
-/// forwarder sees their headers and calls through this interface only.
+/// How callers and back ends spell what the forwarder decides by. The forwarder sees their headers
+/// through this interface only.
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <tl/expected.hpp>
 #include <vector>
 
 #include "tallyfold/common/time.hpp"
 #include "tallyfold/http/message.hpp"
-#include "tallyfold/scheduling/backend_pool.hpp"
 #include "tallyfold/scheduling/cache_map.hpp"
 
 namespace tallyfold::forwarding {
@@ -57,18 +55,6 @@
     std::optional<duration> idle_limit;
 };
 
-struct listed_backend {
-    std::string service;
-    scheduling::backend_member member;
-};
-
-/// One page of the list of back ends.
-struct backend_page {
-    std::vector<listed_backend> backends;
-    /// Empty on the last page.
-    std::string next_token;
-};
-
 class forwarding_dialect {
   public:
     virtual ~forwarding_dialect() = default;
@@ -77,10 +63,6 @@
     [[nodiscard]] virtual http::header_list backend_headers(const http::message_head& head,
                                                             const attempt_marks& marks) const = 0;
     [[nodiscard]] virtual answer_facts read_answer(const http::message_head& head) const = 0;
-    /// Path and query of one page of the list. @param token empty for the first
-    [[nodiscard]] virtual std::string list_target(const std::string& token) const = 0;
-    [[nodiscard]] virtual tl::expected<backend_page, std::string> read_list(
-        const std::string& body) const = 0;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.hpp
@@ -24,9 +24,7 @@
     void attempt_failed(const std::string& reason);
 
   private:
-    static double seconds(duration value) {
-        return std::chrono::duration<double>(value).count();
-    }
+    static double seconds(duration value) { return std::chrono::duration<double>(value).count(); }
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Counter& connections_;
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -6,8 +6,8 @@
 
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_client_shell.hpp"
-#include "tallyfold/forwarding/backend_list_poller_shell.hpp"
 #include "tallyfold/forwarding/request_relay_shell.hpp"
+#include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 
 namespace tallyfold::forwarding {
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr duration silence_check_interval = std::chrono::milliseconds(100);
+/// A list that nobody has seen for this long is read by this node itself.
+constexpr duration own_sight_after = std::chrono::milliseconds(1'800);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 /// After a stop, new connections still come until the platform has seen that the node isn't
 /// ready: the listener stays for this long.
@@ -26,7 +28,8 @@
 
 class forwarder_node {
   public:
-    forwarder_node(const settings::node_settings& settings, const forwarding_dialect& dialect);
+    forwarder_node(const settings::node_settings& settings, const forwarding_dialect& dialect,
+                   const listing::list_dialect& lists);
     int run();
 
   private:
@@ -36,6 +39,7 @@
     asio::awaitable<void> reject(http::connection_pointer caller, unsigned status,
                                  std::string reason);
     void use_configuration(const routing::configuration& configuration);
+    void use_list(bool changed);
     void stop();
     void finish_when_idle();
     [[nodiscard]] bool ready() const;
@@ -47,7 +51,8 @@
     connection_pool connections_;
     directory::directory_client directory_;
     turns::turn_client turns_;
-    backend_list_poller poller_;
+    listing::list_poller poller_;
+    listing::list_memory list_;
     forwarder_context context_;
     asio::ip::tcp::acceptor callers_;
     http::endpoint_server readiness_;
@@ -59,13 +64,14 @@
 };
 
 forwarder_node::forwarder_node(const settings::node_settings& settings,
-                               const forwarding_dialect& dialect)
+                               const forwarding_dialect& dialect,
+                               const listing::list_dialect& lists)
     : process_(settings),
       metrics_(process_.metrics()),
       backends_(settings.zone, stable_hash(settings.node)),
       directory_(process_, {}),
       turns_(process_, [this](const turns::store_map& map) { directory_.learn_map(map); }),
-      poller_(process_, dialect),
+      poller_(process_, lists),
       context_{process_, dialect, turns_, backends_, connections_, metrics_, {}, nullptr, false},
       callers_(process_.loop()),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
@@ -85,6 +91,20 @@
                              " routes=" + std::to_string(configuration.routes.size()));
 }
 
+void forwarder_node::use_list(bool changed) {
+    backends_.update(list_.backends(), list_.seen());
+    if (!changed) {
+        return;
+    }
+    std::size_t leaving = 0;
+    for (const listing::listed_backend& backend : list_.backends()) {
+        leaving += backend.member.leaving ? 1 : 0;
+    }
+    logging::write_event(logging::event_id::backend_list_changed,
+                         "backends=" + std::to_string(list_.backends().size()) +
+                             " leaving=" + std::to_string(leaving));
+}
+
 void forwarder_node::accept() {
     callers_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
@@ -224,17 +244,14 @@
             turns_.use_map(map);
         },
         {});
-    poller_.start([this](const std::vector<listed_backend>& backends) {
-        if (backends_.update(backends, http::steady_now())) {
-            std::size_t leaving = 0;
-            for (const listed_backend& backend : backends) {
-                leaving += backend.member.leaving ? 1 : 0;
-            }
-            logging::write_event(logging::event_id::backend_list_changed,
-                                 "backends=" + std::to_string(backends.size()) +
-                                     " leaving=" + std::to_string(leaving));
-        }
-    });
+    // The directory's nodes read the list and tell it; this node reads it itself only when they
+    // haven't for a while.
+    directory_.share_list(list_, [this](bool changed) { use_list(changed); });
+    poller_.start(
+        [this](const std::vector<listing::listed_backend>& backends) {
+            use_list(list_.see(backends, http::steady_now()));
+        },
+        [this] { return http::steady_now() - list_.seen() > own_sight_after; });
     process_.every(housekeeping_interval, [this] { connections_.expire(http::steady_now()); });
     process_.every(silence_check_interval, [this] {
         for (const backend_name& name : backends_.suspect_silent(http::steady_now())) {
@@ -264,8 +281,9 @@
 
 }  // namespace
 
-int run_forwarder(const settings::node_settings& settings, const forwarding_dialect& dialect) {
-    return forwarder_node(settings, dialect).run();
+int run_forwarder(const settings::node_settings& settings, const forwarding_dialect& dialect,
+                  const listing::list_dialect& lists) {
+    return forwarder_node(settings, dialect, lists).run();
 }
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -97,8 +97,7 @@
     co_return written.has_value();
 }
 
-asio::awaitable<void> request_relay::answer(unsigned status, std::string reason,
-                                            come_again again) {
+asio::awaitable<void> request_relay::answer(unsigned status, std::string reason, come_again again) {
     status_ = status;
     reason_ = reason;
     if (gone_) {
@@ -202,14 +201,14 @@
         outgoing_body_ = line + outgoing_body_;
         co_return true;
     }
-    logging::write_event(
-        logging::event_id::turn_refused,
-        "request=" + facts_.request + " program=" + facts_.program + " previous=" +
-            facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
-            " used=" + std::to_string(begun.used_tokens) + " most=" +
-            std::to_string(facts_.most_tokens) + " store_answers=" +
-            std::to_string(begun.store_answers) + " epoch=" + std::to_string(begun.epoch) +
-            " result=" + std::to_string(static_cast<int>(begun.result)));
+    logging::write_event(logging::event_id::turn_refused,
+                         "request=" + facts_.request + " program=" + facts_.program + " previous=" +
+                             facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
+                             " used=" + std::to_string(begun.used_tokens) +
+                             " most=" + std::to_string(facts_.most_tokens) +
+                             " store_answers=" + std::to_string(begun.store_answers) +
+                             " epoch=" + std::to_string(begun.epoch) +
+                             " result=" + std::to_string(static_cast<int>(begun.result)));
     if (begun.result == turns::begin_result::over_budget) {
         outcome_ = "over_budget";
         co_await answer(402, "the program's budget is spent", come_again::never);
@@ -253,11 +252,11 @@
             co_return;
         }
         context_.metrics.attempt_failed(last.reason);
-        logging::write_event(
-            logging::event_id::attempt_failed,
-            "request=" + facts_.request + " backend=" + backend->name + " reason=" + last.reason +
-                " end=" + std::to_string(static_cast<int>(last.end)) +
-                " time_left_ms=" + std::to_string(to_milliseconds(time_left())));
+        logging::write_event(logging::event_id::attempt_failed,
+                             "request=" + facts_.request + " backend=" + backend->name +
+                                 " reason=" + last.reason +
+                                 " end=" + std::to_string(static_cast<int>(last.end)) +
+                                 " time_left_ms=" + std::to_string(to_milliseconds(time_left())));
         const next_step step = policy_->after(last.end, time_left());
         if (answer_started_ || step != next_step::retry) {
             break;
@@ -386,8 +385,7 @@
             context_.backends.succeeded(service_->name, backend.name);
         }
         if (opened->head().keep_alive && opened->message_complete()) {
-            context_.connections.put(backend.address, opened, facts.idle_limit,
-                                     http::steady_now());
+            context_.connections.put(backend.address, opened, facts.idle_limit, http::steady_now());
         } else {
             opened->close();
         }
@@ -446,9 +444,9 @@
 asio::awaitable<request_relay::send_result> request_relay::relay_answer(
     http::connection_pointer backend, const answer_facts& /*facts*/, instant until) {
     const http::message_head& head = backend->head();
-    const bool small = head.framing == http::body_framing::none ||
-                       (head.framing == http::body_framing::length &&
-                        head.content_length <= largest_whole_answer);
+    const bool small =
+        head.framing == http::body_framing::none ||
+        (head.framing == http::body_framing::length && head.content_length <= largest_whole_answer);
     if (small && !route_->streaming) {
         co_return co_await relay_whole(std::move(backend), until);
     }
@@ -543,8 +541,8 @@
     settlement.tokens = generated_tokens();
     settlement.retention_ms = retention_of(*route_);
     if (route_->keeps_history) {
-        settlement.record = turns::turn_record{facts_.request, facts_.previous_turn, request_.body,
-                                               events_.data()};
+        settlement.record =
+            turns::turn_record{facts_.request, facts_.previous_turn, request_.body, events_.data()};
     }
     const instant started = http::steady_now();
     turn_open_ = false;
--- a/src/tallyfold/http/connection_shell.cpp
+++ b/src/tallyfold/http/connection_shell.cpp
@@ -41,8 +41,8 @@
 }
 
 instant steady_now() {
-    return instant(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+    return instant(
+        std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
 void tune_socket(asio::ip::tcp::socket& socket) {
@@ -54,15 +54,15 @@
 }
 
 connection::connection(asio::ip::tcp::socket socket, message_kind kind, std::size_t largest_head)
-    : socket_(std::move(socket)),
-      watchdog_(socket_.get_executor()),
-      parser_(kind, largest_head) {
+    : socket_(std::move(socket)), watchdog_(socket_.get_executor()), parser_(kind, largest_head) {
     if (socket_.is_open()) {
         tune_socket(socket_);
     }
 }
 
-connection::~connection() { close(); }
+connection::~connection() {
+    close();
+}
 
 void connection::arm(instant deadline) {
     expired_ = false;
@@ -79,7 +79,9 @@
     });
 }
 
-void connection::disarm() { ++armed_; }
+void connection::disarm() {
+    ++armed_;
+}
 
 io_failure connection::failure_of(const std::error_code& error) const {
     if (expired_) {
@@ -203,21 +205,21 @@
 
 void connection::watch_close(std::function<void()> closed) {
     const std::uint64_t number = ++watch_;
-    socket_.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [weak = weak_from_this(), number, closed = std::move(closed)](const std::error_code& error) {
-            const auto self = weak.lock();
-            if (error || !self || self->watch_ != number || !self->socket_.is_open()) {
-                return;
-            }
-            char byte = 0;
-            const ssize_t count = ::recv(self->socket_.native_handle(), &byte, sizeof(byte),
-                                         MSG_PEEK | MSG_DONTWAIT);
-            const bool nothing = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-            if (count <= 0 && !nothing) {
-                closed();
-            }
-        });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [weak = weak_from_this(), number,
+                                                          closed = std::move(closed)](
+                                                             const std::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self || self->watch_ != number || !self->socket_.is_open()) {
+            return;
+        }
+        char byte = 0;
+        const ssize_t count =
+            ::recv(self->socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        const bool nothing = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (count <= 0 && !nothing) {
+            closed();
+        }
+    });
 }
 
 bool connection::stale() {
--- a/src/tallyfold/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/http/endpoint_server_shell.cpp
@@ -64,8 +64,8 @@
             return;
         }
         if (!error) {
-            auto caller =
-                std::make_shared<connection>(std::move(socket), message_kind::request, largest_head);
+            auto caller = std::make_shared<connection>(std::move(socket), message_kind::request,
+                                                       largest_head);
             asio::co_spawn(loop_, serve(std::move(caller)), asio::detached);
         }
         accept();
--- a/src/tallyfold/http/message_parser.cpp
+++ b/src/tallyfold/http/message_parser.cpp
@@ -152,8 +152,7 @@
     const http_errno failure = HTTP_PARSER_ERRNO(&state_->parser);
     if (in_head) {
         state_->head_bytes += consumed;
-        const std::size_t size =
-            state_->head_complete ? state_->head_size() : state_->head_bytes;
+        const std::size_t size = state_->head_complete ? state_->head_size() : state_->head_bytes;
         const bool too_large = size > state_->largest_head;
         if (too_large || failure == HPE_HEADER_OVERFLOW) {
             return tl::unexpected(parse_failure::head_too_large);
@@ -178,10 +177,18 @@
     return ends_so;
 }
 
-bool message_parser::head_complete() const { return state_->head_complete; }
-bool message_parser::complete() const { return state_->complete; }
-bool message_parser::started() const { return state_->started; }
-const message_head& message_parser::head() const { return state_->head; }
+bool message_parser::head_complete() const {
+    return state_->head_complete;
+}
+bool message_parser::complete() const {
+    return state_->complete;
+}
+bool message_parser::started() const {
+    return state_->started;
+}
+const message_head& message_parser::head() const {
+    return state_->head;
+}
 
 std::string message_parser::take_body() {
     std::string taken;
@@ -189,6 +196,8 @@
     return taken;
 }
 
-void message_parser::next_message() { state_->begin(); }
+void message_parser::next_message() {
+    state_->begin();
+}
 
 }  // namespace tallyfold::http
--- /dev/null
+++ b/src/tallyfold/listing/list_dialect.hpp
@@ -0,0 +1,22 @@
+#pragma once
+/// @file
+/// How the list of back ends is asked for and spelt is not this plane's matter: it sees the list
+/// through this interface.
+
+#include <string>
+#include <tl/expected.hpp>
+
+#include "tallyfold/listing/types.hpp"
+
+namespace tallyfold::listing {
+
+class list_dialect {
+  public:
+    virtual ~list_dialect() = default;
+    /// Path and query of one page of the list. @param token empty for the first
+    [[nodiscard]] virtual std::string list_target(const std::string& token) const = 0;
+    [[nodiscard]] virtual tl::expected<backend_page, std::string> read_list(
+        const std::string& body) const = 0;
+};
+
+}  // namespace tallyfold::listing
--- a/src/tallyfold/forwarding/backend_list_poller_shell.cpp
+++ b/src/tallyfold/listing/list_poller_shell.cpp
@@ -1,4 +1,4 @@
-#include "tallyfold/forwarding/backend_list_poller_shell.hpp"
+#include "tallyfold/listing/list_poller_shell.hpp"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -8,7 +8,7 @@
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/logging/event_log.hpp"
 
-namespace tallyfold::forwarding {
+namespace tallyfold::listing {
 
 namespace {
 
@@ -20,17 +20,17 @@
 
 }  // namespace
 
-backend_list_poller::backend_list_poller(net::node_process& process,
-                                         const forwarding_dialect& dialect)
+list_poller::list_poller(net::node_process& process, const list_dialect& dialect)
     : process_(process), dialect_(dialect) {}
 
-void backend_list_poller::start(std::function<void(const std::vector<listed_backend>&)> on_list) {
+void list_poller::start(std::function<void(const std::vector<listed_backend>&)> on_list,
+                        std::function<bool()> wanted) {
     on_list_ = std::move(on_list);
+    wanted_ = std::move(wanted);
     asio::co_spawn(process_.loop(), poll(), asio::detached);
 }
 
-asio::awaitable<tl::expected<std::string, std::string>> backend_list_poller::get(
-    std::string target) {
+asio::awaitable<tl::expected<std::string, std::string>> list_poller::get(std::string target) {
     const instant deadline = http::steady_now() + answer_limit;
     const std::string address = process_.settings().backend_list_address;
     if (!connection_ || connection_->stale()) {
@@ -73,7 +73,7 @@
     co_return body;
 }
 
-asio::awaitable<tl::expected<std::vector<listed_backend>, std::string>> backend_list_poller::ask() {
+asio::awaitable<tl::expected<std::vector<listed_backend>, std::string>> list_poller::ask() {
     std::vector<listed_backend> backends;
     std::string token;
     for (std::size_t number = 0; number < most_pages; ++number) {
@@ -98,13 +98,18 @@
     co_return backends;
 }
 
-asio::awaitable<void> backend_list_poller::poll() {
+asio::awaitable<void> list_poller::poll() {
     asio::steady_timer timer(process_.loop());
     // Nodes that start together must not all ask in the same instant for ever.
     const auto phase = static_cast<std::int64_t>(stable_hash(process_.settings().node) % 400);
     bool lost = false;
     bool first = true;
     while (true) {
+        if (!wanted_()) {
+            timer.expires_after(retry_interval);
+            co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+            continue;
+        }
         auto backends = co_await ask();
         duration pause = poll_interval;
         if (backends) {
@@ -131,4 +136,4 @@
     }
 }
 
-}  // namespace tallyfold::forwarding
+}  // namespace tallyfold::listing
--- a/src/tallyfold/forwarding/backend_list_poller_shell.hpp
+++ b/src/tallyfold/listing/list_poller_shell.hpp
@@ -7,17 +7,19 @@
 #include <string>
 #include <vector>
 
-#include "tallyfold/forwarding/dialect.hpp"
 #include "tallyfold/http/connection_shell.hpp"
+#include "tallyfold/listing/list_dialect.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
 
-namespace tallyfold::forwarding {
+namespace tallyfold::listing {
 
-class backend_list_poller {
+class list_poller {
   public:
-    backend_list_poller(net::node_process& process, const forwarding_dialect& dialect);
+    list_poller(net::node_process& process, const list_dialect& dialect);
     /// Starts to ask. @param on_list called with each whole list
-    void start(std::function<void(const std::vector<listed_backend>&)> on_list);
+    /// @param wanted tells whether the next round is needed
+    void start(std::function<void(const std::vector<listed_backend>&)> on_list,
+               std::function<bool()> wanted);
 
   private:
     asio::awaitable<void> poll();
@@ -25,9 +27,10 @@
     asio::awaitable<tl::expected<std::string, std::string>> get(std::string target);
 
     net::node_process& process_;
-    const forwarding_dialect& dialect_;
+    const list_dialect& dialect_;
     http::connection_pointer connection_;
     std::function<void(const std::vector<listed_backend>&)> on_list_;
+    std::function<bool()> wanted_;
 };
 
-}  // namespace tallyfold::forwarding
+}  // namespace tallyfold::listing
--- a/src/tallyfold/logging/bounded_log.cpp
+++ b/src/tallyfold/logging/bounded_log.cpp
@@ -27,7 +27,8 @@
     const auto now = std::chrono::system_clock::now();
     const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
     const auto milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() %
+        1000;
     std::tm parts{};
     ::gmtime_r(&seconds, &parts);
     std::array<char, 32> text{};
--- a/src/tallyfold/messaging/frame_channel_shell.cpp
+++ b/src/tallyfold/messaging/frame_channel_shell.cpp
@@ -41,8 +41,8 @@
         if (input_.size() - offset < frame_header_size + length) {
             break;
         }
-        const auto message = decode_payload(
-            std::string_view(input_).substr(offset + frame_header_size, length));
+        const auto message =
+            decode_payload(std::string_view(input_).substr(offset + frame_header_size, length));
         if (!message) {
             fail("a frame that doesn't decode: " + message.error().reason);
             return false;
--- a/src/tallyfold/messaging/peer_link_shell.cpp
+++ b/src/tallyfold/messaging/peer_link_shell.cpp
@@ -36,7 +36,9 @@
 peer_link::peer_link(asio::io_context& loop, std::string address)
     : loop_(loop), address_(std::move(address)), socket_(loop), timer_(loop) {}
 
-peer_link::~peer_link() { stop(); }
+peer_link::~peer_link() {
+    stop();
+}
 
 void peer_link::start(message_handler on_message, state_handler on_state) {
     on_message_ = std::move(on_message);
@@ -59,35 +61,35 @@
             self->socket_.close(ignored);
         }
     });
-    socket_.async_connect(*endpoint, [weak = weak_from_this(),
-                                      number](const std::error_code& error) {
-        const auto self = weak.lock();
-        if (!self || self->attempt_ != number || self->stopped_) {
-            return;
-        }
-        ++self->attempt_;
-        self->timer_.cancel();
-        if (error) {
-            self->retry_later();
-            return;
-        }
-        tune(self->socket_);
-        self->channel_ = std::make_shared<frame_channel>(std::move(self->socket_));
-        self->channel_->start(
-            [weak](const peer_message& message) {
-                if (const auto link = weak.lock(); link && link->on_message_) {
-                    link->on_message_(message);
-                }
-            },
-            [weak](const std::string& reason) {
-                if (const auto link = weak.lock()) {
-                    link->lost(reason);
-                }
-            });
-        if (self->on_state_) {
-            self->on_state_(true, {});
-        }
-    });
+    socket_.async_connect(
+        *endpoint, [weak = weak_from_this(), number](const std::error_code& error) {
+            const auto self = weak.lock();
+            if (!self || self->attempt_ != number || self->stopped_) {
+                return;
+            }
+            ++self->attempt_;
+            self->timer_.cancel();
+            if (error) {
+                self->retry_later();
+                return;
+            }
+            tune(self->socket_);
+            self->channel_ = std::make_shared<frame_channel>(std::move(self->socket_));
+            self->channel_->start(
+                [weak](const peer_message& message) {
+                    if (const auto link = weak.lock(); link && link->on_message_) {
+                        link->on_message_(message);
+                    }
+                },
+                [weak](const std::string& reason) {
+                    if (const auto link = weak.lock()) {
+                        link->lost(reason);
+                    }
+                });
+            if (self->on_state_) {
+                self->on_state_(true, {});
+            }
+        });
 }
 
 void peer_link::lost(const std::string& reason) {
--- a/src/tallyfold/net/socket_address.cpp
+++ b/src/tallyfold/net/socket_address.cpp
@@ -29,7 +29,9 @@
     return asio::ip::tcp::endpoint(parsed, port);
 }
 
-std::string ip_of(const std::string& address) { return address.substr(0, address.rfind(':')); }
+std::string ip_of(const std::string& address) {
+    return address.substr(0, address.rfind(':'));
+}
 
 std::string join_address(const std::string& ip, unsigned port) {
     return ip + ":" + std::to_string(port);
--- a/src/tallyfold/net/transport.hpp
+++ b/src/tallyfold/net/transport.hpp
@@ -9,10 +9,10 @@
 #include <string>
 #include <thread>
 
-#include "tallyfold/net/socket_address.hpp"
 #include "tallyfold/common/bounded_ring.hpp"
 #include "tallyfold/logging/event_catalogue.hpp"
 #include "tallyfold/net/cluster_keys.hpp"
+#include "tallyfold/net/socket_address.hpp"
 #include "tallyfold/protocol/messages.hpp"
 
 namespace tallyfold::net {
--- a/src/tallyfold/routing/validation.cpp
+++ b/src/tallyfold/routing/validation.cpp
@@ -45,12 +45,11 @@
     for (const route& entry : candidate.routes) {
         const std::string problem = problem_of(entry, services);
         if (!problem.empty()) {
-            return tl::unexpected(
-                invalid_configuration{"route '" + entry.name + "' " + problem});
+            return tl::unexpected(invalid_configuration{"route '" + entry.name + "' " + problem});
         }
         if (!places.insert({entry.host, entry.prefix}).second) {
-            return tl::unexpected(invalid_configuration{"route '" + entry.name +
-                                                        "' has the place of another route"});
+            return tl::unexpected(
+                invalid_configuration{"route '" + entry.name + "' has the place of another route"});
         }
     }
     return {};
--- a/src/tallyfold/scheduling/backend_pool.cpp
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -118,7 +118,9 @@
                       [&](const auto& entry) { return entry.second.ejected_until > now; }));
 }
 
-void backend_pool::failed(const backend_name& name, instant now) { add_failure(name, 1, now); }
+void backend_pool::failed(const backend_name& name, instant now) {
+    add_failure(name, 1, now);
+}
 
 void backend_pool::unreachable(const backend_name& name, instant now) {
     add_failure(name, ejection_threshold, now);
--- a/src/tallyfold/scheduling/backend_pool.hpp
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -31,6 +31,10 @@
     bool listed_only = false;
 
     bool operator==(const backend_member&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(name, kind, address, zone, model, slots, leaving, listed_only);
+    }
 };
 
 /// What a back end says of itself, with a lag.
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -114,9 +114,8 @@
         strategy_ == strategy::policy && !request.home.empty() ? pool.find(request.home) : nullptr;
     if (home != nullptr && pool.available(*home, now)) {
         const token_count held = std::min(request.home_tokens, request.prompt_tokens);
-        const auto known = std::find_if(options.begin(), options.end(), [&](const auto& other) {
-            return other.engine == home;
-        });
+        const auto known = std::find_if(options.begin(), options.end(),
+                                        [&](const auto& other) { return other.engine == home; });
         if (known == options.end()) {
             options.push_back({home, held});
         } else {
--- a/src/tallyfold/settings/node_settings.cpp
+++ b/src/tallyfold/settings/node_settings.cpp
@@ -13,7 +13,9 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
 }
 
-bool is_endpoint(const std::string& text) { return net::parse_endpoint(text).has_value(); }
+bool is_endpoint(const std::string& text) {
+    return net::parse_endpoint(text).has_value();
+}
 
 std::string optional_address(settings_reader& reader, const std::string& key) {
     std::string value = reader.text_or(key, {});
@@ -29,7 +31,9 @@
     return net::join_address(ip, directory_port);
 }
 
-std::string node_settings::store_address() const { return net::join_address(ip, store_port); }
+std::string node_settings::store_address() const {
+    return net::join_address(ip, store_port);
+}
 
 std::vector<std::string> node_settings::seed_directories() const {
     std::vector<std::string> addresses;
@@ -62,8 +66,7 @@
     }
     read.first_start = reader.text_or("first_start", "false") == "true";
     read.data_folder = reader.text_or("data_folder", {});
-    read.losses_borne =
-        static_cast<std::uint32_t>(reader.integer_or("losses_borne", 1, 0, 16));
+    read.losses_borne = static_cast<std::uint32_t>(reader.integer_or("losses_borne", 1, 0, 16));
     read.callers_address = optional_address(reader, "callers_address");
     read.readiness_address = optional_address(reader, "readiness_address");
     read.operators_address = optional_address(reader, "operators_address");
--- a/src/tallyfold/turns/copy_progress.cpp
+++ b/src/tallyfold/turns/copy_progress.cpp
@@ -9,9 +9,9 @@
 }
 
 void copy_progress::finished(store_id source) {
-    const bool current = std::any_of(
-        map_.current.begin(), map_.current.end(),
-        [source](const store_member& member) { return member.id == source; });
+    const bool current =
+        std::any_of(map_.current.begin(), map_.current.end(),
+                    [source](const store_member& member) { return member.id == source; });
     if (current) {
         done_.insert(source);
     }
--- a/src/tallyfold/turns/quorum_operations.cpp
+++ b/src/tallyfold/turns/quorum_operations.cpp
@@ -59,7 +59,9 @@
     }
 }
 
-bool begin_operation::reserved() const { return write_quorum(map_, durable_); }
+bool begin_operation::reserved() const {
+    return write_quorum(map_, durable_);
+}
 
 token_count begin_operation::used_tokens() const {
     token_count used = 0;
@@ -123,7 +125,9 @@
     }
 }
 
-bool settle_operation::done() const { return write_quorum(map_, durable_); }
+bool settle_operation::done() const {
+    return write_quorum(map_, durable_);
+}
 
 std::vector<store_member> settle_operation::unanswered() const {
     return members_without(map_, durable_);
--- a/src/tallyfold/turns/turn_book.cpp
+++ b/src/tallyfold/turns/turn_book.cpp
@@ -61,7 +61,9 @@
     return found == programs_.end() ? program_ledger{} : found->second.requests;
 }
 
-bool turn_book::holds_turn(const std::string& request) const { return turns_.contains(request); }
+bool turn_book::holds_turn(const std::string& request) const {
+    return turns_.contains(request);
+}
 
 chain_part turn_book::chain_from(const std::string& request) const {
     chain_part part;
--- a/src/tallyfold/turns/turn_book.hpp
+++ b/src/tallyfold/turns/turn_book.hpp
@@ -70,8 +70,7 @@
 
     program_entry& touch(const std::string& program, std::uint32_t retention_ms, instant now);
     void store_record(const turn_settlement& settlement, instant now);
-    [[nodiscard]] book_change settlement_of(const std::string& program,
-                                            const program_entry& entry,
+    [[nodiscard]] book_change settlement_of(const std::string& program, const program_entry& entry,
                                             const std::string& request) const;
 
     std::map<std::string, program_entry> programs_;
--- a/src/tallyfold/turns/turn_log.cpp
+++ b/src/tallyfold/turns/turn_log.cpp
@@ -148,10 +148,10 @@
 
 store_map turn_log::kept_map() const {
     const std::string path = folder_ + "/" + std::string(map_name);
-    const auto bytes = fs::exists(path) ? storage::read_file(path)
-                                        : tl::unexpected(storage_error{});
-    const auto scanned = bytes ? storage::scan_records(*bytes, path)
-                               : tl::unexpected(storage_error{});
+    const auto bytes =
+        fs::exists(path) ? storage::read_file(path) : tl::unexpected(storage_error{});
+    const auto scanned =
+        bytes ? storage::scan_records(*bytes, path) : tl::unexpected(storage_error{});
     if (!scanned || scanned->payloads.size() != 1) {
         return {};
     }
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -47,8 +47,7 @@
     };
 
     bool open_log();
-    void receive(const messaging::channel_pointer& channel,
-                 const messaging::peer_message& message);
+    void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
     void begin(const messaging::channel_pointer& channel, const begin_request& request);
     void settle(const messaging::channel_pointer& channel, const settle_request& request);
     void copy_out(const messaging::channel_pointer& channel, const copy_request& request);
@@ -157,8 +156,8 @@
     } else if (const auto* settlement = std::get_if<settle_request>(&message)) {
         settle(channel, *settlement);
     } else if (const auto* chain = std::get_if<chain_request>(&message)) {
-        channel->send(chain_reply{chain->operation, log_->identity(),
-                                  book_.chain_from(chain->request)});
+        channel->send(
+            chain_reply{chain->operation, log_->identity(), book_.chain_from(chain->request)});
     } else if (const auto* copy = std::get_if<copy_request>(&message)) {
         copy_out(channel, *copy);
     }
@@ -188,12 +187,10 @@
     });
 }
 
-void store_node::settle(const messaging::channel_pointer& channel,
-                        const settle_request& request) {
+void store_node::settle(const messaging::channel_pointer& channel, const settle_request& request) {
     std::vector<store_map> newer = newer_than(request.epoch);
     if (!newer.empty()) {
-        channel->send(
-            settle_reply{request.operation, log_->identity(), false, std::move(newer)});
+        channel->send(settle_reply{request.operation, log_->identity(), false, std::move(newer)});
         return;
     }
     const operation_number operation = request.operation;
@@ -287,8 +284,7 @@
     copy_reply reply;
     reply.store = log_->identity();
     reply.epoch = request.map.epoch;
-    reply.changes =
-        book_.missing_from(request.known, request.from, copy_page_bytes, reply.next);
+    reply.changes = book_.missing_from(request.known, request.from, copy_page_bytes, reply.next);
     channel->send(reply);
 }
 
@@ -390,10 +386,9 @@
     if (!open_log()) {
         return 1;
     }
-    const std::string problem = peers_.start(
-        [this](const messaging::channel_pointer& channel, const messaging::peer_message& message) {
-            receive(channel, message);
-        });
+    const std::string problem =
+        peers_.start([this](const messaging::channel_pointer& channel,
+                            const messaging::peer_message& message) { receive(channel, message); });
     if (!problem.empty()) {
         logging::write_event(logging::event_id::settings_refused, "reason=\"" + problem + "\"");
         return 1;
@@ -402,8 +397,7 @@
                      [this](const store_map& map) { use_map(map); },
                      [this] { return std::vector<directory::store_report>{describe()}; });
     directory_.learn_map(log_->kept_map());
-    process_.every(expiry_interval,
-                   [this] { book_.expire(http::steady_now(), expiry_margin); });
+    process_.every(expiry_interval, [this] { book_.expire(http::steady_now(), expiry_margin); });
     process_.every(repair_interval, [this] { repair(); });
     process_.every(copy_interval, [this] { copy_more(); });
     return process_.run([this] { process_.after(stop_delay, [this] { process_.finish(); }); },
--- a/src/tallyfold/turns/types.cpp
+++ b/src/tallyfold/turns/types.cpp
@@ -30,7 +30,9 @@
 
 }  // namespace
 
-bool store_map::holds(store_id id) const { return lists(current, id) || lists(next, id); }
+bool store_map::holds(store_id id) const {
+    return lists(current, id) || lists(next, id);
+}
 
 std::vector<store_member> store_map::all() const {
     std::vector<store_member> members = current;
@@ -44,9 +46,8 @@
 
 bool is_majority(const std::vector<store_member>& members, const std::set<store_id>& answered) {
     const auto count = static_cast<std::size_t>(
-        std::count_if(members.begin(), members.end(), [&](const store_member& member) {
-            return answered.contains(member.id);
-        }));
+        std::count_if(members.begin(), members.end(),
+                      [&](const store_member& member) { return answered.contains(member.id); }));
     return count * 2 > members.size();
 }
 
--- a/tests/directory/member_planner_test.cpp
+++ b/tests/directory/member_planner_test.cpp
@@ -17,9 +17,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr replica_id self = 1;
-    static instant at(int milliseconds) {
-        return instant(std::chrono::milliseconds(milliseconds));
-    }
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
 
     static replication_view voters(std::size_t count) {
         replication_view view;
--- a/tests/directory/store_planner_test.cpp
+++ b/tests/directory/store_planner_test.cpp
@@ -21,9 +21,7 @@
     CPPUNIT_TEST(a_silent_store_is_left_out_while_enough_remain);
     CPPUNIT_TEST_SUITE_END();
 
-    static instant at(int milliseconds) {
-        return instant(std::chrono::milliseconds(milliseconds));
-    }
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
     static store_member member(store_id id, const std::string& node) {
         return {id, node, "10.0.0." + node + ":7000", "zone"};
     }
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -59,8 +59,8 @@
         CPPUNIT_ASSERT(policy.after(attempt_end::not_sent, duration::zero()) == next_step::refuse);
     }
 
-    static std::vector<listed_backend> engines(std::size_t count) {
-        std::vector<listed_backend> listed(count);
+    static std::vector<listing::listed_backend> engines(std::size_t count) {
+        std::vector<listing::listed_backend> listed(count);
         for (std::size_t index = 0; index < count; ++index) {
             listed[index].service = "s";
             listed[index].member.name = "b" + std::to_string(index);
@@ -73,7 +73,7 @@
 
     void a_leaving_back_end_is_not_chosen() {
         backend_registry registry("zone", 1);
-        std::vector<listed_backend> listed = engines(2);
+        std::vector<listing::listed_backend> listed = engines(2);
         listed[0].member.leaving = true;
         registry.update(listed, instant{});
         backend_question question;
--- a/tests/http/message_parser_test.cpp
+++ b/tests/http/message_parser_test.cpp
@@ -57,7 +57,8 @@
 
     void a_cut_answer_is_not_whole() {
         message_parser counted(message_kind::response, bound);
-        CPPUNIT_ASSERT(counted.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome").has_value());
+        CPPUNIT_ASSERT(
+            counted.feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome").has_value());
         CPPUNIT_ASSERT(!counted.finish());
         message_parser chunked(message_kind::response, bound);
         CPPUNIT_ASSERT(
@@ -78,7 +79,8 @@
         CPPUNIT_ASSERT(fed.error() == parse_failure::head_too_large);
         // Also when the head's end comes with the bytes that exceed the bound.
         message_parser whole(message_kind::request, 64);
-        const auto at_once = whole.feed("GET / HTTP/1.1\r\nA: " + std::string(100, 'x') + "\r\n\r\n");
+        const auto at_once =
+            whole.feed("GET / HTTP/1.1\r\nA: " + std::string(100, 'x') + "\r\n\r\n");
         CPPUNIT_ASSERT(!at_once.has_value());
         CPPUNIT_ASSERT(at_once.error() == parse_failure::head_too_large);
     }
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -25,7 +25,8 @@
     static configuration make() {
         configuration made;
         made.version = 1;
-        made.services = {{"s", "/health", 10, false, 0, 0, 1}, {"t", "/health", 10, false, 0, 0, 1}};
+        made.services = {{"s", "/health", 10, false, 0, 0, 1},
+                         {"t", "/health", 10, false, 0, 0, 1}};
         made.routes = {make_route("short", "/a/"), make_route("long", "/a/b/")};
         return made;
     }
--- a/tests/turns/quorum_operations_test.cpp
+++ b/tests/turns/quorum_operations_test.cpp
@@ -126,8 +126,8 @@
         std::map<store_id, program_ledger> stores{{1, {}}, {2, {}}, {3, {}}};
         // A budget that holds one of the two turns only.
         begin_operation left = operation(map_of({1, 2, 3}), {}, 150);
-        begin_operation right{map_of({1, 2, 3}), turn_reservation{"program", "other", 100, 60'000},
-                              {}, 150};
+        begin_operation right{
+            map_of({1, 2, 3}), turn_reservation{"program", "other", 100, 60'000}, {}, 150};
         std::vector<std::pair<bool, store_id>> messages;
         for (const store_id id : {1, 2, 3}) {
             messages.emplace_back(true, id);
@@ -149,8 +149,9 @@
     }
 
     void two_turns_that_begin_at_once_never_both_overlook_each_other() {
-        const bool holds = rc::check("of two begins at least one sees the other",
-                                     [](std::uint64_t seed) { RC_ASSERT(one_sees_the_other(seed)); });
+        const bool holds =
+            rc::check("of two begins at least one sees the other",
+                      [](std::uint64_t seed) { RC_ASSERT(one_sees_the_other(seed)); });
         CPPUNIT_ASSERT(holds);
     }
 
