--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -56,7 +56,7 @@
 }
 
 directory_core::directory_core(directory_settings settings, consensus::replica_id identity,
-                               consensus::recovered_state recovered, instant now)
+                               const consensus::recovered_state& recovered, instant now)
     : settings_(std::move(settings)),
       identity_(identity),
       replica_(replica_settings_of(settings_, identity),
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -79,7 +79,7 @@
 class directory_core {
   public:
     directory_core(directory_settings settings, consensus::replica_id identity,
-                   consensus::recovered_state recovered, instant now);
+                   const consensus::recovered_state& recovered, instant now);
 
     void tick(instant now);
     /// @param from address that the message came from, for a replica no membership names yet
--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -63,11 +63,11 @@
         }
     }
     for (const auto& [id, entry] : stores_) {
-        const bool known = std::any_of(members.begin(), members.end(),
-                                       [&](const store_member& other) { return other.id == id; });
-        const bool gone = state.retired().contains(id) || replaced(entry.report.member);
+        const store_member& member = entry.report.member;
+        const bool known = std::find(members.begin(), members.end(), member) != members.end();
+        const bool gone = state.retired().contains(id) || replaced(member);
         if (!known && live(id, now) && !gone) {
-            members.push_back(entry.report.member);
+            members.push_back(member);
         }
     }
     // Leave silent ones out while enough remain.
--- a/src/tallyfold/listing/types.cpp
+++ b/src/tallyfold/listing/types.cpp
@@ -47,7 +47,8 @@
     }
     list_sight sight;
     sight.fingerprint = fingerprint_;
-    sight.age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(now - seen_)));
+    sight.age_ms =
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(now - seen_)));
     if (held != fingerprint_) {
         sight.backends = backends_;
     }
--- /dev/null
+++ b/src/tallyfold/turns/store_fsm.cpp
@@ -0,0 +1,196 @@
+#include "tallyfold/turns/store_fsm.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::turns {
+
+namespace {
+
+constexpr std::size_t copy_page_bytes = 512U << 10U;
+
+}  // namespace
+
+store_fsm::store_fsm(store_id self, store_map kept, const std::vector<book_change>& recovered,
+                     instant now)
+    : self_(self), kept_epoch_(kept.epoch) {
+    for (const book_change& change : recovered) {
+        book_.apply(change, now);
+    }
+    learn_map(kept);
+    map_to_keep_ = false;
+}
+
+std::vector<store_map> store_fsm::newer_than(map_epoch epoch) const {
+    return map_.epoch > epoch ? std::vector<store_map>{map_} : std::vector<store_map>{};
+}
+
+std::vector<addressed_reply> store_fsm::receive(peer_token from, const begin_request& request) {
+    std::vector<store_map> newer = newer_than(request.epoch);
+    if (newer.empty()) {
+        waiting_.push_back({from, request});
+        return {};
+    }
+    begin_reply reply;
+    reply.operation = request.operation;
+    reply.store = self_;
+    reply.newer_map = std::move(newer);
+    return {{from, std::move(reply)}};
+}
+
+std::vector<addressed_reply> store_fsm::receive(peer_token from, const settle_request& request) {
+    std::vector<store_map> newer = newer_than(request.epoch);
+    if (newer.empty()) {
+        waiting_.push_back({from, request});
+        return {};
+    }
+    return {{from, settle_reply{request.operation, self_, false, std::move(newer)}}};
+}
+
+std::vector<addressed_reply> store_fsm::receive(peer_token from,
+                                                const chain_request& request) const {
+    return {{from, chain_reply{request.operation, self_, book_.chain_from(request.request)}}};
+}
+
+std::vector<addressed_reply> store_fsm::receive(peer_token from, const copy_request& request) {
+    // From here on no write under an older map is taken. What was taken before stands ahead in
+    // the queue, so the copy holds it too.
+    learn_map(request.map);
+    waiting_.push_back({from, request});
+    return {};
+}
+
+void store_fsm::receive(const copy_reply& reply) {
+    waiting_.push_back({0, reply});
+}
+
+bool store_fsm::learn_map(const store_map& map) {
+    if (map.epoch <= map_.epoch) {
+        return false;
+    }
+    map_ = map;
+    map_to_keep_ = true;
+    copying_.reset();
+    copied_up_to_.clear();
+    if (map.changing()) {
+        copying_.emplace(map, self_);
+        if (!copying_->wanted()) {
+            copying_.reset();
+        }
+        known_ = book_.settled_requests();
+    }
+    return true;
+}
+
+void store_fsm::append_changes(const waiting_work& work, std::vector<book_change>& changes) const {
+    if (const auto* begin = std::get_if<begin_request>(&work.body)) {
+        changes.emplace_back(begin->reservation);
+    } else if (const auto* settle = std::get_if<settle_request>(&work.body)) {
+        changes.emplace_back(settle->settlement);
+    } else if (const auto* copy = std::get_if<copy_reply>(&work.body)) {
+        changes.insert(changes.end(), copy->changes.begin(), copy->changes.end());
+    }
+}
+
+store_write store_fsm::take_write() {
+    store_write write;
+    if (map_to_keep_) {
+        write.map = map_;
+        map_to_keep_ = false;
+        keeping_epoch_ = map_.epoch;
+    }
+    writing_ = std::move(waiting_);
+    waiting_.clear();
+    for (const waiting_work& work : writing_) {
+        append_changes(work, write.changes);
+    }
+    return write;
+}
+
+begin_reply store_fsm::answer(const begin_request& request, bool durable) const {
+    begin_reply reply;
+    reply.operation = request.operation;
+    reply.store = self_;
+    reply.durable = durable;
+    reply.ledger = book_.ledger_of(request.reservation.program);
+    reply.knows_previous = !request.previous.empty() && book_.holds_turn(request.previous);
+    if (request.wants_chain && !request.previous.empty()) {
+        reply.chain = book_.chain_from(request.previous);
+    }
+    return reply;
+}
+
+copy_reply store_fsm::answer(const copy_request& request) const {
+    copy_reply reply;
+    reply.store = self_;
+    reply.epoch = request.map.epoch;
+    reply.changes = book_.missing_from(request.known, request.from, copy_page_bytes, reply.next);
+    return reply;
+}
+
+void store_fsm::note_copied(const copy_reply& reply) {
+    if (!copying_.has_value() || reply.epoch != copying_->epoch()) {
+        return;
+    }
+    if (!reply.next.empty()) {
+        copied_up_to_[reply.store] = reply.next;
+        return;
+    }
+    copying_->finished(reply.store);
+    if (copying_->whole()) {
+        copied_epoch_ = copying_->epoch();
+        copying_.reset();
+    }
+}
+
+std::vector<addressed_reply> store_fsm::written(bool durable, instant now) {
+    const std::vector<waiting_work> batch = std::move(writing_);
+    writing_.clear();
+    if (durable) {
+        kept_epoch_ = std::max(kept_epoch_, keeping_epoch_);
+    } else if (keeping_epoch_ > kept_epoch_) {
+        map_to_keep_ = true;
+    }
+    std::vector<book_change> changes;
+    for (const waiting_work& work : batch) {
+        append_changes(work, changes);
+    }
+    if (durable) {
+        for (const book_change& change : changes) {
+            book_.apply(change, now);
+        }
+    }
+    std::vector<addressed_reply> replies;
+    for (const waiting_work& work : batch) {
+        if (const auto* begin = std::get_if<begin_request>(&work.body)) {
+            replies.push_back({work.from, answer(*begin, durable)});
+        } else if (const auto* settle = std::get_if<settle_request>(&work.body)) {
+            replies.push_back({work.from, settle_reply{settle->operation, self_, durable, {}}});
+        } else if (const auto* copy = std::get_if<copy_request>(&work.body)) {
+            // The fence has to outlive a restart, or a write could still slip past the copy.
+            if (kept_epoch_ >= copy->map.epoch) {
+                replies.push_back({work.from, answer(*copy)});
+            }
+        } else if (durable) {
+            note_copied(std::get<copy_reply>(work.body));
+        }
+    }
+    return replies;
+}
+
+std::vector<copy_order> store_fsm::copy_orders() const {
+    std::vector<copy_order> orders;
+    if (!copying_.has_value()) {
+        return orders;
+    }
+    for (const store_member& source : copying_->sources()) {
+        const auto from = copied_up_to_.find(source.id);
+        copy_request request;
+        request.map = copying_->map();
+        request.known = known_;
+        request.from = from == copied_up_to_.end() ? std::string{} : from->second;
+        orders.push_back({source, std::move(request)});
+    }
+    return orders;
+}
+
+}  // namespace tallyfold::turns
--- /dev/null
+++ b/src/tallyfold/turns/store_fsm.hpp
@@ -0,0 +1,102 @@
+#pragma once
+/// @file
+/// One store as a pure state machine: messages in, writes and replies out. The shell makes each
+/// write durable before it hands out the replies that depend on it.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "tallyfold/turns/copy_progress.hpp"
+#include "tallyfold/turns/messages.hpp"
+
+namespace tallyfold::turns {
+
+/// Names the connection that a request came over, for its reply.
+using peer_token = std::uint64_t;
+
+using store_reply = std::variant<begin_reply, chain_reply, settle_reply, copy_reply>;
+
+struct addressed_reply {
+    peer_token to = 0;
+    store_reply body;
+};
+
+/// What has to be durable before written() is called.
+struct store_write {
+    /// The map to keep, before the changes.
+    std::optional<store_map> map;
+    std::vector<book_change> changes;
+
+    [[nodiscard]] bool empty() const { return !map.has_value() && changes.empty(); }
+};
+
+/// A copy request to the store at a member's address.
+struct copy_order {
+    store_member source;
+    copy_request request;
+};
+
+class store_fsm {
+  public:
+    store_fsm(store_id self, store_map kept, const std::vector<book_change>& recovered,
+              instant now);
+
+    /// @return replies that wait for nothing
+    std::vector<addressed_reply> receive(peer_token from, const begin_request& request);
+    std::vector<addressed_reply> receive(peer_token from, const settle_request& request);
+    std::vector<addressed_reply> receive(peer_token from, const chain_request& request) const;
+    std::vector<addressed_reply> receive(peer_token from, const copy_request& request);
+    /// A page of the copy that this store makes.
+    void receive(const copy_reply& reply);
+    /// Takes over a newer map. @return true when it was newer
+    bool learn_map(const store_map& map);
+
+    [[nodiscard]] bool has_work() const { return !waiting_.empty() || map_to_keep_; }
+    /// Takes what has gathered; written() has to follow.
+    store_write take_write();
+    /// @param durable false when the disk refused; nothing of the write is taken over then
+    std::vector<addressed_reply> written(bool durable, instant now);
+
+    /// What to ask other stores for now; empty when no copy is under way.
+    [[nodiscard]] std::vector<copy_order> copy_orders() const;
+    /// The newest map for which this store holds a whole copy.
+    [[nodiscard]] map_epoch copied_epoch() const { return copied_epoch_; }
+    [[nodiscard]] const store_map& map() const { return map_; }
+    [[nodiscard]] store_id self() const { return self_; }
+    [[nodiscard]] const turn_book& book() const { return book_; }
+    void expire(instant now, duration margin) { book_.expire(now, margin); }
+
+  private:
+    /// One request, or one page of a copy, in the order of arrival.
+    struct waiting_work {
+        peer_token from = 0;
+        std::variant<begin_request, settle_request, copy_request, copy_reply> body;
+    };
+
+    [[nodiscard]] std::vector<store_map> newer_than(map_epoch epoch) const;
+    void append_changes(const waiting_work& work, std::vector<book_change>& changes) const;
+    [[nodiscard]] begin_reply answer(const begin_request& request, bool durable) const;
+    [[nodiscard]] copy_reply answer(const copy_request& request) const;
+    void note_copied(const copy_reply& reply);
+
+    store_id self_;
+    store_map map_;
+    turn_book book_;
+    bool map_to_keep_ = false;
+    /// Epoch of the map that is durable here.
+    map_epoch kept_epoch_ = 0;
+    map_epoch keeping_epoch_ = 0;
+    std::vector<waiting_work> waiting_;
+    std::vector<waiting_work> writing_;
+    std::optional<copy_progress> copying_;
+    std::set<std::string> known_;
+    /// Where each source's copy goes on.
+    std::map<store_id, std::string> copied_up_to_;
+    map_epoch copied_epoch_ = 0;
+};
+
+}  // namespace tallyfold::turns
--- a/src/tallyfold/turns/turn_book.cpp
+++ b/src/tallyfold/turns/turn_book.cpp
@@ -37,6 +37,7 @@
 void turn_book::apply(const book_change& change, instant now) {
     if (const auto* reservation = std::get_if<turn_reservation>(&change)) {
         program_entry& entry = touch(reservation->program, reservation->retention_ms, now);
+        requests_[reservation->request] = reservation->program;
         const ledger_entry reserved{reservation->most_tokens, false};
         const auto [position, added] = entry.requests.try_emplace(reservation->request, reserved);
         if (!added) {
@@ -46,6 +47,7 @@
     }
     const auto& settlement = std::get<turn_settlement>(change);
     program_entry& entry = touch(settlement.program, settlement.retention_ms, now);
+    requests_[settlement.request] = settlement.program;
     const ledger_entry settled{settlement.tokens, true};
     const auto [position, added] = entry.requests.try_emplace(settlement.request, settled);
     if (!added) {
@@ -100,17 +102,22 @@
     std::erase_if(programs_, [&](const auto& entry) {
         return now - entry.second.touched > entry.second.retention + margin;
     });
+    index_requests();
 }
 
-book_change turn_book::settlement_of(const std::string& program, const program_entry& entry,
-                                     const std::string& request) const {
-    const ledger_entry& cost = entry.requests.at(request);
-    const auto retention_ms = static_cast<std::uint32_t>(to_milliseconds(entry.retention));
+book_change turn_book::change_of(const std::string& request, const std::string& program) const {
+    const auto turn = turns_.find(request);
+    const auto entry = programs_.find(program);
+    const bool in_ledger = entry != programs_.end() && entry->second.requests.contains(request);
+    // A turn may outlive its program's ledger when another program continues from it.
+    const ledger_entry cost =
+        in_ledger ? entry->second.requests.at(request) : ledger_entry{0, true};
+    const duration retention = in_ledger ? entry->second.retention : turn->second.retention;
+    const auto retention_ms = static_cast<std::uint32_t>(to_milliseconds(retention));
     if (!cost.settled) {
         return turn_reservation{program, request, cost.tokens, retention_ms};
     }
     turn_settlement settlement{program, request, cost.tokens, retention_ms, std::nullopt};
-    const auto turn = turns_.find(request);
     if (turn != turns_.end()) {
         settlement.record = turn->second.record;
     }
@@ -119,19 +126,9 @@
 
 std::vector<book_change> turn_book::contents() const {
     std::vector<book_change> changes;
-    for (const auto& [program, entry] : programs_) {
-        for (const auto& [request, cost] : entry.requests) {
-            changes.push_back(settlement_of(program, entry, request));
-        }
-    }
-    // A turn may outlive its program's ledger when another program continues from it.
-    for (const auto& [request, entry] : turns_) {
-        const auto program = programs_.find(entry.program);
-        if (program == programs_.end() || !program->second.requests.contains(request)) {
-            changes.push_back(turn_settlement{
-                entry.program, request, 0,
-                static_cast<std::uint32_t>(to_milliseconds(entry.retention)), entry.record});
-        }
+    changes.reserve(requests_.size());
+    for (const auto& [request, program] : requests_) {
+        changes.push_back(change_of(request, program));
     }
     return changes;
 }
@@ -154,28 +151,38 @@
 std::vector<book_change> turn_book::missing_from(const std::set<std::string>& known,
                                                  const std::string& from, std::size_t limit_bytes,
                                                  std::string& next) const {
-    std::map<std::string, book_change> by_request;
-    for (book_change& change : contents()) {
-        std::string request = std::visit([](const auto& entry) { return entry.request; }, change);
-        if (request > from && !known.contains(request)) {
-            by_request.emplace(std::move(request), std::move(change));
-        }
-    }
+    // Only what goes into the page is copied: a book holds many times as much.
     std::vector<book_change> page;
     std::size_t bytes = 0;
     next.clear();
-    for (auto& [request, change] : by_request) {
+    std::string last;
+    for (auto entry = requests_.upper_bound(from); entry != requests_.end(); ++entry) {
+        const auto& [request, program] = *entry;
+        if (known.contains(request)) {
+            continue;
+        }
         if (bytes >= limit_bytes) {
+            next = last;
             return page;
         }
-        const auto* settlement = std::get_if<turn_settlement>(&change);
-        bytes += turn_overhead;
-        bytes += settlement && settlement->record ? size_of(*settlement->record) : 0;
-        page.push_back(std::move(change));
-        next = request;
+        const auto turn = turns_.find(request);
+        bytes += turn != turns_.end() ? size_of(turn->second.record) : turn_overhead;
+        page.push_back(change_of(request, program));
+        last = request;
     }
-    next.clear();
     return page;
 }
 
+void turn_book::index_requests() {
+    requests_.clear();
+    for (const auto& [request, entry] : turns_) {
+        requests_[request] = entry.program;
+    }
+    for (const auto& [program, entry] : programs_) {
+        for (const auto& [request, cost] : entry.requests) {
+            requests_[request] = program;
+        }
+    }
+}
+
 }  // namespace tallyfold::turns
--- a/src/tallyfold/turns/turn_book.hpp
+++ b/src/tallyfold/turns/turn_book.hpp
@@ -70,11 +70,14 @@
 
     program_entry& touch(const std::string& program, std::uint32_t retention_ms, instant now);
     void store_record(const turn_settlement& settlement, instant now);
-    [[nodiscard]] book_change settlement_of(const std::string& program, const program_entry& entry,
-                                            const std::string& request) const;
+    [[nodiscard]] book_change change_of(const std::string& request,
+                                        const std::string& program) const;
+    void index_requests();
 
     std::map<std::string, program_entry> programs_;
     std::map<std::string, turn_entry> turns_;
+    /// Program of every request that is held, in the order in which a copy goes through them.
+    std::map<std::string, std::string> requests_;
     std::size_t bytes_ = 0;
 };
 
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -11,7 +11,7 @@
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
-#include "tallyfold/turns/copy_progress.hpp"
+#include "tallyfold/turns/store_fsm.hpp"
 #include "tallyfold/turns/turn_log.hpp"
 
 namespace tallyfold::turns {
@@ -22,9 +22,8 @@
 /// Kept beyond the retention, for clocks that run apart and turns under way.
 constexpr duration expiry_margin = std::chrono::seconds(15);
 constexpr duration repair_interval = std::chrono::milliseconds(500);
-constexpr duration copy_interval = std::chrono::milliseconds(250);
+constexpr duration copy_interval = std::chrono::milliseconds(300);
 constexpr duration stop_delay = std::chrono::milliseconds(300);
-constexpr std::size_t copy_page_bytes = 512U << 10U;
 /// Turns of the loop that a write waits for more changes to join it.
 constexpr int gathering_turns = 2;
 
@@ -40,41 +39,33 @@
     int run();
 
   private:
-    /// A change that waits to be synced, and what is to be sent then.
-    struct waiting_change {
-        book_change change;
-        std::function<void(bool durable)> answer;
-    };
-
     bool open_log();
     void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
-    void begin(const messaging::channel_pointer& channel, const begin_request& request);
-    void settle(const messaging::channel_pointer& channel, const settle_request& request);
-    void copy_out(const messaging::channel_pointer& channel, const copy_request& request);
-    void enqueue(book_change change, std::function<void(bool durable)> answer);
+    void answer(const std::vector<addressed_reply>& replies);
+    void gather();
     void gather(int turns_left);
     void write_waiting();
-    bool make_durable(const std::vector<book_change>& changes);
+    bool make_durable(const store_write& write);
     void repair();
     void use_map(const store_map& map);
     void copy_more();
-    void take_copy(const copy_reply& reply);
-    void finish_copy();
-    [[nodiscard]] std::vector<store_map> newer_than(map_epoch epoch) const;
+    void ask_for_next_pages();
+    messaging::link_pointer link_to(const store_member& source);
     [[nodiscard]] directory::store_report describe() const;
 
     net::node_process process_;
     directory::directory_client directory_;
     messaging::peer_server peers_;
     std::optional<turn_log> log_;
-    turn_book book_;
-    std::vector<waiting_change> waiting_;
+    std::optional<store_fsm> store_;
     bool gathering_ = false;
-    std::optional<copy_progress> copying_;
-    std::map<store_id, messaging::link_pointer> sources_;
-    std::map<store_id, std::string> copied_up_to_;
-    std::set<std::string> known_;
-    map_epoch copied_epoch_ = 0;
+    /// Connections that wait for a reply.
+    std::map<peer_token, messaging::channel_pointer> callers_;
+    peer_token next_caller_ = 1;
+    std::map<std::string, messaging::link_pointer> sources_;
+    map_epoch logged_copy_ = 0;
+    /// Sources that have sent a page and hold more.
+    std::set<store_id> unfinished_sources_;
     prometheus::Counter& changes_;
     prometheus::Counter& syncs_;
     prometheus::Counter& failures_;
@@ -125,15 +116,12 @@
         return false;
     }
     log_.emplace(std::move(*opened));
-    const instant now = http::steady_now();
     // The age of what was read back isn't known: its retention starts anew, which keeps it longer.
-    for (const book_change& change : log_->take_recovered()) {
-        book_.apply(change, now);
-    }
+    store_.emplace(log_->identity(), log_->kept_map(), log_->take_recovered(), http::steady_now());
     logging::write_event(logging::event_id::storage_opened,
                          "identity=" + std::to_string(log_->identity()) +
-                             " turns=" + std::to_string(book_.turn_count()) +
-                             " programs=" + std::to_string(book_.program_count()) +
+                             " turns=" + std::to_string(store_->book().turn_count()) +
+                             " programs=" + std::to_string(store_->book().program_count()) +
                              " cut_bytes=" + std::to_string(log_->cut_bytes()));
     return true;
 }
@@ -141,68 +129,49 @@
 directory::store_report store_node::describe() const {
     const settings::node_settings& settings = process_.settings();
     return {{log_->identity(), settings.node, settings.store_address(), settings.zone},
-            copied_epoch_};
-}
-
-std::vector<store_map> store_node::newer_than(map_epoch epoch) const {
-    const store_map& map = directory_.map();
-    return map.epoch > epoch ? std::vector<store_map>{map} : std::vector<store_map>{};
+            store_->copied_epoch()};
 }
 
 void store_node::receive(const messaging::channel_pointer& channel,
                          const messaging::peer_message& message) {
-    if (const auto* request = std::get_if<begin_request>(&message)) {
-        begin(channel, *request);
-    } else if (const auto* settlement = std::get_if<settle_request>(&message)) {
-        settle(channel, *settlement);
+    const peer_token from = next_caller_++;
+    std::vector<addressed_reply> replies;
+    const map_epoch epoch = store_->map().epoch;
+    callers_[from] = channel;
+    if (const auto* begin = std::get_if<begin_request>(&message)) {
+        changes_.Increment();
+        replies = store_->receive(from, *begin);
+    } else if (const auto* settle = std::get_if<settle_request>(&message)) {
+        changes_.Increment();
+        replies = store_->receive(from, *settle);
     } else if (const auto* chain = std::get_if<chain_request>(&message)) {
-        channel->send(
-            chain_reply{chain->operation, log_->identity(), book_.chain_from(chain->request)});
+        replies = store_->receive(from, *chain);
     } else if (const auto* copy = std::get_if<copy_request>(&message)) {
-        copy_out(channel, *copy);
+        replies = store_->receive(from, *copy);
+    } else {
+        callers_.erase(from);
     }
-}
-
-void store_node::begin(const messaging::channel_pointer& channel, const begin_request& request) {
-    std::vector<store_map> newer = newer_than(request.epoch);
-    if (!newer.empty()) {
-        begin_reply reply;
-        reply.operation = request.operation;
-        reply.store = log_->identity();
-        reply.newer_map = std::move(newer);
-        channel->send(reply);
-        return;
+    if (store_->map().epoch > epoch) {
+        directory_.learn_map(store_->map());
     }
-    enqueue(request.reservation, [this, channel, request](bool durable) {
-        begin_reply reply;
-        reply.operation = request.operation;
-        reply.store = log_->identity();
-        reply.durable = durable;
-        reply.ledger = book_.ledger_of(request.reservation.program);
-        reply.knows_previous = !request.previous.empty() && book_.holds_turn(request.previous);
-        if (request.wants_chain && !request.previous.empty()) {
-            reply.chain = book_.chain_from(request.previous);
-        }
-        channel->send(reply);
-    });
+    answer(replies);
+    gather();
 }
 
-void store_node::settle(const messaging::channel_pointer& channel, const settle_request& request) {
-    std::vector<store_map> newer = newer_than(request.epoch);
-    if (!newer.empty()) {
-        channel->send(settle_reply{request.operation, log_->identity(), false, std::move(newer)});
-        return;
+void store_node::answer(const std::vector<addressed_reply>& replies) {
+    for (const addressed_reply& reply : replies) {
+        const auto caller = callers_.find(reply.to);
+        if (caller == callers_.end()) {
+            continue;
+        }
+        const messaging::channel_pointer channel = caller->second;
+        callers_.erase(caller);
+        std::visit([&channel](const auto& body) { channel->send(body); }, reply.body);
     }
-    const operation_number operation = request.operation;
-    enqueue(request.settlement, [this, channel, operation](bool durable) {
-        channel->send(settle_reply{operation, log_->identity(), durable, {}});
-    });
 }
 
-void store_node::enqueue(book_change change, std::function<void(bool durable)> answer) {
-    changes_.Increment();
-    waiting_.push_back({std::move(change), std::move(answer)});
-    if (!gathering_) {
+void store_node::gather() {
+    if (!gathering_ && store_->has_work()) {
         gathering_ = true;
         gather(gathering_turns);
     }
@@ -221,38 +190,41 @@
 }
 
 void store_node::write_waiting() {
-    if (waiting_.empty()) {
-        return;
-    }
-    std::vector<waiting_change> batch;
-    batch.swap(waiting_);
-    std::vector<book_change> changes;
-    changes.reserve(batch.size());
-    for (const waiting_change& entry : batch) {
-        changes.push_back(entry.change);
-    }
-    const bool durable = make_durable(changes);
-    const instant now = http::steady_now();
-    if (durable) {
-        for (const book_change& change : changes) {
-            book_.apply(change, now);
-        }
+    const store_write write = store_->take_write();
+    const bool durable = make_durable(write);
+    const std::vector<addressed_reply> replies = store_->written(durable, http::steady_now());
+    answer(replies);
+    bytes_.Set(static_cast<double>(store_->book().bytes()));
+    if (durable && log_->wants_rotation() && !log_->rotate(store_->book().contents())) {
+        failures_.Increment();
     }
-    for (const waiting_change& entry : batch) {
-        entry.answer(durable);
+    if (!store_->has_work()) {
+        // Whoever has no reply by now gets none.
+        callers_.clear();
     }
-    bytes_.Set(static_cast<double>(book_.bytes()));
-    if (durable && log_->wants_rotation() && !log_->rotate(book_.contents())) {
-        failures_.Increment();
+    ask_for_next_pages();
+    if (store_->copied_epoch() > logged_copy_) {
+        logged_copy_ = store_->copied_epoch();
+        logging::write_event(logging::event_id::store_copied,
+                             "epoch=" + std::to_string(logged_copy_) +
+                                 " turns=" + std::to_string(store_->book().turn_count()) +
+                                 " programs=" + std::to_string(store_->book().program_count()));
     }
 }
 
-bool store_node::make_durable(const std::vector<book_change>& changes) {
+bool store_node::make_durable(const store_write& write) {
+    if (write.empty()) {
+        return true;
+    }
     if (log_->failed()) {
         return false;
     }
-    syncs_.Increment();
-    const auto written = log_->append(changes);
+    auto written = write.map.has_value() ? log_->keep_map(*write.map)
+                                         : tl::expected<void, storage::storage_error>{};
+    if (written && !write.changes.empty()) {
+        syncs_.Increment();
+        written = log_->append(write.changes);
+    }
     if (!written) {
         failures_.Increment();
         logging::write_event(logging::event_id::storage_failed,
@@ -266,26 +238,11 @@
         return;
     }
     // A disk that was full may take a fresh segment again.
-    if (log_->rotate(book_.contents())) {
+    if (log_->rotate(store_->book().contents())) {
         logging::write_event(logging::event_id::storage_opened,
-                             "identity=" + std::to_string(log_->identity()) +
-                                 " turns=" + std::to_string(book_.turn_count()) + " repaired=yes");
-    }
-}
-
-void store_node::copy_out(const messaging::channel_pointer& channel, const copy_request& request) {
-    // From here on no write under an older map is taken, so nothing slips past this copy.
-    directory_.learn_map(request.map);
-    if (log_->kept_map().epoch < request.map.epoch) {
-        return;
+                             "identity=" + std::to_string(log_->identity()) + " turns=" +
+                                 std::to_string(store_->book().turn_count()) + " repaired=yes");
     }
-    // What was taken under the older map but isn't synced yet belongs to the copy too.
-    write_waiting();
-    copy_reply reply;
-    reply.store = log_->identity();
-    reply.epoch = request.map.epoch;
-    reply.changes = book_.missing_from(request.known, request.from, copy_page_bytes, reply.next);
-    channel->send(reply);
 }
 
 void store_node::use_map(const store_map& map) {
@@ -293,93 +250,54 @@
                          "epoch=" + std::to_string(map.epoch) +
                              " stores=" + std::to_string(map.current.size()) +
                              " next=" + std::to_string(map.next.size()));
-    if (const auto kept = log_->keep_map(map); !kept) {
-        logging::write_event(logging::event_id::storage_failed,
-                             "reason=\"" + kept.error().detail + "\"");
-    }
-    copying_.reset();
-    sources_.clear();
-    copied_up_to_.clear();
-    if (!map.changing()) {
-        return;
-    }
-    copying_.emplace(map, log_->identity());
-    if (!copying_->wanted()) {
-        copying_.reset();
-        return;
-    }
-    known_ = book_.settled_requests();
+    store_->learn_map(map);
+    gather();
     copy_more();
 }
 
-void store_node::copy_more() {
-    if (!copying_.has_value()) {
-        return;
-    }
-    if (copying_->whole()) {
-        finish_copy();
-        return;
-    }
-    for (const store_member& member : copying_->sources()) {
-        messaging::link_pointer& link = sources_[member.id];
-        if (!link) {
-            link = std::make_shared<messaging::peer_link>(process_.loop(), member.address);
-            link->start(
-                [this](const messaging::peer_message& message) {
-                    if (const auto* reply = std::get_if<copy_reply>(&message)) {
-                        take_copy(*reply);
+messaging::link_pointer store_node::link_to(const store_member& source) {
+    messaging::link_pointer& link = sources_[source.address];
+    if (!link) {
+        link = std::make_shared<messaging::peer_link>(process_.loop(), source.address);
+        link->start(
+            [this](const messaging::peer_message& message) {
+                if (const auto* reply = std::get_if<copy_reply>(&message)) {
+                    store_->receive(*reply);
+                    if (!reply->next.empty()) {
+                        unfinished_sources_.insert(reply->store);
                     }
-                },
-                [this](bool up, const std::string&) {
-                    if (up) {
-                        asio::post(process_.loop(), [this] { copy_more(); });
-                    }
-                });
-        }
-        link->send(copy_request{copying_->map(), known_, copied_up_to_[member.id]});
+                    gather();
+                }
+            },
+            [this](bool up, const std::string&) {
+                if (up) {
+                    asio::post(process_.loop(), [this] { copy_more(); });
+                }
+            });
     }
+    return link;
 }
 
-void store_node::take_copy(const copy_reply& reply) {
-    if (!copying_.has_value() || reply.epoch != copying_->epoch() || log_->failed()) {
-        return;
-    }
-    if (!reply.changes.empty()) {
-        if (!make_durable(reply.changes)) {
-            return;
-        }
-        const instant now = http::steady_now();
-        for (const book_change& change : reply.changes) {
-            book_.apply(change, now);
-        }
-    }
-    if (!reply.next.empty()) {
-        copied_up_to_[reply.store] = reply.next;
-        const auto link = sources_.find(reply.store);
-        if (link != sources_.end()) {
-            link->second->send(copy_request{copying_->map(), known_, reply.next});
-        }
-        return;
+void store_node::copy_more() {
+    const std::vector<copy_order> orders = store_->copy_orders();
+    if (orders.empty()) {
+        sources_.clear();
     }
-    copying_->finished(reply.store);
-    if (copying_->whole()) {
-        finish_copy();
+    for (const copy_order& order : orders) {
+        link_to(order.source)->send(order.request);
     }
 }
 
-void store_node::finish_copy() {
-    copied_epoch_ = copying_->epoch();
-    logging::write_event(logging::event_id::store_copied,
-                         "epoch=" + std::to_string(copied_epoch_) +
-                             " turns=" + std::to_string(book_.turn_count()) +
-                             " programs=" + std::to_string(book_.program_count()));
-    copying_.reset();
-    // Links are let go outside their own handlers.
-    asio::post(process_.loop(), [this] {
-        if (!copying_.has_value()) {
-            sources_.clear();
+void store_node::ask_for_next_pages() {
+    if (unfinished_sources_.empty()) {
+        return;
+    }
+    for (const copy_order& order : store_->copy_orders()) {
+        if (unfinished_sources_.contains(order.source.id)) {
+            link_to(order.source)->send(order.request);
         }
-    });
+    }
+    unfinished_sources_.clear();
 }
 
 int store_node::run() {
@@ -396,8 +314,8 @@
     directory_.start([](const routing::configuration&) {},
                      [this](const store_map& map) { use_map(map); },
                      [this] { return std::vector<directory::store_report>{describe()}; });
-    directory_.learn_map(log_->kept_map());
-    process_.every(expiry_interval, [this] { book_.expire(http::steady_now(), expiry_margin); });
+    directory_.learn_map(store_->map());
+    process_.every(expiry_interval, [this] { store_->expire(http::steady_now(), expiry_margin); });
     process_.every(repair_interval, [this] { repair(); });
     process_.every(copy_interval, [this] { copy_more(); });
     return process_.run([this] { process_.after(stop_delay, [this] { process_.finish(); }); },
