--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,118 @@
+#include "platform/configuration_format.hpp"
+#include "platform/operator_calls.hpp"
+#include "platform/replica_calls.hpp"
+#include "platform/replica_list.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace platform;
+
+class platform_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(platform_test);
+    CPPUNIT_TEST(a_configuration_is_read);
+    CPPUNIT_TEST(each_bad_body_is_refused_with_its_reason);
+    CPPUNIT_TEST(a_request_is_read_and_passed_on_with_our_marks);
+    CPPUNIT_TEST(a_proof_of_not_running_is_told_from_a_failure);
+    CPPUNIT_TEST(the_list_is_read_page_by_page);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string body(const std::string& timeout, const std::string& service) {
+        return R"({"Version":7,"Routes":[{"Name":"r","Hostname":"h","PathPrefix":"/a/","Type":"streaming",)"
+               R"("TimeoutMs":)" +
+               timeout + R"(,"Priority":1,"TrafficSplit":[{"Service":")" + service +
+               R"(","Weight":90},{"Service":"t","Weight":10}],"MaxAttempts":2,"KeepsHistory":true,)"
+               R"("RetentionS":60.0}],"Services":[{"Name":"s","MaxConnections":9,"Engine":{"Slots":12,)"
+               R"("KvCapacity":1000,"Stride":9}},{"Name":"t","MaxConnections":9}],)"
+               R"("Limits":{"MaxBodyBytes":100}})";
+    }
+
+    void a_configuration_is_read() {
+        const auto parsed = parse_configuration(body("4000", "s"));
+        CPPUNIT_ASSERT(parsed.has_value());
+        const routing::route& route = parsed->routes.front();
+        CPPUNIT_ASSERT(route.streaming && route.keeps_history);
+        CPPUNIT_ASSERT(route.repeats == routing::repeatability::at_most_once);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, route.services.size());
+        CPPUNIT_ASSERT_EQUAL(9U, parsed->services.front().tokens_per_event);
+        CPPUNIT_ASSERT(!parsed->services.back().is_engine);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, parsed->limits.body_bytes);
+    }
+
+    static unsigned status_of(const std::string& text) {
+        const auto call = operator_calls().parse({"POST", "/v1/config/replace", text});
+        const auto* invalid = std::get_if<directory::invalid_call>(&call);
+        CPPUNIT_ASSERT(invalid == nullptr || !invalid->reason.empty());
+        return invalid != nullptr ? invalid->status : 200;
+    }
+
+    void each_bad_body_is_refused_with_its_reason() {
+        const std::string good = body("4000", "s");
+        CPPUNIT_ASSERT_EQUAL(200U, status_of(good));
+        for (std::size_t cut = 0; cut < good.size(); ++cut) {
+            CPPUNIT_ASSERT_EQUAL(400U, status_of(good.substr(0, cut)));
+        }
+        CPPUNIT_ASSERT_EQUAL(400U, status_of(body("0", "s")));
+        CPPUNIT_ASSERT_EQUAL(400U, status_of(body("-1", "s")));
+        CPPUNIT_ASSERT_EQUAL(400U, status_of(body("4000", "nobody")));
+        CPPUNIT_ASSERT_EQUAL(400U, status_of(body("\"soon\"", "s")));
+        const auto other = operator_calls().parse({"GET", "/v1/config/replace", ""});
+        CPPUNIT_ASSERT(std::holds_alternative<directory::invalid_call>(other));
+    }
+
+    void a_request_is_read_and_passed_on_with_our_marks() {
+        http::message_head head;
+        head.headers.add("X-Request-Id", "abc");
+        head.headers.add("X-Deadline-Ms", "4000");
+        head.headers.add("X-Token-Usage", "1460,80");
+        head.headers.add("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410");
+        head.headers.add("X-Expected-Instance", "smuggled");
+        head.headers.add("Connection", "keep-alive");
+        head.headers.add("X-Other", "kept");
+        const replica_calls calls;
+        const forwarding::request_facts facts = calls.read_request(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), facts.request);
+        CPPUNIT_ASSERT(facts.patience == duration(std::chrono::seconds(4)));
+        CPPUNIT_ASSERT_EQUAL(token_count{80}, facts.most_tokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, facts.prompt.size());
+        CPPUNIT_ASSERT_EQUAL(token_count{1210}, facts.prompt.back().tokens);
+        const http::header_list sent =
+            calls.backend_headers(head, {std::chrono::milliseconds(1500), "i-1", 0, true});
+        CPPUNIT_ASSERT_EQUAL(std::string("1500"), *sent.find("X-Deadline-Ms"));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), *sent.find("X-Expected-Instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("abc"), *sent.find("X-Request-Id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("kept"), *sent.find("X-Other"));
+        CPPUNIT_ASSERT(sent.find("Connection") == nullptr);
+    }
+
+    void a_proof_of_not_running_is_told_from_a_failure() {
+        http::message_head failure;
+        failure.status = 503;
+        failure.headers.add("X-Request-Id", "abc");
+        const replica_calls calls;
+        CPPUNIT_ASSERT(!calls.read_answer(failure).not_run);
+        failure.headers.add("X-Not-Executed", "1");
+        CPPUNIT_ASSERT(calls.read_answer(failure).not_run);
+        http::message_head other;
+        other.status = 421;
+        CPPUNIT_ASSERT(calls.read_answer(other).wrong_incarnation);
+    }
+
+    void the_list_is_read_page_by_page() {
+        const replica_list list;
+        CPPUNIT_ASSERT_EQUAL(std::string("/instances?PageToken=p-50"), list.list_target("p-50"));
+        const auto page = list.read_list(
+            R"({"Instances":[{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":12,)"
+            R"("State":"draining","Id":"i-1"}],"NextPageToken":"p-50"})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT(page->backends.front().member.leaving);
+        CPPUNIT_ASSERT_EQUAL(std::string("p-50"), page->next_token);
+        const auto last = list.read_list(R"({"Instances":[],"NextPageToken":null})");
+        CPPUNIT_ASSERT(last.has_value() && last->next_token.empty());
+        CPPUNIT_ASSERT(!list.read_list("{").has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
+
+}  // namespace tallyfold::tests
