A store copies from one source after the other, in small pages

Change: one source at a time, what has arrived is left out of the next; pages of 128 KB; segments of 8 MB; a start applies each change as it is read. Tests: the store's simulation, with sources that stall.

--- a/src/tallyfold/turns/store_fsm.cpp
+++ b/src/tallyfold/turns/store_fsm.cpp
@@ -6,16 +6,12 @@
 
 namespace {
 
-constexpr std::size_t copy_page_bytes = 512U << 10U;
+constexpr std::size_t copy_page_bytes = 128U << 10U;
 
 }  // namespace
 
-store_fsm::store_fsm(store_id self, store_map kept, const std::vector<book_change>& recovered,
-                     instant now)
-    : self_(self), kept_epoch_(kept.epoch) {
-    for (const book_change& change : recovered) {
-        book_.apply(change, now);
-    }
+store_fsm::store_fsm(store_id self, const store_map& kept, turn_book recovered)
+    : self_(self), book_(std::move(recovered)), kept_epoch_(kept.epoch) {
     learn_map(kept);
     map_to_keep_ = false;
 }
@@ -76,7 +72,6 @@
         if (!copying_->wanted()) {
             copying_.reset();
         }
-        known_ = book_.settled_requests();
     }
     return true;
 }
@@ -177,20 +172,24 @@
     return replies;
 }
 
-std::vector<copy_order> store_fsm::copy_orders() const {
-    std::vector<copy_order> orders;
+std::optional<copy_order> store_fsm::next_copy() {
     if (!copying_.has_value()) {
-        return orders;
+        return std::nullopt;
     }
-    for (const store_member& source : copying_->sources()) {
-        const auto from = copied_up_to_.find(source.id);
-        copy_request request;
-        request.map = copying_->map();
-        request.known = known_;
-        request.from = from == copied_up_to_.end() ? std::string{} : from->second;
-        orders.push_back({source, std::move(request)});
+    const std::vector<store_member> sources = copying_->sources();
+    if (sources.empty()) {
+        return std::nullopt;
+    }
+    const store_member& source = sources[copy_turn_ % sources.size()];
+    const auto from = copied_up_to_.find(source.id);
+    if (from == copied_up_to_.end()) {
+        known_ = book_.settled_requests();
     }
-    return orders;
+    copy_request request;
+    request.map = copying_->map();
+    request.known = known_;
+    request.from = from == copied_up_to_.end() ? std::string{} : from->second;
+    return copy_order{source, std::move(request)};
 }
 
 }  // namespace tallyfold::turns
--- a/src/tallyfold/turns/store_fsm.hpp
+++ b/src/tallyfold/turns/store_fsm.hpp
@@ -42,8 +42,8 @@
 
 class store_fsm {
   public:
-    store_fsm(store_id self, store_map kept, const std::vector<book_change>& recovered,
-              instant now);
+    /// @param recovered what the disk held
+    store_fsm(store_id self, const store_map& kept, turn_book recovered);
 
     /// @return replies that wait for nothing
     std::vector<addressed_reply> receive(peer_token from, const begin_request& request);
@@ -61,8 +61,11 @@
     /// @param durable false when the disk refused; nothing of the write is taken over then
     std::vector<addressed_reply> written(bool durable, instant now);
 
-    /// What to ask other stores for now; empty when no copy is under way.
-    [[nodiscard]] std::vector<copy_order> copy_orders() const;
+    /// What to ask which store for now; nothing when no copy is under way. One source after the
+    /// other: what one has sent needn't come from the next, nor be held twice.
+    [[nodiscard]] std::optional<copy_order> next_copy();
+    /// The source asked last has not answered: the next one is asked.
+    void copy_stalled() { ++copy_turn_; }
     /// The newest map for which this store holds a whole copy.
     [[nodiscard]] map_epoch copied_epoch() const { return copied_epoch_; }
     [[nodiscard]] const store_map& map() const { return map_; }
@@ -96,6 +99,7 @@
     std::set<std::string> known_;
     /// Where each source's copy goes on.
     std::map<store_id, std::string> copied_up_to_;
+    std::size_t copy_turn_ = 0;
     map_epoch copied_epoch_ = 0;
 };
 
--- a/src/tallyfold/turns/turn_log.cpp
+++ b/src/tallyfold/turns/turn_log.cpp
@@ -42,9 +42,9 @@
     return folder_ + "/" + std::string(segment_prefix) + std::to_string(number);
 }
 
-tl::expected<turn_log, storage_error> turn_log::open(const std::string& folder,
-                                                     store_id fresh_identity,
-                                                     std::uint64_t segment_bytes) {
+tl::expected<turn_log, storage_error> turn_log::open(
+    const std::string& folder, store_id fresh_identity,
+    const std::function<void(const book_change&)>& on_change, std::uint64_t segment_bytes) {
     std::error_code failure;
     fs::create_directories(folder, failure);
     if (failure) {
@@ -55,7 +55,7 @@
     if (auto loaded = log.load_identity(fresh_identity); !loaded) {
         return tl::unexpected(loaded.error());
     }
-    if (auto loaded = log.load_segment(); !loaded) {
+    if (auto loaded = log.load_segment(on_change); !loaded) {
         return tl::unexpected(loaded.error());
     }
     return log;
@@ -88,7 +88,8 @@
     return {};
 }
 
-tl::expected<void, storage_error> turn_log::load_segment() {
+tl::expected<void, storage_error> turn_log::load_segment(
+    const std::function<void(const book_change&)>& on_change) {
     for (const auto& entry : fs::directory_iterator(folder_)) {
         segment_number_ = std::max(segment_number_, segment_number_of(entry.path()));
     }
@@ -110,7 +111,9 @@
             return tl::unexpected(
                 storage_error{storage_failure::damaged, path + ": " + changes.error().reason});
         }
-        std::move(changes->begin(), changes->end(), std::back_inserter(recovered_));
+        for (const book_change& change : *changes) {
+            on_change(change);
+        }
     }
     cut_bytes_ = bytes->size() - scanned->valid_length;
     auto file = storage::append_file::open_at(path, scanned->valid_length);
--- a/src/tallyfold/turns/turn_log.hpp
+++ b/src/tallyfold/turns/turn_log.hpp
@@ -4,6 +4,7 @@
 /// Not thread-safe.
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -15,11 +16,13 @@
 
 class turn_log {
   public:
-    static constexpr std::uint64_t default_segment_bytes = 24U << 20U;
+    static constexpr std::uint64_t default_segment_bytes = 8U << 20U;
 
     /// Opens the folder and reads it back; draws `fresh_identity` when it is empty.
+    /// @param on_change gets each change that the folder holds, in order
     static tl::expected<turn_log, storage::storage_error> open(
         const std::string& folder, store_id fresh_identity,
+        const std::function<void(const book_change&)>& on_change,
         std::uint64_t segment_bytes = default_segment_bytes);
 
     /// Returns once the changes are synced. After an error, only rotate() makes it usable again.
@@ -36,15 +39,14 @@
     [[nodiscard]] bool failed() const { return failed_; }
 
     [[nodiscard]] store_id identity() const { return identity_; }
-    /// Takes the changes that the folder held when it was opened.
-    std::vector<book_change> take_recovered() { return std::move(recovered_); }
     [[nodiscard]] std::uint64_t cut_bytes() const { return cut_bytes_; }
     [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
 
   private:
     turn_log(std::string folder, std::uint64_t segment_bytes);
     tl::expected<void, storage::storage_error> load_identity(store_id fresh_identity);
-    tl::expected<void, storage::storage_error> load_segment();
+    tl::expected<void, storage::storage_error> load_segment(
+        const std::function<void(const book_change&)>& on_change);
     [[nodiscard]] std::string segment_path(std::uint64_t number) const;
     void remove_older_segments();
 
@@ -53,7 +55,6 @@
     std::uint64_t segment_number_ = 0;
     std::uint64_t start_bytes_ = 0;
     std::vector<storage::append_file> segment_;
-    std::vector<book_change> recovered_;
     store_id identity_ = 0;
     std::uint64_t cut_bytes_ = 0;
     std::uint64_t syncs_ = 0;
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -49,7 +49,7 @@
     void repair();
     void use_map(const store_map& map);
     void copy_more();
-    void ask_for_next_pages();
+    void watch_copy();
     messaging::link_pointer link_to(const store_member& source);
     [[nodiscard]] directory::store_report describe() const;
 
@@ -64,8 +64,9 @@
     peer_token next_caller_ = 1;
     std::map<std::string, messaging::link_pointer> sources_;
     map_epoch logged_copy_ = 0;
-    /// Sources that have sent a page and hold more.
-    std::set<store_id> unfinished_sources_;
+    store_id asked_source_ = 0;
+    bool page_arrived_ = false;
+    bool ask_next_ = false;
     prometheus::Counter& changes_;
     prometheus::Counter& syncs_;
     prometheus::Counter& failures_;
@@ -99,7 +100,13 @@
 
 bool store_node::open_log() {
     const std::string& folder = process_.settings().data_folder;
-    auto opened = turn_log::open(folder, draw_identity());
+    turn_book recovered;
+    // The age of what is read back isn't known: its retention starts anew, which keeps it longer.
+    const instant now = http::steady_now();
+    const auto take = [&recovered, now](const book_change& change) {
+        recovered.apply(change, now);
+    };
+    auto opened = turn_log::open(folder, draw_identity(), take);
     if (!opened && opened.error().failure != storage::storage_failure::input_output) {
         // The other stores hold what this folder lost: start as another store.
         logging::write_event(logging::event_id::identity_renewed,
@@ -108,7 +115,8 @@
         for (const auto& entry : std::filesystem::directory_iterator(folder, ignored)) {
             std::filesystem::remove_all(entry.path(), ignored);
         }
-        opened = turn_log::open(folder, draw_identity());
+        recovered = turn_book{};
+        opened = turn_log::open(folder, draw_identity(), take);
     }
     if (!opened) {
         logging::write_event(logging::event_id::storage_failed,
@@ -116,8 +124,7 @@
         return false;
     }
     log_.emplace(std::move(*opened));
-    // The age of what was read back isn't known: its retention starts anew, which keeps it longer.
-    store_.emplace(log_->identity(), log_->kept_map(), log_->take_recovered(), http::steady_now());
+    store_.emplace(log_->identity(), log_->kept_map(), std::move(recovered));
     logging::write_event(logging::event_id::storage_opened,
                          "identity=" + std::to_string(log_->identity()) +
                              " turns=" + std::to_string(store_->book().turn_count()) +
@@ -202,7 +209,10 @@
         // Whoever has no reply by now gets none.
         callers_.clear();
     }
-    ask_for_next_pages();
+    if (ask_next_) {
+        ask_next_ = false;
+        copy_more();
+    }
     if (store_->copied_epoch() > logged_copy_) {
         logged_copy_ = store_->copied_epoch();
         logging::write_event(logging::event_id::store_copied,
@@ -263,9 +273,9 @@
             [this](const messaging::peer_message& message) {
                 if (const auto* reply = std::get_if<copy_reply>(&message)) {
                     store_->receive(*reply);
-                    if (!reply->next.empty()) {
-                        unfinished_sources_.insert(reply->store);
-                    }
+                    // Another disk at the asked one's address says nothing of the copy.
+                    page_arrived_ = page_arrived_ || reply->store == asked_source_;
+                    ask_next_ = ask_next_ || reply->store == asked_source_;
                     gather();
                 }
             },
@@ -279,25 +289,21 @@
 }
 
 void store_node::copy_more() {
-    const std::vector<copy_order> orders = store_->copy_orders();
-    if (orders.empty()) {
+    const std::optional<copy_order> order = store_->next_copy();
+    if (!order.has_value()) {
         sources_.clear();
+        return;
     }
-    for (const copy_order& order : orders) {
-        link_to(order.source)->send(order.request);
-    }
+    asked_source_ = order->source.id;
+    link_to(order->source)->send(order->request);
 }
 
-void store_node::ask_for_next_pages() {
-    if (unfinished_sources_.empty()) {
-        return;
-    }
-    for (const copy_order& order : store_->copy_orders()) {
-        if (unfinished_sources_.contains(order.source.id)) {
-            link_to(order.source)->send(order.request);
-        }
+void store_node::watch_copy() {
+    if (!page_arrived_) {
+        store_->copy_stalled();
+        copy_more();
     }
-    unfinished_sources_.clear();
+    page_arrived_ = false;
 }
 
 int store_node::run() {
@@ -317,7 +323,7 @@
     directory_.learn_map(store_->map());
     process_.every(expiry_interval, [this] { store_->expire(http::steady_now(), expiry_margin); });
     process_.every(repair_interval, [this] { repair(); });
-    process_.every(copy_interval, [this] { copy_more(); });
+    process_.every(copy_interval, [this] { watch_copy(); });
     return process_.run([this] { process_.after(stop_delay, [this] { process_.finish(); }); },
                         [this](const settings::node_settings& settings) {
                             directory_.use_seeds(settings.seed_directories());
--- a/tests/turns/store_simulation_test.cpp
+++ b/tests/turns/store_simulation_test.cpp
@@ -94,8 +94,12 @@
 
     void start(std::size_t number) {
         machine& started = machines_[number];
+        turn_book recovered;
+        for (const book_change& change : started.disk) {
+            recovered.apply(change, now_);
+        }
         started.store =
-            std::make_unique<store_fsm>(started.identity, started.kept, started.disk, now_);
+            std::make_unique<store_fsm>(started.identity, started.kept, std::move(recovered));
         started.up_since = now_;
     }
 
@@ -186,8 +190,12 @@
             return;
         }
         const store_id asking = machines_[number].identity;
-        for (copy_order& order : machines_[number].store->copy_orders()) {
-            send(order.source, std::move(order.request),
+        if (random_.chance(0.3)) {
+            machines_[number].store->copy_stalled();
+        }
+        std::optional<copy_order> order = machines_[number].store->next_copy();
+        if (order.has_value()) {
+            send(order->source, std::move(order->request),
                  [this, number, asking](const store_reply& body) {
                      machine& asker = machines_[number];
                      if (asker.store && asker.identity == asking) {
