A stopping forwarder closes kept connections together with its listener

The cut came 7.410 s after SIGTERM, which is the moment (8 s of grace less 600 ms) at which a forwarder gives up what is left; the request had come 7.134 s after it on a connection that its caller had kept, since only the listener closed after 3.5 s. Ruled out: the suspected last 50 ms of an orderly end; the times don't fit it. Change: stop_sequence, pure: requests are taken for 2.2 to 3 s, then listener and idle connections close together; the process goes as soon as nothing is under way.

--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -2,11 +2,13 @@
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <optional>
 #include <set>
 
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_client_shell.hpp"
 #include "tallyfold/forwarding/request_relay_shell.hpp"
+#include "tallyfold/forwarding/stop_sequence.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 
@@ -18,12 +20,7 @@
 /// A list that nobody has seen for this long is read by this node itself.
 constexpr duration own_sight_after = std::chrono::milliseconds(1'800);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
-/// After a stop, new connections still come until the platform has seen that the node isn't
-/// ready: the listener stays for this long.
-constexpr duration listening_after_stop = std::chrono::milliseconds(3'500);
-/// What is still under way this long before the process is killed is cut off.
-constexpr duration reserve_before_kill = std::chrono::milliseconds(600);
-constexpr duration drain_check_interval = std::chrono::milliseconds(50);
+constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration write_limit = std::chrono::seconds(2);
 
 class forwarder_node {
@@ -41,7 +38,10 @@
     void use_configuration(const routing::configuration& configuration);
     void use_list(bool changed);
     void stop();
-    void finish_when_idle();
+    void continue_stop();
+    void take_no_more();
+    void cut_off_what_is_left();
+    [[nodiscard]] bool takes_requests() const { return !stop_ || stop_->takes_requests(); }
     [[nodiscard]] bool ready() const;
     [[nodiscard]] routing::caller_limits limits() const;
 
@@ -60,7 +60,7 @@
     /// Callers' connections that wait for their next request.
     std::set<http::connection_pointer> idle_callers_;
     std::size_t reading_ = 0;
-    instant stop_at_{};
+    std::optional<stop_sequence> stop_;
 };
 
 forwarder_node::forwarder_node(const settings::node_settings& settings,
@@ -179,7 +179,7 @@
 }
 
 asio::awaitable<void> forwarder_node::serve_caller(http::connection_pointer caller) {
-    while (caller->open()) {
+    while (caller->open() && takes_requests()) {
         const duration idle_limit = std::chrono::milliseconds(limits().idle_timeout_ms);
         idle_callers_.insert(caller);
         const auto waited = co_await caller->wait_for_message(http::steady_now() + idle_limit);
@@ -208,29 +208,41 @@
 
 void forwarder_node::stop() {
     context_.stopping = true;
-    stop_at_ = http::steady_now();
-    process_.after(listening_after_stop, [this] {
-        std::error_code ignored;
-        callers_.close(ignored);
-        finish_when_idle();
-    });
+    const duration longest =
+        context_.routes ? context_.routes->longest_timeout() : process_.settings().grace;
+    stop_.emplace(http::steady_now(), process_.settings().grace, longest);
+    continue_stop();
 }
 
-void forwarder_node::finish_when_idle() {
-    const bool late =
-        http::steady_now() - stop_at_ > process_.settings().grace - reserve_before_kill;
-    const bool idle = under_way_.empty() && reading_ == 0 && turns_.settling() == 0;
-    if (!idle && !late) {
-        process_.after(drain_check_interval, [this] { finish_when_idle(); });
-        return;
-    }
-    for (const auto& relay : under_way_) {
-        relay->cut_off();
+void forwarder_node::continue_stop() {
+    const work_left left{under_way_.size() + reading_, turns_.settling()};
+    switch (stop_->next(http::steady_now(), left)) {
+        case stop_step::take_no_more:
+            take_no_more();
+            break;
+        case stop_step::finish:
+            cut_off_what_is_left();
+            process_.after(stop_check_interval, [this] { process_.finish(); });
+            return;
+        case stop_step::wait:
+            break;
     }
+    process_.after(stop_check_interval, [this] { continue_stop(); });
+}
+
+void forwarder_node::take_no_more() {
+    std::error_code ignored;
+    callers_.close(ignored);
+    // A caller that kept its connection would bring a request too late for its answer.
     for (const auto& caller : idle_callers_) {
         caller->close();
     }
-    process_.after(drain_check_interval, [this] { process_.finish(); });
+}
+
+void forwarder_node::cut_off_what_is_left() {
+    for (const auto& relay : under_way_) {
+        relay->cut_off();
+    }
 }
 
 int forwarder_node::run() {
--- /dev/null
+++ b/src/tallyfold/forwarding/stop_sequence.cpp
@@ -0,0 +1,29 @@
+#include "tallyfold/forwarding/stop_sequence.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::forwarding {
+
+stop_sequence::stop_sequence(instant asked_at, duration grace, duration longest_request)
+    : cut_off_at_(asked_at + grace - reserve_before_kill) {
+    // The last request that is taken has to end before the cut-off.
+    const duration room = grace - reserve_before_kill - longest_request;
+    last_taken_ = asked_at + std::clamp(room, least_taking, most_taking);
+}
+
+stop_step stop_sequence::next(instant now, const work_left& left) {
+    if (finished_) {
+        return stop_step::wait;
+    }
+    if (taking_ && now >= last_taken_) {
+        taking_ = false;
+        return stop_step::take_no_more;
+    }
+    if (taking_ || (!left.none() && now < cut_off_at_)) {
+        return stop_step::wait;
+    }
+    finished_ = true;
+    return stop_step::finish;
+}
+
+}  // namespace tallyfold::forwarding
--- /dev/null
+++ b/src/tallyfold/forwarding/stop_sequence.hpp
@@ -0,0 +1,54 @@
+#pragma once
+/// @file
+/// How a forwarder that was asked to stop ends: it goes on taking requests until the platform has
+/// seen that it isn't ready, then takes none any more, and goes once the last one has ended. Pure.
+
+#include <cstdint>
+
+#include "tallyfold/common/time.hpp"
+
+namespace tallyfold::forwarding {
+
+/// What is still under way at a forwarder that stops.
+struct work_left {
+    /// Requests that are being read or served.
+    std::size_t requests = 0;
+    /// Ends of turns that the stores have not confirmed.
+    std::size_t settlements = 0;
+
+    [[nodiscard]] bool none() const { return requests == 0 && settlements == 0; }
+};
+
+enum class stop_step : std::uint8_t {
+    wait,
+    /// Close the listener and every connection on which no request is under way.
+    take_no_more,
+    /// Everything has ended, or the time is over.
+    finish,
+};
+
+class stop_sequence {
+  public:
+    /// What is still under way this long before the process is killed is cut off.
+    static constexpr duration reserve_before_kill = std::chrono::milliseconds(600);
+    /// The platform asks for readiness once a second and believes the second answer.
+    static constexpr duration least_taking = std::chrono::milliseconds(2'200);
+    static constexpr duration most_taking = std::chrono::milliseconds(3'000);
+
+    /// @param grace time from the stop's request to the kill
+    /// @param longest_request time that a request may take at most, by the configuration in force
+    stop_sequence(instant asked_at, duration grace, duration longest_request);
+
+    /// To be called every now and then; says each step but `wait` once.
+    stop_step next(instant now, const work_left& left);
+    /// False once no further request may be read.
+    [[nodiscard]] bool takes_requests() const { return taking_; }
+
+  private:
+    instant last_taken_;
+    instant cut_off_at_;
+    bool taking_ = true;
+    bool finished_ = false;
+};
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/routing/route_table.cpp
+++ b/src/tallyfold/routing/route_table.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/routing/route_table.hpp"
 
+#include <algorithm>
+
 namespace tallyfold::routing {
 
 route_table::route_table(configuration source) : source_(std::move(source)) {
@@ -37,6 +39,14 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+duration route_table::longest_timeout() const {
+    duration longest{};
+    for (const route& entry : source_.routes) {
+        longest = std::max<duration>(longest, std::chrono::milliseconds(entry.timeout_ms));
+    }
+    return longest;
+}
+
 const std::string& traffic_splitter::choose(const route& chosen) {
     if (chosen.services.size() == 1) {
         return chosen.services.front().service;
--- a/src/tallyfold/routing/route_table.hpp
+++ b/src/tallyfold/routing/route_table.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "tallyfold/common/time.hpp"
 #include "tallyfold/routing/configuration.hpp"
 
 namespace tallyfold::routing {
@@ -22,6 +23,8 @@
     [[nodiscard]] const service* find_service(const std::string& name) const;
     [[nodiscard]] const configuration& source() const { return source_; }
     [[nodiscard]] configuration_version version() const { return source_.version; }
+    /// The longest time that any route lets a request take.
+    [[nodiscard]] duration longest_timeout() const;
 
   private:
     configuration source_;
