A store writes and reads its segments page by page

A rotation copied the whole book into changes, then encoded all of it into one string, beside the book itself; a start read the whole segment into a string, grown by doubling, beside the book that it fills. Change: record_reader reads a file a block at a time; turn_log::rotate takes the book in pages of 64 KB and writes each before the next is made. turn_book::contents, which only the rotation used, is gone; its test goes through the pages.

--- a/src/tallyfold/storage/file.cpp
+++ b/src/tallyfold/storage/file.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr mode_t file_mode = 0640;
-constexpr std::size_t read_block = 1U << 16U;
+constexpr std::size_t read_block_bytes = 1U << 16U;
 
 storage_error system_error(const std::string& path, std::string_view step) {
     return {storage_failure::input_output,
@@ -111,27 +111,66 @@
     return {};
 }
 
-tl::expected<std::string, storage_error> read_file(const std::string& path) {
+input_file::input_file(std::string path, int descriptor)
+    : path_(std::move(path)), descriptor_(descriptor) {}
+
+input_file::input_file(input_file&& other) noexcept
+    : path_(std::move(other.path_)), descriptor_(std::exchange(other.descriptor_, -1)) {}
+
+input_file::~input_file() {
+    if (descriptor_ >= 0) {
+        ::close(descriptor_);
+    }
+}
+
+tl::expected<input_file, storage_error> input_file::open(const std::string& path) {
     const int descriptor = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
     if (descriptor < 0) {
         return tl::unexpected(system_error(path, "open"));
     }
+    return input_file(path, descriptor);
+}
+
+tl::expected<std::size_t, storage_error> input_file::read_block(std::string& target) {
+    std::array<char, read_block_bytes> block{};
+    const ssize_t count = ::read(descriptor_, block.data(), block.size());
+    if (count < 0) {
+        return tl::unexpected(system_error(path_, "read"));
+    }
+    target.append(block.data(), static_cast<std::size_t>(count));
+    return static_cast<std::size_t>(count);
+}
+
+tl::expected<std::string, storage_error> read_file(const std::string& path) {
+    auto file = input_file::open(path);
+    if (!file) {
+        return tl::unexpected(file.error());
+    }
     std::string bytes;
-    std::array<char, read_block> block{};
-    ssize_t count = 0;
-    while ((count = ::read(descriptor, block.data(), block.size())) > 0) {
-        bytes.append(block.data(), static_cast<std::size_t>(count));
+    while (true) {
+        const auto count = file->read_block(bytes);
+        if (!count) {
+            return tl::unexpected(count.error());
+        }
+        if (*count == 0) {
+            return bytes;
+        }
     }
-    ::close(descriptor);
-    if (count < 0) {
-        return tl::unexpected(system_error(path, "read"));
+}
+
+std::string replacement_path(const std::string& path) {
+    return path + ".tmp";
+}
+
+tl::expected<void, storage_error> commit_replacement(const std::string& path) {
+    if (::rename(replacement_path(path).c_str(), path.c_str()) != 0) {
+        return tl::unexpected(system_error(path, "rename"));
     }
-    return bytes;
+    return sync_folder(std::filesystem::path(path).parent_path().string());
 }
 
 tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes) {
-    const std::string temporary = path + ".tmp";
-    auto file = append_file::create(temporary);
+    auto file = append_file::create(replacement_path(path));
     if (!file) {
         return tl::unexpected(file.error());
     }
@@ -141,10 +180,7 @@
     if (auto synced = file->sync(); !synced) {
         return synced;
     }
-    if (::rename(temporary.c_str(), path.c_str()) != 0) {
-        return tl::unexpected(system_error(path, "rename"));
-    }
-    return sync_folder(std::filesystem::path(path).parent_path().string());
+    return commit_replacement(path);
 }
 
 tl::expected<void, storage_error> overwrite_file(const std::string& path, std::string_view bytes) {
--- a/src/tallyfold/storage/file.hpp
+++ b/src/tallyfold/storage/file.hpp
@@ -41,8 +41,33 @@
     bool failed_ = false;
 };
 
+/// A file that is read from its start, block by block.
+class input_file {
+  public:
+    static tl::expected<input_file, storage_error> open(const std::string& path);
+    input_file(input_file&& other) noexcept;
+    input_file& operator=(input_file&&) = delete;
+    input_file(const input_file&) = delete;
+    input_file& operator=(const input_file&) = delete;
+    ~input_file();
+
+    /// Adds the next block to `target`. @return bytes added; 0 at the end of the file
+    tl::expected<std::size_t, storage_error> read_block(std::string& target);
+
+  private:
+    input_file(std::string path, int descriptor);
+
+    std::string path_;
+    int descriptor_ = -1;
+};
+
 tl::expected<std::string, storage_error> read_file(const std::string& path);
 
+/// The temporary file that replace_file() and commit_replacement() put in the place of `path`.
+std::string replacement_path(const std::string& path);
+/// Puts the written and synced replacement in the place of `path`: rename, sync of the folder.
+tl::expected<void, storage_error> commit_replacement(const std::string& path);
+
 /// Makes a file appear whole or not at all: temporary file, sync, rename, sync of the folder.
 tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes);
 
--- a/src/tallyfold/storage/record_format.cpp
+++ b/src/tallyfold/storage/record_format.cpp
@@ -15,6 +15,7 @@
     std::uint32_t length_checksum = 0;
     std::uint32_t payload_checksum = 0;
 };
+static_assert(sizeof(record_header) == record_header_size);
 
 std::uint32_t checksum_of_length(std::uint32_t length) {
     std::array<char, sizeof(length)> bytes{};
@@ -33,7 +34,8 @@
                                                      "; recover this replica from its peers"};
 }
 
-/// Length of the whole record at the start of `bytes`, its header included; 0 when there is none.
+}  // namespace
+
 std::uint64_t whole_record_length(std::string_view bytes) {
     record_header header;
     if (bytes.size() < sizeof(header)) {
@@ -48,6 +50,8 @@
     return header.payload_checksum == checksum(payload) ? sizeof(header) + header.length : 0;
 }
 
+namespace {
+
 /// True when a whole record starts anywhere behind the first byte.
 bool record_follows(std::string_view bytes) {
     for (std::uint64_t offset = 1; offset < bytes.size(); ++offset) {
--- a/src/tallyfold/storage/record_format.hpp
+++ b/src/tallyfold/storage/record_format.hpp
@@ -18,6 +18,12 @@
 /// Adds one record that holds `payload` to `target`.
 void append_record(std::string& target, std::string_view payload);
 
+/// Bytes of a record's header.
+constexpr std::size_t record_header_size = 12;
+
+/// Length of the whole record at the start of `bytes`, its header included; 0 when there is none.
+std::uint64_t whole_record_length(std::string_view bytes);
+
 struct scan_result {
     std::vector<std::string_view> payloads;
     /// Bytes up to the end of the last whole record; what follows is a half-written tail.
--- a/src/tallyfold/turns/turn_book.cpp
+++ b/src/tallyfold/turns/turn_book.cpp
@@ -124,15 +124,6 @@
     return settlement;
 }
 
-std::vector<book_change> turn_book::contents() const {
-    std::vector<book_change> changes;
-    changes.reserve(requests_.size());
-    for (const auto& [request, program] : requests_) {
-        changes.push_back(change_of(request, program));
-    }
-    return changes;
-}
-
 std::set<std::string> turn_book::settled_requests() const {
     std::set<std::string> settled;
     for (const auto& [program, entry] : programs_) {
--- a/src/tallyfold/turns/turn_book.hpp
+++ b/src/tallyfold/turns/turn_book.hpp
@@ -41,12 +41,11 @@
     /// Forgets what has outlived its retention, with `margin` on top.
     void expire(instant now, duration margin);
 
-    /// Everything as changes, for a new segment of the log.
-    [[nodiscard]] std::vector<book_change> contents() const;
     /// Identifiers of the settled requests held here; a copy leaves these out.
     [[nodiscard]] std::set<std::string> settled_requests() const;
     /// Changes that bring a store that holds `known` up to this one, about `limit_bytes` of
-    /// them, from the request after `from` on. @param next where to go on; empty at the end
+    /// them, from the request after `from` on; with nothing known, the whole book page by page.
+    /// @param next where to go on; empty at the end
     [[nodiscard]] std::vector<book_change> missing_from(const std::set<std::string>& known,
                                                         const std::string& from,
                                                         std::size_t limit_bytes,
--- a/src/tallyfold/turns/turn_log.cpp
+++ b/src/tallyfold/turns/turn_log.cpp
@@ -6,6 +6,7 @@
 
 #include "tallyfold/protocol/binary_codec.hpp"
 #include "tallyfold/storage/record_format.hpp"
+#include "tallyfold/storage/record_reader.hpp"
 
 namespace tallyfold::turns {
 
@@ -18,8 +19,6 @@
 constexpr std::string_view segment_prefix = "turns-";
 constexpr std::string_view map_name = "store-map";
 constexpr std::string_view identity_name = "store-identity";
-/// Changes in one record of a new segment.
-constexpr std::size_t changes_per_record = 256;
 
 std::uint64_t segment_number_of(const fs::path& path) {
     std::string_view name(path.native());
@@ -94,19 +93,25 @@
         segment_number_ = std::max(segment_number_, segment_number_of(entry.path()));
     }
     if (segment_number_ == 0) {
-        return rotate({});
+        return rotate([](const std::string&, std::string& next) {
+            next.clear();
+            return std::vector<book_change>{};
+        });
     }
     const std::string path = segment_path(segment_number_);
-    const auto bytes = storage::read_file(path);
-    if (!bytes) {
-        return tl::unexpected(bytes.error());
-    }
-    const auto scanned = storage::scan_records(*bytes, path, storage::tail_policy::cut_unsynced);
-    if (!scanned) {
-        return tl::unexpected(scanned.error());
-    }
-    for (const std::string_view payload : scanned->payloads) {
-        auto changes = protocol::decode<std::vector<book_change>>(payload);
+    auto records = storage::record_reader::open(path, storage::tail_policy::cut_unsynced);
+    if (!records) {
+        return tl::unexpected(records.error());
+    }
+    while (true) {
+        const auto payload = records->next();
+        if (!payload) {
+            return tl::unexpected(payload.error());
+        }
+        if (!payload->has_value()) {
+            break;
+        }
+        auto changes = protocol::decode<std::vector<book_change>>(**payload);
         if (!changes) {
             return tl::unexpected(
                 storage_error{storage_failure::damaged, path + ": " + changes.error().reason});
@@ -115,12 +120,12 @@
             on_change(change);
         }
     }
-    cut_bytes_ = bytes->size() - scanned->valid_length;
-    auto file = storage::append_file::open_at(path, scanned->valid_length);
+    cut_bytes_ = records->tail_length();
+    start_bytes_ = records->valid_length();
+    auto file = storage::append_file::open_at(path, start_bytes_);
     if (!file) {
         return tl::unexpected(file.error());
     }
-    start_bytes_ = scanned->valid_length;
     segment_.push_back(std::move(*file));
     remove_older_segments();
     return {};
@@ -166,26 +171,47 @@
            segment_.back().size() > 2 * start_bytes_;
 }
 
-tl::expected<void, storage_error> turn_log::rotate(const std::vector<book_change>& contents) {
-    std::string bytes;
-    for (std::size_t first = 0; first < contents.size(); first += changes_per_record) {
-        const std::size_t last = std::min(contents.size(), first + changes_per_record);
-        const std::vector<book_change> part(contents.begin() + static_cast<std::ptrdiff_t>(first),
-                                            contents.begin() + static_cast<std::ptrdiff_t>(last));
-        storage::append_record(bytes, protocol::encode(part));
+tl::expected<std::uint64_t, storage_error> turn_log::write_replacement(
+    const std::string& path, const change_pages& contents) {
+    auto file = storage::append_file::create(storage::replacement_path(path));
+    if (!file) {
+        return tl::unexpected(file.error());
     }
+    std::string next;
+    do {
+        const std::string from = std::move(next);
+        const std::vector<book_change> page = contents(from, next);
+        std::string bytes;
+        if (!page.empty()) {
+            storage::append_record(bytes, protocol::encode(page));
+        }
+        if (auto written = file->append(bytes); !written) {
+            return tl::unexpected(written.error());
+        }
+    } while (!next.empty());
+    if (auto synced = file->sync(); !synced) {
+        return tl::unexpected(synced.error());
+    }
+    return file->size();
+}
+
+tl::expected<void, storage_error> turn_log::rotate(const change_pages& contents) {
     const std::string path = segment_path(segment_number_ + 1);
-    if (auto replaced = storage::replace_file(path, bytes); !replaced) {
+    const auto length = write_replacement(path, contents);
+    if (!length) {
+        return tl::unexpected(length.error());
+    }
+    if (auto replaced = storage::commit_replacement(path); !replaced) {
         return replaced;
     }
-    auto file = storage::append_file::open_at(path, bytes.size());
+    auto file = storage::append_file::open_at(path, *length);
     if (!file) {
         return tl::unexpected(file.error());
     }
     segment_.clear();
     segment_.push_back(std::move(*file));
     ++segment_number_;
-    start_bytes_ = bytes.size();
+    start_bytes_ = *length;
     failed_ = false;
     remove_older_segments();
     return {};
--- a/src/tallyfold/turns/turn_log.hpp
+++ b/src/tallyfold/turns/turn_log.hpp
@@ -14,6 +14,11 @@
 
 namespace tallyfold::turns {
 
+/// Gives the changes after the request `from`, about a page of them, and in `next` where to go on;
+/// `next` is empty at the end.
+using change_pages =
+    std::function<std::vector<book_change>(const std::string& from, std::string& next)>;
+
 class turn_log {
   public:
     static constexpr std::uint64_t default_segment_bytes = 8U << 20U;
@@ -27,8 +32,8 @@
 
     /// Returns once the changes are synced. After an error, only rotate() makes it usable again.
     tl::expected<void, storage::storage_error> append(const std::vector<book_change>& changes);
-    /// Begins a new segment with `contents` and removes the older ones.
-    tl::expected<void, storage::storage_error> rotate(const std::vector<book_change>& contents);
+    /// Begins a new segment with `contents`, page by page, and removes the older ones.
+    tl::expected<void, storage::storage_error> rotate(const change_pages& contents);
     /// Keeps the map that this store serves under: once it is synced, older ones stay refused
     /// after a restart too.
     tl::expected<void, storage::storage_error> keep_map(const store_map& map);
@@ -47,6 +52,9 @@
     tl::expected<void, storage::storage_error> load_identity(store_id fresh_identity);
     tl::expected<void, storage::storage_error> load_segment(
         const std::function<void(const book_change&)>& on_change);
+    /// Writes and syncs the replacement of a segment. @return its length
+    tl::expected<std::uint64_t, storage::storage_error> write_replacement(
+        const std::string& path, const change_pages& contents);
     [[nodiscard]] std::string segment_path(std::uint64_t number) const;
     void remove_older_segments();
 
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -23,6 +23,8 @@
 constexpr duration expiry_margin = std::chrono::seconds(15);
 constexpr duration repair_interval = std::chrono::milliseconds(500);
 constexpr duration copy_interval = std::chrono::milliseconds(300);
+/// Changes that one record of a new segment holds, about.
+constexpr std::size_t segment_page_bytes = 64U << 10U;
 constexpr duration stop_delay = std::chrono::milliseconds(300);
 /// Turns of the loop that a write waits for more changes to join it.
 constexpr int gathering_turns = 2;
@@ -46,6 +48,7 @@
     void gather(int turns_left);
     void write_waiting();
     bool make_durable(const store_write& write);
+    bool begin_segment();
     void repair();
     void use_map(const store_map& map);
     void copy_more();
@@ -202,7 +205,7 @@
     const std::vector<addressed_reply> replies = store_->written(durable, http::steady_now());
     answer(replies);
     bytes_.Set(static_cast<double>(store_->book().bytes()));
-    if (durable && log_->wants_rotation() && !log_->rotate(store_->book().contents())) {
+    if (durable && log_->wants_rotation() && !begin_segment()) {
         failures_.Increment();
     }
     if (!store_->has_work()) {
@@ -243,12 +246,20 @@
     return written.has_value();
 }
 
+bool store_node::begin_segment() {
+    const turn_book& book = store_->book();
+    const auto pages = [&book](const std::string& from, std::string& next) {
+        return book.missing_from({}, from, segment_page_bytes, next);
+    };
+    return log_->rotate(pages).has_value();
+}
+
 void store_node::repair() {
     if (!log_->failed()) {
         return;
     }
     // A disk that was full may take a fresh segment again.
-    if (log_->rotate(store_->book().contents())) {
+    if (begin_segment()) {
         logging::write_event(logging::event_id::storage_opened,
                              "identity=" + std::to_string(log_->identity()) + " turns=" +
                                  std::to_string(store_->book().turn_count()) + " repaired=yes");
--- a/tests/turns/turn_book_test.cpp
+++ b/tests/turns/turn_book_test.cpp
@@ -67,7 +67,9 @@
         book.apply(whole("a", ""), at(0));
         book.apply(whole("b", "a"), at(0));
         turn_book rebuilt;
-        for (const book_change& change : book.contents()) {
+        constexpr std::size_t one_page = 1U << 20U;
+        std::string next;
+        for (const book_change& change : book.missing_from({}, "", one_page, next)) {
             rebuilt.apply(change, at(0));
         }
         CPPUNIT_ASSERT(book.ledger_of("program") == rebuilt.ledger_of("program"));
--- /dev/null
+++ b/tests/turns/turn_log_test.cpp
@@ -0,0 +1,97 @@
+#include "tallyfold/turns/turn_log.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+namespace fs = std::filesystem;
+using namespace turns;
+
+class turn_log_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(turn_log_test);
+    CPPUNIT_TEST(a_new_segment_is_written_while_its_pages_are_made);
+    CPPUNIT_TEST(a_new_segment_holds_what_the_book_holds);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override {
+        folder_ = fs::temp_directory_path() / ("tallyfold-turns-" + std::to_string(getpid()));
+        fs::remove_all(folder_);
+    }
+    void tearDown() override { fs::remove_all(folder_); }
+
+  private:
+    static turn_settlement turn(const std::string& request, std::size_t bytes) {
+        return {"program", request, 9, 60'000,
+                turn_record{request, "", std::string(bytes, 'i'), std::string(bytes, 'o')}};
+    }
+
+    turn_log open(turn_book& book) const {
+        auto opened = turn_log::open(
+            folder_.string(), 7, [&book](const book_change& change) { book.apply(change, {}); });
+        CPPUNIT_ASSERT(opened.has_value());
+        return std::move(*opened);
+    }
+
+    std::uint64_t bytes_on_disk() const {
+        std::uint64_t bytes = 0;
+        for (const auto& entry : fs::directory_iterator(folder_)) {
+            bytes += entry.file_size();
+        }
+        return bytes;
+    }
+
+    /// A store has no memory for a second copy of its book: each page has to be in the file
+    /// before the next one is made.
+    void a_new_segment_is_written_while_its_pages_are_made() {
+        turn_book empty;
+        turn_log log = open(empty);
+        constexpr std::size_t page_bytes = 10'000;
+        constexpr int pages = 5;
+        int made = 0;
+        std::uint64_t before = bytes_on_disk();
+        const auto rotated = log.rotate([&](const std::string&, std::string& next) {
+            const std::uint64_t now = bytes_on_disk();
+            CPPUNIT_ASSERT(made == 0 || now >= before + 2 * page_bytes);
+            before = now;
+            ++made;
+            next = made < pages ? std::to_string(made) : std::string{};
+            return std::vector<book_change>{turn("t" + std::to_string(made), page_bytes)};
+        });
+        CPPUNIT_ASSERT(rotated.has_value());
+        CPPUNIT_ASSERT_EQUAL(pages, made);
+    }
+
+    void a_new_segment_holds_what_the_book_holds() {
+        turn_book book;
+        for (int number = 0; number < 300; ++number) {
+            book.apply(turn("t" + std::to_string(number), 50), {});
+            book.apply(turn_reservation{"other", "r" + std::to_string(number), 12, 1'000}, {});
+        }
+        {
+            turn_book empty;
+            turn_log log = open(empty);
+            CPPUNIT_ASSERT(log.rotate([&book](const std::string& from, std::string& next) {
+                                  return book.missing_from({}, from, 2'000, next);
+                              })
+                               .has_value());
+            CPPUNIT_ASSERT(log.append({turn("late", 10)}).has_value());
+        }
+        turn_book read_back;
+        const turn_log log = open(read_back);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{301}, read_back.turn_count());
+        CPPUNIT_ASSERT_EQUAL(book.ledger_of("other").size(), read_back.ledger_of("other").size());
+        CPPUNIT_ASSERT(read_back.holds_turn("late"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, log.cut_bytes());
+    }
+
+    fs::path folder_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(turn_log_test);
+
+}  // namespace tallyfold::tests
