Operators' policies rank on the platform: engines, and urgency by a program's time left

Change: call_ranking holds the operators' Lua policy (policy_file, read anew when it changes, event 2305); it weighs engines and, with the new optional function urgency, says the level at which engines rank a call. Calls know the time that their program has left; policies/platform.lua ranks by it. The request's line tells both.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -73,7 +73,7 @@
     request.zone = zone_;
     request.prompt = question.prompt;
     request.prompt_tokens = question.prompt_tokens;
-    request.call.priority = question.priority;
+    request.call = question.call;
     if (!question.program.empty()) {
         request.home = scheduling::home_of(question.program, pool, now);
         // An earlier turn of the program has left all but the newest part there.
@@ -81,7 +81,7 @@
         request.home_tokens =
             prompt != nullptr && prompt->size() > 1 ? (*prompt)[prompt->size() - 2].tokens : 0;
     }
-    const auto choice = placement_.choose(request, pool, cache_, nullptr, now);
+    const auto choice = placement_.choose(request, pool, cache_, question.ranking, now);
     if (!choice) {
         return std::nullopt;
     }
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -23,7 +23,10 @@
     std::string program;
     const std::vector<scheduling::prefix_point>* prompt = nullptr;
     token_count prompt_tokens = 0;
-    std::int32_t priority = 0;
+    /// What a policy may know of the request.
+    scheduling::call_features call;
+    /// Null for the built-in cost.
+    scheduling::policy* ranking = nullptr;
 };
 
 struct chosen_backend {
--- /dev/null
+++ b/src/tallyfold/forwarding/call_ranking.cpp
@@ -0,0 +1,48 @@
+#include "tallyfold/forwarding/call_ranking.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tallyfold::forwarding {
+
+namespace {
+
+std::int32_t level_of(double rank) {
+    const double bounded = std::clamp(rank, static_cast<double>(call_ranking::most_urgent),
+                                      static_cast<double>(call_ranking::least_urgent));
+    return static_cast<std::int32_t>(std::lround(bounded));
+}
+
+}  // namespace
+
+tl::expected<policy_change, scheduling::policy_error> call_ranking::use(const std::string& text) {
+    if (text == text_) {
+        return policy_change::none;
+    }
+    text_ = text;
+    if (text.empty()) {
+        policy_.reset();
+        return policy_change::removed;
+    }
+    auto compiled = scheduling::policy::compile(text);
+    if (!compiled) {
+        return tl::unexpected(compiled.error());
+    }
+    policy_ = std::move(*compiled);
+    failures_ = 0;
+    return policy_change::in_force;
+}
+
+std::int32_t call_ranking::urgency_of(const scheduling::call_features& call) {
+    if (policy_ == nullptr || !policy_->ranks_urgency()) {
+        return level_of(call.priority);
+    }
+    const auto rank = policy_->urgency(call);
+    if (!rank) {
+        ++failures_;
+        return level_of(call.priority);
+    }
+    return level_of(*rank);
+}
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/dialect.hpp
+++ b/src/tallyfold/forwarding/dialect.hpp
@@ -20,6 +20,8 @@
     /// Time that the caller waits; nothing when it doesn't say.
     std::optional<duration> patience;
     std::string program;
+    /// Until the whole program should have ended; nothing when it has no objective.
+    std::optional<duration> program_time_left;
     /// Tokens that the whole program may generate; 0 sets no bound.
     token_count budget = 0;
     token_count prompt_tokens = 0;
@@ -36,8 +38,8 @@
     duration time_left{};
     /// The incarnation that alone may run the request.
     std::string incarnation;
-    /// 0 goes first.
-    std::int32_t priority = 0;
+    /// Level at which the engine ranks the request; 0 goes first.
+    std::int32_t urgency = 0;
     bool is_engine = false;
 };
 
--- a/src/tallyfold/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/forwarding/forwarder_context.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "tallyfold/forwarding/backend_registry.hpp"
+#include "tallyfold/forwarding/call_ranking.hpp"
 #include "tallyfold/forwarding/connection_pool_shell.hpp"
 #include "tallyfold/forwarding/dialect.hpp"
 #include "tallyfold/forwarding/forwarder_metrics.hpp"
@@ -21,6 +22,7 @@
     backend_registry& backends;
     connection_pool& connections;
     forwarder_metrics& metrics;
+    call_ranking& ranking;
     routing::traffic_splitter splitter;
     /// The configuration in force; requests under way keep the one they began with.
     std::shared_ptr<const routing::route_table> routes;
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -19,6 +19,7 @@
 constexpr duration silence_check_interval = std::chrono::milliseconds(100);
 /// A list that nobody has seen for this long is read by this node itself.
 constexpr duration own_sight_after = std::chrono::milliseconds(1'800);
+constexpr duration policy_check_interval = std::chrono::seconds(1);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration write_limit = std::chrono::seconds(2);
@@ -37,6 +38,7 @@
                                  std::string reason);
     void use_configuration(const routing::configuration& configuration);
     void use_list(bool changed);
+    void read_policy();
     void stop();
     void continue_stop();
     void take_no_more();
@@ -53,6 +55,7 @@
     turns::turn_client turns_;
     listing::list_poller poller_;
     listing::list_memory list_;
+    call_ranking ranking_;
     forwarder_context context_;
     asio::ip::tcp::acceptor callers_;
     http::endpoint_server readiness_;
@@ -72,7 +75,8 @@
       directory_(process_, {}),
       turns_(process_, [this](const turns::store_map& map) { directory_.learn_map(map); }),
       poller_(process_, lists),
-      context_{process_, dialect, turns_, backends_, connections_, metrics_, {}, nullptr, false},
+      context_{process_, dialect,  turns_, backends_, connections_,
+               metrics_, ranking_, {},     nullptr,   false},
       callers_(process_.loop()),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
 
@@ -105,6 +109,20 @@
                              " leaving=" + std::to_string(leaving));
 }
 
+void forwarder_node::read_policy() {
+    const std::string& path = process_.settings().policy_file;
+    const auto change = ranking_.use(path.empty() ? std::string{} : net::file_text(path));
+    if (!change) {
+        logging::write_event(logging::event_id::policy_failed,
+                             "policy=" + path + " line=" + std::to_string(change.error().line) +
+                                 " reason=\"" + change.error().reason + "\"");
+    } else if (*change != policy_change::none) {
+        const bool removed = *change == policy_change::removed;
+        logging::write_event(logging::event_id::policy_applied,
+                             "policy=" + (removed ? std::string("-") : path));
+    }
+}
+
 void forwarder_node::accept() {
     callers_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
@@ -264,6 +282,8 @@
             use_list(list_.see(backends, http::steady_now()));
         },
         [this] { return http::steady_now() - list_.seen() > own_sight_after; });
+    read_policy();
+    process_.every(policy_check_interval, [this] { read_policy(); });
     process_.every(housekeeping_interval, [this] { connections_.expire(http::steady_now()); });
     process_.every(silence_check_interval, [this] {
         for (const backend_name& name : backends_.suspect_silent(http::steady_now())) {
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -223,14 +223,27 @@
     co_return false;
 }
 
-asio::awaitable<void> request_relay::run_attempts() {
+backend_question request_relay::describe_for_choice() const {
     backend_question question;
     question.service = service_->name;
     question.is_engine = service_->is_engine;
     question.program = facts_.program;
     question.prompt = &facts_.prompt;
     question.prompt_tokens = facts_.prompt_tokens;
-    question.priority = route_->priority;
+    question.call.priority = route_->priority;
+    question.call.prompt_tokens = static_cast<double>(facts_.prompt_tokens);
+    question.call.max_tokens = static_cast<double>(facts_.most_tokens);
+    if (facts_.program_time_left) {
+        question.call.time_left_ms =
+            static_cast<double>(to_milliseconds(*facts_.program_time_left));
+    }
+    question.ranking = context_.ranking.placement();
+    return question;
+}
+
+asio::awaitable<void> request_relay::run_attempts() {
+    backend_question question = describe_for_choice();
+    urgency_ = context_.ranking.urgency_of(question.call);
     send_result last;
     last.reason = "no back end is available";
     while (!gone_) {
@@ -311,7 +324,7 @@
     attempt_marks marks;
     marks.time_left = time_left();
     marks.incarnation = backend.name;
-    marks.priority = route_->priority;
+    marks.urgency = urgency_;
     marks.is_engine = service_->is_engine;
     if (marks.time_left <= duration::zero()) {
         result.reason = "no_time_left";
@@ -572,11 +585,14 @@
         line += " program=" + facts_.program;
     }
     if (store_answers_ > 0) {
-        line += " store_ms=" + std::to_string(to_milliseconds(store_time_)) +
-                " store_answers=" + std::to_string(store_answers_) +
-                " used=" + std::to_string(used_tokens_) +
-                " cached=" + std::to_string(cached_tokens_) +
-                " events=" + std::to_string(events_.events());
+        line +=
+            " store_ms=" + std::to_string(to_milliseconds(store_time_)) +
+            " store_answers=" + std::to_string(store_answers_) +
+            " used=" + std::to_string(used_tokens_) + " cached=" + std::to_string(cached_tokens_) +
+            " urgency=" + std::to_string(urgency_) + " program_left_ms=" +
+            (facts_.program_time_left ? std::to_string(to_milliseconds(*facts_.program_time_left))
+                                      : std::string("-")) +
+            " events=" + std::to_string(events_.events());
     }
     if (!reason_.empty()) {
         line += " reason=\"" + reason_ + "\"";
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -51,6 +51,7 @@
     [[nodiscard]] duration time_left() const { return deadline_ - http::steady_now(); }
     asio::awaitable<bool> begin_turn();
     asio::awaitable<void> run_attempts();
+    [[nodiscard]] backend_question describe_for_choice() const;
     asio::awaitable<send_result> send_to(chosen_backend backend);
     asio::awaitable<http::connection_pointer> open(const chosen_backend& backend,
                                                    send_result& result);
@@ -82,6 +83,8 @@
     instant deadline_{};
     instant attempt_started_{};
     std::optional<attempt_policy> policy_;
+    /// Level at which engines rank the request.
+    std::int32_t urgency_ = 0;
     /// Body as it goes to back ends: with the line of turns before it.
     std::string outgoing_body_;
     http::event_stream_reader events_;
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -43,6 +43,7 @@
     configuration_applied = 2302,
     configuration_lease_expired = 2303,
     policy_failed = 2304,
+    policy_applied = 2305,
     admin_request = 2401,
     admin_denied = 2402,
     call_refused = 3001,
--- a/src/tallyfold/net/node_process_shell.cpp
+++ b/src/tallyfold/net/node_process_shell.cpp
@@ -31,6 +31,8 @@
       registry_(std::make_shared<prometheus::Registry>()),
       settings_text_(file_text(settings_.file)) {
     std::signal(SIGPIPE, SIG_IGN);
+    // A write over the limit of a file's size fails like one to a full disk.
+    std::signal(SIGXFSZ, SIG_IGN);
 }
 
 void node_process::every(duration interval, std::function<void()> work) {
@@ -104,7 +106,7 @@
     every(settings_check_interval, [this] { check_settings_file(false); });
     if (settings_.metrics_port != 0) {
         metrics_server_ = std::make_unique<http::endpoint_server>(
-            loop_, join_address(settings_.ip, settings_.metrics_port), 0);
+            loop_, join_address(settings_.listen_ip, settings_.metrics_port), 0);
         const std::string problem = metrics_server_->start(
             [this](const http::endpoint_request&) { return render_metrics(); });
         if (!problem.empty()) {
--- a/src/tallyfold/scheduling/policy.cpp
+++ b/src/tallyfold/scheduling/policy.cpp
@@ -76,6 +76,7 @@
     set_number(state, "budget_left", call.budget_left);
     set_number(state, "tenant_running", call.tenant_running);
     set_boolean(state, "is_sub_agent", call.is_sub_agent);
+    set_number(state, "time_left_ms", call.time_left_ms);
 }
 
 void fill(lua_State* state, const engine_features& engine) {
@@ -171,6 +172,12 @@
         return value;
     }
 
+    bool defines(const char* function) {
+        const bool defined = lua_getglobal(state, function) == LUA_TFUNCTION;
+        lua_settop(state, 0);
+        return defined;
+    }
+
     template <class... Features>
     tl::expected<double, policy_error> call(const char* function, const Features&... features) {
         lua_settop(state, 0);
@@ -204,7 +211,7 @@
         return tl::unexpected(state->take_error());
     }
     std::unique_ptr<policy> compiled(new policy(std::move(state)));
-    const call_features sample_call{"sample", 1, 1000, 3, 500, 100, 5000, 1, false};
+    const call_features sample_call{"sample", 1, 1000, 3, 500, 100, 5000, 1, false, 0, 2000};
     for (const double cached : {0.0, 400.0}) {
         const engine_features sample_engine{cached, 500 - cached, 2, 8, 0, 0.5, true};
         if (auto placed = compiled->place(sample_call, sample_engine); !placed) {
@@ -214,6 +221,12 @@
     if (auto ordered = compiled->order(sample_call); !ordered) {
         return tl::unexpected(ordered.error());
     }
+    compiled->ranks_urgency_ = compiled->runtime_->defines("urgency");
+    if (compiled->ranks_urgency_) {
+        if (auto ranked = compiled->urgency(sample_call); !ranked) {
+            return tl::unexpected(ranked.error());
+        }
+    }
     if (auto kept = compiled->retain({"sample", 1, 500, 3, 1000, 200, false}); !kept) {
         return tl::unexpected(kept.error());
     }
@@ -224,6 +237,10 @@
     return runtime_->call("order", call);
 }
 
+tl::expected<double, policy_error> policy::urgency(const call_features& call) {
+    return runtime_->call("urgency", call);
+}
+
 tl::expected<double, policy_error> policy::place(const call_features& call,
                                                  const engine_features& engine) {
     return runtime_->call("place", call, engine);
--- a/src/tallyfold/scheduling/policy.hpp
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -10,6 +10,9 @@
 
 namespace tallyfold::scheduling {
 
+/// Stands for the time left of a program without an objective, in milliseconds.
+constexpr double no_time_objective_ms = 3'600'000;
+
 /// What a policy may know of a call. Units are in docs/POLICIES.md.
 struct call_features {
     std::string program_class;
@@ -26,6 +29,8 @@
     /// The tenant's calls under way at this scheduler.
     double tenant_running = 0;
     bool is_sub_agent = false;
+    /// Until the whole program should have ended, in milliseconds; negative once it should have.
+    double time_left_ms = no_time_objective_ms;
 };
 
 /// What a policy may know of an engine, for one call.
@@ -78,6 +83,10 @@
 
     /// Rank of a waiting call; lower goes first.
     tl::expected<double, policy_error> order(const call_features& call);
+    /// Level at which engines are to rank the call, 0 first. Only for policies that define it.
+    tl::expected<double, policy_error> urgency(const call_features& call);
+    /// True when the policy has a function for urgency, which it need not.
+    [[nodiscard]] bool ranks_urgency() const { return ranks_urgency_; }
     /// Cost of running the call on the engine; lower is better.
     tl::expected<double, policy_error> place(const call_features& call,
                                              const engine_features& engine);
@@ -88,6 +97,7 @@
     struct runtime;
     explicit policy(std::unique_ptr<runtime> state);
     std::unique_ptr<runtime> runtime_;
+    bool ranks_urgency_ = false;
 };
 
 }  // namespace tallyfold::scheduling
--- a/src/tallyfold/settings/node_settings.cpp
+++ b/src/tallyfold/settings/node_settings.cpp
@@ -35,6 +35,14 @@
     return net::join_address(ip, store_port);
 }
 
+std::string node_settings::directory_listener() const {
+    return net::join_address(listen_ip, directory_port);
+}
+
+std::string node_settings::store_listener() const {
+    return net::join_address(listen_ip, store_port);
+}
+
 std::vector<std::string> node_settings::seed_directories() const {
     std::vector<std::string> addresses;
     for (const std::string& seed : seeds) {
@@ -54,6 +62,7 @@
     read.node = reader.text("node");
     read.zone = reader.text("zone");
     read.ip = reader.text("ip");
+    read.listen_ip = reader.text_or("listen_ip", read.ip);
     read.directory_port =
         static_cast<std::uint16_t>(reader.integer_or("directory_port", 0, 1, largest_port));
     read.store_port =
@@ -73,6 +82,7 @@
     read.metrics_port =
         static_cast<std::uint16_t>(reader.integer_or("metrics_port", 0, 0, largest_port));
     read.backend_list_address = optional_address(reader, "backend_list_address");
+    read.policy_file = reader.text_or("policy_file", {});
     read.grace = seconds(reader.real_or("grace_seconds", 8, 0.1, longest_seconds));
     read.acknowledge =
         std::chrono::milliseconds(reader.integer_or("acknowledge_ms", 4'000, 1, 600'000));
--- a/src/tallyfold/settings/node_settings.hpp
+++ b/src/tallyfold/settings/node_settings.hpp
@@ -16,8 +16,10 @@
     std::string file;
     std::string node;
     std::string zone;
-    /// Address of this machine, without a port.
+    /// Address, without a port, at which other nodes reach this machine.
     std::string ip;
+    /// Address on which it listens for them: another one than `ip` behind a relay.
+    std::string listen_ip;
     /// Ports at which other nodes reach the directory and the stores, the same on every machine.
     std::uint16_t directory_port = 0;
     std::uint16_t store_port = 0;
@@ -36,6 +38,8 @@
     std::uint16_t metrics_port = 0;
     /// Where the list of back ends is asked for, as "ip:port".
     std::string backend_list_address;
+    /// The operators' policy that ranks calls and engines; empty for the built-in ranking.
+    std::string policy_file;
     /// Time from a stop to the process's end.
     duration grace{};
     /// Time that an operator waits for an acknowledgement.
@@ -44,6 +48,9 @@
     /// Where other nodes reach this node's directory or store.
     [[nodiscard]] std::string directory_address() const;
     [[nodiscard]] std::string store_address() const;
+    /// Where the directory and the store listen.
+    [[nodiscard]] std::string directory_listener() const;
+    [[nodiscard]] std::string store_listener() const;
     /// Where other nodes reach the directory of the seeds.
     [[nodiscard]] std::vector<std::string> seed_directories() const;
 };
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -79,7 +79,7 @@
 store_node::store_node(const settings::node_settings& settings)
     : process_(settings),
       directory_(process_, {std::chrono::milliseconds(300), true, false}),
-      peers_(process_.loop(), settings.store_address()),
+      peers_(process_.loop(), settings.store_listener()),
       changes_(prometheus::BuildCounter()
                    .Name("tallyfold_store_changes_total")
                    .Help("Reservations and settlements taken")
--- /dev/null
+++ b/tests/forwarding/call_ranking_test.cpp
@@ -0,0 +1,82 @@
+#include "tallyfold/forwarding/call_ranking.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace forwarding;
+
+class call_ranking_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(call_ranking_test);
+    CPPUNIT_TEST(without_a_policy_the_priority_ranks);
+    CPPUNIT_TEST(a_policy_ranks_by_the_time_that_a_program_has_left);
+    CPPUNIT_TEST(a_policy_without_urgency_leaves_it_to_the_priority);
+    CPPUNIT_TEST(a_failing_text_leaves_the_policy_before_it_in_force);
+    CPPUNIT_TEST(a_failing_evaluation_is_counted_and_the_priority_ranks);
+    CPPUNIT_TEST(an_emptied_file_removes_the_policy);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string policy_with(const std::string& urgency) {
+        return "function order(call) return 1 end\n"
+               "function place(call, engine) return 1 end\n"
+               "function retain(program) return 1 end\n" +
+               urgency;
+    }
+
+    static scheduling::call_features call_with(double priority, double time_left_ms) {
+        scheduling::call_features call;
+        call.priority = priority;
+        call.time_left_ms = time_left_ms;
+        return call;
+    }
+
+    void without_a_policy_the_priority_ranks() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT_EQUAL(1, ranking.urgency_of(call_with(1, 50)));
+        CPPUNIT_ASSERT_EQUAL(call_ranking::least_urgent, ranking.urgency_of(call_with(40, 50)));
+        CPPUNIT_ASSERT(ranking.placement() == nullptr);
+    }
+
+    void a_policy_ranks_by_the_time_that_a_program_has_left() {
+        call_ranking ranking;
+        const auto used = ranking.use(policy_with(
+            "function urgency(call) if call.time_left_ms < 500 then return 2 end return 70 end"));
+        CPPUNIT_ASSERT(used.has_value() && *used == policy_change::in_force);
+        CPPUNIT_ASSERT_EQUAL(2, ranking.urgency_of(call_with(0, 499)));
+        CPPUNIT_ASSERT_EQUAL(call_ranking::least_urgent, ranking.urgency_of(call_with(0, 500)));
+        CPPUNIT_ASSERT(ranking.placement() != nullptr);
+    }
+
+    void a_policy_without_urgency_leaves_it_to_the_priority() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(policy_with("")).has_value());
+        CPPUNIT_ASSERT_EQUAL(3, ranking.urgency_of(call_with(3, 50)));
+    }
+
+    void a_failing_text_leaves_the_policy_before_it_in_force() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(policy_with("function urgency(call) return 6 end")));
+        CPPUNIT_ASSERT(!ranking.use("function order(call"));
+        CPPUNIT_ASSERT(!ranking.use(policy_with("function urgency(call) return 'soon' end")));
+        CPPUNIT_ASSERT_EQUAL(6, ranking.urgency_of(call_with(0, 50)));
+    }
+
+    void a_failing_evaluation_is_counted_and_the_priority_ranks() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(policy_with(
+            "function urgency(call) if call.time_left_ms < 0 then return nil end return 5 end")));
+        CPPUNIT_ASSERT_EQUAL(1, ranking.urgency_of(call_with(1, -1)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, ranking.failures());
+    }
+
+    void an_emptied_file_removes_the_policy() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(policy_with("")));
+        CPPUNIT_ASSERT(*ranking.use("") == policy_change::removed);
+        CPPUNIT_ASSERT(ranking.placement() == nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(call_ranking_test);
+
+}  // namespace tallyfold::tests
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -66,6 +66,7 @@
         head.headers.add("X-Deadline-Ms", "4000");
         head.headers.add("X-Token-Usage", "1460,80");
         head.headers.add("X-Prefix-Hash", "5c1e07a2:800,91bd3f06:410");
+        head.headers.add("X-Program-Deadline-Ms", "-70");
         head.headers.add("X-Expected-Instance", "smuggled");
         head.headers.add("Connection", "keep-alive");
         head.headers.add("X-Other", "kept");
@@ -74,6 +75,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("abc"), facts.request);
         CPPUNIT_ASSERT(facts.patience == duration(std::chrono::seconds(4)));
         CPPUNIT_ASSERT_EQUAL(token_count{80}, facts.most_tokens);
+        CPPUNIT_ASSERT(facts.program_time_left == duration(std::chrono::milliseconds(-70)));
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, facts.prompt.size());
         CPPUNIT_ASSERT_EQUAL(token_count{1210}, facts.prompt.back().tokens);
         const http::header_list sent =
--- /dev/null
+++ b/tests/settings/node_settings_test.cpp
@@ -0,0 +1,76 @@
+#include "tallyfold/settings/node_settings.hpp"
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace settings;
+
+class node_settings_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(node_settings_test);
+    CPPUNIT_TEST(what_is_left_out_has_its_default);
+    CPPUNIT_TEST(a_node_behind_a_relay_listens_at_another_address);
+    CPPUNIT_TEST(every_problem_is_named);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void setUp() override {
+        path_ = std::filesystem::temp_directory_path() /
+                ("tallyfold-node-settings-" + std::to_string(getpid()) + ".toml");
+    }
+    void tearDown() override { std::filesystem::remove(path_); }
+
+  private:
+    std::string write(const std::string& text) {
+        std::ofstream(path_, std::ios::trunc) << text;
+        return path_.string();
+    }
+
+    static constexpr const char* whole =
+        "node = \"n\"\nzone = \"z\"\nip = \"10.0.0.1\"\nseeds = [\"10.0.0.2:80\"]\n"
+        "directory_port = 71\nstore_port = 72\n";
+
+    void what_is_left_out_has_its_default() {
+        const auto read = read_node_settings(write(whole));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->policy_file.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, read->losses_borne);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:72"), read->store_address());
+        CPPUNIT_ASSERT_EQUAL(read->store_address(), read->store_listener());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:71"), read->seed_directories().front());
+    }
+
+    void a_node_behind_a_relay_listens_at_another_address() {
+        const auto read =
+            read_node_settings(write(std::string(whole) + "listen_ip = \"10.0.9.1\"\n"));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:71"), read->directory_address());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.9.1:71"), read->directory_listener());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.9.1:72"), read->store_listener());
+    }
+
+    void every_problem_is_named() {
+        const auto read = read_node_settings(
+            write("node = 7\nseeds = [\"host:80\"]\ngrace_seconds = 0\nspeed = 1\n"));
+        CPPUNIT_ASSERT(!read.has_value());
+        std::string all;
+        for (const settings_problem& problem : read.error()) {
+            CPPUNIT_ASSERT_EQUAL(path_.string(), problem.file);
+            all += problem.key + " ";
+        }
+        for (const std::string key : {"node", "zone", "ip", "seeds", "grace_seconds", "speed"}) {
+            CPPUNIT_ASSERT_MESSAGE(key, all.find(key) != std::string::npos);
+        }
+    }
+
+    std::filesystem::path path_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(node_settings_test);
+
+}  // namespace tallyfold::tests
