A randomized fault soak of the programs of the users' platform

Three directory nodes, three stores and three forwarders as processes, before stand-ins of engines and app services; callers that run programs, an operator that changes the configuration; relays before the nodes.

--- /dev/null
+++ b/tests/platform/soak/backends.py
@@ -0,0 +1,168 @@
+"""Stand-ins for the replicas of the users' platform and for its list of them."""
+
+import asyncio
+import json
+import random
+
+from .history import Run
+
+TOKENS_PER_EVENT = 9
+
+
+async def read_request(reader):
+    """Returns (method, target, headers, body); None at the end of the connection."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return method, target, headers, body
+
+
+class Backend:
+    """One replica: an engine that streams events, or an app service with whole answers."""
+
+    #: What share of the answers misbehaves while the back end is sick, and how.
+    SICKNESSES = ("cut", "lost", "slow", "surplus", "refuse", "error")
+
+    def __init__(self, history, clock, name, service, address, engine, seed):
+        self.history = history
+        self.clock = clock
+        self.service = service
+        self.address = address
+        self.engine = engine
+        self.random = random.Random(seed)
+        self.incarnation = 0
+        self.name = name
+        self.sickness = ""
+        self.state = "ready"
+        self.server = None
+        self.connections = set()
+
+    @property
+    def instance(self):
+        return f"i-{self.name}-{self.incarnation}"
+
+    async def start(self):
+        self.incarnation += 1
+        self.state = "ready"
+        self.server = await asyncio.start_server(self._serve, *self.address)
+
+    async def crash(self):
+        self.server.close()
+        self.state = "gone"
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while await self._answer(*await read_request(reader), writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.transport.abort()
+
+    @staticmethod
+    def _head(status, fields):
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
+        return f"HTTP/1.1 {status} Word\r\n{lines}\r\n".encode()
+
+    async def _answer(self, method, target, headers, body, writer):
+        request = headers.get("x-request-id", "")
+        instance = self.instance
+        named = [("X-Request-Id", request), ("Keep-Alive", "timeout=5")]
+        if headers.get("x-expected-instance", instance) != instance:
+            writer.write(self._head(421, named + [("X-Not-Executed", "1"),
+                                                  ("Content-Length", "0")]))
+            await writer.drain()
+            return True
+        sick = self.sickness if self.random.random() < 0.3 else ""
+        if sick == "refuse":
+            writer.write(self._head(503, named + [("X-Not-Executed", "1"),
+                                                  ("Content-Length", "0")]))
+            await writer.drain()
+            return True
+        run = Run(request, instance, self.service, method, target, body, at=self.clock())
+        self.history.runs.append(run)
+        await asyncio.sleep(self.random.uniform(0.005, 0.04) + (0.8 if sick == "slow" else 0))
+        if sick == "lost":
+            return False
+        run.status = 500 if sick == "error" else 200
+        named.append(("X-Response-Signature", f"{instance}.{request}"))
+        if self.engine and run.status == 200:
+            return await self._stream(run, named, sick, writer)
+        run.pieces = [f"{instance}:{request}:" + "p" * self.random.randrange(800)]
+        payload = run.pieces[0].encode()
+        sent = payload[:len(payload) // 2] if sick == "cut" else payload
+        run.whole = sent == payload
+        writer.write(self._head(run.status, named + [("Content-Length", str(len(payload)))]) + sent)
+        if sick == "surplus":
+            writer.write(self._head(200, named + [("Content-Length", "5")]) + b"extra")
+        await writer.drain()
+        return run.whole
+
+    async def _stream(self, run, named, sick, writer):
+        writer.write(self._head(200, named + [("Content-Type", "text/event-stream"),
+                                              ("Transfer-Encoding", "chunked")]))
+        count = self.random.randint(2, 8)
+        for number in range(1, count + 1):
+            if sick == "cut" and number == count:
+                return False
+            piece = f"{run.request[:6]}-{number}-{self.random.randrange(1000)}"
+            event = f"id: {number}\ndata: {piece}\n\n".encode()
+            run.pieces.append(piece)
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        run.whole = True
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+class BackendList:
+    """The platform's list, which lags behind."""
+
+    LAG = 0.5
+
+    def __init__(self, backends, address):
+        self.backends = backends
+        self.address = address
+        self.told = []
+
+    def look(self):
+        return [{"Id": backend.instance, "Service": backend.service,
+                 "Address": f"{backend.address[0]}:{backend.address[1]}", "Zone": "zone-a",
+                 "Slots": 12, "State": backend.state, "ColdRemainingMs": 0}
+                for backend in self.backends if backend.state != "gone"]
+
+    async def start(self):
+        self.told = self.look()
+        await asyncio.start_server(self._serve, *self.address)
+        asyncio.ensure_future(self._lag())
+
+    async def _lag(self):
+        while True:
+            seen = self.look()
+            await asyncio.sleep(self.LAG)
+            self.told = seen
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                await read_request(reader)
+                body = json.dumps({"Instances": self.told, "NextPageToken": None}).encode()
+                writer.write(Backend._head(200, [("Content-Type", "application/json"),
+                                                 ("Content-Length", str(len(body)))]) + body)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.transport.abort()
--- /dev/null
+++ b/tests/platform/soak/callers.py
@@ -0,0 +1,235 @@
+"""Callers that run whole programs, and an operator that changes the configuration."""
+
+import asyncio
+import json
+import random
+
+from .backends import TOKENS_PER_EVENT
+from .history import Attempt, ConfigurationChange, ConfigurationRead
+
+HOST = "soak.example"
+MOST_TOKENS = 8 * TOKENS_PER_EVENT
+RETENTION_SECONDS = 600.0
+
+
+async def read_head(reader):
+    """Returns (status, headers) of an answer."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    return int(lines[0].split(" ")[1]), headers
+
+
+async def read_chunks(reader):
+    """Yields the bytes of each chunk; ends only after the last one."""
+    while True:
+        length = int((await reader.readline()).strip() or b"x", 16)
+        data = await reader.readexactly(length + 2)
+        if length == 0:
+            return
+        yield data[:-2]
+
+
+class Caller:
+    """Runs programs one after the other, each turn at any forwarder."""
+
+    def __init__(self, history, clock, forwarders, seed):
+        self.history = history
+        self.clock = clock
+        self.forwarders = forwarders
+        self.random = random.Random(seed)
+        self.stopping = False
+        #: Ends of lines of turns that were answered whole: (request, body of the whole line).
+        self.lines = []
+
+    def draw_id(self):
+        return f"{self.random.getrandbits(64):016x}"
+
+    async def exchange(self, attempt, patience, fields=()):
+        """Sends one request on a new connection and notes what comes back."""
+        self.history.attempts.append(attempt)
+        writer = None
+        try:
+            async with asyncio.timeout(patience):
+                reader, writer = await asyncio.open_connection(
+                    *self.random.choice(self.forwarders))
+                head = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {HOST}",
+                        f"X-Request-Id: {attempt.request}",
+                        f"X-Deadline-Ms: {int(patience * 1000)}",
+                        f"Content-Length: {len(attempt.body)}", *fields, "", ""]
+                writer.write("\r\n".join(head).encode() + attempt.body)
+                attempt.status, headers = await read_head(reader)
+                attempt.signature = headers.get("x-response-signature", "")
+                attempt.answered_id = headers.get("x-request-id", "")
+                attempt.retry_after = headers.get("retry-after", "")
+                await self._read_answer(attempt, headers, reader)
+                attempt.whole = True
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            pass
+        finally:
+            attempt.ended = self.clock()
+            if writer is not None:
+                writer.transport.abort()
+        return attempt
+
+    @staticmethod
+    async def _read_answer(attempt, headers, reader):
+        if headers.get("transfer-encoding") == "chunked":
+            text = b""
+            async for chunk in read_chunks(reader):
+                text += chunk
+                while b"\n\n" in text:
+                    event, text = text.split(b"\n\n", 1)
+                    attempt.pieces.append(event.split(b"data: ", 1)[1].decode())
+            return
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        if attempt.status == 200:
+            attempt.pieces.append(body.decode())
+
+    def turn(self, program, line, budget):
+        """One turn that goes on from `line`: (request, body so far), or None."""
+        previous, before = line or ("", b"")
+        body = f"[{self.draw_id()[:self.random.randint(4, 16)]}]".encode()
+        return Attempt(self.draw_id(), "turn", "POST", "/turns/x", body, self.clock(),
+                       program=program, previous=previous, budget=budget,
+                       most_tokens=MOST_TOKENS, tokens_per_event=TOKENS_PER_EVENT,
+                       expected_body=before + body)
+
+    async def send_turn(self, attempt):
+        fields = [f"X-Program-Id: {attempt.program}", f"X-Session-Id: {attempt.program}",
+                  f"X-Token-Usage: {len(attempt.expected_body) // 2},{MOST_TOKENS}",
+                  f"X-Prefix-Hash: aa:10,{attempt.program[:8]}:{len(attempt.expected_body) // 2}"]
+        if attempt.previous:
+            fields.append(f"X-Previous-Turn: {attempt.previous}")
+        if attempt.budget:
+            fields.append(f"X-Token-Budget: {attempt.budget}")
+        return await self.exchange(attempt, 3.0, fields)
+
+    async def run_turn(self, program, line, budget):
+        """A turn with its repeats. Returns the new line; None when it failed."""
+        for _ in range(4):
+            attempt = await self.send_turn(self.turn(program, line, budget))
+            if attempt.status == 200 and attempt.whole:
+                output = "".join(piece + "\n" for piece in attempt.pieces).encode()
+                return attempt.request, attempt.expected_body + output
+            if attempt.status in (402, 404):
+                return None
+            await asyncio.sleep(0.1 + self.random.random() * 0.3)
+        return None
+
+    async def run_program(self):
+        program = self.draw_id()
+        budget = self.random.choice([0, 2 * MOST_TOKENS, 20 * MOST_TOKENS])
+        line = None
+        if self.lines and self.random.random() < 0.15:
+            line = self.random.choice(self.lines)
+        for _ in range(self.random.randint(1, 6)):
+            line = await self.run_turn(program, line, budget)
+            if line is None or self.stopping:
+                break
+            self.lines.append(line)
+            await asyncio.gather(*(self.call_tool() for _ in range(self.random.randint(0, 2))))
+
+    async def call_tool(self):
+        repeats = self.random.random() < 0.5
+        kind, path = ("repeatable", "/look/x") if repeats else ("once", "/claim/x")
+        await self.exchange(Attempt(self.draw_id(), kind, "POST", path, b"tool", self.clock()), 1.5)
+
+    async def run(self):
+        while not self.stopping:
+            await self.run_program()
+
+    async def go_on_from(self, line):
+        """Asks until the turn after `line` is answered. Returns the last status."""
+        attempt = None
+        for _ in range(12):
+            attempt = await self.send_turn(self.turn(self.draw_id(), line, 0))
+            if attempt.status == 200 and attempt.whole:
+                break
+            await asyncio.sleep(0.3)
+        return attempt.status if attempt.whole else 0
+
+
+class Operator:
+    """Sends configurations with rising versions and reads them back, at any directory node."""
+
+    def __init__(self, history, clock, nodes, seed):
+        self.history = history
+        self.clock = clock
+        self.nodes = nodes
+        self.random = random.Random(seed)
+        self.version = 1
+        self.stopping = False
+
+    def configuration(self):
+        def route(name, path, kind, service, attempts):
+            return {"Name": name, "Hostname": HOST, "PathPrefix": path, "Type": kind,
+                    "TimeoutMs": 3000, "TargetLatencyMs": 250, "Priority": 0, "Service": service,
+                    "MaxAttempts": attempts, "KeepsHistory": name == "turns",
+                    "RetentionS": RETENTION_SECONDS, "SessionAffinity": False, "Resumable": False}
+        spare = [route(f"spare-{number}", f"/spare/{number}/", "idempotent", "apps", 1)
+                 for number in range(self.version % 5)]
+        routes = [route("turns", "/turns/", "streaming", "engines", 1),
+                  route("look", "/look/", "idempotent", "apps", 3),
+                  route("claim", "/claim/", "non_idempotent", "apps", 1)]
+        engine = {"Slots": 12, "KvCapacity": 100000, "Stride": TOKENS_PER_EVENT,
+                  "Models": [{"Name": "m"}]}
+        services = [{"Name": "engines", "HealthPath": "/health", "MaxConnections": 100,
+                     "Engine": engine},
+                    {"Name": "apps", "HealthPath": "/health", "MaxConnections": 100}]
+        return {"Version": self.version, "Routes": routes + spare, "Services": services}
+
+    async def call(self, method, path, body=b""):
+        """Returns (status, body) at any node; status 0 when nothing came."""
+        address = self.random.choice(self.nodes)
+        for _ in range(3):
+            writer = None
+            try:
+                async with asyncio.timeout(1.5):
+                    reader, writer = await asyncio.open_connection(*address)
+                    writer.write(f"{method} {path} HTTP/1.1\r\nHost: o\r\n"
+                                 f"Content-Type: application/json\r\n"
+                                 f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+                    status, headers = await read_head(reader)
+                    if status == 307:
+                        host, port = headers["location"].split("/")[2].split(":")
+                        address = (host, int(port))
+                        continue
+                    return status, await reader.readexactly(int(headers.get("content-length", 0)))
+            except (OSError, asyncio.IncompleteReadError, TimeoutError, KeyError):
+                return 0, b""
+            finally:
+                if writer is not None:
+                    writer.transport.abort()
+        return 0, b""
+
+    async def change(self):
+        """Sends one change until it is acknowledged."""
+        body = json.dumps(self.configuration()).encode()
+        while True:
+            status, _ = await self.call("POST", "/v1/config/replace", body)
+            if status == 200:
+                self.history.changes.append(ConfigurationChange(self.version, self.clock()))
+                self.version += self.random.randint(1, 3)
+                return
+            await asyncio.sleep(0.2)
+
+    async def read(self):
+        sent = self.clock()
+        status, body = await self.call("GET", "/v1/config/describe")
+        if status != 200:
+            return None
+        version = json.loads(body)["Version"]
+        self.history.reads.append(ConfigurationRead(sent, version))
+        return version
+
+    async def run(self):
+        while not self.stopping:
+            await self.change()
+            for _ in range(self.random.randint(1, 5)):
+                await asyncio.sleep(0.4)
+                await self.read()
--- /dev/null
+++ b/tests/platform/soak/checks.py
@@ -0,0 +1,141 @@
+"""The promises of the pages, checked on a history. Each returns (times checked, violations)."""
+
+from collections import defaultdict
+
+#: Statuses that promise that the request has not run and never will.
+PROMISES = {402, 408, 421, 429, 503}
+#: A read that was sent this long after an acknowledgement must show that version, in seconds.
+CONFIGURATION_BOUND = 2.0
+
+
+def runs_by_request(history):
+    """Runs of each request, in order."""
+    runs = defaultdict(list)
+    for run in history.runs:
+        runs[run.request].append(run)
+    return runs
+
+
+def at_most_once(history):
+    """A request that must not repeat runs at most once."""
+    runs = runs_by_request(history)
+    once = [attempt for attempt in history.attempts if attempt.kind != "repeatable"]
+    return len(once), [f"{attempt.request} ({attempt.kind}) ran {len(runs[attempt.request])} times"
+                       for attempt in once if len(runs[attempt.request]) > 1]
+
+
+def refused_never_ran(history):
+    """What is told not to have run has not run."""
+    runs = runs_by_request(history)
+    refused = [attempt for attempt in history.attempts if attempt.status in PROMISES]
+    return len(refused), [f"{attempt.request} got {attempt.status} and ran"
+                          for attempt in refused if runs[attempt.request]]
+
+
+def refusals_say_when(history):
+    """A refusal that may pass says when to come back."""
+    refused = [attempt for attempt in history.attempts if attempt.status == 503]
+    return len(refused), [f"{attempt.request} got 503 without a time"
+                          for attempt in refused if not attempt.retry_after]
+
+
+def answers_are_their_own(history):
+    """A success is the whole answer of a back end to that very request."""
+    runs = runs_by_request(history)
+    whole = [attempt for attempt in history.attempts if attempt.status == 200 and attempt.whole]
+    wrong = []
+    for attempt in whole:
+        if attempt.answered_id != attempt.request:
+            wrong.append(f"{attempt.request} got the answer to {attempt.answered_id}")
+        elif not attempt.signature:
+            wrong.append(f"{attempt.request} got a success without a signature")
+        elif not any(run.whole and run.pieces == attempt.pieces for run in runs[attempt.request]):
+            wrong.append(f"{attempt.request} got a whole answer that no back end gave")
+    return len(whole), wrong
+
+
+def streams_keep_their_order(history):
+    """A stream that broke off holds the first events of one run, none twice."""
+    runs = runs_by_request(history)
+    broken = [attempt for attempt in history.attempts
+              if attempt.kind == "turn" and attempt.status == 200 and not attempt.whole]
+    return len(broken), [
+        f"{attempt.request} broke off with events that no run began with" for attempt in broken
+        if not any(run.pieces[:len(attempt.pieces)] == attempt.pieces
+                   for run in runs[attempt.request])]
+
+
+def bodies_arrive_unchanged(history):
+    """A back end gets the body that was sent; a turn's has the line before it in front."""
+    sent = {attempt.request: attempt for attempt in history.attempts}
+    wrong = []
+    for run in history.runs:
+        attempt = sent.get(run.request)
+        if attempt is None:
+            wrong.append(f"{run.request} ran and nobody sent it")
+            continue
+        expected = attempt.body if attempt.expected_body is None else attempt.expected_body
+        same = (run.method, run.target, run.body) == (attempt.method, attempt.target, expected)
+        if not same:
+            wrong.append(f"{run.request} ran with another method, target or body")
+    return len(history.runs), wrong
+
+
+def history_is_kept(history):
+    """A turn that goes on from one that was answered whole is never told that it is unknown."""
+    answered = {}
+    for attempt in history.attempts:
+        if attempt.kind == "turn" and attempt.status == 200 and attempt.whole:
+            answered[attempt.request] = attempt.ended
+    going_on = [attempt for attempt in history.attempts
+                if attempt.previous and answered.get(attempt.previous, attempt.sent) < attempt.sent]
+    wrong = [f"{attempt.request} got {attempt.status}: {attempt.previous} was forgotten"
+             for attempt in going_on if attempt.status in (404, 410)]
+    wrong += [f"{turn} does not go on after all faults: {status}"
+              for turn, status in history.continued if status != 200]
+    return len(going_on) + len(history.continued), wrong
+
+
+def budgets_hold(history):
+    """The turns of a program give no more tokens than its budget plus the most of one turn."""
+    tokens = defaultdict(int)
+    bound = {}
+    for attempt in history.attempts:
+        if attempt.kind != "turn" or attempt.budget == 0:
+            continue
+        tokens[attempt.program] += len(attempt.pieces) * attempt.tokens_per_event
+        bound[attempt.program] = attempt.budget + attempt.most_tokens
+    return len(bound), [f"program {program} got {tokens[program]} tokens, bound {bound[program]}"
+                        for program in bound if tokens[program] > bound[program]]
+
+
+def configurations_never_revert(history):
+    """A read shows each version whose acknowledgement is older than the bound."""
+    wrong = []
+    for read in history.reads:
+        due = [change.version for change in history.changes
+               if change.acknowledged + CONFIGURATION_BOUND < read.sent]
+        if due and read.version < max(due):
+            wrong.append(f"a read at {read.sent:.2f} showed {read.version}, acknowledged "
+                         f"{max(due)}")
+    newest = max((change.version for change in history.changes), default=None)
+    if newest is not None and (history.read_back is None or history.read_back < newest):
+        wrong.append(f"read back {history.read_back}, acknowledged {newest}")
+    return len(history.reads) + (newest is not None), wrong
+
+
+def processes_stay_up(history):
+    """A process ends only when it is killed or asked to stop, and then with 0."""
+    wrong = [f"{ending.process} ended with {ending.code} at {ending.at:.2f}"
+             for ending in history.endings if not ending.asked]
+    return len(history.endings), wrong
+
+
+CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
+          streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
+          configurations_never_revert, processes_stay_up]
+
+
+def check_all(history):
+    """Returns [(name, times checked, violations)]."""
+    return [(check.__name__, *check(history)) for check in CHECKS]
--- /dev/null
+++ b/tests/platform/soak/checks_test.py
@@ -0,0 +1,107 @@
+"""Each check finds a hand-made bad history, and passes a good one."""
+
+import unittest
+
+from . import checks
+from .history import (Attempt, ConfigurationChange, ConfigurationRead, Ending, History, Run)
+
+
+def attempt(request="a", kind="turn", **fields):
+    values = {"method": "POST", "target": "/t/", "body": b"in", "sent": 1.0, "ended": 2.0,
+              "status": 200, "signature": "s", "answered_id": request, "pieces": ["x", "y"],
+              "whole": True, "retry_after": ""}
+    values.update(fields)
+    return Attempt(request, kind, **values)
+
+
+def run(request="a", **fields):
+    values = {"backend": "e", "service": "s", "method": "POST", "target": "/t/", "body": b"in",
+              "pieces": ["x", "y"], "status": 200, "whole": True}
+    values.update(fields)
+    return Run(request, **values)
+
+
+class ChecksTest(unittest.TestCase):
+    def violations(self, check, **parts):
+        return check(History(**parts))[1]
+
+    def test_a_good_history_has_no_violations(self):
+        good = History(runs=[run()], attempts=[attempt()], reads=[ConfigurationRead(9, 3)],
+                       changes=[ConfigurationChange(3, 1)], endings=[Ending("p", 1, 0, True)],
+                       continued=[("a", 200)], read_back=3)
+        for name, _, violations in checks.check_all(good):
+            self.assertEqual([], violations, name)
+
+    def test_a_second_run_is_found(self):
+        self.assertTrue(self.violations(checks.at_most_once, runs=[run(), run()],
+                                        attempts=[attempt()]))
+
+    def test_a_second_run_of_what_may_repeat_is_allowed(self):
+        self.assertFalse(self.violations(checks.at_most_once, runs=[run(), run()],
+                                         attempts=[attempt(kind="repeatable")]))
+
+    def test_a_refusal_that_ran_is_found(self):
+        for status in checks.PROMISES:
+            self.assertTrue(self.violations(checks.refused_never_ran, runs=[run()],
+                                            attempts=[attempt(status=status)]))
+
+    def test_a_refusal_without_a_time_is_found(self):
+        self.assertTrue(self.violations(checks.refusals_say_when, attempts=[attempt(status=503)]))
+
+    def test_an_answer_of_another_request_is_found(self):
+        self.assertTrue(self.violations(checks.answers_are_their_own, runs=[run()],
+                                        attempts=[attempt(answered_id="b")]))
+
+    def test_an_unsigned_success_is_found(self):
+        self.assertTrue(self.violations(checks.answers_are_their_own, runs=[run()],
+                                        attempts=[attempt(signature="")]))
+
+    def test_an_answer_that_looks_whole_is_found(self):
+        self.assertTrue(self.violations(checks.answers_are_their_own, runs=[run(whole=False)],
+                                        attempts=[attempt()]))
+        self.assertTrue(self.violations(checks.answers_are_their_own, runs=[run()],
+                                        attempts=[attempt(pieces=["x"])]))
+
+    def test_a_stream_with_a_gap_or_a_double_is_found(self):
+        for pieces in (["y"], ["x", "x"]):
+            self.assertTrue(self.violations(checks.streams_keep_their_order, runs=[run()],
+                                            attempts=[attempt(pieces=pieces, whole=False)]))
+
+    def test_a_changed_body_and_an_unknown_request_are_found(self):
+        self.assertTrue(self.violations(checks.bodies_arrive_unchanged, runs=[run(body=b"other")],
+                                        attempts=[attempt()]))
+        self.assertTrue(self.violations(checks.bodies_arrive_unchanged, runs=[run()], attempts=[]))
+        self.assertTrue(self.violations(checks.bodies_arrive_unchanged, runs=[run()],
+                                        attempts=[attempt(expected_body=b"line")]))
+
+    def test_a_forgotten_turn_is_found(self):
+        later = attempt("b", previous="a", sent=3.0, status=404, whole=False)
+        self.assertTrue(self.violations(checks.history_is_kept, attempts=[attempt(), later]))
+        self.assertTrue(self.violations(checks.history_is_kept, continued=[("a", 503)]))
+
+    def test_a_turn_that_never_ended_may_be_unknown(self):
+        later = attempt("b", previous="a", sent=3.0, status=404, whole=False)
+        self.assertFalse(self.violations(checks.history_is_kept,
+                                         attempts=[attempt(whole=False), later]))
+
+    def test_an_overdrawn_budget_is_found(self):
+        turns = [attempt(str(number), program="p", budget=10, most_tokens=5, tokens_per_event=3,
+                         pieces=["x", "y"]) for number in range(3)]
+        self.assertTrue(self.violations(checks.budgets_hold, attempts=turns))
+        self.assertFalse(self.violations(checks.budgets_hold, attempts=turns[:2]))
+
+    def test_an_older_configuration_is_found(self):
+        changes = [ConfigurationChange(3, 1.0)]
+        self.assertTrue(self.violations(checks.configurations_never_revert, changes=changes,
+                                        reads=[ConfigurationRead(9.0, 2)], read_back=3))
+        self.assertTrue(self.violations(checks.configurations_never_revert, changes=changes,
+                                        read_back=2))
+        self.assertTrue(self.violations(checks.configurations_never_revert, changes=changes))
+
+    def test_a_process_that_ends_by_itself_is_found(self):
+        self.assertTrue(self.violations(checks.processes_stay_up,
+                                        endings=[Ending("p", 1, 139, False)]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/soak/cluster.py
@@ -0,0 +1,136 @@
+"""The real programs as separate processes, each behind a relay of its own."""
+
+import asyncio
+import os
+import pathlib
+import resource
+import shutil
+import signal
+
+from .history import Ending
+from .links import Link
+
+DIRECTORY_PORT, STORE_PORT, OPERATORS_PORT = 7601, 7602, 7603
+CALLERS_PORT, READINESS_PORT, LIST_PORT = 7604, 7605, 7609
+LIST_ADDRESS = ("127.0.7.99", LIST_PORT)
+GRACE_SECONDS = 8
+
+
+class Node:
+    """One process. It listens at its own address; others reach it through its relay."""
+
+    def __init__(self, cluster, program, number, last):
+        self.cluster = cluster
+        self.program = program
+        self.name = f"{program}-{number}"
+        self.own = f"127.0.7.{last}"
+        self.relayed = f"127.0.8.{last}"
+        self.folder = cluster.work / self.name
+        self.process = None
+        self.asked = False
+        port = DIRECTORY_PORT if program == "directory" else STORE_PORT
+        self.link = Link(self.name, (self.relayed, port), (self.own, port))
+        #: What to prepend to a log's name when it was kept.
+        self.starts = 0
+
+    @property
+    def running(self):
+        return self.process is not None and self.process.returncode is None
+
+    def write_settings(self):
+        seeds = ", ".join(f'"{node.relayed}:{OPERATORS_PORT}"'
+                          for node in self.cluster.of("directory"))
+        path = self.cluster.work / f"{self.name}.toml"
+        path.write_text(
+            f'node = "{self.name}"\nzone = "zone-a"\nip = "{self.relayed}"\n'
+            f'listen_ip = "{self.own}"\ndirectory_port = {DIRECTORY_PORT}\n'
+            f"store_port = {STORE_PORT}\nseeds = [{seeds}]\n"
+            f'first_start = "{"true" if self.starts == 0 else "false"}"\n'
+            f'data_folder = "{self.folder}"\nlosses_borne = 1\n'
+            f'callers_address = "{self.own}:{CALLERS_PORT}"\n'
+            f'readiness_address = "{self.own}:{READINESS_PORT}"\n'
+            f'operators_address = "{self.own}:{OPERATORS_PORT}"\n'
+            f'backend_list_address = "{LIST_ADDRESS[0]}:{LIST_PORT}"\n'
+            f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n")
+        return path
+
+    async def start(self):
+        settings = self.write_settings()
+        self.starts += 1
+        self.asked = False
+        log = (self.cluster.work / f"{self.name}.log").open("ab")
+        self.process = await asyncio.create_subprocess_exec(
+            str(self.cluster.build / f"tallyfold-{self.program}"), "--settings", str(settings),
+            stdout=log, stderr=log)
+        log.close()
+        asyncio.ensure_future(self._watch(self.process))
+
+    async def _watch(self, process):
+        code = await process.wait()
+        self.cluster.history.endings.append(
+            Ending(self.name, self.cluster.clock(), code, self.asked and code in (0, -9)))
+
+    def send(self, number):
+        if self.running:
+            os.kill(self.process.pid, number)
+
+    async def kill(self):
+        self.asked = True
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    async def stop(self):
+        """SIGTERM, and SIGKILL after the grace, which is then a violation."""
+        self.asked = True
+        self.send(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.process.wait(), GRACE_SECONDS)
+        except TimeoutError:
+            self.asked = False
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+
+    def wipe(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def tear_tail(self, generator):
+        """Adds what a write that was under way at a lost power may have left."""
+        files = [path for path in self.folder.glob("*") if path.name.startswith("turns-")]
+        if files:
+            with max(files, key=lambda path: path.stat().st_mtime).open("ab") as file:
+                file.write(generator.randbytes(generator.randint(1, 400)))
+
+    def limit_files(self, size):
+        """Writes beyond `size` bytes of a file fail, as on a full disk."""
+        if self.running:
+            hard = resource.RLIM_INFINITY
+            resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (size, hard))
+
+
+class Cluster:
+    """Three directory nodes, three stores, three forwarders."""
+
+    def __init__(self, history, clock, build, work):
+        self.history = history
+        self.clock = clock
+        self.build = pathlib.Path(build)
+        self.work = pathlib.Path(work)
+        self.nodes = []
+        for program, first in (("directory", 1), ("turn-store", 11), ("forwarder", 21)):
+            self.nodes += [Node(self, program, number, first + number) for number in range(3)]
+
+    def of(self, program):
+        return [node for node in self.nodes if node.program == program]
+
+    async def start(self):
+        for node in self.nodes:
+            if node.program != "forwarder":
+                await node.link.start()
+            await node.start()
+
+    async def stop(self):
+        """Ends what this cluster started."""
+        for node in self.nodes:
+            if node.running:
+                node.send(signal.SIGCONT)
+                await node.kill()
--- /dev/null
+++ b/tests/platform/soak/faults.py
@@ -0,0 +1,191 @@
+"""Faults from outside, drawn by a seed: each strikes, lasts a while, and is over."""
+
+import asyncio
+import random
+import resource
+import signal
+from collections import Counter
+
+#: Seconds between two lost disks: a store that lost its disk has to copy first.
+WIPE_GAP = 8.0
+
+
+class Faults:
+    """Injects faults, several at a time, until it is told to stop."""
+
+    def __init__(self, cluster, backends, clock, seed):
+        self.cluster = cluster
+        self.backends = backends
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.injected = Counter()
+        self.log = []
+        self.busy = set()
+        self.last_wipe = -WIPE_GAP
+        self.stopping = False
+        self.kinds = [self.kill, self.pause, self.stop, self.wipe, self.torn_kill, self.cut,
+                      self.cut_one_way, self.reset_link, self.delay_link, self.full_disk,
+                      self.backend_crash, self.backend_sick, self.backend_leave,
+                      self.kill_all_of_a_kind]
+
+    def note(self, kind, what):
+        self.injected[kind] += 1
+        self.log.append(f"{self.clock():8.3f} {kind} {what}")
+
+    def draw_node(self, programs=("directory", "turn-store", "forwarder")):
+        free = [node for node in self.cluster.nodes
+                if node.program in programs and node.name not in self.busy and node.running]
+        return self.random.choice(free) if free else None
+
+    async def on_node(self, kind, programs, work):
+        node = self.draw_node(programs)
+        if node is None:
+            return
+        self.busy.add(node.name)
+        self.note(kind, node.name)
+        try:
+            await work(node)
+        finally:
+            self.busy.discard(node.name)
+
+    async def pause_between(self, least, most):
+        await asyncio.sleep(self.random.uniform(least, most))
+
+    async def kill(self):
+        async def work(node):
+            await node.kill()
+            await self.pause_between(0.1, 2.0)
+            await node.start()
+        await self.on_node("kill", ("directory", "turn-store", "forwarder"), work)
+
+    async def pause(self):
+        async def work(node):
+            node.send(signal.SIGSTOP)
+            await self.pause_between(0.3, 4.0)
+            node.send(signal.SIGCONT)
+        await self.on_node("pause", ("directory", "turn-store", "forwarder"), work)
+
+    async def stop(self):
+        async def work(node):
+            await node.stop()
+            await self.pause_between(0.1, 0.5)
+            await node.start()
+        await self.on_node("stop", ("directory", "turn-store", "forwarder"), work)
+
+    async def wipe(self):
+        if self.clock() - self.last_wipe < WIPE_GAP:
+            return
+        self.last_wipe = self.clock()
+
+        async def work(node):
+            await node.kill()
+            node.wipe()
+            await self.pause_between(0.1, 1.0)
+            await node.start()
+        await self.on_node("wipe", ("directory", "turn-store"), work)
+
+    async def torn_kill(self):
+        async def work(node):
+            await node.kill()
+            node.tear_tail(self.random)
+            await node.start()
+        await self.on_node("torn_kill", ("turn-store",), work)
+
+    async def cut(self):
+        async def work(node):
+            node.link.cut()
+            await self.pause_between(0.5, 4.0)
+            node.link.heal()
+        await self.on_node("cut", ("directory", "turn-store"), work)
+
+    async def cut_one_way(self):
+        async def work(node):
+            inward = self.random.random() < 0.5
+            node.link.cut(inward, not inward)
+            await self.pause_between(0.5, 4.0)
+            node.link.heal()
+        await self.on_node("cut_one_way", ("directory", "turn-store"), work)
+
+    async def reset_link(self):
+        async def work(node):
+            node.link.reset()
+        await self.on_node("reset_link", ("directory", "turn-store"), work)
+
+    async def delay_link(self):
+        async def work(node):
+            node.link.delay = self.random.uniform(0.01, 0.15)
+            await self.pause_between(1.0, 4.0)
+            node.link.heal()
+        await self.on_node("delay_link", ("directory", "turn-store"), work)
+
+    async def full_disk(self):
+        async def work(node):
+            node.limit_files(0)
+            await self.pause_between(0.5, 3.0)
+            node.limit_files(resource.RLIM_INFINITY)
+        await self.on_node("full_disk", ("directory", "turn-store"), work)
+
+    def draw_backend(self):
+        free = [backend for backend in self.backends
+                if backend.name not in self.busy and backend.state == "ready"]
+        return self.random.choice(free) if len(free) > 4 else None
+
+    async def on_backend(self, kind, work):
+        backend = self.draw_backend()
+        if backend is None:
+            return
+        self.busy.add(backend.name)
+        self.note(kind, backend.name)
+        try:
+            await work(backend)
+        finally:
+            self.busy.discard(backend.name)
+
+    async def backend_crash(self):
+        async def work(backend):
+            await backend.crash()
+            await self.pause_between(0.5, 2.0)
+            await backend.start()
+        await self.on_backend("backend_crash", work)
+
+    async def backend_sick(self):
+        async def work(backend):
+            backend.sickness = self.random.choice(backend.SICKNESSES)
+            await self.pause_between(1.0, 5.0)
+            backend.sickness = ""
+        await self.on_backend("backend_sick", work)
+
+    async def backend_leave(self):
+        async def work(backend):
+            backend.state = "draining"
+            await asyncio.sleep(3.0)
+            await backend.crash()
+            await backend.start()
+        await self.on_backend("backend_leave", work)
+
+    async def kill_all_of_a_kind(self):
+        if self.random.random() > 0.3:
+            return
+        program = self.random.choice(["directory", "turn-store", "forwarder"])
+        nodes = [node for node in self.cluster.of(program) if node.name not in self.busy]
+        if len(nodes) < 3:
+            return
+        self.busy.update(node.name for node in nodes)
+        self.note("kill_all_of_a_kind", program)
+        try:
+            await asyncio.gather(*(node.kill() for node in nodes))
+            await self.pause_between(0.1, 1.0)
+            for node in nodes:
+                await node.start()
+        finally:
+            self.busy.difference_update(node.name for node in nodes)
+
+    async def run(self):
+        """Injects until told to stop, and returns when every fault is over."""
+        tasks = set()
+        while not self.stopping:
+            task = asyncio.ensure_future(self.random.choice(self.kinds)())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await self.pause_between(0.2, 1.5)
+        await asyncio.gather(*tasks)
--- /dev/null
+++ b/tests/platform/soak/history.py
@@ -0,0 +1,91 @@
+"""What callers, back ends and operators saw, as plain records: the checks read nothing else."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Run:
+    """One request that a back end began to work on."""
+
+    request: str
+    backend: str
+    service: str
+    method: str
+    target: str
+    body: bytes
+    #: Events of a stream, or the whole body of a plain answer, as the back end sent them.
+    pieces: list = field(default_factory=list)
+    status: int = 0
+    #: The back end sent its answer to the end.
+    whole: bool = False
+    at: float = 0.0
+
+
+@dataclass
+class Attempt:
+    """One request of a caller and what came back."""
+
+    request: str
+    kind: str
+    method: str
+    target: str
+    body: bytes
+    sent: float
+    ended: float = 0.0
+    #: 0 when the connection ended without a head.
+    status: int = 0
+    signature: str = ""
+    answered_id: str = ""
+    pieces: list = field(default_factory=list)
+    whole: bool = False
+    retry_after: str = ""
+    # Of turns.
+    program: str = ""
+    previous: str = ""
+    budget: int = 0
+    most_tokens: int = 0
+    tokens_per_event: int = 1
+    #: Body that a back end has to receive: the line of turns before, then the new input.
+    expected_body: bytes | None = None
+
+
+@dataclass
+class ConfigurationRead:
+    """One answered read of the configuration."""
+
+    sent: float
+    version: int
+
+
+@dataclass
+class ConfigurationChange:
+    """One acknowledged change."""
+
+    version: int
+    acknowledged: float
+
+
+@dataclass
+class Ending:
+    """A process that ended."""
+
+    process: str
+    at: float
+    code: int
+    #: It was killed, or asked to stop, from outside.
+    asked: bool
+
+
+@dataclass
+class History:
+    """Everything of one soak."""
+
+    runs: list = field(default_factory=list)
+    attempts: list = field(default_factory=list)
+    reads: list = field(default_factory=list)
+    changes: list = field(default_factory=list)
+    endings: list = field(default_factory=list)
+    #: Turns that were asked to go on after all faults had ended: (turn, status of the last try).
+    continued: list = field(default_factory=list)
+    #: Version that was read back at the end; None when nothing came.
+    read_back: int | None = None
--- /dev/null
+++ b/tests/platform/soak/soak.py
@@ -0,0 +1,121 @@
+"""Runs the programs of the users' platform under faults drawn by a seed, and checks the promises.
+
+    scripts/soak [--seconds N] [--seed N] [--keep FOLDER]
+
+Prints the seed, the faults by kind, each promise with the times it was checked, and violations.
+Ends with 1 when there is one; then the logs of all processes are kept.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from . import checks
+from .backends import Backend, BackendList
+from .callers import Caller, Operator
+from .cluster import CALLERS_PORT, LIST_ADDRESS, OPERATORS_PORT, Cluster
+from .faults import Faults
+from .history import History
+
+CALLERS = 6
+ENGINES, APPS = 4, 4
+#: Lines of turns that are asked to go on at the end.
+CONTINUED = 60
+SETTLE_SECONDS = 6.0
+
+
+async def soak(options, work):
+    started = time.monotonic()
+
+    def clock():
+        return time.monotonic() - started
+
+    draw = random.Random(options.seed)
+    history = History()
+    cluster = Cluster(history, clock, options.build, work)
+    backends = [Backend(history, clock, f"engine-{number}", "engines",
+                        (f"127.0.7.{41 + number}", 7700), True, draw.random())
+                for number in range(ENGINES)]
+    backends += [Backend(history, clock, f"app-{number}", "apps",
+                         (f"127.0.7.{51 + number}", 7700), False, draw.random())
+                 for number in range(APPS)]
+    for backend in backends:
+        await backend.start()
+    await BackendList(backends, LIST_ADDRESS).start()
+    await cluster.start()
+    operator = Operator(history, clock, [(node.own, OPERATORS_PORT)
+                                         for node in cluster.of("directory")], draw.random())
+    await operator.change()
+    await asyncio.sleep(1.0)
+    forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
+    callers = [Caller(history, clock, forwarders, draw.random()) for _ in range(CALLERS)]
+    faults = Faults(cluster, backends, clock, draw.random())
+    work_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
+    work_tasks.append(asyncio.ensure_future(operator.run()))
+    fault_task = asyncio.ensure_future(faults.run())
+    await asyncio.sleep(options.seconds)
+    faults.stopping = True
+    await fault_task
+    await asyncio.sleep(SETTLE_SECONDS)
+    for worker in (*callers, operator):
+        worker.stopping = True
+    await asyncio.gather(*work_tasks)
+    lines = [line for caller in callers for line in caller.lines]
+    for line in draw.sample(lines, min(CONTINUED, len(lines))):
+        history.continued.append((line[0], await callers[0].go_on_from(line)))
+    for _ in range(10):
+        history.read_back = await operator.read()
+        if history.read_back is not None:
+            break
+        await asyncio.sleep(0.3)
+    await cluster.stop()
+    return history, faults
+
+
+def report(options, history, faults):
+    served = sum(attempt.status == 200 and attempt.whole for attempt in history.attempts)
+    print(f"seed {options.seed}, {options.seconds} s, {len(history.attempts)} requests, {served} "
+          f"served, {len(history.runs)} runs at back ends, {len(history.changes)} configurations")
+    print("faults: " + ", ".join(f"{kind} {count}"
+                                 for kind, count in sorted(faults.injected.items())))
+    violations = 0
+    for name, count, found in checks.check_all(history):
+        print(f"{name}: {count} checked, {len(found)} violations")
+        violations += len(found)
+        for violation in found[:5]:
+            print(f"    {violation}")
+    # A soak that served little has shown little.
+    if served * 4 < len(history.attempts):
+        print("less than a quarter was served")
+        violations += 1
+    return violations
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 32))
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--keep", default="", help="folder for the logs, kept in any case")
+    options = parser.parse_args()
+    work = pathlib.Path(tempfile.mkdtemp(prefix="tallyfold-soak-"))
+    history, faults = asyncio.run(soak(options, work))
+    violations = report(options, history, faults)
+    (work / "faults.log").write_text("\n".join(faults.log) + "\n")
+    if options.keep:
+        shutil.copytree(work, options.keep, dirs_exist_ok=True)
+    if violations:
+        print(f"logs: {options.keep or work}")
+    else:
+        shutil.rmtree(work)
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
