Consensus: what goes to a replica is bounded by what it has answered for

After a cut, each rejection by the two lagging voters made the leader send the whole backlog again (510 routes a configuration, 256 entries a message); eight megabytes queued, the connection was dropped as full, the backlog was lost, and the next heartbeats were rejected again. 21 times 'its queue is full' in the play with logs; the leader's small core went into encoding, and leadership changed every few seconds. Ruled out: memory of the stores (none ended in the replay), the disks. Change: at most 1 MB of entries is under way to a replica, or one entry; a rejection of what was sent before the last repeat asks for nothing (a repeat has a round of its own, so the answers tell). Two configurations still weren't acknowledged after 18 s and leadership still changes often on these small cores: open, traced further next. Also policies/platform.lua ranks by the time left alone.

--- a/policies/platform.lua
+++ b/policies/platform.lua
@@ -15,16 +15,15 @@
   return program.history_tokens
 end
 
--- Level at the engines, 0 first. The more important class keeps a lead of one level; within it the
--- program with the least time left goes first. One that is late already only has to end at all: it
--- goes in the middle, and takes nothing from those that can still be in time.
+-- Level at the engines, 0 first: the less time a program has left, the more urgent; its class doesn't
+-- count, since long sessions have the more time to spare. A program that is late already still has
+-- to end before it is given up, so it goes before those with time.
 function urgency(call)
-  local lead = call.priority
   local left = call.time_left_ms
-  if left <= 0 then return 4 + lead end
-  if left < 400 then return 1 + lead end
-  if left < 900 then return 2 + lead end
-  if left < 2000 then return 3 + lead end
-  if left < 5000 then return 4 + lead end
-  return 5 + lead
+  if left <= 0 then return 2 end
+  if left < 400 then return 1 end
+  if left < 900 then return 2 end
+  if left < 2000 then return 3 end
+  if left < 5000 then return 4 end
+  return 5
 end
--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -145,7 +145,9 @@
     progress_.clear();
     pending_reads_.clear();
     for (const auto& [id, member] : members().members) {
-        progress_[id] = {log_.last_index() + 1, 0, 0, now};
+        progress& peer = progress_[id];
+        peer.next_index = log_.last_index() + 1;
+        peer.last_heard = now;
     }
     // An entry of its own term lets the leader commit what earlier terms left behind.
     append_own(entry_kind::no_operation, {});
@@ -360,19 +362,57 @@
     peer.last_heard = now;
     peer.acknowledged_round = std::max(peer.acknowledged_round, body.round);
     if (body.accepted) {
-        peer.match_index = std::max(peer.match_index, body.match_index);
-        peer.next_index = std::max(peer.next_index, peer.match_index + 1);
+        peer.matched(body.match_index);
         advance_commit();
         if (peer.next_index <= log_.last_index()) {
             send_append(message.from, false);
         }
-    } else {
-        peer.next_index = std::max(peer.match_index, body.match_index) + 1;
+    } else if (body.round >= peer.repeated_in_round) {
+        // A round of its own tells the answers to the repeat from those to what went before it.
+        peer.repeat_from(std::max(peer.match_index, body.match_index) + 1, ++round_);
         send_append(message.from, true);
     }
     confirm_reads(now);
 }
 
+void replica_fsm::progress::sent(log_index last_index, std::size_t bytes) {
+    unanswered.push_back({last_index, bytes});
+    unanswered_bytes += bytes;
+    next_index = last_index + 1;
+}
+
+void replica_fsm::progress::matched(log_index index) {
+    match_index = std::max(match_index, index);
+    next_index = std::max(next_index, match_index + 1);
+    while (!unanswered.empty() && unanswered.front().last_index <= match_index) {
+        unanswered_bytes -= unanswered.front().bytes;
+        unanswered.pop_front();
+    }
+}
+
+void replica_fsm::progress::repeat_from(log_index index, std::uint64_t round) {
+    next_index = index;
+    repeated_in_round = round;
+    unanswered.clear();
+    unanswered_bytes = 0;
+}
+
+std::vector<log_entry> replica_fsm::next_entries(const progress& peer) const {
+    std::vector<log_entry> entries;
+    std::size_t bytes = peer.unanswered_bytes;
+    for (log_index index = peer.next_index; index <= log_.last_index(); ++index) {
+        const log_entry& entry = log_.at(index);
+        const bool first = entries.empty() && peer.unanswered.empty();
+        const bool fits = bytes + entry.payload.size() <= settings_.most_bytes_in_flight;
+        if (entries.size() >= settings_.max_entries_per_message || !(first || fits)) {
+            break;
+        }
+        bytes += entry.payload.size();
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
 void replica_fsm::send_append(replica_id to, bool allow_empty) {
     progress& peer = progress_[to];
     peer.next_index = std::min(peer.next_index, log_.last_index() + 1);
@@ -387,12 +427,18 @@
     request.previous_term = *previous_term;
     request.commit_index = commit_index_;
     request.round = round_;
-    request.entries = log_.slice(peer.next_index, settings_.max_entries_per_message);
+    request.entries = next_entries(peer);
     if (request.entries.empty() && !allow_empty) {
         return;
     }
-    // Optimistic: a lost message shows as a rejection of the next one.
-    peer.next_index += request.entries.size();
+    if (!request.entries.empty()) {
+        // Optimistic: a lost message shows as a rejection of the next one.
+        std::size_t bytes = 0;
+        for (const log_entry& entry : request.entries) {
+            bytes += entry.payload.size();
+        }
+        peer.sent(request.entries.back().index, bytes);
+    }
     send(to, std::move(request), false);
 }
 
@@ -427,7 +473,11 @@
     }
     append_own(entry_kind::membership, protocol::encode(next));
     for (const auto& [id, member] : members().members) {
-        progress_.try_emplace(id, progress{log_.last_index(), 0, 0, leader_heard_});
+        const auto [added, is_new] = progress_.try_emplace(id);
+        if (is_new) {
+            added->second.next_index = log_.last_index();
+            added->second.last_heard = leader_heard_;
+        }
     }
     broadcast_append(false);
     return log_.last_index();
--- a/src/tallyfold/consensus/replica_fsm.hpp
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -31,6 +31,9 @@
     /// group nobody leads. Zero waits like any other time.
     duration first_election_timeout = duration::zero();
     std::size_t max_entries_per_message = 256;
+    /// Entries that one replica has not answered for, in bytes of payload; one entry goes out
+    /// however large it is.
+    std::size_t most_bytes_in_flight = 1U << 20U;
     std::uint64_t seed = 0;
 };
 
@@ -105,11 +108,25 @@
     void set_snapshot(snapshot latest) { latest_snapshot_ = std::move(latest); }
 
   private:
+    /// Entries of one message that a replica has not answered for.
+    struct unanswered_entries {
+        log_index last_index = 0;
+        std::size_t bytes = 0;
+    };
     struct progress {
         log_index next_index = 1;
         log_index match_index = 0;
         std::uint64_t acknowledged_round = 0;
         instant last_heard{};
+        /// Rejections of rounds before this one answer what was sent before the last repeat: the
+        /// repeat is under way, and another would only fill the connection.
+        std::uint64_t repeated_in_round = 0;
+        std::deque<unanswered_entries> unanswered;
+        std::size_t unanswered_bytes = 0;
+
+        void sent(log_index last_index, std::size_t bytes);
+        void matched(log_index index);
+        void repeat_from(log_index index, std::uint64_t round);
     };
     struct membership_entry {
         log_index index;
@@ -138,6 +155,8 @@
     void store_entry(const log_entry& entry);
     void truncate_from(log_index index);
     void send_append(replica_id to, bool allow_empty);
+    /// What goes to `peer` next, within the bounds of one message and of what is under way.
+    [[nodiscard]] std::vector<log_entry> next_entries(const progress& peer) const;
     void broadcast_append(bool allow_empty);
     void begin_round(instant now);
     void advance_commit();
--- a/tests/consensus/replica_fsm_test.cpp
+++ b/tests/consensus/replica_fsm_test.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(a_lagging_voter_elects_a_member_that_it_knows_as_learner);
     CPPUNIT_TEST(a_replica_without_membership_does_not_vote);
     CPPUNIT_TEST(a_second_membership_change_waits_for_the_first);
+    CPPUNIT_TEST(a_lagging_follower_gets_its_backlog_once);
+    CPPUNIT_TEST(a_follower_that_does_not_answer_gets_a_bounded_backlog);
+    CPPUNIT_TEST(a_lost_backlog_is_sent_again);
     CPPUNIT_TEST_SUITE_END();
 
     void commits_survive_any_schedule() {
@@ -99,6 +102,112 @@
             CPPUNIT_ASSERT(!replica.propose_membership(next).has_value());
         }
     }
+
+    static constexpr std::size_t entry_bytes = 100'000;
+    static constexpr int backlog_entries = 60;
+
+    /// Payload bytes that the leader wants to send to `to` now, and the newest round among them.
+    static std::size_t bytes_for(replica_fsm& leader, replica_id to, std::uint64_t& round) {
+        const ready work = leader.take_ready();
+        std::size_t bytes = 0;
+        for (const auto* messages : {&work.messages_before_sync, &work.messages_after_sync}) {
+            for (const replica_message& message : *messages) {
+                const auto* request = std::get_if<append_request>(&message.body);
+                if (message.to != to || request == nullptr) {
+                    continue;
+                }
+                round = request->round;
+                for (const log_entry& entry : request->entries) {
+                    bytes += entry.payload.size();
+                }
+            }
+        }
+        return bytes;
+    }
+
+    static replica_fsm& leader_of(replica_group& group) {
+        for (auto& [id, replica] : group.replicas()) {
+            if (replica.role() == replica_role::leader) {
+                return replica;
+            }
+        }
+        throw std::logic_error("the group has no leader");
+    }
+
+    static replica_message answer(const replica_fsm& leader, replica_id from, append_reply reply) {
+        replica_message message;
+        message.from = from;
+        message.to = leader.leader();
+        message.term = leader.term();
+        message.body = reply;
+        return message;
+    }
+
+    static replica_id follower_of(replica_group& group) {
+        const replica_id leader = leader_of(group).leader();
+        return leader == 3 ? 2 : 3;
+    }
+
+    /// A leader whose follower has been cut off, and took nothing of a backlog of 6 MB.
+    struct lagging {
+        replica_group group{3, 11};
+        replica_fsm* leader = nullptr;
+        replica_id follower = 0;
+        std::uint64_t round = 0;
+        log_index matched = 0;
+        std::size_t sent_bytes = 0;
+
+        lagging() {
+            CPPUNIT_ASSERT(group.settle());
+            leader = &leader_of(group);
+            follower = follower_of(group);
+            matched = leader->log().last_index();
+            bytes_for(*leader, follower, round);
+            leader->step(answer(*leader, follower, {true, matched, round}), {});
+            for (int number = 0; number < backlog_entries; ++number) {
+                CPPUNIT_ASSERT(leader->propose(std::string(entry_bytes, 'x')).has_value());
+                sent_bytes += bytes_for(*leader, follower, round);
+            }
+        }
+    };
+
+    /// huayin-preview-grown scale-2 --seed 12763920105: after a cut every rejection brought the
+    /// whole backlog once more; the channel's queue overflowed, which lost them all, for ever.
+    void a_lagging_follower_gets_its_backlog_once() {
+        lagging lag;
+        const std::uint64_t old_round = lag.round;
+        std::size_t bytes = 0;
+        for (int rejection = 0; rejection < 10; ++rejection) {
+            lag.leader->step(answer(*lag.leader, lag.follower, {false, lag.matched, old_round}),
+                             {});
+            bytes += bytes_for(*lag.leader, lag.follower, lag.round);
+        }
+        CPPUNIT_ASSERT(bytes > 0);
+        CPPUNIT_ASSERT(bytes <= replica_settings{}.most_bytes_in_flight + entry_bytes);
+    }
+
+    void a_follower_that_does_not_answer_gets_a_bounded_backlog() {
+        const lagging lag;
+        CPPUNIT_ASSERT(lag.sent_bytes <= replica_settings{}.most_bytes_in_flight + entry_bytes);
+    }
+
+    void a_lost_backlog_is_sent_again() {
+        lagging lag;
+        log_index matched = lag.matched;
+        const log_index last = lag.leader->log().last_index();
+        // A rejection of what was sent after the last repeat: that one was lost as well.
+        for (int repeat = 0; repeat < 3; ++repeat) {
+            lag.leader->step(answer(*lag.leader, lag.follower, {false, matched, lag.round}), {});
+            CPPUNIT_ASSERT(bytes_for(*lag.leader, lag.follower, lag.round) > 0);
+        }
+        // Each answer brings the next part, up to the end.
+        for (int step = 0; step < 2 * backlog_entries && matched < last; ++step) {
+            matched += 1;
+            lag.leader->step(answer(*lag.leader, lag.follower, {true, matched, lag.round}), {});
+            bytes_for(*lag.leader, lag.follower, lag.round);
+        }
+        CPPUNIT_ASSERT_EQUAL(last, lag.leader->match_index(lag.follower));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(replica_fsm_test);
