Directory: operators' calls have a file of their own; repeats of an open change wait for it

Change: a node that doesn't lead redirects unread; the text in force is acknowledged unread; a repeat of a change that is in the log waits for that one's answer (open_changes).

--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -1,8 +1,6 @@
 #include "tallyfold/directory/directory_shell.hpp"
 
 #include <array>
-#include <asio/experimental/as_tuple.hpp>
-#include <asio/use_awaitable.hpp>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -10,6 +8,7 @@
 
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_core.hpp"
+#include "tallyfold/directory/operator_desk_shell.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
@@ -24,8 +23,6 @@
 constexpr duration tick_interval = std::chrono::milliseconds(20);
 /// After a failed write the folder is opened anew this often.
 constexpr duration reopen_interval = std::chrono::milliseconds(500);
-/// An operator's call waits this long for the log; its caller moves on after a second.
-constexpr duration answer_limit = std::chrono::milliseconds(900);
 /// A stopping node leaves after this time; the others elect at once when it led.
 constexpr duration stop_delay = std::chrono::milliseconds(300);
 constexpr std::size_t largest_body = 8U << 20U;
@@ -40,13 +37,6 @@
     return std::max<std::uint64_t>(1, (high << 32U) ^ source());
 }
 
-/// One operator's call that waits for the log.
-struct waiting_call {
-    explicit waiting_call(asio::io_context& loop) : timer(loop, answer_limit) {}
-    asio::steady_timer timer;
-    answer_kind kind = answer_kind::unknown;
-};
-
 class directory_node {
   public:
     directory_node(const settings::node_settings& settings, const operator_dialect& dialect,
@@ -55,6 +45,7 @@
 
   private:
     bool open_storage();
+    void reopen_later();
     void renew_folder(const std::string& reason);
     void pump();
     bool make_durable(const consensus::group_write& write);
@@ -62,22 +53,9 @@
     void note_state();
     void send(addressed_message message);
     void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
-    asio::awaitable<http::endpoint_response> serve(http::endpoint_request request);
-    asio::awaitable<http::endpoint_response> replace(const http::endpoint_request& request,
-                                                     const replace_call& call);
-    asio::awaitable<http::endpoint_response> describe(const http::endpoint_request& request);
-    asio::awaitable<http::endpoint_response> retire(const http::endpoint_request& request,
-                                                    const std::string& node);
-    asio::awaitable<http::endpoint_response> retire_state(const http::endpoint_request& request,
-                                                          const std::string& node);
-    asio::awaitable<answer_kind> submit(directory_command command);
-    asio::awaitable<answer_kind> confirm();
-    asio::awaitable<answer_kind> wait(request_token token);
-    http::endpoint_response failed(const http::endpoint_request& request, answer_kind kind) const;
     [[nodiscard]] directory_settings core_settings() const;
 
     net::node_process process_;
-    const operator_dialect& dialect_;
     listing::list_poller poller_;
     listing::list_memory list_;
     messaging::peer_server peers_;
@@ -89,10 +67,8 @@
     /// Version and epoch of the state that was noted last.
     std::pair<routing::configuration_version, turns::map_epoch> noted_{};
     std::size_t next_note_ = 0;
-    std::map<request_token, std::shared_ptr<waiting_call>> waiting_;
-    request_token next_token_ = 1;
+    operator_desk desk_;
     prometheus::Counter& writes_;
-    prometheus::Counter& calls_;
     prometheus::Gauge& version_gauge_;
 };
 
@@ -109,14 +85,12 @@
 directory_node::directory_node(const settings::node_settings& settings,
                                const operator_dialect& dialect, const listing::list_dialect& lists)
     : process_(settings),
-      dialect_(dialect),
       poller_(process_, lists),
       peers_(process_.loop(), settings.directory_listener()),
       operators_(process_.loop(), settings.operators_address, largest_body),
+      desk_(process_, dialect, core_, [this] { pump(); }),
       writes_(counter(process_.metrics(), "tallyfold_directory_writes_total",
                       "Synced writes of the directory's log")),
-      calls_(counter(process_.metrics(), "tallyfold_directory_operator_calls_total",
-                     "Calls of operators")),
       version_gauge_(gauge(process_.metrics(), "tallyfold_directory_configuration_version",
                            "Version of the configuration that this node has applied")) {}
 
@@ -249,21 +223,17 @@
     // can be read back.
     store_.reset();
     core_.reset();
-    for (auto& [token, call] : waiting_) {
-        call->timer.cancel();
-    }
+    desk_.storage_lost();
+    reopen_later();
+    return false;
+}
+
+void directory_node::reopen_later() {
     process_.after(reopen_interval, [this] {
-        struct retry {
-            directory_node* node;
-            void operator()() const {
-                if (!node->open_storage()) {
-                    node->process_.after(reopen_interval, *this);
-                }
-            }
-        };
-        retry{this}();
+        if (!open_storage()) {
+            reopen_later();
+        }
     });
-    return false;
 }
 
 void directory_node::pump() {
@@ -292,11 +262,7 @@
             send(std::move(message));
         }
         for (const directory_answer& answer : work.answers) {
-            const auto found = waiting_.find(answer.token);
-            if (found != waiting_.end()) {
-                found->second->kind = answer.kind;
-                found->second->timer.cancel();
-            }
+            desk_.answered(answer);
         }
         note_state();
         version_gauge_.Set(static_cast<double>(core_->state().configuration().version));
@@ -324,150 +290,16 @@
     pump();
 }
 
-asio::awaitable<answer_kind> directory_node::wait(request_token token) {
-    auto call = std::make_shared<waiting_call>(process_.loop());
-    waiting_[token] = call;
-    pump();
-    if (call->kind == answer_kind::unknown) {
-        co_await call->timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
-    }
-    waiting_.erase(token);
-    co_return call->kind;
-}
-
-asio::awaitable<answer_kind> directory_node::submit(directory_command command) {
-    const request_token token = next_token_++;
-    core_->submit(token, command);
-    co_return co_await wait(token);
-}
-
-asio::awaitable<answer_kind> directory_node::confirm() {
-    const request_token token = next_token_++;
-    core_->confirm(token, http::steady_now());
-    co_return co_await wait(token);
-}
-
-http::endpoint_response directory_node::failed(const http::endpoint_request& request,
-                                               answer_kind kind) const {
-    if (kind != answer_kind::not_leader || !core_ || core_->leader_address().empty() ||
-        core_->leads()) {
-        return dialect_.refused(503, "no majority has confirmed this call; ask again");
-    }
-    // Operators' interfaces have the same port on every machine.
-    const std::string& own = process_.settings().operators_address;
-    const std::string port = own.substr(own.rfind(':'));
-    return dialect_.redirect(net::ip_of(core_->leader_address()) + port, request.target);
-}
-
-asio::awaitable<http::endpoint_response> directory_node::replace(
-    const http::endpoint_request& request, const replace_call& call) {
-    const routing::configuration_version version = call.parsed.version;
-    // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
-    directory_command command = replace_configuration{call.parsed, call.text};
-    const answer_kind kind = co_await submit(std::move(command));
-    logging::write_event(
-        logging::event_id::configuration_changed,
-        "version=" + std::to_string(version) + " outcome=" +
-            (kind == answer_kind::done
-                 ? "taken"
-                 : (kind == answer_kind::not_leader ? "not_leader" : "unknown")) +
-            " held=" + std::to_string(core_ ? core_->state().configuration().version : 0));
-    co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
-}
-
-asio::awaitable<http::endpoint_response> directory_node::describe(
-    const http::endpoint_request& request) {
-    const answer_kind kind = co_await confirm();
-    if (kind != answer_kind::done || !core_) {
-        co_return failed(request, kind);
-    }
-    if (core_->state().configuration().version == routing::no_version) {
-        co_return dialect_.refused(503, "no configuration is known yet");
-    }
-    co_return dialect_.configuration(core_->state().configuration_text());
-}
-
-asio::awaitable<http::endpoint_response> directory_node::retire(
-    const http::endpoint_request& request, const std::string& node) {
-    const answer_kind confirmed = co_await confirm();
-    if (confirmed != answer_kind::done || !core_) {
-        co_return failed(request, confirmed);
-    }
-    for (const auto& [id, name] : core_->state().retired()) {
-        if (name == node) {
-            co_return dialect_.accepted();
-        }
-    }
-    bool known = false;
-    for (const turns::store_member& member : core_->state().map().all()) {
-        known = known || member.node == node;
-    }
-    if (!known) {
-        co_return dialect_.refused(404, "no such store");
-    }
-    if (!core_->may_retire(node)) {
-        co_return dialect_.refused(409, "too few stores would be left");
-    }
-    directory_command command = retire_store{node};
-    const answer_kind kind = co_await submit(std::move(command));
-    co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
-}
-
-asio::awaitable<http::endpoint_response> directory_node::retire_state(
-    const http::endpoint_request& request, const std::string& node) {
-    const answer_kind confirmed = co_await confirm();
-    if (confirmed != answer_kind::done || !core_) {
-        co_return failed(request, confirmed);
-    }
-    bool asked = false;
-    for (const auto& [id, name] : core_->state().retired()) {
-        asked = asked || name == node;
-    }
-    if (!asked) {
-        co_return dialect_.refused(404, "nobody asked to empty this store");
-    }
-    bool left = false;
-    for (const turns::store_member& member : core_->state().map().all()) {
-        left = left || (member.node == node && core_->state().retired().contains(member.id));
-    }
-    co_return dialect_.retirement(left ? retire_progress::running : retire_progress::succeeded);
-}
-
-asio::awaitable<http::endpoint_response> directory_node::serve(http::endpoint_request request) {
-    calls_.Increment();
-    const operator_call call = dialect_.parse(request);
-    if (const auto* invalid = std::get_if<invalid_call>(&call)) {
-        logging::write_event(logging::event_id::admin_denied,
-                             "call=\"" + request.method + " " + request.target +
-                                 "\" status=" + std::to_string(invalid->status) + " reason=\"" +
-                                 invalid->reason + "\"");
-        co_return dialect_.refused(invalid->status, invalid->reason);
-    }
-    if (!core_) {
-        co_return dialect_.refused(503, "the data folder can't be used now");
-    }
-    if (const auto* change = std::get_if<replace_call>(&call)) {
-        co_return co_await replace(request, *change);
-    }
-    if (const auto* start = std::get_if<retire_call>(&call)) {
-        co_return co_await retire(request, start->node);
-    }
-    if (const auto* state = std::get_if<retire_state_call>(&call)) {
-        co_return co_await retire_state(request, state->node);
-    }
-    co_return co_await describe(request);
-}
-
 int directory_node::run() {
     if (!open_storage()) {
-        process_.after(reopen_interval, [this] { open_storage(); });
+        reopen_later();
     }
     std::string problem =
         peers_.start([this](const messaging::channel_pointer& channel,
                             const messaging::peer_message& message) { receive(channel, message); });
     if (problem.empty()) {
         problem = operators_.start(
-            [this](http::endpoint_request request) { return serve(std::move(request)); });
+            [this](http::endpoint_request request) { return desk_.serve(std::move(request)); });
     }
     if (!problem.empty()) {
         logging::write_event(logging::event_id::settings_refused, "reason=\"" + problem + "\"");
--- /dev/null
+++ b/src/tallyfold/directory/operator_desk_shell.cpp
@@ -0,0 +1,230 @@
+#include "tallyfold/directory/operator_desk_shell.hpp"
+
+#include <prometheus/counter.h>
+
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/net/socket_address.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// An operator's call waits this long for the log; its caller moves on after a second.
+constexpr duration answer_limit = std::chrono::milliseconds(900);
+constexpr const char* unusable_folder = "the data folder can't be used now";
+
+}  // namespace
+
+/// One operator's call that waits for the log.
+struct operator_desk::waiting_call {
+    explicit waiting_call(asio::io_context& loop) : timer(loop, answer_limit) {}
+    asio::steady_timer timer;
+    answer_kind kind = answer_kind::unknown;
+    bool answered = false;
+};
+
+operator_desk::operator_desk(net::node_process& process, const operator_dialect& dialect,
+                             const std::unique_ptr<directory_core>& core,
+                             std::function<void()> pump)
+    : process_(process),
+      dialect_(dialect),
+      core_(core),
+      pump_(std::move(pump)),
+      calls_(prometheus::BuildCounter()
+                 .Name("tallyfold_directory_operator_calls_total")
+                 .Help("Calls of operators")
+                 .Register(process.metrics())
+                 .Add({})) {}
+
+void operator_desk::answered(const directory_answer& answer) {
+    changes_.ended(answer.token);
+    const auto [first, last] = waiting_.equal_range(answer.token);
+    for (auto entry = first; entry != last; ++entry) {
+        entry->second->kind = answer.kind;
+        entry->second->answered = true;
+        entry->second->timer.cancel();
+    }
+    waiting_.erase(first, last);
+}
+
+void operator_desk::storage_lost() {
+    changes_.clear();
+    for (const auto& [token, call] : waiting_) {
+        call->answered = true;
+        call->timer.cancel();
+    }
+    waiting_.clear();
+}
+
+asio::awaitable<answer_kind> operator_desk::wait(request_token token) {
+    auto call = std::make_shared<waiting_call>(process_.loop());
+    const auto place = waiting_.emplace(token, call);
+    pump_();
+    if (!call->answered) {
+        co_await call->timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    }
+    if (!call->answered) {
+        waiting_.erase(place);
+    }
+    co_return call->kind;
+}
+
+asio::awaitable<answer_kind> operator_desk::submit(directory_command command) {
+    const request_token token = next_token_++;
+    core_->submit(token, command);
+    co_return co_await wait(token);
+}
+
+asio::awaitable<answer_kind> operator_desk::confirm() {
+    const request_token token = next_token_++;
+    core_->confirm(token, http::steady_now());
+    co_return co_await wait(token);
+}
+
+http::endpoint_response operator_desk::failed(const http::endpoint_request& request,
+                                              answer_kind kind) const {
+    if (kind != answer_kind::not_leader || !core_ || core_->leader_address().empty() ||
+        core_->leads()) {
+        return dialect_.refused(503, "no majority has confirmed this call; ask again");
+    }
+    // Operators' interfaces have the same port on every machine.
+    const std::string& own = process_.settings().operators_address;
+    const std::string port = own.substr(own.rfind(':'));
+    return dialect_.redirect(net::ip_of(core_->leader_address()) + port, request.target);
+}
+
+asio::awaitable<http::endpoint_response> operator_desk::replace(
+    const http::endpoint_request& request) {
+    if (!core_) {
+        co_return dialect_.refused(503, unusable_folder);
+    }
+    // A large text takes long to read on a small machine: whoever can't decide doesn't read it.
+    if (!core_->leads()) {
+        co_return failed(request, answer_kind::not_leader);
+    }
+    if (request.body == core_->state().configuration_text()) {
+        log_change(core_->state().configuration().version, answer_kind::done);
+        co_return dialect_.accepted();
+    }
+    answer_kind kind = answer_kind::unknown;
+    if (const auto open = changes_.find(request.body)) {
+        kind = co_await wait(*open);
+        co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
+    }
+    operator_call call = dialect_.parse(request);
+    if (const auto* invalid = std::get_if<invalid_call>(&call)) {
+        co_return refuse(request, *invalid);
+    }
+    auto& change = std::get<replace_call>(call);
+    const routing::configuration_version version = change.parsed.version;
+    // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
+    directory_command command = replace_configuration{std::move(change.parsed), request.body};
+    const request_token token = next_token_++;
+    changes_.begin(token, request.body);
+    core_->submit(token, command);
+    kind = co_await wait(token);
+    log_change(version, kind);
+    co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
+}
+
+void operator_desk::log_change(routing::configuration_version version, answer_kind kind) const {
+    const char* outcome = kind == answer_kind::done         ? "taken"
+                          : kind == answer_kind::not_leader ? "not_leader"
+                                                            : "unknown";
+    logging::write_event(logging::event_id::configuration_changed,
+                         "version=" + std::to_string(version) + " outcome=" + outcome + " held=" +
+                             std::to_string(core_ ? core_->state().configuration().version : 0));
+}
+
+asio::awaitable<http::endpoint_response> operator_desk::describe(
+    const http::endpoint_request& request) {
+    const answer_kind kind = co_await confirm();
+    if (kind != answer_kind::done || !core_) {
+        co_return failed(request, kind);
+    }
+    if (core_->state().configuration().version == routing::no_version) {
+        co_return dialect_.refused(503, "no configuration is known yet");
+    }
+    co_return dialect_.configuration(core_->state().configuration_text());
+}
+
+asio::awaitable<http::endpoint_response> operator_desk::retire(
+    const http::endpoint_request& request, const std::string& node) {
+    const answer_kind confirmed = co_await confirm();
+    if (confirmed != answer_kind::done || !core_) {
+        co_return failed(request, confirmed);
+    }
+    for (const auto& [id, name] : core_->state().retired()) {
+        if (name == node) {
+            co_return dialect_.accepted();
+        }
+    }
+    bool known = false;
+    for (const turns::store_member& member : core_->state().map().all()) {
+        known = known || member.node == node;
+    }
+    if (!known) {
+        co_return dialect_.refused(404, "no such store");
+    }
+    if (!core_->may_retire(node)) {
+        co_return dialect_.refused(409, "too few stores would be left");
+    }
+    directory_command command = retire_store{node};
+    const answer_kind kind = co_await submit(std::move(command));
+    co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
+}
+
+asio::awaitable<http::endpoint_response> operator_desk::retire_state(
+    const http::endpoint_request& request, const std::string& node) {
+    const answer_kind confirmed = co_await confirm();
+    if (confirmed != answer_kind::done || !core_) {
+        co_return failed(request, confirmed);
+    }
+    bool asked = false;
+    for (const auto& [id, name] : core_->state().retired()) {
+        asked = asked || name == node;
+    }
+    if (!asked) {
+        co_return dialect_.refused(404, "nobody asked to empty this store");
+    }
+    bool left = false;
+    for (const turns::store_member& member : core_->state().map().all()) {
+        left = left || (member.node == node && core_->state().retired().contains(member.id));
+    }
+    co_return dialect_.retirement(left ? retire_progress::running : retire_progress::succeeded);
+}
+
+http::endpoint_response operator_desk::refuse(const http::endpoint_request& request,
+                                              const invalid_call& call) const {
+    logging::write_event(logging::event_id::admin_denied,
+                         "call=\"" + request.method + " " + request.target + "\" status=" +
+                             std::to_string(call.status) + " reason=\"" + call.reason + "\"");
+    return dialect_.refused(call.status, call.reason);
+}
+
+asio::awaitable<http::endpoint_response> operator_desk::serve(http::endpoint_request request) {
+    calls_.Increment();
+    if (dialect_.changes_configuration(request)) {
+        co_return co_await replace(request);
+    }
+    const operator_call call = dialect_.parse(request);
+    if (const auto* invalid = std::get_if<invalid_call>(&call)) {
+        co_return refuse(request, *invalid);
+    }
+    if (!core_) {
+        co_return dialect_.refused(503, unusable_folder);
+    }
+    if (const auto* start = std::get_if<retire_call>(&call)) {
+        co_return co_await retire(request, start->node);
+    }
+    if (const auto* state = std::get_if<retire_state_call>(&call)) {
+        co_return co_await retire_state(request, state->node);
+    }
+    co_return co_await describe(request);
+}
+
+}  // namespace tallyfold::directory
--- a/src/tallyfold/directory/operator_dialect.hpp
+++ b/src/tallyfold/directory/operator_dialect.hpp
@@ -36,6 +36,9 @@
 class operator_dialect {
   public:
     virtual ~operator_dialect() = default;
+    /// True when the call sends a configuration, told without reading it.
+    [[nodiscard]] virtual bool changes_configuration(
+        const http::endpoint_request& request) const = 0;
     [[nodiscard]] virtual operator_call parse(const http::endpoint_request& request) const = 0;
     /// The change is taken.
     [[nodiscard]] virtual http::endpoint_response accepted() const = 0;
--- /dev/null
+++ b/tests/directory/open_changes_test.cpp
@@ -0,0 +1,36 @@
+#include "tallyfold/directory/open_changes.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace directory;
+
+class open_changes_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(open_changes_test);
+    CPPUNIT_TEST(a_repeat_finds_the_change_that_it_repeats);
+    CPPUNIT_TEST(an_answered_change_is_open_no_more);
+    CPPUNIT_TEST_SUITE_END();
+
+    void a_repeat_finds_the_change_that_it_repeats() {
+        open_changes changes;
+        changes.begin(1, "version 7, one content");
+        changes.begin(2, "version 7, another content");
+        CPPUNIT_ASSERT(changes.find("version 7, another content") == request_token{2});
+        CPPUNIT_ASSERT(!changes.find("version 8").has_value());
+    }
+
+    void an_answered_change_is_open_no_more() {
+        open_changes changes;
+        changes.begin(1, "a");
+        changes.begin(2, "b");
+        changes.ended(1);
+        CPPUNIT_ASSERT(!changes.find("a").has_value());
+        changes.clear();
+        CPPUNIT_ASSERT(!changes.find("b").has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(open_changes_test);
+
+}  // namespace tallyfold::tests
