--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -14,9 +14,6 @@
 constexpr duration connect_limit = std::chrono::milliseconds(500);
 /// A caller that doesn't take bytes for this long is given up.
 constexpr duration caller_write_limit = std::chrono::seconds(8);
-/// The stores get this long to begin a turn, and to settle one whose answer waits for it.
-constexpr duration begin_limit = std::chrono::milliseconds(1'500);
-constexpr duration settle_limit = std::chrono::milliseconds(2'500);
 /// Part of the time left that one try of a repeatable request gets while others may follow.
 constexpr double share_of_one_try = 0.4;
 /// Answers up to this size are relayed whole, so that one that breaks off can be tried again.
@@ -27,13 +24,6 @@
 /// When a refused caller is asked to come again, in seconds.
 constexpr const char* soon_seconds = "0.2";
 constexpr const char* after_recovery_seconds = "1.0";
-constexpr double fallback_retention_seconds = 60;
-
-std::uint32_t retention_of(const routing::route& route) {
-    const double seconds =
-        route.retention_seconds > 0 ? route.retention_seconds : fallback_retention_seconds;
-    return static_cast<std::uint32_t>(seconds * 1000);
-}
 
 std::string chunk_of(const std::string& bytes) {
     static constexpr const char* digits = "0123456789abcdef";
@@ -142,13 +132,8 @@
         co_await run_attempts();
     }
     caller_->stop_watching();
-    if (turn_open_) {
-        turns::turn_settlement settlement;
-        settlement.program = facts_.program;
-        settlement.request = facts_.request;
-        settlement.tokens = generated_tokens();
-        settlement.retention_ms = retention_of(*route_);
-        context_.turns.settle_later(std::move(settlement));
+    if (turn_ && turn_->open()) {
+        turn_->settle_unanswered(generated_tokens());
     }
     log_finish();
     if (answer_started_ && !answer_whole_) {
@@ -169,50 +154,25 @@
 }
 
 asio::awaitable<bool> request_relay::begin_turn() {
-    const instant started = http::steady_now();
-    turns::turn_question question;
-    question.reservation.program = facts_.program;
-    question.reservation.request = facts_.request;
-    question.reservation.most_tokens = facts_.most_tokens;
-    question.reservation.retention_ms = retention_of(*route_);
-    question.previous = route_->keeps_history ? facts_.previous_turn : std::string{};
-    question.budget = facts_.budget;
-    const instant limit = std::min(deadline_, started + begin_limit);
     if (!context_.turns.knows_stores()) {
         outcome_ = "refused";
         co_await answer(503, "no store of turns is known yet", come_again::after_recovery);
         co_return false;
     }
-    turns::begun_turn begun = co_await context_.turns.begin(std::move(question), limit);
-    store_time_ = http::steady_now() - started;
-    store_answers_ = begun.store_answers;
-    used_tokens_ = begun.used_tokens;
-    context_.metrics.stored(store_time_);
-    turn_open_ = true;
-    if (begun.result == turns::begin_result::admitted) {
-        std::string line;
-        for (const turns::turn_record& record : begun.chain) {
-            line += record.input;
-            line += record.output;
-        }
+    turn_.emplace(context_, facts_, *route_);
+    std::string line;
+    const turns::begin_result begun = co_await turn_->begin(deadline_, line);
+    if (begun == turns::begin_result::admitted) {
         if (route_->keeps_history) {
             request_.body = outgoing_body_;
         }
         outgoing_body_ = line + outgoing_body_;
         co_return true;
     }
-    logging::write_event(logging::event_id::turn_refused,
-                         "request=" + facts_.request + " program=" + facts_.program + " previous=" +
-                             facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
-                             " used=" + std::to_string(begun.used_tokens) +
-                             " most=" + std::to_string(facts_.most_tokens) +
-                             " store_answers=" + std::to_string(begun.store_answers) +
-                             " epoch=" + std::to_string(begun.epoch) +
-                             " result=" + std::to_string(static_cast<int>(begun.result)));
-    if (begun.result == turns::begin_result::over_budget) {
+    if (begun == turns::begin_result::over_budget) {
         outcome_ = "over_budget";
         co_await answer(402, "the program's budget is spent", come_again::never);
-    } else if (begun.result == turns::begin_result::unknown_previous) {
+    } else if (begun == turns::begin_result::unknown_previous) {
         outcome_ = "unknown_turn";
         co_await answer(404, "no such turn", come_again::never);
     } else {
@@ -523,9 +483,13 @@
         if (!piece->empty()) {
             outgoing += counted ? *piece : chunk_of(*piece);
         }
-        if (complete && turn_open_ && success && !co_await settle_turn()) {
-            result.reason = "unsettled";
-            co_return result;
+        if (complete && success && turn_ && turn_->open()) {
+            const bool settled =
+                co_await turn_->settle(generated_tokens(), request_.body, events_.data());
+            if (!settled) {
+                result.reason = "unsettled";
+                co_return result;
+            }
         }
         if (complete && !counted) {
             outgoing += last_chunk;
@@ -547,27 +511,6 @@
     co_return result;
 }
 
-asio::awaitable<bool> request_relay::settle_turn() {
-    turns::turn_settlement settlement;
-    settlement.program = facts_.program;
-    settlement.request = facts_.request;
-    settlement.tokens = generated_tokens();
-    settlement.retention_ms = retention_of(*route_);
-    if (route_->keeps_history) {
-        settlement.record =
-            turns::turn_record{facts_.request, facts_.previous_turn, request_.body, events_.data()};
-    }
-    const instant started = http::steady_now();
-    turn_open_ = false;
-    const bool settled =
-        co_await context_.turns.settle(std::move(settlement), started + settle_limit);
-    context_.metrics.stored(http::steady_now() - started);
-    if (!settled) {
-        logging::write_event(logging::event_id::turn_unsettled, "request=" + facts_.request);
-    }
-    co_return settled;
-}
-
 void request_relay::log_finish() {
     const instant now = http::steady_now();
     context_.metrics.finished(outcome_, now - request_.received);
@@ -584,11 +527,9 @@
     if (!facts_.program.empty()) {
         line += " program=" + facts_.program;
     }
-    if (store_answers_ > 0) {
+    if (turn_) {
         line +=
-            " store_ms=" + std::to_string(to_milliseconds(store_time_)) +
-            " store_answers=" + std::to_string(store_answers_) +
-            " used=" + std::to_string(used_tokens_) + " cached=" + std::to_string(cached_tokens_) +
+            turn_->log_fields() + " cached=" + std::to_string(cached_tokens_) +
             " urgency=" + std::to_string(urgency_) + " program_left_ms=" +
             (facts_.program_time_left ? std::to_string(to_milliseconds(*facts_.program_time_left))
                                       : std::string("-")) +
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/forwarding/attempt_policy.hpp"
 #include "tallyfold/forwarding/forwarder_context.hpp"
+#include "tallyfold/forwarding/turn_session_shell.hpp"
 #include "tallyfold/http/event_stream.hpp"
 
 namespace tallyfold::forwarding {
@@ -61,7 +62,6 @@
                                               const answer_facts& facts, instant until);
     asio::awaitable<send_result> relay_whole(http::connection_pointer backend, instant until);
     asio::awaitable<send_result> relay_stream(http::connection_pointer backend);
-    asio::awaitable<bool> settle_turn();
     asio::awaitable<void> answer(unsigned status, std::string reason, come_again again);
     asio::awaitable<bool> write_to_caller(std::string bytes);
     [[nodiscard]] std::string answer_head(const http::message_head& head,
@@ -88,7 +88,7 @@
     /// Body as it goes to back ends: with the line of turns before it.
     std::string outgoing_body_;
     http::event_stream_reader events_;
-    bool turn_open_ = false;
+    std::optional<turn_session> turn_;
     bool gone_ = false;
     bool answer_started_ = false;
     bool answer_whole_ = false;
@@ -99,10 +99,7 @@
     std::string outcome_ = "unknown";
     std::string reason_;
     unsigned status_ = 0;
-    duration store_time_{};
     duration first_byte_{};
-    std::size_t store_answers_ = 0;
-    token_count used_tokens_ = 0;
     token_count cached_tokens_ = 0;
 };
 
--- /dev/null
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -0,0 +1,97 @@
+#include "tallyfold/forwarding/turn_session_shell.hpp"
+
+#include "tallyfold/logging/event_log.hpp"
+
+namespace tallyfold::forwarding {
+
+namespace {
+
+constexpr double fallback_retention_seconds = 60;
+
+}  // namespace
+
+turn_session::turn_session(forwarder_context& context, const request_facts& facts,
+                           const routing::route& route)
+    : context_(context), facts_(facts), route_(route) {}
+
+std::uint32_t turn_session::retention_ms() const {
+    const double seconds =
+        route_.retention_seconds > 0 ? route_.retention_seconds : fallback_retention_seconds;
+    return static_cast<std::uint32_t>(seconds * 1000);
+}
+
+turns::turn_settlement turn_session::settlement(token_count tokens) const {
+    turns::turn_settlement ended;
+    ended.program = facts_.program;
+    ended.request = facts_.request;
+    ended.tokens = tokens;
+    ended.retention_ms = retention_ms();
+    return ended;
+}
+
+asio::awaitable<turns::begin_result> turn_session::begin(instant deadline, std::string& line) {
+    const instant started = http::steady_now();
+    turns::turn_question question;
+    question.reservation.program = facts_.program;
+    question.reservation.request = facts_.request;
+    question.reservation.most_tokens = facts_.most_tokens;
+    question.reservation.retention_ms = retention_ms();
+    question.previous = route_.keeps_history ? facts_.previous_turn : std::string{};
+    question.budget = facts_.budget;
+    const instant limit = std::min(deadline, started + begin_limit);
+    const turns::begun_turn begun = co_await context_.turns.begin(std::move(question), limit);
+    open_ = true;
+    store_time_ = http::steady_now() - started;
+    store_answers_ = begun.store_answers;
+    used_tokens_ = begun.used_tokens;
+    context_.metrics.stored(store_time_);
+    if (begun.result != turns::begin_result::admitted) {
+        log_refusal(begun);
+    }
+    for (const turns::turn_record& record : begun.chain) {
+        line += record.input;
+        line += record.output;
+    }
+    co_return begun.result;
+}
+
+void turn_session::log_refusal(const turns::begun_turn& begun) const {
+    logging::write_event(logging::event_id::turn_refused,
+                         "request=" + facts_.request + " program=" + facts_.program + " previous=" +
+                             facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
+                             " used=" + std::to_string(begun.used_tokens) +
+                             " most=" + std::to_string(facts_.most_tokens) +
+                             " store_answers=" + std::to_string(begun.store_answers) +
+                             " epoch=" + std::to_string(begun.epoch) +
+                             " result=" + std::to_string(static_cast<int>(begun.result)));
+}
+
+asio::awaitable<bool> turn_session::settle(token_count tokens, std::string input,
+                                           std::string output) {
+    turns::turn_settlement ended = settlement(tokens);
+    if (route_.keeps_history) {
+        ended.record = turns::turn_record{facts_.request, facts_.previous_turn, std::move(input),
+                                          std::move(output)};
+    }
+    open_ = false;
+    const instant started = http::steady_now();
+    const bool settled = co_await context_.turns.settle(std::move(ended), started + settle_limit);
+    context_.metrics.stored(http::steady_now() - started);
+    if (!settled) {
+        logging::write_event(logging::event_id::turn_unsettled, "request=" + facts_.request);
+    }
+    co_return settled;
+}
+
+void turn_session::settle_unanswered(token_count tokens) {
+    open_ = false;
+    context_.turns.settle_later(settlement(tokens));
+}
+
+std::string turn_session::log_fields() const {
+    return " store_ms=" + std::to_string(to_milliseconds(store_time_)) +
+           " store_answers=" + std::to_string(store_answers_) +
+           " used=" + std::to_string(used_tokens_);
+}
+
+}  // namespace tallyfold::forwarding
--- /dev/null
+++ b/src/tallyfold/forwarding/turn_session_shell.hpp
@@ -0,0 +1,50 @@
+#pragma once
+/// @file
+/// The turn that one request is, at the stores: begun before it runs, settled before its answer
+/// ends. Belongs to the loop thread.
+
+#include <asio/awaitable.hpp>
+#include <string>
+
+#include "tallyfold/forwarding/forwarder_context.hpp"
+
+namespace tallyfold::forwarding {
+
+class turn_session {
+  public:
+    /// Time that the stores get to begin a turn.
+    static constexpr duration begin_limit = std::chrono::milliseconds(1'500);
+    /// Time that they get to settle one whose answer waits for it.
+    static constexpr duration settle_limit = std::chrono::milliseconds(2'500);
+
+    /// @param facts and `route` have to outlive the session
+    turn_session(forwarder_context& context, const request_facts& facts,
+                 const routing::route& route);
+
+    /// Reserves the turn's most tokens. @param line gets the texts of the turns before it
+    asio::awaitable<turns::begin_result> begin(instant deadline, std::string& line);
+    /// Makes the end of a turn that was answered whole durable. @return false when no majority of
+    /// the stores has taken it
+    asio::awaitable<bool> settle(token_count tokens, std::string input, std::string output);
+    /// Settles in the background what was begun and not settled: the turn was not answered whole.
+    void settle_unanswered(token_count tokens);
+    /// True between begin() and the end.
+    [[nodiscard]] bool open() const { return open_; }
+    /// For the request's log line.
+    [[nodiscard]] std::string log_fields() const;
+
+  private:
+    [[nodiscard]] turns::turn_settlement settlement(token_count tokens) const;
+    [[nodiscard]] std::uint32_t retention_ms() const;
+    void log_refusal(const turns::begun_turn& begun) const;
+
+    forwarder_context& context_;
+    const request_facts& facts_;
+    const routing::route& route_;
+    bool open_ = false;
+    duration store_time_{};
+    std::size_t store_answers_ = 0;
+    token_count used_tokens_ = 0;
+};
+
+}  // namespace tallyfold::forwarding
