The list of back ends is told as differences, and never older than what the asker holds

Each of three directory nodes told the whole list, 3,000 back ends, to each of 225 forwarders whenever one back end changed, and again when a forwarder asked the next node, whose sight differed by some hundred ms. Change: a directory node remembers eight earlier lists; whoever holds one of them gets what changed since, made once for all who ask; whoever holds a newer list than this node gets nothing.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -77,6 +77,8 @@
     report.wants_configuration = settings_.wants_configuration;
     if (list_ != nullptr) {
         report.list = list_->fingerprint();
+        const duration age = http::steady_now() - list_->seen();
+        report.list_age_ms = static_cast<std::uint32_t>(list_->known() ? to_milliseconds(age) : 0);
     }
     if (describe_store_) {
         report.store = describe_store_();
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -25,6 +25,8 @@
 constexpr duration reopen_interval = std::chrono::milliseconds(500);
 /// A stopping node leaves after this time; the others elect at once when it led.
 constexpr duration stop_delay = std::chrono::milliseconds(300);
+/// Earlier lists of back ends that nodes may still hold, so that they are told differences.
+constexpr std::size_t kept_lists = 8;
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
 /// Hold the state applied last and the one before: written in turn, so that a lost power tears one
@@ -57,7 +59,7 @@
 
     net::node_process process_;
     listing::list_poller poller_;
-    listing::list_memory list_;
+    listing::list_memory list_{kept_lists};
     messaging::peer_server peers_;
     http::endpoint_server operators_;
     std::map<std::string, messaging::link_pointer> links_;
@@ -283,7 +285,8 @@
     } else if (const auto* report = std::get_if<node_report>(&message)) {
         directory_beat beat = core_->receive(*report, now);
         if (report->wants_configuration) {
-            beat.list = list_.tell(report->list, now);
+            beat.list =
+                list_.tell(report->list, std::chrono::milliseconds(report->list_age_ms), now);
         }
         channel->send(beat);
     }
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -36,10 +36,12 @@
     bool wants_configuration = true;
     /// The list of back ends that the node holds.
     listing::list_fingerprint list = 0;
+    /// Time since some node saw it, in milliseconds.
+    std::uint32_t list_age_ms = 0;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(node, configuration, map, store, wants_configuration, list);
+        archive(node, configuration, map, store, wants_configuration, list, list_age_ms);
     }
 };
 
--- a/src/tallyfold/listing/types.cpp
+++ b/src/tallyfold/listing/types.cpp
@@ -11,14 +11,68 @@
     return std::max<list_fingerprint>(1, stable_hash(protocol::encode(backends)));
 }
 
+list_changes changes_between(const std::vector<listed_backend>& from,
+                             const std::vector<listed_backend>& to) {
+    list_changes changes;
+    auto old = from.begin();
+    for (const listed_backend& entry : to) {
+        while (old != from.end() && old->member.name < entry.member.name) {
+            changes.removed.push_back(old->member.name);
+            ++old;
+        }
+        const bool known = old != from.end() && old->member.name == entry.member.name;
+        if (!known || !(*old == entry)) {
+            changes.changed.push_back(entry);
+        }
+        old += known ? 1 : 0;
+    }
+    for (; old != from.end(); ++old) {
+        changes.removed.push_back(old->member.name);
+    }
+    return changes;
+}
+
+std::vector<listed_backend> with_changes(const std::vector<listed_backend>& from,
+                                         const list_changes& changes) {
+    std::map<backend_name, listed_backend> entries;
+    for (const listed_backend& entry : from) {
+        entries.emplace(entry.member.name, entry);
+    }
+    for (const backend_name& name : changes.removed) {
+        entries.erase(name);
+    }
+    for (const listed_backend& entry : changes.changed) {
+        entries[entry.member.name] = entry;
+    }
+    std::vector<listed_backend> result;
+    result.reserve(entries.size());
+    for (auto& [name, entry] : entries) {
+        result.push_back(std::move(entry));
+    }
+    return result;
+}
+
+void list_memory::replace(std::vector<listed_backend> backends, list_fingerprint fingerprint) {
+    told_.clear();
+    if (kept_lists_ > 0 && known()) {
+        earlier_.push_back({fingerprint_, std::move(backends_)});
+        if (earlier_.size() > kept_lists_) {
+            earlier_.pop_front();
+        }
+    }
+    backends_ = std::move(backends);
+    fingerprint_ = fingerprint;
+}
+
 bool list_memory::see(const std::vector<listed_backend>& backends, instant now) {
-    const list_fingerprint fingerprint = fingerprint_of(backends);
     seen_ = now;
+    // Lists with the same entries are the same list, in whatever order they came.
+    std::vector<listed_backend> sorted = with_changes({}, {backends, {}});
+    const list_fingerprint fingerprint = fingerprint_of(sorted);
     if (fingerprint == fingerprint_) {
         return false;
     }
-    fingerprint_ = fingerprint;
-    backends_ = backends;
+    replace(std::move(sorted), fingerprint);
     return true;
 }
 
@@ -31,18 +85,36 @@
         seen_ = seen;
         return false;
     }
-    // Another list without its contents: it is told whole the next time.
-    if (fingerprint_of(sight.backends) != sight.fingerprint) {
+    if (sight.base != 0 && sight.base != fingerprint_) {
+        return false;
+    }
+    const bool whole = sight.base == 0;
+    std::vector<listed_backend> learnt =
+        with_changes(whole ? std::vector<listed_backend>{} : backends_, sight.changes);
+    // Another list than was meant: it is told anew the next time.
+    if (fingerprint_of(learnt) != sight.fingerprint) {
         return false;
     }
     seen_ = seen;
-    fingerprint_ = sight.fingerprint;
-    backends_ = sight.backends;
+    replace(std::move(learnt), sight.fingerprint);
     return true;
 }
 
-std::vector<list_sight> list_memory::tell(list_fingerprint held, instant now) const {
-    if (!known()) {
+const list_changes& list_memory::changes_from(list_fingerprint held, list_fingerprint& base) {
+    const auto earlier =
+        std::find_if(earlier_.begin(), earlier_.end(),
+                     [held](const earlier_list& list) { return list.fingerprint == held; });
+    base = earlier == earlier_.end() ? 0 : held;
+    const auto [told, fresh] = told_.try_emplace(base);
+    if (fresh) {
+        told->second = changes_between(
+            base == 0 ? std::vector<listed_backend>{} : earlier->backends, backends_);
+    }
+    return told->second;
+}
+
+std::vector<list_sight> list_memory::tell(list_fingerprint held, duration held_age, instant now) {
+    if (!known() || (held != 0 && seen_ <= now - held_age)) {
         return {};
     }
     list_sight sight;
@@ -50,7 +122,7 @@
     sight.age_ms =
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, to_milliseconds(now - seen_)));
     if (held != fingerprint_) {
-        sight.backends = backends_;
+        sight.changes = changes_from(held, sight.base);
     }
     return {sight};
 }
--- a/tests/listing/list_memory_test.cpp
+++ b/tests/listing/list_memory_test.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include "tallyfold/listing/types.hpp"
 #include "tests/support/suite.hpp"
 
@@ -10,6 +12,10 @@
     CPPUNIT_TEST(an_older_sight_never_replaces_a_newer_one);
     CPPUNIT_TEST(a_list_that_is_held_travels_without_its_contents);
     CPPUNIT_TEST(a_fingerprint_without_contents_is_not_believed);
+    CPPUNIT_TEST(an_earlier_list_is_told_the_differences);
+    CPPUNIT_TEST(differences_from_another_list_are_not_taken);
+    CPPUNIT_TEST(whoever_holds_a_newer_list_is_told_nothing);
+    CPPUNIT_TEST(any_two_lists_and_their_differences_agree);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
@@ -26,9 +32,10 @@
         slow.see(list(false), at(0));
         list_memory node;
         node.see(list(true), at(500));
-        CPPUNIT_ASSERT(!node.learn(slow.tell(0, at(1000)).front(), at(1000)));
+        CPPUNIT_ASSERT(!node.learn(slow.tell(0, {}, at(1000)).front(), at(1000)));
         CPPUNIT_ASSERT(node.backends().front().member.leaving);
-        CPPUNIT_ASSERT(slow.learn(node.tell(slow.fingerprint(), at(1000)).front(), at(1000)));
+        CPPUNIT_ASSERT(slow.learn(
+            node.tell(slow.fingerprint(), std::chrono::seconds(1), at(1000)).front(), at(1000)));
         CPPUNIT_ASSERT(slow.backends().front().member.leaving);
         CPPUNIT_ASSERT(slow.seen() == at(500));
     }
@@ -38,22 +45,91 @@
         teller.see(list(false), at(700));
         list_memory node;
         node.see(list(false), at(0));
-        const list_sight sight = teller.tell(node.fingerprint(), at(1000)).front();
-        CPPUNIT_ASSERT(sight.backends.empty());
+        const list_sight sight =
+            teller.tell(node.fingerprint(), std::chrono::seconds(1), at(1000)).front();
+        CPPUNIT_ASSERT(sight.changes.changed.empty() && sight.changes.removed.empty());
         CPPUNIT_ASSERT(!node.learn(sight, at(1000)));
         CPPUNIT_ASSERT(node.seen() == at(700));
-        CPPUNIT_ASSERT(list_memory{}.tell(0, at(0)).empty());
+        CPPUNIT_ASSERT(list_memory{}.tell(0, {}, at(0)).empty());
     }
 
     void a_fingerprint_without_contents_is_not_believed() {
         list_memory teller;
         teller.see(list(true), at(700));
-        list_sight sight = teller.tell(teller.fingerprint(), at(1000)).front();
+        list_sight sight =
+            teller.tell(teller.fingerprint(), std::chrono::seconds(1), at(1000)).front();
         list_memory node;
         node.see(list(false), at(0));
         CPPUNIT_ASSERT(!node.learn(sight, at(1000)));
         CPPUNIT_ASSERT(!node.backends().front().member.leaving);
     }
+
+    static std::vector<listed_backend> numbered(int first, int last) {
+        std::vector<listed_backend> backends;
+        for (int number = first; number <= last; ++number) {
+            listed_backend entry;
+            entry.service = "s";
+            entry.member.name = "b" + std::to_string(1000 + number);
+            backends.push_back(entry);
+        }
+        return backends;
+    }
+
+    /// The sweep to 300 machines: three nodes told 3,000 back ends to each of 225 forwarders
+    /// whenever one of them changed, and went over their memory of 256 MB.
+    void an_earlier_list_is_told_the_differences() {
+        constexpr std::size_t kept = 8;
+        list_memory teller(kept);
+        teller.see(numbered(1, 500), at(0));
+        list_memory node;
+        CPPUNIT_ASSERT(node.learn(teller.tell(0, {}, at(10)).front(), at(10)));
+        auto later = numbered(2, 501);
+        later[5].member.leaving = true;
+        teller.see(later, at(500));
+        const list_sight sight =
+            teller.tell(node.fingerprint(), std::chrono::milliseconds(600), at(600)).front();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, sight.changes.changed.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sight.changes.removed.size());
+        CPPUNIT_ASSERT(node.learn(sight, at(600)));
+        CPPUNIT_ASSERT(node.backends() == teller.backends());
+    }
+
+    void differences_from_another_list_are_not_taken() {
+        list_memory teller(1);
+        teller.see(numbered(1, 9), at(0));
+        const list_fingerprint first = teller.fingerprint();
+        teller.see(numbered(1, 10), at(100));
+        const list_sight sight = teller.tell(first, std::chrono::seconds(1), at(200)).front();
+        list_memory other;
+        other.see(numbered(3, 9), at(50));
+        CPPUNIT_ASSERT(!other.learn(sight, at(200)));
+        CPPUNIT_ASSERT(other.backends() == numbered(3, 9));
+    }
+
+    void whoever_holds_a_newer_list_is_told_nothing() {
+        list_memory teller(1);
+        teller.see(numbered(1, 9), at(0));
+        CPPUNIT_ASSERT(teller.tell(77, std::chrono::milliseconds(100), at(500)).empty());
+        CPPUNIT_ASSERT(!teller.tell(77, std::chrono::milliseconds(900), at(500)).empty());
+    }
+
+    void any_two_lists_and_their_differences_agree() {
+        check_property("differences lead from one list to the other",
+                       [](const std::set<std::uint8_t>& one, const std::set<std::uint8_t>& other,
+                          const std::set<std::uint8_t>& leaving) {
+                           const auto build = [&leaving](const std::set<std::uint8_t>& numbers) {
+                               std::vector<listed_backend> backends;
+                               for (const std::uint8_t number : numbers) {
+                                   backends.push_back(numbered(number, number).front());
+                                   backends.back().member.leaving = leaving.contains(number);
+                               }
+                               return backends;
+                           };
+                           const auto from = build(one);
+                           const auto to = build(other);
+                           RC_ASSERT(with_changes(from, changes_between(from, to)) == to);
+                       });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(list_memory_test);
