--- a/tests/forwarding/call_ranking_test.cpp
+++ b/tests/forwarding/call_ranking_test.cpp
@@ -1,5 +1,8 @@
 #include "tallyfold/forwarding/call_ranking.hpp"
 
+#include <fstream>
+#include <iterator>
+
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -14,6 +17,7 @@
     CPPUNIT_TEST(a_failing_text_leaves_the_policy_before_it_in_force);
     CPPUNIT_TEST(a_failing_evaluation_is_counted_and_the_priority_ranks);
     CPPUNIT_TEST(an_emptied_file_removes_the_policy);
+    CPPUNIT_TEST(the_shipped_policy_puts_the_least_time_left_first);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string policy_with(const std::string& urgency) {
@@ -75,6 +79,24 @@
         CPPUNIT_ASSERT(*ranking.use("") == policy_change::removed);
         CPPUNIT_ASSERT(ranking.placement() == nullptr);
     }
+
+    void the_shipped_policy_puts_the_least_time_left_first() {
+        std::ifstream file(std::string(TALLYFOLD_SOURCE_ROOT) + "/policies/platform.lua");
+        const std::string text((std::istreambuf_iterator<char>(file)), {});
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(text).has_value());
+        std::int32_t before = call_ranking::most_urgent;
+        for (const double left : {100.0, 500.0, 1'500.0, 3'000.0, 9'000.0}) {
+            const std::int32_t level = ranking.urgency_of(call_with(1, left));
+            CPPUNIT_ASSERT(level > before);
+            CPPUNIT_ASSERT_EQUAL(level, ranking.urgency_of(call_with(0, left)));
+            before = level;
+        }
+        // One that is late already still goes before those with time.
+        CPPUNIT_ASSERT(ranking.urgency_of(call_with(0, -50)) <
+                       ranking.urgency_of(call_with(0, 1'500)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ranking.failures());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(call_ranking_test);
