--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -15,6 +15,7 @@
 #include "tallyfold/net/node_process_shell.hpp"
 #include "tallyfold/net/socket_address.hpp"
 #include "tallyfold/storage/log_store.hpp"
+#include "tallyfold/storage/record_file.hpp"
 
 namespace tallyfold::directory {
 
@@ -157,16 +158,12 @@
     directory_state newest;
     for (std::size_t number = 0; number < applied_files.size(); ++number) {
         const std::string path = process_.settings().data_folder + applied_files[number];
-        const auto bytes = storage::read_file(path);
-        if (!bytes) {
-            continue;
-        }
-        const auto scanned = storage::scan_records(*bytes, path);
-        if (!scanned || scanned->payloads.size() != 1) {
+        const auto payload = storage::read_single_record(path);
+        if (!payload) {
             continue;
         }
         directory_state earlier;
-        earlier.restore(std::string(scanned->payloads.front()));
+        earlier.restore(*payload);
         const std::pair found{earlier.configuration().version, earlier.map().epoch};
         if (found > std::pair{newest.configuration().version, newest.map().epoch}) {
             newest = std::move(earlier);
@@ -182,10 +179,8 @@
         return;
     }
     noted_ = now;
-    std::string bytes;
-    storage::append_record(bytes, core_->state().save());
     const std::string path = process_.settings().data_folder + applied_files[next_note_];
-    if (storage::overwrite_file(path, bytes)) {
+    if (storage::overwrite_file(path, storage::single_record(core_->state().save()))) {
         next_note_ = 1 - next_note_;
     }
 }
--- a/src/tallyfold/storage/log_store.cpp
+++ b/src/tallyfold/storage/log_store.cpp
@@ -1,10 +1,10 @@
 #include "tallyfold/storage/log_store.hpp"
 
-#include <charconv>
 #include <filesystem>
 #include <system_error>
 
 #include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/storage/record_file.hpp"
 #include "tallyfold/storage/record_format.hpp"
 
 namespace tallyfold::storage {
@@ -40,43 +40,12 @@
     }
 };
 
-std::optional<std::uint64_t> number_after(std::string_view name, std::string_view prefix) {
-    if (!name.starts_with(prefix)) {
-        return std::nullopt;
-    }
-    name.remove_prefix(prefix.size());
-    std::uint64_t number = 0;
-    const auto [end, failure] = std::from_chars(name.data(), name.data() + name.size(), number);
-    if (failure != std::errc{} || end != name.data() + name.size()) {
-        return std::nullopt;
-    }
-    return number;
-}
-
-tl::expected<std::string, storage_error> read_single_record(const std::string& path) {
-    const auto bytes = read_file(path);
-    if (!bytes) {
-        return tl::unexpected(bytes.error());
-    }
-    const auto scanned = scan_records(*bytes, path);
-    if (!scanned) {
-        return tl::unexpected(scanned.error());
-    }
-    // The file was renamed into place after a sync, so it is never legitimately short.
-    if (scanned->payloads.size() != 1 || scanned->valid_length != bytes->size()) {
-        return tl::unexpected(storage_error{storage_failure::damaged, path + ": incomplete"});
-    }
-    return std::string(scanned->payloads.front());
-}
-
 }  // namespace
 
 log_store::log_store(std::string folder, std::uint64_t segment_bytes, tail_policy tail)
-    : folder_(std::move(folder)), segment_bytes_(segment_bytes), tail_(tail) {}
-
-std::string log_store::segment_path(std::uint64_t number) const {
-    return folder_ + "/" + std::string(segment_prefix) + std::to_string(number);
-}
+    : folder_(std::move(folder)),
+      log_(folder_, std::string(segment_prefix), segment_bytes),
+      tail_(tail) {}
 
 std::string log_store::snapshot_path(group_id group, consensus::log_index index) const {
     return folder_ + "/" + std::string(snapshot_prefix) + std::to_string(group) + "-" +
@@ -130,32 +99,15 @@
         }
     }
     recovered_.identity = fresh_identity;
-    std::string bytes;
-    append_record(bytes, protocol::encode(identity_record{format_version, fresh_identity}));
-    return replace_file(path, bytes);
+    return replace_file(
+        path, single_record(protocol::encode(identity_record{format_version, fresh_identity})));
 }
 
 tl::expected<void, storage_error> log_store::load_segment() {
-    for (const auto& entry : fs::directory_iterator(folder_)) {
-        const auto number = number_after(entry.path().filename().string(), segment_prefix);
-        segment_number_ = std::max(segment_number_, number.value_or(0));
-    }
-    if (segment_number_ == 0) {
-        return rotate();
-    }
-    const std::string path = segment_path(segment_number_);
-    const auto bytes = read_file(path);
-    if (!bytes) {
-        return tl::unexpected(bytes.error());
-    }
-    const auto scanned = scan_records(*bytes, path, tail_);
-    if (!scanned) {
-        return tl::unexpected(scanned.error());
-    }
-    for (const std::string_view payload : scanned->payloads) {
-        if (auto applied = apply_payload(payload, path); !applied) {
-            return applied;
-        }
+    const auto loaded =
+        log_.open(tail_, [this](std::string_view payload) { return apply_payload(payload); });
+    if (!loaded) {
+        return loaded;
     }
     for (const auto& [group, index] : named_snapshots_) {
         if (groups_[group].state().base.index != index) {
@@ -163,21 +115,15 @@
                 storage_error{storage_failure::damaged, snapshot_path(group, index) + ": missing"});
         }
     }
-    recovered_.cut_bytes = bytes->size() - scanned->valid_length;
-    auto file = append_file::open_at(path, scanned->valid_length);
-    if (!file) {
-        return tl::unexpected(file.error());
-    }
-    segment_.push_back(std::move(*file));
+    recovered_.cut_bytes = log_.cut_bytes();
     return {};
 }
 
-tl::expected<void, storage_error> log_store::apply_payload(std::string_view payload,
-                                                           const std::string& name) {
+tl::expected<void, storage_error> log_store::apply_payload(std::string_view payload) {
     auto record = protocol::decode<log_record>(payload);
     if (!record) {
         return tl::unexpected(
-            storage_error{storage_failure::damaged, name + ": " + record.error().reason});
+            storage_error{storage_failure::damaged, log_.path() + ": " + record.error().reason});
     }
     group_write write{record->group, record->state, std::nullopt, std::move(record->entries)};
     if (record->snapshot_index.has_value()) {
@@ -202,39 +148,24 @@
 }
 
 void log_store::remove_stale_files() {
-    std::vector<fs::path> stale;
-    for (const auto& entry : fs::directory_iterator(folder_)) {
-        const std::string name = entry.path().filename().string();
-        const auto number = number_after(name, segment_prefix);
-        const bool old_segment = number.has_value() && *number < segment_number_;
+    remove_files(folder_, [this](const std::string& name) {
         bool old_snapshot = name.starts_with(snapshot_prefix);
         for (const auto& [group, durable] : groups_) {
             const consensus::log_index index = durable.state().base.index;
-            old_snapshot = old_snapshot && entry.path().string() != snapshot_path(group, index);
-        }
-        if (old_segment || old_snapshot || name.ends_with(".tmp")) {
-            stale.push_back(entry.path());
+            old_snapshot = old_snapshot && folder_ + "/" + name != snapshot_path(group, index);
         }
-    }
-    for (const fs::path& path : stale) {
-        std::error_code ignored;  // A file that stays is found again at the next start.
-        fs::remove(path, ignored);
-    }
+        return old_snapshot || name.ends_with(".tmp");
+    });
 }
 
 tl::expected<void, storage_error> log_store::append_synced(const std::string& bytes) {
-    append_file& file = segment_.back();
-    if (auto written = file.append(bytes); !written) {
-        return written;
-    }
     bytes_written_ += bytes.size();
     ++syncs_;
-    return file.sync();
+    return log_.append(bytes);
 }
 
 tl::expected<void, storage_error> log_store::write_snapshot(const group_write& write) {
-    std::string bytes;
-    append_record(bytes, protocol::encode(*write.base));
+    const std::string bytes = single_record(protocol::encode(*write.base));
     bytes_written_ += bytes.size();
     return replace_file(snapshot_path(write.group, write.base->index), bytes);
 }
@@ -260,10 +191,8 @@
     for (const group_write& write : batch) {
         groups_[write.group].apply(write);
     }
-    // The live state alone may be larger than a segment: writing it anew has to pay.
-    const std::uint64_t size = segment_.back().size();
-    if (size > segment_bytes_ && size > 2 * segment_start_bytes_) {
-        return rotate();
+    if (log_.wants_rewrite()) {
+        return rewrite_log();
     }
     if (has_snapshot) {
         remove_stale_files();
@@ -271,28 +200,23 @@
     return {};
 }
 
-tl::expected<void, storage_error> log_store::rotate() {
-    std::string bytes;
-    for (const auto& [group, durable] : groups_) {
-        const consensus::recovered_state& live = durable.state();
-        log_record record{group, live.state, std::nullopt, live.entries};
+tl::expected<void, storage_error> log_store::rewrite_log() {
+    auto group = groups_.begin();
+    const auto next_group = [this, &group](std::string& bytes) {
+        if (group == groups_.end()) {
+            return false;
+        }
+        const consensus::recovered_state& live = group->second.state();
+        log_record record{group->first, live.state, std::nullopt, live.entries};
         if (live.base.index > 0) {
             record.snapshot_index = live.base.index;
         }
         append_record(bytes, protocol::encode(record));
+        return ++group != groups_.end();
+    };
+    if (auto written = log_.rewrite(next_group); !written) {
+        return written;
     }
-    const std::string path = segment_path(segment_number_ + 1);
-    if (auto replaced = replace_file(path, bytes); !replaced) {
-        return replaced;
-    }
-    auto file = append_file::open_at(path, bytes.size());
-    if (!file) {
-        return tl::unexpected(file.error());
-    }
-    segment_.clear();
-    segment_.push_back(std::move(*file));
-    ++segment_number_;
-    segment_start_bytes_ = bytes.size();
     remove_stale_files();
     return {};
 }
--- a/src/tallyfold/storage/log_store.hpp
+++ b/src/tallyfold/storage/log_store.hpp
@@ -14,6 +14,7 @@
 #include "tallyfold/consensus/persistence.hpp"
 #include "tallyfold/storage/file.hpp"
 #include "tallyfold/storage/record_format.hpp"
+#include "tallyfold/storage/segmented_log.hpp"
 
 namespace tallyfold::storage {
 
@@ -40,22 +41,16 @@
     log_store(std::string folder, std::uint64_t segment_bytes, tail_policy tail);
     tl::expected<void, storage_error> load_identity(consensus::replica_id fresh_identity);
     tl::expected<void, storage_error> load_segment();
-    tl::expected<void, storage_error> apply_payload(std::string_view payload,
-                                                    const std::string& name);
+    tl::expected<void, storage_error> apply_payload(std::string_view payload);
     tl::expected<void, storage_error> write_snapshot(const consensus::group_write& write);
-    tl::expected<void, storage_error> rotate();
+    tl::expected<void, storage_error> rewrite_log();
     tl::expected<void, storage_error> append_synced(const std::string& bytes);
     void remove_stale_files();
-    [[nodiscard]] std::string segment_path(std::uint64_t number) const;
     [[nodiscard]] std::string snapshot_path(group_id group, consensus::log_index index) const;
 
     std::string folder_;
-    std::uint64_t segment_bytes_;
+    segmented_log log_;
     tail_policy tail_;
-    std::uint64_t segment_number_ = 0;
-    /// Length of the segment when it was begun with the live state.
-    std::uint64_t segment_start_bytes_ = 0;
-    std::vector<append_file> segment_;
     std::map<group_id, consensus::durable_group> groups_;
     /// While reading back: the snapshot that each group's newest record names.
     std::map<group_id, consensus::log_index> named_snapshots_;
--- a/src/tallyfold/turns/turn_log.hpp
+++ b/src/tallyfold/turns/turn_log.hpp
@@ -9,7 +9,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-#include "tallyfold/storage/file.hpp"
+#include "tallyfold/storage/segmented_log.hpp"
 #include "tallyfold/turns/turn_book.hpp"
 
 namespace tallyfold::turns {
@@ -40,33 +40,21 @@
     /// The map that was kept last; one without an epoch when there is none.
     [[nodiscard]] store_map kept_map() const;
     /// True when the segment has grown well beyond what it started with.
-    [[nodiscard]] bool wants_rotation() const;
-    [[nodiscard]] bool failed() const { return failed_; }
+    [[nodiscard]] bool wants_rotation() const { return log_.wants_rewrite(); }
+    [[nodiscard]] bool failed() const { return log_.failed(); }
 
     [[nodiscard]] store_id identity() const { return identity_; }
-    [[nodiscard]] std::uint64_t cut_bytes() const { return cut_bytes_; }
-    [[nodiscard]] std::uint64_t syncs() const { return syncs_; }
+    [[nodiscard]] std::uint64_t cut_bytes() const { return log_.cut_bytes(); }
 
   private:
     turn_log(std::string folder, std::uint64_t segment_bytes);
     tl::expected<void, storage::storage_error> load_identity(store_id fresh_identity);
-    tl::expected<void, storage::storage_error> load_segment(
+    tl::expected<void, storage::storage_error> load_changes(
         const std::function<void(const book_change&)>& on_change);
-    /// Writes and syncs the replacement of a segment. @return its length
-    tl::expected<std::uint64_t, storage::storage_error> write_replacement(
-        const std::string& path, const change_pages& contents);
-    [[nodiscard]] std::string segment_path(std::uint64_t number) const;
-    void remove_older_segments();
 
     std::string folder_;
-    std::uint64_t segment_bytes_;
-    std::uint64_t segment_number_ = 0;
-    std::uint64_t start_bytes_ = 0;
-    std::vector<storage::append_file> segment_;
+    storage::segmented_log log_;
     store_id identity_ = 0;
-    std::uint64_t cut_bytes_ = 0;
-    std::uint64_t syncs_ = 0;
-    bool failed_ = false;
 };
 
 }  // namespace tallyfold::turns
