--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -84,7 +84,7 @@
         const bool self = id == settings_.self;
         const auto found = progress_.find(id);
         const bool heard = found != progress_.end() &&
-                           now - found->second.last_heard < 2 * settings_.election_timeout;
+                           now - found->second.last_heard() < 2 * settings_.election_timeout;
         reachable += self || heard ? 1 : 0;
     }
     if (reachable < members().quorum()) {
@@ -145,9 +145,7 @@
     progress_.clear();
     pending_reads_.clear();
     for (const auto& [id, member] : members().members) {
-        progress& peer = progress_[id];
-        peer.next_index = log_.last_index() + 1;
-        peer.last_heard = now;
+        progress_[id] = replica_progress(log_.last_index() + 1, now);
     }
     // An entry of its own term lets the leader commit what earlier terms left behind.
     append_own(entry_kind::no_operation, {});
@@ -358,72 +356,49 @@
     if (role_ != replica_role::leader || message.term != state_.term || found == progress_.end()) {
         return;
     }
-    progress& peer = found->second;
-    peer.last_heard = now;
-    peer.acknowledged_round = std::max(peer.acknowledged_round, body.round);
+    replica_progress& peer = found->second;
+    peer.heard(body.round, now);
     if (body.accepted) {
         peer.matched(body.match_index);
         advance_commit();
-        if (peer.next_index <= log_.last_index()) {
+        if (peer.next_index() <= log_.last_index()) {
             send_append(message.from, false);
         }
-    } else if (body.round >= peer.repeated_in_round) {
+    } else if (peer.wants_repeat(body.round)) {
         // A round of its own tells the answers to the repeat from those to what went before it.
-        peer.repeat_from(std::max(peer.match_index, body.match_index) + 1, ++round_);
+        peer.repeat_from(std::max(peer.match_index(), body.match_index) + 1, ++round_);
         send_append(message.from, true);
     }
     confirm_reads(now);
 }
 
-void replica_fsm::progress::sent(log_index last_index, std::size_t bytes) {
-    unanswered.push_back({last_index, bytes});
-    unanswered_bytes += bytes;
-    next_index = last_index + 1;
-}
-
-void replica_fsm::progress::matched(log_index index) {
-    match_index = std::max(match_index, index);
-    next_index = std::max(next_index, match_index + 1);
-    while (!unanswered.empty() && unanswered.front().last_index <= match_index) {
-        unanswered_bytes -= unanswered.front().bytes;
-        unanswered.pop_front();
-    }
-}
-
-void replica_fsm::progress::repeat_from(log_index index, std::uint64_t round) {
-    next_index = index;
-    repeated_in_round = round;
-    unanswered.clear();
-    unanswered_bytes = 0;
-}
-
-std::vector<log_entry> replica_fsm::next_entries(const progress& peer) const {
+std::vector<log_entry> replica_fsm::next_entries(const replica_progress& peer) const {
     std::vector<log_entry> entries;
-    std::size_t bytes = peer.unanswered_bytes;
-    for (log_index index = peer.next_index; index <= log_.last_index(); ++index) {
+    std::size_t bytes = 0;
+    for (log_index index = peer.next_index(); index <= log_.last_index(); ++index) {
         const log_entry& entry = log_.at(index);
-        const bool first = entries.empty() && peer.unanswered.empty();
-        const bool fits = bytes + entry.payload.size() <= settings_.most_bytes_in_flight;
-        if (entries.size() >= settings_.max_entries_per_message || !(first || fits)) {
+        const std::size_t size = entry.payload.size();
+        const bool fits = peer.has_room(size, bytes, settings_.most_bytes_in_flight);
+        if (entries.size() >= settings_.max_entries_per_message || !fits) {
             break;
         }
-        bytes += entry.payload.size();
+        bytes += size;
         entries.push_back(entry);
     }
     return entries;
 }
 
 void replica_fsm::send_append(replica_id to, bool allow_empty) {
-    progress& peer = progress_[to];
-    peer.next_index = std::min(peer.next_index, log_.last_index() + 1);
-    const std::optional<term_number> previous_term = log_.term_at(peer.next_index - 1);
+    replica_progress& peer = progress_[to];
+    peer.go_on_at(std::min(peer.next_index(), log_.last_index() + 1));
+    const std::optional<term_number> previous_term = log_.term_at(peer.next_index() - 1);
     if (!previous_term.has_value()) {
-        peer.next_index = latest_snapshot_.index + 1;
+        peer.go_on_at(latest_snapshot_.index + 1);
         send(to, snapshot_request{round_, latest_snapshot_}, false);
         return;
     }
     append_request request;
-    request.previous_index = peer.next_index - 1;
+    request.previous_index = peer.next_index() - 1;
     request.previous_term = *previous_term;
     request.commit_index = commit_index_;
     request.round = round_;
@@ -473,11 +448,7 @@
     }
     append_own(entry_kind::membership, protocol::encode(next));
     for (const auto& [id, member] : members().members) {
-        const auto [added, is_new] = progress_.try_emplace(id);
-        if (is_new) {
-            added->second.next_index = log_.last_index();
-            added->second.last_heard = leader_heard_;
-        }
+        progress_.try_emplace(id, log_.last_index(), leader_heard_);
     }
     broadcast_append(false);
     return log_.last_index();
@@ -503,8 +474,8 @@
         }
         const auto found = progress_.find(id);
         const bool self = id == settings_.self;
-        rounds.push_back(self ? round_
-                              : (found == progress_.end() ? 0 : found->second.acknowledged_round));
+        rounds.push_back(
+            self ? round_ : (found == progress_.end() ? 0 : found->second.acknowledged_round()));
     }
     if (rounds.size() < members().quorum()) {
         return 0;
@@ -571,7 +542,7 @@
         return persisted_index_;
     }
     const auto found = progress_.find(replica);
-    return found == progress_.end() ? 0 : found->second.match_index;
+    return found == progress_.end() ? 0 : found->second.match_index();
 }
 
 void replica_fsm::advance_commit() {
--- a/src/tallyfold/consensus/replica_fsm.hpp
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -16,6 +16,7 @@
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/common/time.hpp"
 #include "tallyfold/consensus/messages.hpp"
+#include "tallyfold/consensus/replica_progress.hpp"
 #include "tallyfold/consensus/replicated_log.hpp"
 
 namespace tallyfold::consensus {
@@ -108,26 +109,6 @@
     void set_snapshot(snapshot latest) { latest_snapshot_ = std::move(latest); }
 
   private:
-    /// Entries of one message that a replica has not answered for.
-    struct unanswered_entries {
-        log_index last_index = 0;
-        std::size_t bytes = 0;
-    };
-    struct progress {
-        log_index next_index = 1;
-        log_index match_index = 0;
-        std::uint64_t acknowledged_round = 0;
-        instant last_heard{};
-        /// Rejections of rounds before this one answer what was sent before the last repeat: the
-        /// repeat is under way, and another would only fill the connection.
-        std::uint64_t repeated_in_round = 0;
-        std::deque<unanswered_entries> unanswered;
-        std::size_t unanswered_bytes = 0;
-
-        void sent(log_index last_index, std::size_t bytes);
-        void matched(log_index index);
-        void repeat_from(log_index index, std::uint64_t round);
-    };
     struct membership_entry {
         log_index index;
         membership value;
@@ -156,7 +137,7 @@
     void truncate_from(log_index index);
     void send_append(replica_id to, bool allow_empty);
     /// What goes to `peer` next, within the bounds of one message and of what is under way.
-    [[nodiscard]] std::vector<log_entry> next_entries(const progress& peer) const;
+    [[nodiscard]] std::vector<log_entry> next_entries(const replica_progress& peer) const;
     void broadcast_append(bool allow_empty);
     void begin_round(instant now);
     void advance_commit();
@@ -188,7 +169,7 @@
     bool heard_leader_ever_ = false;
 
     std::set<replica_id> votes_;
-    std::map<replica_id, progress> progress_;
+    std::map<replica_id, replica_progress> progress_;
     std::uint64_t round_ = 0;
     std::deque<pending_read> pending_reads_;
 
--- /dev/null
+++ b/src/tallyfold/consensus/replica_progress.cpp
@@ -0,0 +1,40 @@
+#include "tallyfold/consensus/replica_progress.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::consensus {
+
+void replica_progress::heard(std::uint64_t round, instant now) {
+    last_heard_ = now;
+    acknowledged_round_ = std::max(acknowledged_round_, round);
+}
+
+void replica_progress::sent(log_index last_index, std::size_t bytes) {
+    unanswered_.push_back({last_index, bytes});
+    unanswered_bytes_ += bytes;
+    next_index_ = last_index + 1;
+}
+
+void replica_progress::matched(log_index index) {
+    match_index_ = std::max(match_index_, index);
+    next_index_ = std::max(next_index_, match_index_ + 1);
+    while (!unanswered_.empty() && unanswered_.front().last_index <= match_index_) {
+        unanswered_bytes_ -= unanswered_.front().bytes;
+        unanswered_.pop_front();
+    }
+}
+
+void replica_progress::repeat_from(log_index index, std::uint64_t round) {
+    next_index_ = index;
+    repeat_round_ = round;
+    unanswered_.clear();
+    unanswered_bytes_ = 0;
+}
+
+bool replica_progress::has_room(std::size_t bytes, std::size_t planned, std::size_t most) const {
+    // One entry goes out however large it is.
+    const bool alone = unanswered_.empty() && planned == 0;
+    return alone || unanswered_bytes_ + planned + bytes <= most;
+}
+
+}  // namespace tallyfold::consensus
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/messaging/link_log.hpp"
 
 namespace tallyfold::directory {
 
@@ -55,10 +56,7 @@
             if (up && version_ == routing::no_version) {
                 report();
             }
-            logging::write_event(
-                up ? logging::event_id::peer_connected : logging::event_id::peer_lost,
-                "peer=" + address + " role=directory" +
-                    (up ? std::string{} : " reason=\"" + reason + "\""));
+            messaging::log_link(address, "directory", up, reason);
         });
 }
 
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -11,7 +11,9 @@
 #include "tallyfold/directory/operator_desk_shell.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/messaging/link_log.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
+#include "tallyfold/net/instruments.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
 #include "tallyfold/net/socket_address.hpp"
 #include "tallyfold/storage/log_store.hpp"
@@ -75,16 +77,6 @@
     prometheus::Gauge& version_gauge_;
 };
 
-prometheus::Counter& counter(prometheus::Registry& registry, const std::string& name,
-                             const std::string& help) {
-    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-}
-
-prometheus::Gauge& gauge(prometheus::Registry& registry, const std::string& name,
-                         const std::string& help) {
-    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
-}
-
 directory_node::directory_node(const settings::node_settings& settings,
                                const operator_dialect& dialect, const listing::list_dialect& lists)
     : process_(settings),
@@ -92,10 +84,10 @@
       peers_(process_.loop(), settings.directory_listener()),
       operators_(process_.loop(), settings.operators_address, largest_body),
       desk_(process_, dialect, core_, [this] { pump(); }),
-      writes_(counter(process_.metrics(), "tallyfold_directory_writes_total",
-                      "Synced writes of the directory's log")),
-      version_gauge_(gauge(process_.metrics(), "tallyfold_directory_configuration_version",
-                           "Version of the configuration that this node has applied")) {}
+      writes_(net::add_counter(process_.metrics(), "tallyfold_directory_writes_total",
+                               "Synced writes of the directory's log")),
+      version_gauge_(net::add_gauge(process_.metrics(), "tallyfold_directory_configuration_version",
+                                    "Version of the configuration that this node has applied")) {}
 
 directory_settings directory_node::core_settings() const {
     const settings::node_settings& settings = process_.settings();
@@ -114,11 +106,7 @@
     // What the folder holds can't be trusted: this node starts as another replica and learns
     // everything from its peers.
     logging::write_event(logging::event_id::identity_renewed, "reason=\"" + reason + "\"");
-    std::error_code ignored;
-    for (const auto& entry :
-         std::filesystem::directory_iterator(process_.settings().data_folder, ignored)) {
-        std::filesystem::remove_all(entry.path(), ignored);
-    }
+    storage::empty_folder(process_.settings().data_folder);
 }
 
 bool directory_node::open_storage() {
@@ -194,10 +182,7 @@
         link = std::make_shared<messaging::peer_link>(process_.loop(), message.to);
         link->start([](const messaging::peer_message&) {},
                     [address = message.to](bool up, const std::string& reason) {
-                        logging::write_event(
-                            up ? logging::event_id::peer_connected : logging::event_id::peer_lost,
-                            "peer=" + address + " role=directory" +
-                                (up ? std::string{} : " reason=\"" + reason + "\""));
+                        messaging::log_link(address, "directory", up, reason);
                     });
     }
     if (auto* replica = std::get_if<consensus::replica_message>(&message.body)) {
--- a/src/tallyfold/directory/operator_desk_shell.cpp
+++ b/src/tallyfold/directory/operator_desk_shell.cpp
@@ -1,12 +1,11 @@
 #include "tallyfold/directory/operator_desk_shell.hpp"
 
-#include <prometheus/counter.h>
-
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
 
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/net/instruments.hpp"
 #include "tallyfold/net/socket_address.hpp"
 
 namespace tallyfold::directory {
@@ -34,11 +33,8 @@
       dialect_(dialect),
       core_(core),
       pump_(std::move(pump)),
-      calls_(prometheus::BuildCounter()
-                 .Name("tallyfold_directory_operator_calls_total")
-                 .Help("Calls of operators")
-                 .Register(process.metrics())
-                 .Add({})) {}
+      calls_(net::add_counter(process.metrics(), "tallyfold_directory_operator_calls_total",
+                              "Calls of operators")) {}
 
 void operator_desk::answered(const directory_answer& answer) {
     changes_.ended(answer.token);
--- a/src/tallyfold/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/forwarding/forwarder_metrics.hpp"
 
+#include "tallyfold/net/instruments.hpp"
+
 namespace tallyfold::forwarding {
 
 namespace {
@@ -7,12 +9,6 @@
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
                                                               0.4,   0.8,  1.6,   3.2,  6.4};
 
-prometheus::Histogram& histogram(prometheus::Registry& registry, const std::string& name,
-                                 const std::string& help) {
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
-        {}, latency_buckets);
-}
-
 }  // namespace
 
 forwarder_metrics::forwarder_metrics(prometheus::Registry& registry)
@@ -24,17 +20,17 @@
                     .Name("tallyfold_forwarder_attempt_failures_total")
                     .Help("Attempts at back ends that failed, by reason")
                     .Register(registry)),
-      connections_(prometheus::BuildCounter()
-                       .Name("tallyfold_forwarder_backend_connections_total")
-                       .Help("New connections to back ends")
-                       .Register(registry)
-                       .Add({})),
-      first_byte_(histogram(registry, "tallyfold_forwarder_first_byte_seconds",
-                            "Time from a request's end to the first byte of its answer")),
-      store_(histogram(registry, "tallyfold_forwarder_store_seconds",
-                       "Time that the stores took to begin or settle a turn")),
-      total_(histogram(registry, "tallyfold_forwarder_request_seconds",
-                       "Time from a request's end to the end of its answer")) {}
+      connections_(net::add_counter(registry, "tallyfold_forwarder_backend_connections_total",
+                                    "New connections to back ends")),
+      first_byte_(net::add_histogram(registry, "tallyfold_forwarder_first_byte_seconds",
+                                     "Time from a request's end to the first byte of its answer",
+                                     latency_buckets)),
+      store_(net::add_histogram(registry, "tallyfold_forwarder_store_seconds",
+                                "Time that the stores took to begin or settle a turn",
+                                latency_buckets)),
+      total_(net::add_histogram(registry, "tallyfold_forwarder_request_seconds",
+                                "Time from a request's end to the end of its answer",
+                                latency_buckets)) {}
 
 void forwarder_metrics::finished(const std::string& outcome, duration took) {
     requests_.Add({{"outcome", outcome}}).Increment();
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -11,6 +11,7 @@
 #include "tallyfold/forwarding/stop_sequence.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/net/tcp_sockets_shell.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -291,7 +292,7 @@
                                  "backend=" + name + " reason=silent");
         }
     });
-    std::string problem = http::listen_on(callers_, process_.settings().callers_address);
+    std::string problem = net::listen_on(callers_, process_.settings().callers_address);
     if (problem.empty()) {
         accept();
         problem = readiness_.start(
--- a/src/tallyfold/http/connection_shell.cpp
+++ b/src/tallyfold/http/connection_shell.cpp
@@ -1,6 +1,5 @@
 #include "tallyfold/http/connection_shell.hpp"
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -10,13 +9,15 @@
 #include <asio/write.hpp>
 
 #include "tallyfold/net/socket_address.hpp"
+#include "tallyfold/net/tcp_sockets_shell.hpp"
 
 namespace tallyfold::http {
 
 namespace {
 
 constexpr std::size_t read_size = 16U << 10U;
-constexpr int user_timeout_milliseconds = 2'500;
+/// Bytes that the other machine doesn't acknowledge for this long end the connection.
+constexpr duration silence_limit = std::chrono::milliseconds(2'500);
 /// Completion of an operation as a tuple, so that errors are values.
 constexpr auto as_values = asio::experimental::as_tuple(asio::use_awaitable);
 
@@ -45,18 +46,10 @@
         std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-void tune_socket(asio::ip::tcp::socket& socket) {
-    std::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const int milliseconds = user_timeout_milliseconds;
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
-                 sizeof(milliseconds));
-}
-
 connection::connection(asio::ip::tcp::socket socket, message_kind kind, std::size_t largest_head)
     : socket_(std::move(socket)), watchdog_(socket_.get_executor()), parser_(kind, largest_head) {
     if (socket_.is_open()) {
-        tune_socket(socket_);
+        net::tune_socket(socket_, silence_limit);
     }
 }
 
@@ -111,7 +104,7 @@
         close();
         co_return tl::unexpected(failure);
     }
-    tune_socket(socket_);
+    net::tune_socket(socket_, silence_limit);
     co_return tl::expected<void, io_failure>{};
 }
 
--- a/src/tallyfold/http/connection_shell.hpp
+++ b/src/tallyfold/http/connection_shell.hpp
@@ -92,8 +92,4 @@
 
 using connection_pointer = std::shared_ptr<connection>;
 
-/// Sets what every TCP connection of the project wants: no delay, and an end in bounded time
-/// when the other machine has gone silent.
-void tune_socket(asio::ip::tcp::socket& socket);
-
 }  // namespace tallyfold::http
--- a/src/tallyfold/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/http/endpoint_server_shell.cpp
@@ -3,7 +3,7 @@
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 
-#include "tallyfold/net/socket_address.hpp"
+#include "tallyfold/net/tcp_sockets_shell.hpp"
 
 namespace tallyfold::http {
 
@@ -16,21 +16,6 @@
 
 }  // namespace
 
-std::string listen_on(asio::ip::tcp::acceptor& acceptor, const std::string& address) {
-    const auto endpoint = net::parse_endpoint(address);
-    if (!endpoint) {
-        return address + ": not an address";
-    }
-    std::error_code error;
-    acceptor.open(endpoint->protocol(), error);
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(*endpoint, error);
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    return error ? address + ": " + error.message() : std::string{};
-}
-
 std::string render_response(const endpoint_response& response, bool keep_alive) {
     std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " +
                        std::string(reason_of(response.status)) + "\r\n";
@@ -51,7 +36,7 @@
 
 std::string endpoint_server::start(handler on_request) {
     on_request_ = std::move(on_request);
-    std::string problem = listen_on(acceptor_, address_);
+    std::string problem = net::listen_on(acceptor_, address_);
     if (problem.empty()) {
         accept();
     }
--- a/src/tallyfold/http/endpoint_server_shell.hpp
+++ b/src/tallyfold/http/endpoint_server_shell.hpp
@@ -50,7 +50,5 @@
 
 /// Bytes of a whole answer.
 std::string render_response(const endpoint_response& response, bool keep_alive);
-/// Opens, binds and listens. @return an error text, or empty
-std::string listen_on(asio::ip::tcp::acceptor& acceptor, const std::string& address);
 
 }  // namespace tallyfold::http
--- /dev/null
+++ b/src/tallyfold/messaging/link_log.cpp
@@ -0,0 +1,17 @@
+#include "tallyfold/messaging/link_log.hpp"
+
+#include "tallyfold/logging/event_log.hpp"
+
+namespace tallyfold::messaging {
+
+void log_link(const std::string& address, std::string_view role, bool up,
+              const std::string& reason) {
+    const std::string peer = "peer=" + address + " role=" + std::string(role);
+    if (up) {
+        logging::write_event(logging::event_id::peer_connected, peer);
+    } else {
+        logging::write_event(logging::event_id::peer_lost, peer + " reason=\"" + reason + "\"");
+    }
+}
+
+}  // namespace tallyfold::messaging
--- a/src/tallyfold/messaging/peer_link_shell.cpp
+++ b/src/tallyfold/messaging/peer_link_shell.cpp
@@ -1,9 +1,7 @@
 #include "tallyfold/messaging/peer_link_shell.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include "tallyfold/net/socket_address.hpp"
+#include "tallyfold/net/tcp_sockets_shell.hpp"
 
 namespace tallyfold::messaging {
 
@@ -14,21 +12,12 @@
 constexpr auto connect_timeout = std::chrono::milliseconds(250);
 constexpr auto retry_pause = std::chrono::milliseconds(60);
 /// Bytes that another machine doesn't acknowledge for this long end the connection.
-constexpr int user_timeout_milliseconds = 1'200;
+constexpr duration silence_limit = std::chrono::milliseconds(1'200);
+constexpr std::chrono::seconds idle_limit(3);
 
 void tune(asio::ip::tcp::socket& socket) {
-    std::error_code ignored;
-    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const int milliseconds = user_timeout_milliseconds;
-    const int descriptor = socket.native_handle();
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof(milliseconds));
-    // An idle connection whose other end vanished in silence ends as well.
-    const int on = 1;
-    const int idle_seconds = 3;
-    const int probe_seconds = 1;
-    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof(idle_seconds));
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds, sizeof(probe_seconds));
+    net::tune_socket(socket, silence_limit);
+    net::probe_when_idle(socket, idle_limit);
 }
 
 }  // namespace
@@ -145,22 +134,11 @@
 
 std::string peer_server::start(message_handler on_message) {
     on_message_ = std::move(on_message);
-    const auto endpoint = net::parse_endpoint(address_);
-    if (!endpoint) {
-        return address_ + ": not an address";
-    }
-    std::error_code error;
-    acceptor_.open(endpoint->protocol(), error);
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor_.bind(*endpoint, error);
-    if (!error) {
-        acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        return address_ + ": " + error.message();
+    const std::string problem = net::listen_on(acceptor_, address_);
+    if (problem.empty()) {
+        accept();
     }
-    accept();
-    return {};
+    return problem;
 }
 
 void peer_server::accept() {
--- a/src/tallyfold/settings/program_flags.hpp
+++ b/src/tallyfold/settings/program_flags.hpp
@@ -37,12 +37,13 @@
 /// Prints each problem on its own line and gives the exit code.
 int refuse(const std::vector<settings_problem>& problems);
 
-/// The main function of a long-running program.
+/// What every main function does first: parses the flags, reads the settings and, unless they were
+/// only to be checked, goes on with `start`.
 /// @param read turns the settings file into settings or problems
-/// @param run runs the process until a stop is requested, and gives its exit code
-template <class Read, class Run>
-int program_main(int argument_count, char** arguments, const std::string& description, Read read,
-                 Run run) {
+/// @param start gets the flags and the settings, and gives the exit code
+template <class Read, class Start>
+int main_with_settings(int argument_count, char** arguments, const std::string& description,
+                       Read read, Start start) {
     const program_flags flags = parse_flags(argument_count, arguments, description);
     const auto loaded = read(flags.settings_file);
     if (!loaded) {
@@ -52,8 +53,19 @@
         std::cout << flags.settings_file << ": ok\n";
         return static_cast<int>(exit_code::success);
     }
-    logging::open_log(loaded->core.node, flags.log_level);
-    return run(*loaded, stop_requested());
+    return start(flags, *loaded);
+}
+
+/// The main function of a long-running program.
+/// @param run runs the process until a stop is requested, and gives its exit code
+template <class Read, class Run>
+int program_main(int argument_count, char** arguments, const std::string& description, Read read,
+                 Run run) {
+    return main_with_settings(argument_count, arguments, description, read,
+                              [&run](const program_flags& flags, const auto& loaded) {
+                                  logging::open_log(loaded.core.node, flags.log_level);
+                                  return run(loaded, stop_requested());
+                              });
 }
 
 }  // namespace tallyfold::settings
--- a/src/tallyfold/storage/file.cpp
+++ b/src/tallyfold/storage/file.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <filesystem>
 #include <utility>
+#include <vector>
 
 namespace tallyfold::storage {
 
@@ -197,6 +198,17 @@
     return file->sync();
 }
 
+void empty_folder(const std::string& path) {
+    std::error_code ignored;
+    std::vector<std::filesystem::path> entries;
+    for (const auto& entry : std::filesystem::directory_iterator(path, ignored)) {
+        entries.push_back(entry.path());
+    }
+    for (const std::filesystem::path& entry : entries) {
+        std::filesystem::remove_all(entry, ignored);
+    }
+}
+
 tl::expected<void, storage_error> sync_folder(const std::string& path) {
     const int descriptor = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
     if (descriptor < 0) {
--- a/src/tallyfold/storage/file.hpp
+++ b/src/tallyfold/storage/file.hpp
@@ -75,6 +75,9 @@
 /// as it begins, so a lost power may leave neither. For pairs of files that are written in turn.
 tl::expected<void, storage_error> overwrite_file(const std::string& path, std::string_view bytes);
 
+/// Removes everything in the folder, as far as that is possible.
+void empty_folder(const std::string& path);
+
 /// Syncs the folder's own entries (names of files).
 tl::expected<void, storage_error> sync_folder(const std::string& path);
 
--- a/src/tallyfold/turns/turn_client_shell.cpp
+++ b/src/tallyfold/turns/turn_client_shell.cpp
@@ -7,6 +7,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include "tallyfold/logging/event_log.hpp"
+#include "tallyfold/messaging/link_log.hpp"
 
 namespace tallyfold::turns {
 
@@ -44,10 +45,7 @@
         store.link->start(
             [this, id](const messaging::peer_message& message) { on_message(id, message); },
             [this, id, address = member.address](bool up, const std::string& reason) {
-                logging::write_event(
-                    up ? logging::event_id::peer_connected : logging::event_id::peer_lost,
-                    "peer=" + address + " role=store" +
-                        (up ? std::string{} : " reason=\"" + reason + "\""));
+                messaging::log_link(address, "store", up, reason);
                 // What was asked over the lost connection is asked again at once.
                 for (const auto& [number, waiting] : operations_) {
                     waiting->ask_again = waiting->ask_again || up;
@@ -132,14 +130,27 @@
     co_await waiting->timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
 }
 
+bool turn_client::waiting_operation::takes_turn(instant now) {
+    if (!ask_again && now < next_send) {
+        return false;
+    }
+    ask_again = false;
+    next_send = now + resend_interval;
+    return true;
+}
+
+std::shared_ptr<turn_client::waiting_operation> turn_client::enlist(operation_number number) {
+    auto waiting = std::make_shared<waiting_operation>(process_.loop());
+    operations_[number] = waiting;
+    return waiting;
+}
+
 asio::awaitable<begun_turn> turn_client::begin(turn_question question, instant deadline) {
     const operation_number number = next_operation_++;
     begin_operation operation(map_, question.reservation, question.previous, question.budget);
-    auto waiting = std::make_shared<waiting_operation>(process_.loop());
+    const auto waiting = enlist(number);
     waiting->begin = &operation;
-    operations_[number] = waiting;
     const instant started = http::steady_now();
-    instant next_send = started;
     instant next_chain{};
     std::set<store_id> chain_asked;
     while (operation.outcome() == begin_outcome::pending) {
@@ -147,8 +158,7 @@
         if (now >= deadline) {
             break;
         }
-        if (waiting->ask_again || now >= next_send) {
-            waiting->ask_again = false;
+        if (waiting->takes_turn(now)) {
             operation.use_map(map_);
             const store_id source = nearest(operation.map());
             chain_asked = {source};
@@ -161,7 +171,6 @@
                 request.wants_chain = member.id == source;
                 send(member, request, started);
             }
-            next_send = now + resend_interval;
         }
         const std::string missing = operation.missing_turn();
         const bool reserved = operation.reserved() && !missing.empty();
@@ -177,7 +186,7 @@
             }
             next_chain = now + resend_interval;
         }
-        instant until = std::min(deadline, next_send);
+        instant until = std::min(deadline, waiting->next_send);
         if (reserved) {
             until = std::min(until, next_chain);
         }
@@ -211,18 +220,15 @@
 asio::awaitable<bool> turn_client::settle(turn_settlement settlement, instant deadline) {
     const operation_number number = next_operation_++;
     settle_operation operation(map_);
-    auto waiting = std::make_shared<waiting_operation>(process_.loop());
+    const auto waiting = enlist(number);
     waiting->settle = &operation;
-    operations_[number] = waiting;
     const instant started = http::steady_now();
-    instant next_send = started;
     while (!operation.done()) {
         const instant now = http::steady_now();
         if (now >= deadline) {
             break;
         }
-        if (waiting->ask_again || now >= next_send) {
-            waiting->ask_again = false;
+        if (waiting->takes_turn(now)) {
             operation.use_map(map_);
             for (const store_member& member : operation.unanswered()) {
                 settle_request request;
@@ -231,9 +237,8 @@
                 request.settlement = settlement;
                 send(member, request, started);
             }
-            next_send = now + resend_interval;
         }
-        co_await wait(waiting, std::min(deadline, next_send));
+        co_await wait(waiting, std::min(deadline, waiting->next_send));
     }
     operations_.erase(number);
     co_return operation.done();
--- a/src/tallyfold/turns/turn_client_shell.hpp
+++ b/src/tallyfold/turns/turn_client_shell.hpp
@@ -59,12 +59,18 @@
         settle_operation* settle = nullptr;
         /// A newer map is known, or a store has come back.
         bool ask_again = false;
+        /// When stores that haven't answered are asked again.
+        instant next_send{};
+
+        /// True when they are to be asked now; the next time is a while later.
+        bool takes_turn(instant now);
     };
     struct known_store {
         messaging::link_pointer link;
         instant heard{};
     };
 
+    std::shared_ptr<waiting_operation> enlist(operation_number number);
     void on_message(store_id store, const messaging::peer_message& message);
     void on_newer_map(waiting_operation& waiting, const std::vector<store_map>& maps);
     void send(const store_member& member, const messaging::peer_message& message,
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -1,7 +1,6 @@
 #include "tallyfold/turns/turn_store_shell.hpp"
 
 #include <asio/post.hpp>
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,6 +9,7 @@
 #include "tallyfold/directory/directory_client_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
+#include "tallyfold/net/instruments.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
 #include "tallyfold/turns/store_fsm.hpp"
 #include "tallyfold/turns/turn_log.hpp"
@@ -80,26 +80,13 @@
     : process_(settings),
       directory_(process_, {std::chrono::milliseconds(300), true, false}),
       peers_(process_.loop(), settings.store_listener()),
-      changes_(prometheus::BuildCounter()
-                   .Name("tallyfold_store_changes_total")
-                   .Help("Reservations and settlements taken")
-                   .Register(process_.metrics())
-                   .Add({})),
-      syncs_(prometheus::BuildCounter()
-                 .Name("tallyfold_store_syncs_total")
-                 .Help("Synced writes")
-                 .Register(process_.metrics())
-                 .Add({})),
-      failures_(prometheus::BuildCounter()
-                    .Name("tallyfold_store_write_failures_total")
-                    .Help("Writes that the disk refused")
-                    .Register(process_.metrics())
-                    .Add({})),
-      bytes_(prometheus::BuildGauge()
-                 .Name("tallyfold_store_turn_bytes")
-                 .Help("Bytes of the turns that are kept")
-                 .Register(process_.metrics())
-                 .Add({})) {}
+      changes_(net::add_counter(process_.metrics(), "tallyfold_store_changes_total",
+                                "Reservations and settlements taken")),
+      syncs_(net::add_counter(process_.metrics(), "tallyfold_store_syncs_total", "Synced writes")),
+      failures_(net::add_counter(process_.metrics(), "tallyfold_store_write_failures_total",
+                                 "Writes that the disk refused")),
+      bytes_(net::add_gauge(process_.metrics(), "tallyfold_store_turn_bytes",
+                            "Bytes of the turns that are kept")) {}
 
 bool store_node::open_log() {
     const std::string& folder = process_.settings().data_folder;
@@ -114,10 +101,7 @@
         // The other stores hold what this folder lost: start as another store.
         logging::write_event(logging::event_id::identity_renewed,
                              "reason=\"" + opened.error().detail + "\"");
-        std::error_code ignored;
-        for (const auto& entry : std::filesystem::directory_iterator(folder, ignored)) {
-            std::filesystem::remove_all(entry.path(), ignored);
-        }
+        storage::empty_folder(folder);
         recovered = turn_book{};
         opened = turn_log::open(folder, draw_identity(), take);
     }
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -124,14 +124,19 @@
 
     static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
 
-    void a_back_end_that_keeps_calls_without_a_byte_is_suspected() {
-        backend_registry registry("zone", 1);
+    /// Four back ends, of which one has answered many calls after `milliseconds` each.
+    static void answer_calls(backend_registry& registry, int milliseconds) {
         registry.update(engines(4), at(0));
-        for (int count = 0; count < 50; ++count) {
+        for (int count = 0; count < 100; ++count) {
             registry.started("s", "b1", 0, at(0));
-            registry.answering("s", "b1", at(0), at(60));
+            registry.answering("s", "b1", at(0), at(milliseconds));
             registry.finished("s", "b1", at(0));
         }
+    }
+
+    void a_back_end_that_keeps_calls_without_a_byte_is_suspected() {
+        backend_registry registry("zone", 1);
+        answer_calls(registry, 60);
         registry.started("s", "b0", 0, at(100));
         CPPUNIT_ASSERT(registry.suspect_silent(at(700)).empty());
         const std::vector<std::string> suspected = registry.suspect_silent(at(900));
@@ -147,12 +152,7 @@
 
     void slowness_of_all_back_ends_suspects_none() {
         backend_registry registry("zone", 1);
-        registry.update(engines(4), at(0));
-        for (int count = 0; count < 100; ++count) {
-            registry.started("s", "b1", 0, at(0));
-            registry.answering("s", "b1", at(0), at(400));
-            registry.finished("s", "b1", at(0));
-        }
+        answer_calls(registry, 400);
         registry.started("s", "b0", 0, at(0));
         CPPUNIT_ASSERT(registry.suspect_silent(at(1500)).empty());
     }
--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -5,21 +5,16 @@
 import random
 
 from .history import Run
+from .http_text import read_body, read_message_head
 
 TOKENS_PER_EVENT = 9
 
 
 async def read_request(reader):
     """Returns (method, target, headers, body); None at the end of the connection."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    method, target, _ = lines[0].split(" ", 2)
-    headers = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            headers[name.lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    first, headers = await read_message_head(reader)
+    method, target, _ = first.split(" ", 2)
+    body = await read_body(reader, headers)
     return method, target, headers, body
 
 
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -6,6 +6,7 @@
 
 from .backends import TOKENS_PER_EVENT
 from .history import Attempt, ConfigurationChange, ConfigurationRead
+from .http_text import read_body, read_message_head
 
 HOST = "soak.example"
 MOST_TOKENS = 8 * TOKENS_PER_EVENT
@@ -14,14 +15,8 @@
 
 async def read_head(reader):
     """Returns (status, headers) of an answer."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    headers = {}
-    for line in lines[1:]:
-        if ":" in line:
-            name, value = line.split(":", 1)
-            headers[name.lower()] = value.strip()
-    return int(lines[0].split(" ")[1]), headers
+    first, headers = await read_message_head(reader)
+    return int(first.split(" ")[1]), headers
 
 
 async def read_chunks(reader):
@@ -86,7 +81,7 @@
                     event, text = text.split(b"\n\n", 1)
                     attempt.pieces.append(event.split(b"data: ", 1)[1].decode())
             return
-        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        body = await read_body(reader, headers)
         if attempt.status == 200:
             attempt.pieces.append(body.decode())
 
@@ -199,7 +194,7 @@
                         host, port = headers["location"].split("/")[2].split(":")
                         address = (host, int(port))
                         continue
-                    return status, await reader.readexactly(int(headers.get("content-length", 0)))
+                    return status, await read_body(reader, headers)
             except (OSError, asyncio.IncompleteReadError, TimeoutError, KeyError):
                 return 0, b""
             finally:
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -1,11 +1,7 @@
 #include "tallyfold/settings/node_settings.hpp"
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
-
 #include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
 
 namespace tallyfold::tests {
 
@@ -18,25 +14,12 @@
     CPPUNIT_TEST(every_problem_is_named);
     CPPUNIT_TEST_SUITE_END();
 
-  public:
-    void setUp() override {
-        path_ = std::filesystem::temp_directory_path() /
-                ("tallyfold-node-settings-" + std::to_string(getpid()) + ".toml");
-    }
-    void tearDown() override { std::filesystem::remove(path_); }
-
-  private:
-    std::string write(const std::string& text) {
-        std::ofstream(path_, std::ios::trunc) << text;
-        return path_.string();
-    }
-
     static constexpr const char* whole =
         "node = \"n\"\nzone = \"z\"\nip = \"10.0.0.1\"\nseeds = [\"10.0.0.2:80\"]\n"
         "directory_port = 71\nstore_port = 72\n";
 
     void what_is_left_out_has_its_default() {
-        const auto read = read_node_settings(write(whole));
+        const auto read = read_node_settings(file_.write(whole));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT(read->policy_file.empty());
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, read->losses_borne);
@@ -47,7 +30,7 @@
 
     void a_node_behind_a_relay_listens_at_another_address() {
         const auto read =
-            read_node_settings(write(std::string(whole) + "listen_ip = \"10.0.9.1\"\n"));
+            read_node_settings(file_.write(std::string(whole) + "listen_ip = \"10.0.9.1\"\n"));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:71"), read->directory_address());
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.9.1:71"), read->directory_listener());
@@ -56,11 +39,11 @@
 
     void every_problem_is_named() {
         const auto read = read_node_settings(
-            write("node = 7\nseeds = [\"host:80\"]\ngrace_seconds = 0\nspeed = 1\n"));
+            file_.write("node = 7\nseeds = [\"host:80\"]\ngrace_seconds = 0\nspeed = 1\n"));
         CPPUNIT_ASSERT(!read.has_value());
         std::string all;
         for (const settings_problem& problem : read.error()) {
-            CPPUNIT_ASSERT_EQUAL(path_.string(), problem.file);
+            CPPUNIT_ASSERT_EQUAL(file_.text(), problem.file);
             all += problem.key + " ";
         }
         for (const std::string key : {"node", "zone", "ip", "seeds", "grace_seconds", "speed"}) {
@@ -68,7 +51,7 @@
         }
     }
 
-    std::filesystem::path path_;
+    const temporary_path file_{"node-settings"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_settings_test);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,11 +1,9 @@
-#include <unistd.h>
-
-#include <filesystem>
 #include <fstream>
 #include <iterator>
 
 #include "tallyfold/settings/process_settings.hpp"
 #include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
 
 namespace tallyfold::tests {
 
@@ -19,37 +17,24 @@
     CPPUNIT_TEST(every_key_is_documented);
     CPPUNIT_TEST_SUITE_END();
 
-  public:
-    void setUp() override {
-        path_ = std::filesystem::temp_directory_path() /
-                ("tallyfold-settings-" + std::to_string(getpid()) + ".toml");
-    }
-    void tearDown() override { std::filesystem::remove(path_); }
-
-  private:
-    std::string write(const std::string& text) {
-        std::ofstream(path_, std::ios::trunc) << text;
-        return path_.string();
-    }
-
     static constexpr const char* whole =
         "node = \"gateway-1\"\nhttp_listen = \"127.0.0.1:8080\"\nkey_file = \"k\"\n"
         "[control]\ncontrol-1 = \"127.0.0.1:7100\"\n";
 
     void a_whole_file_is_read() {
-        const auto read = read_gateway(write(whole));
+        const auto read = read_gateway(file_.write(whole));
         CPPUNIT_ASSERT(read.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("gateway-1"), read->core.node);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read->control.size());
     }
 
     void every_problem_is_named_with_file_and_key() {
-        const auto read = read_gateway(
-            write("node = 7\nhttp_listen = \"localhost:80\"\nrequest_limit = 0\nspeed = 1\n"));
+        const auto read = read_gateway(file_.write(
+            "node = 7\nhttp_listen = \"localhost:80\"\nrequest_limit = 0\nspeed = 1\n"));
         CPPUNIT_ASSERT(!read.has_value());
         std::string all;
         for (const settings_problem& problem : read.error()) {
-            CPPUNIT_ASSERT_EQUAL(path_.string(), problem.file);
+            CPPUNIT_ASSERT_EQUAL(file_.text(), problem.file);
             CPPUNIT_ASSERT(!problem.reason.empty());
             all += problem.key + " ";
         }
@@ -62,7 +47,7 @@
     void any_bytes_are_read_or_refused() {
         check_property("no file crashes a reader", [this] {
             const std::string text = *any_bytes() + "\nnode = \"x\"\n" + *any_bytes();
-            const auto read = read_scheduler(write(text));
+            const auto read = read_scheduler(file_.write(text));
             RC_ASSERT(!read.has_value());
             RC_ASSERT(!read.error().empty());
         });
@@ -79,7 +64,7 @@
         }
     }
 
-    std::filesystem::path path_;
+    const temporary_path file_{"settings"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(settings_test);
--- a/tests/storage/log_store_test.cpp
+++ b/tests/storage/log_store_test.cpp
@@ -6,6 +6,7 @@
 
 #include "tallyfold/storage/record_format.hpp"
 #include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
 
 namespace tallyfold::tests {
 
@@ -23,14 +24,6 @@
     CPPUNIT_TEST(any_bytes_are_cut_or_refused);
     CPPUNIT_TEST_SUITE_END();
 
-  public:
-    void setUp() override {
-        folder_ = fs::temp_directory_path() / ("tallyfold-store-" + std::to_string(getpid()));
-        fs::remove_all(folder_);
-    }
-    void tearDown() override { fs::remove_all(folder_); }
-
-  private:
     static std::vector<consensus::group_write> entries(consensus::log_index from,
                                                        consensus::log_index to) {
         consensus::group_write write;
@@ -44,14 +37,14 @@
     }
 
     log_store open(std::uint64_t segment_bytes = log_store::default_segment_bytes) {
-        auto opened = log_store::open(folder_.string(), 77, segment_bytes);
+        auto opened = log_store::open(folder_.text(), 77, segment_bytes);
         CPPUNIT_ASSERT_MESSAGE(opened ? "" : opened.error().detail, opened.has_value());
         return std::move(*opened);
     }
 
     fs::path newest_segment() const {
         fs::path newest;
-        for (const auto& file : fs::directory_iterator(folder_)) {
+        for (const auto& file : fs::directory_iterator(folder_.path())) {
             const std::string name = file.path().filename().string();
             if (name.starts_with("segment-") && (newest.empty() || file.path() > newest)) {
                 newest = file.path();
@@ -108,7 +101,7 @@
         file.seekp(offset);
         file.put(flipped);
         file.close();
-        const auto opened = log_store::open(folder_.string(), 78);
+        const auto opened = log_store::open(folder_.text(), 78);
         CPPUNIT_ASSERT(!opened.has_value());
         CPPUNIT_ASSERT(opened.error().failure == storage_failure::damaged);
         CPPUNIT_ASSERT(opened.error().detail.find("segment-") != std::string::npos);
@@ -116,8 +109,8 @@
 
     void an_emptied_folder_is_another_replica() {
         { (void)open(); }
-        fs::remove_all(folder_);
-        const auto opened = log_store::open(folder_.string(), 99);
+        fs::remove_all(folder_.path());
+        const auto opened = log_store::open(folder_.text(), 99);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{99}, opened->recovered().identity);
         CPPUNIT_ASSERT(opened->recovered().groups.empty());
     }
@@ -131,7 +124,7 @@
         std::set<fs::path> segments;
         for (consensus::log_index index = 1; index <= writes; ++index) {
             CPPUNIT_ASSERT(store.write(entries(index, index)).has_value());
-            for (const auto& file : fs::directory_iterator(folder_)) {
+            for (const auto& file : fs::directory_iterator(folder_.path())) {
                 segments.insert(file.path());
             }
         }
@@ -172,7 +165,7 @@
         });
     }
 
-    fs::path folder_;
+    const temporary_path folder_{"store"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(log_store_test);
--- a/tests/storage/record_reader_test.cpp
+++ b/tests/storage/record_reader_test.cpp
@@ -1,15 +1,10 @@
 #include "tallyfold/storage/record_reader.hpp"
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
-
 #include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
 
 namespace tallyfold::tests {
 
-namespace fs = std::filesystem;
 using namespace storage;
 
 class record_reader_test : public CppUnit::TestFixture {
@@ -19,13 +14,6 @@
     CPPUNIT_TEST(any_file_is_read_as_when_it_is_scanned_at_once);
     CPPUNIT_TEST_SUITE_END();
 
-  public:
-    void setUp() override {
-        path_ = fs::temp_directory_path() / ("tallyfold-records-" + std::to_string(getpid()));
-    }
-    void tearDown() override { fs::remove(path_); }
-
-  private:
     struct outcome {
         std::vector<std::string> payloads;
         std::uint64_t valid_length = 0;
@@ -35,7 +23,7 @@
     };
 
     outcome read(tail_policy policy) const {
-        auto reader = record_reader::open(path_.string(), policy);
+        auto reader = record_reader::open(file_.text(), policy);
         CPPUNIT_ASSERT(reader.has_value());
         outcome result;
         while (true) {
@@ -64,24 +52,20 @@
         return result;
     }
 
-    void write(const std::string& bytes) const {
-        std::ofstream(path_, std::ios::binary | std::ios::trunc) << bytes;
-    }
-
     void records_larger_than_a_block_are_read() {
         const std::string large(300'000, 'x');
         std::string bytes;
         append_record(bytes, "small");
         append_record(bytes, large);
         append_record(bytes, "last");
-        write(bytes);
+        file_.write(bytes);
         const outcome result = read(tail_policy::refuse);
         CPPUNIT_ASSERT(result.payloads == std::vector<std::string>({"small", large, "last"}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{bytes.size()}, result.valid_length);
     }
 
     void a_missing_file_is_an_error() {
-        CPPUNIT_ASSERT(!record_reader::open(path_.string(), tail_policy::refuse).has_value());
+        CPPUNIT_ASSERT(!record_reader::open(file_.text(), tail_policy::refuse).has_value());
     }
 
     void any_file_is_read_as_when_it_is_scanned_at_once() {
@@ -98,14 +82,14 @@
             if (flips && !bytes.empty()) {
                 bytes[flip % bytes.size()] ^= 0x10;
             }
-            write(bytes);
+            file_.write(bytes);
             for (const tail_policy policy : {tail_policy::refuse, tail_policy::cut_unsynced}) {
                 RC_ASSERT(read(policy) == scan(bytes, policy));
             }
         });
     }
 
-    fs::path path_;
+    const temporary_path file_{"records"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(record_reader_test);
--- a/tests/turns/turn_log_test.cpp
+++ b/tests/turns/turn_log_test.cpp
@@ -1,10 +1,9 @@
 #include "tallyfold/turns/turn_log.hpp"
 
-#include <unistd.h>
-
 #include <filesystem>
 
 #include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
 
 namespace tallyfold::tests {
 
@@ -17,14 +16,6 @@
     CPPUNIT_TEST(a_new_segment_holds_what_the_book_holds);
     CPPUNIT_TEST_SUITE_END();
 
-  public:
-    void setUp() override {
-        folder_ = fs::temp_directory_path() / ("tallyfold-turns-" + std::to_string(getpid()));
-        fs::remove_all(folder_);
-    }
-    void tearDown() override { fs::remove_all(folder_); }
-
-  private:
     static turn_settlement turn(const std::string& request, std::size_t bytes) {
         return {"program", request, 9, 60'000,
                 turn_record{request, "", std::string(bytes, 'i'), std::string(bytes, 'o')}};
@@ -32,14 +23,14 @@
 
     turn_log open(turn_book& book) const {
         auto opened = turn_log::open(
-            folder_.string(), 7, [&book](const book_change& change) { book.apply(change, {}); });
+            folder_.text(), 7, [&book](const book_change& change) { book.apply(change, {}); });
         CPPUNIT_ASSERT(opened.has_value());
         return std::move(*opened);
     }
 
     std::uint64_t bytes_on_disk() const {
         std::uint64_t bytes = 0;
-        for (const auto& entry : fs::directory_iterator(folder_)) {
+        for (const auto& entry : fs::directory_iterator(folder_.path())) {
             bytes += entry.file_size();
         }
         return bytes;
@@ -89,7 +80,7 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, log.cut_bytes());
     }
 
-    fs::path folder_;
+    const temporary_path folder_{"turns"};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(turn_log_test);
