--- a/src/tallyfold/storage/log_store.cpp
+++ b/src/tallyfold/storage/log_store.cpp
@@ -104,7 +104,7 @@
 }
 
 tl::expected<void, storage_error> log_store::load_segment() {
-    const auto loaded =
+    auto loaded =
         log_.open(tail_, [this](std::string_view payload) { return apply_payload(payload); });
     if (!loaded) {
         return loaded;
