Placement books and believes only what an engine holds

Cause: three faults made a program leave the engine that holds its history. (1) A call was booked as pending prefill with its whole prompt, also the part that the engine holds. (2) A call that ended before its first byte was never taken off the books: every failed try weighed its engine down by a whole prompt for ever. (3) A session's own part keeps its identity while it grows, so the cache map took new input for held, and an engine that a program had left for as good as its present one; programs went back and forth. Ruled out: slots (no engine ran out of them), the stores (2 to 4 ms). Change: started() returns the call it booked, with the tokens that the engine lacks; finished() clears it however it ended; the cache map keeps tokens for each engine; what was generated counts as held. Tests: backend_registry_test, four new ones seen to fail first; the registry's other tests moved there unchanged but for the new signature.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -116,38 +116,46 @@
     return chosen_backend{best->member.name, best->member.address, 0};
 }
 
-void backend_registry::started(const std::string& service, const backend_name& name,
-                               token_count prompt_tokens, instant now) {
-    pools_[service].started(name, prompt_tokens);
-    waiting_[service].since[name].insert(now);
+backend_call backend_registry::started(const std::string& service, const chosen_backend& chosen,
+                                       token_count prompt_tokens, instant now) {
+    const token_count held = std::min(chosen.cached_tokens, prompt_tokens);
+    const token_count unread = prompt_tokens - held;
+    pools_[service].started(chosen.name, unread);
+    waiting_[service].since[chosen.name].insert(now);
+    return {service, chosen.name, now, unread, true};
 }
 
-void backend_registry::answering(const std::string& service, const backend_name& name,
-                                 instant since, instant now) {
-    waiting_calls& calls = waiting_[service];
-    const duration took = now - since;
-    calls.usual += (took - calls.usual) / usual_samples;
-    const auto found = calls.since.find(name);
-    if (found != calls.since.end()) {
-        if (const auto call = found->second.find(since); call != found->second.end()) {
-            found->second.erase(call);
-        }
-    }
-}
-
-void backend_registry::finished(const std::string& service, const backend_name& name,
-                                instant since) {
-    pools_[service].finished(name);
-    const auto found = waiting_[service].since.find(name);
-    if (found == waiting_[service].since.end()) {
+void backend_registry::stop_waiting(const backend_call& call) {
+    auto& since = waiting_[call.service].since;
+    const auto found = since.find(call.backend);
+    if (found == since.end()) {
         return;
     }
-    if (const auto call = found->second.find(since); call != found->second.end()) {
-        found->second.erase(call);
+    if (const auto started = found->second.find(call.since); started != found->second.end()) {
+        found->second.erase(started);
     }
     if (found->second.empty()) {
-        waiting_[service].since.erase(found);
+        since.erase(found);
+    }
+}
+
+void backend_registry::answering(backend_call& call, instant now) {
+    waiting_calls& calls = waiting_[call.service];
+    const duration took = now - call.since;
+    calls.usual += (took - calls.usual) / usual_samples;
+    stop_waiting(call);
+    pools_[call.service].prefilled(call.backend, call.unread_tokens);
+    call.awaits_first_byte = false;
+}
+
+void backend_registry::finished(backend_call& call) {
+    backend_pool& pool = pools_[call.service];
+    if (call.awaits_first_byte) {
+        stop_waiting(call);
+        pool.prefilled(call.backend, call.unread_tokens);
+        call.awaits_first_byte = false;
     }
+    pool.finished(call.backend);
 }
 
 std::vector<backend_name> backend_registry::suspect_silent(instant now) {
@@ -185,10 +193,8 @@
     cache_.forget(name);
 }
 
-void backend_registry::read_prompt(const backend_name& name,
-                                   const std::vector<scheduling::prefix_point>& prompt,
-                                   token_count pending_tokens, const std::string& service) {
-    pools_[service].prefilled(name, pending_tokens);
+void backend_registry::holds(const backend_name& name,
+                             const std::vector<scheduling::prefix_point>& prompt) {
     for (const scheduling::prefix_point& point : prompt) {
         cache_.stored(name, point);
     }
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -36,6 +36,16 @@
     token_count cached_tokens = 0;
 };
 
+/// One call under way at a back end, from started() to finished().
+struct backend_call {
+    std::string service;
+    backend_name backend;
+    instant since{};
+    /// Prompt tokens that the engine still has to read for it.
+    token_count unread_tokens = 0;
+    bool awaits_first_byte = true;
+};
+
 class backend_registry {
   public:
     backend_registry(std::string zone, std::uint64_t seed);
@@ -45,13 +55,14 @@
     /// Nothing when no back end of the service can be given the request.
     std::optional<chosen_backend> choose(const backend_question& question, instant now);
 
-    void started(const std::string& service, const backend_name& name, token_count prompt_tokens,
-                 instant now);
-    /// The first byte of the answer to a call that began at `since` is here.
-    void answering(const std::string& service, const backend_name& name, instant since,
-                   instant now);
-    /// A call that began at `since` has ended, however.
-    void finished(const std::string& service, const backend_name& name, instant since);
+    /// Books a call where it was placed: the part of its prompt that the back end doesn't hold has
+    /// to be read there.
+    backend_call started(const std::string& service, const chosen_backend& chosen,
+                         token_count prompt_tokens, instant now);
+    /// The first byte of the call's answer is here.
+    void answering(backend_call& call, instant now);
+    /// The call has ended, however.
+    void finished(backend_call& call);
     /// Leaves out back ends that keep a call without a byte for much longer than is usual.
     /// @return those that are newly suspected
     std::vector<backend_name> suspect_silent(instant now);
@@ -60,9 +71,8 @@
     void unreachable(const std::string& service, const backend_name& name, instant now);
     /// The back end's incarnation is gone, whatever the list says.
     void gone(const std::string& service, const backend_name& name);
-    /// The engine has read a prompt: it holds its parts now.
-    void read_prompt(const backend_name& name, const std::vector<scheduling::prefix_point>& prompt,
-                     token_count pending_tokens, const std::string& service);
+    /// The engine holds the parts of a prompt now: it has read them, or made them.
+    void holds(const backend_name& name, const std::vector<scheduling::prefix_point>& prompt);
 
     [[nodiscard]] instant listed_at() const { return listed_at_; }
     [[nodiscard]] bool has_list() const { return has_list_; }
@@ -75,6 +85,8 @@
         duration usual{};
     };
 
+    /// Nothing waits for a first byte of the call any more.
+    void stop_waiting(const backend_call& call);
     std::optional<chosen_backend> choose_engine(const backend_question& question,
                                                 const scheduling::backend_pool& pool, instant now);
     std::optional<chosen_backend> choose_service(const backend_question& question,
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -153,6 +153,16 @@
     return events_.events() * std::max(1U, per_event);
 }
 
+void request_relay::note_held(const backend_name& engine) {
+    if (!service_->is_engine || facts_.prompt.empty()) {
+        return;
+    }
+    // What has been generated so far is held after the prompt's last part.
+    std::vector<scheduling::prefix_point> held = facts_.prompt;
+    held.back().tokens += generated_tokens();
+    context_.backends.holds(engine, held);
+}
+
 asio::awaitable<bool> request_relay::begin_turn() {
     if (!context_.turns.knows_stores()) {
         outcome_ = "refused";
@@ -215,11 +225,10 @@
         backend_name_ = backend->name;
         cached_tokens_ = backend->cached_tokens;
         question.tried.insert(backend->name);
-        attempt_started_ = http::steady_now();
-        context_.backends.started(question.service, backend->name, facts_.prompt_tokens,
-                                  attempt_started_);
+        call_ = context_.backends.started(question.service, *backend, facts_.prompt_tokens,
+                                          http::steady_now());
         last = co_await send_to(*backend);
-        context_.backends.finished(question.service, backend->name, attempt_started_);
+        context_.backends.finished(call_);
         backend_.reset();
         if (last.end == attempt_end::answered) {
             co_return;
@@ -342,13 +351,10 @@
         co_return result;
     }
     const instant now = http::steady_now();
-    context_.backends.answering(service_->name, backend.name, attempt_started_, now);
+    context_.backends.answering(call_, now);
     first_byte_ = now - request_.received;
     context_.metrics.first_byte(first_byte_);
-    if (service_->is_engine) {
-        context_.backends.read_prompt(backend.name, facts_.prompt, facts_.prompt_tokens,
-                                      service_->name);
-    }
+    note_held(backend.name);
     status_ = status;
     result = co_await relay_answer(opened, facts, until);
     if (result.end == attempt_end::answered) {
@@ -356,6 +362,7 @@
             context_.backends.failed(service_->name, backend.name, http::steady_now());
         } else {
             context_.backends.succeeded(service_->name, backend.name);
+            note_held(backend.name);
         }
         if (opened->head().keep_alive && opened->message_complete()) {
             context_.connections.put(backend.address, opened, facts.idle_limit, http::steady_now());
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -71,6 +71,8 @@
     void log_finish();
     [[nodiscard]] bool is_turn() const;
     [[nodiscard]] token_count generated_tokens() const;
+    /// Remembers what the engine holds of the request now.
+    void note_held(const backend_name& engine);
 
     forwarder_context& context_;
     http::connection_pointer caller_;
@@ -81,7 +83,8 @@
     const routing::route* route_ = nullptr;
     const routing::service* service_ = nullptr;
     instant deadline_{};
-    instant attempt_started_{};
+    /// The attempt under way.
+    backend_call call_;
     std::optional<attempt_policy> policy_;
     /// Level at which engines rank the request.
     std::int32_t urgency_ = 0;
--- a/src/tallyfold/scheduling/cache_map.cpp
+++ b/src/tallyfold/scheduling/cache_map.cpp
@@ -31,9 +31,12 @@
         by_age_.splice(by_age_.begin(), by_age_, known.age);
     }
     known.age = by_age_.begin();
-    known.tokens = point.tokens;
-    if (std::find(known.engines.begin(), known.engines.end(), number) == known.engines.end()) {
-        known.engines.push_back(number);
+    const auto holder = std::find_if(known.holders.begin(), known.holders.end(),
+                                     [&](const auto& other) { return other.engine == number; });
+    if (holder == known.holders.end()) {
+        known.holders.push_back({number, point.tokens});
+    } else {
+        holder->tokens = point.tokens;
     }
     if (entries_.size() > capacity_) {
         drop_oldest();
@@ -50,8 +53,10 @@
     if (found == entries_.end()) {
         return;
     }
-    std::erase(found->second.engines, number_of(engine));
-    if (found->second.engines.empty()) {
+    const std::uint32_t number = number_of(engine);
+    std::erase_if(found->second.holders,
+                  [number](const auto& holder) { return holder.engine == number; });
+    if (found->second.holders.empty()) {
         by_age_.erase(found->second.age);
         entries_.erase(found);
     }
@@ -60,8 +65,9 @@
 void cache_map::forget(const backend_name& engine) {
     const std::uint32_t number = number_of(engine);
     for (auto position = entries_.begin(); position != entries_.end();) {
-        std::erase(position->second.engines, number);
-        if (position->second.engines.empty()) {
+        std::erase_if(position->second.holders,
+                      [number](const auto& holder) { return holder.engine == number; });
+        if (position->second.holders.empty()) {
             by_age_.erase(position->second.age);
             position = entries_.erase(position);
         } else {
@@ -77,14 +83,18 @@
         if (found == entries_.end()) {
             continue;
         }
-        for (const std::uint32_t number : found->second.engines) {
+        const auto first_of_point = static_cast<std::ptrdiff_t>(matches.size());
+        for (const auto& [number, tokens] : found->second.holders) {
             const backend_name& name = names_[number];
             const bool known = std::any_of(matches.begin(), matches.end(),
                                            [&](const auto& match) { return match.engine == name; });
             if (!known) {
-                matches.push_back({name, point->tokens});
+                matches.push_back({name, std::min(tokens, point->tokens)});
             }
         }
+        std::stable_sort(
+            matches.begin() + first_of_point, matches.end(),
+            [](const auto& left, const auto& right) { return left.tokens > right.tokens; });
         if (matches.size() >= matches_limit) {
             break;
         }
--- a/src/tallyfold/scheduling/cache_map.hpp
+++ b/src/tallyfold/scheduling/cache_map.hpp
@@ -38,12 +38,16 @@
     /// Points remembered at most; the least recently touched go first.
     explicit cache_map(std::size_t capacity = 200'000) : capacity_(capacity) {}
 
+    /// The engine holds the conversation up to the point. A point may grow under its hash, as the
+    /// own part of a session does from turn to turn: what is kept then is as long as the latest
+    /// that this engine was seen to hold.
     void stored(const backend_name& engine, const prefix_point& point);
     void removed(const backend_name& engine, prefix_hash hash);
     /// Forgets all that is believed of an engine: its events had a gap, or it restarted.
     void forget(const backend_name& engine);
 
-    /// Engines believed to hold the longest beginnings of the conversation, longest first.
+    /// Engines believed to hold the longest beginnings of the conversation, longest point first,
+    /// and within a point those that hold most of it.
     /// @param points the conversation's points, shortest first
     [[nodiscard]] std::vector<cached_prefix> find(const std::vector<prefix_point>& points) const;
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
@@ -51,9 +55,12 @@
   private:
     /// Distinct engines that a lookup returns at most.
     static constexpr std::size_t matches_limit = 4;
-    struct entry {
+    struct holder {
+        std::uint32_t engine = 0;
         token_count tokens = 0;
-        std::vector<std::uint32_t> engines;
+    };
+    struct entry {
+        std::vector<holder> holders;
         std::list<prefix_hash>::iterator age;
     };
     std::uint32_t number_of(const backend_name& engine);
--- /dev/null
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -0,0 +1,198 @@
+#include "tallyfold/forwarding/backend_registry.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace forwarding;
+
+class backend_registry_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(backend_registry_test);
+    CPPUNIT_TEST(a_leaving_back_end_is_not_chosen);
+    CPPUNIT_TEST(calls_of_a_program_go_to_one_engine);
+    CPPUNIT_TEST(an_unreachable_back_end_is_left_out_at_once);
+    CPPUNIT_TEST(a_back_end_that_keeps_calls_without_a_byte_is_suspected);
+    CPPUNIT_TEST(slowness_of_all_back_ends_suspects_none);
+    CPPUNIT_TEST(a_turn_waiting_at_its_engine_books_only_what_the_engine_lacks);
+    CPPUNIT_TEST(a_call_that_ends_without_a_byte_leaves_nothing_booked);
+    CPPUNIT_TEST(an_engine_left_behind_counts_as_holding_only_what_it_read);
+    CPPUNIT_TEST(new_input_isnt_taken_for_held);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::vector<listing::listed_backend> engines(std::size_t count) {
+        std::vector<listing::listed_backend> listed(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            listed[index].service = "s";
+            listed[index].member.name = "b" + std::to_string(index);
+            listed[index].member.address = "10.0.0.1:" + std::to_string(8000 + index);
+            listed[index].member.slots = 8;
+            listed[index].member.listed_only = true;
+        }
+        return listed;
+    }
+
+    void a_leaving_back_end_is_not_chosen() {
+        backend_registry registry("zone", 1);
+        std::vector<listing::listed_backend> listed = engines(2);
+        listed[0].member.leaving = true;
+        registry.update(listed, instant{});
+        backend_question question;
+        question.service = "s";
+        for (int count = 0; count < 50; ++count) {
+            CPPUNIT_ASSERT_EQUAL(std::string("b1"), registry.choose(question, instant{})->name);
+        }
+        listed[1].member.leaving = true;
+        registry.update(listed, instant{});
+        CPPUNIT_ASSERT(!registry.choose(question, instant{}).has_value());
+    }
+
+    void calls_of_a_program_go_to_one_engine() {
+        // Two nodes that know nothing of each other choose the same.
+        backend_registry one("zone-a", 1);
+        backend_registry other("zone-b", 2);
+        one.update(engines(8), instant{});
+        other.update(engines(8), instant{});
+        std::set<std::string> used;
+        for (int number = 0; number < 40; ++number) {
+            const std::vector<scheduling::prefix_point> prompt{{1, 512},
+                                                               {100 + std::uint64_t(number), 900}};
+            backend_question question;
+            question.service = "s";
+            question.is_engine = true;
+            question.program = "program-" + std::to_string(number);
+            question.prompt = &prompt;
+            question.prompt_tokens = 900;
+            const auto first = one.choose(question, instant{});
+            const auto second_choice = other.choose(question, instant{});
+            CPPUNIT_ASSERT(first.has_value() && second_choice.has_value());
+            CPPUNIT_ASSERT_EQUAL(first->name, second_choice->name);
+            used.insert(first->name);
+        }
+        CPPUNIT_ASSERT(used.size() >= 6);
+    }
+
+    void an_unreachable_back_end_is_left_out_at_once() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(3), instant{});
+        registry.unreachable("s", "b0", instant{});
+        backend_question question;
+        question.service = "s";
+        for (int count = 0; count < 50; ++count) {
+            CPPUNIT_ASSERT(registry.choose(question, instant{})->name != "b0");
+        }
+    }
+
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
+
+    /// Four back ends, of which one has answered many calls after `milliseconds` each.
+    static void answer_calls(backend_registry& registry, int milliseconds) {
+        registry.update(engines(4), at(0));
+        for (int count = 0; count < 100; ++count) {
+            backend_call call = registry.started("s", {"b1", {}, 0}, 0, at(0));
+            registry.answering(call, at(milliseconds));
+            registry.finished(call);
+        }
+    }
+
+    void a_back_end_that_keeps_calls_without_a_byte_is_suspected() {
+        backend_registry registry("zone", 1);
+        answer_calls(registry, 60);
+        backend_call call = registry.started("s", {"b0", {}, 0}, 0, at(100));
+        CPPUNIT_ASSERT(registry.suspect_silent(at(700)).empty());
+        const std::vector<std::string> suspected = registry.suspect_silent(at(900));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, suspected.size());
+        backend_question question;
+        question.service = "s";
+        for (int count = 0; count < 50; ++count) {
+            CPPUNIT_ASSERT(registry.choose(question, at(900))->name != "b0");
+        }
+        registry.finished(call);
+        CPPUNIT_ASSERT(registry.suspect_silent(at(5000)).empty());
+    }
+
+    void slowness_of_all_back_ends_suspects_none() {
+        backend_registry registry("zone", 1);
+        answer_calls(registry, 400);
+        registry.started("s", {"b0", {}, 0}, 0, at(0));
+        CPPUNIT_ASSERT(registry.suspect_silent(at(1500)).empty());
+    }
+
+    static constexpr token_count shared_tokens = 12'000;
+
+    /// Question of a program's turn whose own part of the prompt has `own` tokens.
+    static backend_question turn_question(const std::vector<scheduling::prefix_point>& prompt) {
+        backend_question question;
+        question.service = "s";
+        question.is_engine = true;
+        question.program = "program";
+        question.prompt = &prompt;
+        question.prompt_tokens = prompt.back().tokens;
+        return question;
+    }
+
+    static std::vector<scheduling::prefix_point> prompt_with(token_count own) {
+        return {{1, shared_tokens}, {2, shared_tokens + own}};
+    }
+
+    /// Runs one turn to its end wherever it is placed.
+    static chosen_backend run_turn(backend_registry& registry, token_count own) {
+        const auto prompt = prompt_with(own);
+        const auto chosen = registry.choose(turn_question(prompt), at(0));
+        CPPUNIT_ASSERT(chosen.has_value());
+        backend_call call = registry.started("s", *chosen, prompt.back().tokens, at(0));
+        registry.answering(call, at(50));
+        registry.holds(chosen->name, prompt);
+        registry.finished(call);
+        return *chosen;
+    }
+
+    void a_turn_waiting_at_its_engine_books_only_what_the_engine_lacks() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), at(0));
+        const std::string home = run_turn(registry, 1000).name;
+        // Further turns of the program, held there but for some hundred tokens, wait there.
+        for (const token_count own : {1200, 1300, 1400}) {
+            const auto prompt = prompt_with(own);
+            const auto chosen = registry.choose(turn_question(prompt), at(100));
+            CPPUNIT_ASSERT_EQUAL(home, chosen->name);
+            registry.started("s", *chosen, prompt.back().tokens, at(100));
+        }
+    }
+
+    void a_call_that_ends_without_a_byte_leaves_nothing_booked() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), at(0));
+        const std::string home = run_turn(registry, 1000).name;
+        for (int failures = 0; failures < 3; ++failures) {
+            backend_call call = registry.started("s", {home, {}, 0}, 40'000, at(100));
+            registry.finished(call);
+        }
+        const auto prompt = prompt_with(1300);
+        CPPUNIT_ASSERT_EQUAL(home, registry.choose(turn_question(prompt), at(200))->name);
+    }
+
+    void an_engine_left_behind_counts_as_holding_only_what_it_read() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(2), at(0));
+        const std::string before = run_turn(registry, 1000).name;
+        const std::string after = before == "b0" ? "b1" : "b0";
+        registry.holds(after, prompt_with(9000));
+        const auto prompt = prompt_with(9500);
+        const auto chosen = registry.choose(turn_question(prompt), at(100));
+        CPPUNIT_ASSERT_EQUAL(after, chosen->name);
+        CPPUNIT_ASSERT_EQUAL(shared_tokens + 9000, chosen->cached_tokens);
+    }
+
+    void new_input_isnt_taken_for_held() {
+        backend_registry registry("zone", 1);
+        registry.update(engines(2), at(0));
+        run_turn(registry, 1000);
+        const auto prompt = prompt_with(3000);
+        CPPUNIT_ASSERT_EQUAL(shared_tokens + 1000,
+                             registry.choose(turn_question(prompt), at(100))->cached_tokens);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_registry_test);
+
+}  // namespace tallyfold::tests
