Stores tell a begun turn which engine holds its prompt

Ruled out: spills by load at the same forwarder (391 turns, 0.8 M tokens). Change: a settlement tells the stores what its engine holds now (parts of the prompt, with what was generated), and the one store that a begin asks for the texts also tells up to two holders of the prompt. A hint in memory, bounded to 20,000 parts, no further message. A sub-agent's prompt opens with its parent's and finds the parent's engine the same way. Tests: store_fsm_test (new interface, so not seen failing first).

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -195,6 +195,9 @@
 
 void backend_registry::holds(const backend_name& name,
                              const std::vector<scheduling::prefix_point>& prompt) {
+    if (prompt.empty()) {
+        return;
+    }
     for (const scheduling::prefix_point& point : prompt) {
         cache_.stored(name, point);
     }
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -153,14 +153,20 @@
     return events_.events() * std::max(1U, per_event);
 }
 
-void request_relay::note_held(const backend_name& engine) {
-    if (!service_->is_engine || facts_.prompt.empty()) {
-        return;
-    }
-    // What has been generated so far is held after the prompt's last part.
-    std::vector<scheduling::prefix_point> held = facts_.prompt;
-    held.back().tokens += generated_tokens();
-    context_.backends.holds(engine, held);
+turns::held_prompt request_relay::held_now() const {
+    turns::held_prompt held;
+    if (service_->is_engine && !facts_.prompt.empty()) {
+        held.engine = backend_name_;
+        held.points = facts_.prompt;
+        // What has been generated so far is held after the prompt's last part.
+        held.points.back().tokens += generated_tokens();
+    }
+    return held;
+}
+
+void request_relay::note_held() {
+    const turns::held_prompt held = held_now();
+    context_.backends.holds(held.engine, held.points);
 }
 
 asio::awaitable<bool> request_relay::begin_turn() {
@@ -354,7 +360,7 @@
     context_.backends.answering(call_, now);
     first_byte_ = now - request_.received;
     context_.metrics.first_byte(first_byte_);
-    note_held(backend.name);
+    note_held();
     status_ = status;
     result = co_await relay_answer(opened, facts, until);
     if (result.end == attempt_end::answered) {
@@ -362,7 +368,7 @@
             context_.backends.failed(service_->name, backend.name, http::steady_now());
         } else {
             context_.backends.succeeded(service_->name, backend.name);
-            note_held(backend.name);
+            note_held();
         }
         if (opened->head().keep_alive && opened->message_complete()) {
             context_.connections.put(backend.address, opened, facts.idle_limit, http::steady_now());
@@ -491,8 +497,9 @@
             outgoing += counted ? *piece : chunk_of(*piece);
         }
         if (complete && success && turn_ && turn_->open()) {
-            const bool settled =
-                co_await turn_->settle(generated_tokens(), request_.body, events_.data());
+            turns::held_prompt held = held_now();
+            const bool settled = co_await turn_->settle(generated_tokens(), request_.body,
+                                                        events_.data(), std::move(held));
             if (!settled) {
                 result.reason = "unsettled";
                 co_return result;
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -71,8 +71,9 @@
     void log_finish();
     [[nodiscard]] bool is_turn() const;
     [[nodiscard]] token_count generated_tokens() const;
-    /// Remembers what the engine holds of the request now.
-    void note_held(const backend_name& engine);
+    /// What the engine of the attempt under way holds of the request now.
+    [[nodiscard]] turns::held_prompt held_now() const;
+    void note_held();
 
     forwarder_context& context_;
     http::connection_pointer caller_;
--- a/src/tallyfold/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -38,6 +38,7 @@
     question.reservation.retention_ms = retention_ms();
     question.previous = route_.keeps_history ? facts_.previous_turn : std::string{};
     question.budget = facts_.budget;
+    question.prompt = facts_.prompt;
     const instant limit = std::min(deadline, started + begin_limit);
     const turns::begun_turn begun = co_await context_.turns.begin(std::move(question), limit);
     open_ = true;
@@ -45,6 +46,9 @@
     store_answers_ = begun.store_answers;
     used_tokens_ = begun.used_tokens;
     context_.metrics.stored(store_time_);
+    for (const scheduling::cached_prefix& holder : begun.holders) {
+        context_.backends.holds(holder.engine, {{holder.hash, holder.tokens}});
+    }
     if (begun.result != turns::begin_result::admitted) {
         log_refusal(begun);
     }
@@ -67,7 +71,7 @@
 }
 
 asio::awaitable<bool> turn_session::settle(token_count tokens, std::string input,
-                                           std::string output) {
+                                           std::string output, turns::held_prompt held) {
     turns::turn_settlement ended = settlement(tokens);
     if (route_.keeps_history) {
         ended.record = turns::turn_record{facts_.request, facts_.previous_turn, std::move(input),
@@ -75,7 +79,8 @@
     }
     open_ = false;
     const instant started = http::steady_now();
-    const bool settled = co_await context_.turns.settle(std::move(ended), started + settle_limit);
+    const bool settled =
+        co_await context_.turns.settle(std::move(ended), std::move(held), started + settle_limit);
     context_.metrics.stored(http::steady_now() - started);
     if (!settled) {
         logging::write_event(logging::event_id::turn_unsettled, "request=" + facts_.request);
--- a/src/tallyfold/forwarding/turn_session_shell.hpp
+++ b/src/tallyfold/forwarding/turn_session_shell.hpp
@@ -25,7 +25,9 @@
     asio::awaitable<turns::begin_result> begin(instant deadline, std::string& line);
     /// Makes the end of a turn that was answered whole durable. @return false when no majority of
     /// the stores has taken it
-    asio::awaitable<bool> settle(token_count tokens, std::string input, std::string output);
+    /// @param held what the engine that answered holds of the turn now
+    asio::awaitable<bool> settle(token_count tokens, std::string input, std::string output,
+                                 turns::held_prompt held);
     /// Settles in the background what was begun and not settled: the turn was not answered whole.
     void settle_unanswered(token_count tokens);
     /// True between begin() and the end.
--- a/src/tallyfold/scheduling/cache_map.cpp
+++ b/src/tallyfold/scheduling/cache_map.cpp
@@ -89,7 +89,7 @@
             const bool known = std::any_of(matches.begin(), matches.end(),
                                            [&](const auto& match) { return match.engine == name; });
             if (!known) {
-                matches.push_back({name, std::min(tokens, point->tokens)});
+                matches.push_back({name, point->hash, std::min(tokens, point->tokens)});
             }
         }
         std::stable_sort(
--- a/src/tallyfold/scheduling/cache_map.hpp
+++ b/src/tallyfold/scheduling/cache_map.hpp
@@ -23,6 +23,12 @@
     prefix_hash hash = 0;
     /// Tokens from the conversation's start to this point.
     token_count tokens = 0;
+
+    bool operator==(const prefix_point&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(hash, tokens);
+    }
 };
 
 /// Point after `added`, which follows a conversation that ends at `before`.
@@ -30,7 +36,15 @@
 
 struct cached_prefix {
     backend_name engine;
+    /// The point that matched.
+    prefix_hash hash = 0;
+    /// Tokens that the engine holds up to it.
     token_count tokens = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(engine, hash, tokens);
+    }
 };
 
 class cache_map {
--- a/src/tallyfold/turns/messages.hpp
+++ b/src/tallyfold/turns/messages.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "tallyfold/scheduling/cache_map.hpp"
 #include "tallyfold/turns/turn_book.hpp"
 #include "tallyfold/turns/types.hpp"
 
@@ -15,6 +16,20 @@
 /// Matches a reply to its request, unique within one life of the asking process.
 using operation_number = std::uint64_t;
 
+/// An engine that holds a prompt, with what it made after it. A hint: stores keep it in memory
+/// only.
+struct held_prompt {
+    /// Empty when no engine is known to hold it.
+    backend_name engine;
+    /// Ends of the prompt's parts, shortest first.
+    std::vector<scheduling::prefix_point> points;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(engine, points);
+    }
+};
+
 /// Asks a store to reserve a turn and to tell what it knows of its program and its line.
 struct begin_request {
     operation_number operation = 0;
@@ -24,10 +39,12 @@
     std::string previous;
     /// True at the store that is to send the texts of the line too.
     bool wants_chain = false;
+    /// Ends of the prompt's parts, shortest first, at the store that is to tell who holds them.
+    std::vector<scheduling::prefix_point> prompt;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(operation, epoch, reservation, previous, wants_chain);
+        archive(operation, epoch, reservation, previous, wants_chain, prompt);
     }
 };
 
@@ -41,10 +58,12 @@
     program_ledger ledger;
     bool knows_previous = false;
     chain_part chain;
+    /// Engines that hold most of the asked prompt, the longest first.
+    std::vector<scheduling::cached_prefix> holders;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(operation, store, durable, newer_map, ledger, knows_previous, chain);
+        archive(operation, store, durable, newer_map, ledger, knows_previous, chain, holders);
     }
 };
 
@@ -73,10 +92,11 @@
     operation_number operation = 0;
     map_epoch epoch = 0;
     turn_settlement settlement;
+    held_prompt held;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(operation, epoch, settlement);
+        archive(operation, epoch, settlement, held);
     }
 };
 
--- a/src/tallyfold/turns/quorum_operations.cpp
+++ b/src/tallyfold/turns/quorum_operations.cpp
@@ -47,6 +47,9 @@
     for (const turn_record& record : reply.chain.records) {
         records_.emplace(record.request, record);
     }
+    if (!reply.holders.empty()) {
+        holders_ = reply.holders;
+    }
     answered_.insert(reply.store);
     if (reply.durable) {
         durable_.insert(reply.store);
--- a/src/tallyfold/turns/quorum_operations.hpp
+++ b/src/tallyfold/turns/quorum_operations.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] std::vector<const turn_record*> chain() const;
     /// Tokens that the program's other turns have used or may use.
     [[nodiscard]] token_count used_tokens() const;
+    /// Engines that hold most of the turn's prompt, as the store told that was asked for it.
+    [[nodiscard]] const std::vector<scheduling::cached_prefix>& holders() const { return holders_; }
     [[nodiscard]] const store_map& map() const { return map_; }
     [[nodiscard]] std::size_t answers() const { return answered_.size(); }
 
@@ -61,6 +63,7 @@
     program_ledger ledger_;
     bool previous_known_ = false;
     std::map<std::string, turn_record> records_;
+    std::vector<scheduling::cached_prefix> holders_;
 };
 
 /// Ends one turn: durable at a majority of the stores.
--- a/src/tallyfold/turns/store_fsm.cpp
+++ b/src/tallyfold/turns/store_fsm.cpp
@@ -30,10 +30,15 @@
     reply.operation = request.operation;
     reply.store = self_;
     reply.newer_map = std::move(newer);
-    return {{from, std::move(reply)}};
+    std::vector<addressed_reply> replies;
+    replies.push_back({from, std::move(reply)});
+    return replies;
 }
 
 std::vector<addressed_reply> store_fsm::receive(peer_token from, const settle_request& request) {
+    for (const scheduling::prefix_point& point : request.held.points) {
+        held_.stored(request.held.engine, point);
+    }
     std::vector<store_map> newer = newer_than(request.epoch);
     if (newer.empty()) {
         waiting_.push_back({from, request});
@@ -101,6 +106,13 @@
     return write;
 }
 
+std::vector<scheduling::cached_prefix> store_fsm::holders_of(
+    const std::vector<scheduling::prefix_point>& prompt) const {
+    std::vector<scheduling::cached_prefix> holders = held_.find(prompt);
+    holders.resize(std::min(holders.size(), told_holders));
+    return holders;
+}
+
 begin_reply store_fsm::answer(const begin_request& request, bool durable) const {
     begin_reply reply;
     reply.operation = request.operation;
@@ -111,6 +123,7 @@
     if (request.wants_chain && !request.previous.empty()) {
         reply.chain = book_.chain_from(request.previous);
     }
+    reply.holders = holders_of(request.prompt);
     return reply;
 }
 
--- a/src/tallyfold/turns/store_fsm.hpp
+++ b/src/tallyfold/turns/store_fsm.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "tallyfold/scheduling/cache_map.hpp"
 #include "tallyfold/turns/copy_progress.hpp"
 #include "tallyfold/turns/messages.hpp"
 
@@ -80,7 +81,14 @@
         std::variant<begin_request, settle_request, copy_request, copy_reply> body;
     };
 
+    /// Parts of prompts whose engine is remembered, at most.
+    static constexpr std::size_t remembered_parts = 20'000;
+    /// Engines that a begun turn is told of, at most.
+    static constexpr std::size_t told_holders = 2;
+
     [[nodiscard]] std::vector<store_map> newer_than(map_epoch epoch) const;
+    [[nodiscard]] std::vector<scheduling::cached_prefix> holders_of(
+        const std::vector<scheduling::prefix_point>& prompt) const;
     void append_changes(const waiting_work& work, std::vector<book_change>& changes) const;
     [[nodiscard]] begin_reply answer(const begin_request& request, bool durable) const;
     [[nodiscard]] copy_reply answer(const copy_request& request) const;
@@ -101,6 +109,9 @@
     std::map<store_id, std::string> copied_up_to_;
     std::size_t copy_turn_ = 0;
     map_epoch copied_epoch_ = 0;
+    /// Which engine holds which prompt, as the settled turns tell. In memory only: what a restart
+    /// forgets costs time, not correctness.
+    scheduling::cache_map held_{remembered_parts};
 };
 
 }  // namespace tallyfold::turns
--- a/src/tallyfold/turns/turn_client_shell.cpp
+++ b/src/tallyfold/turns/turn_client_shell.cpp
@@ -169,6 +169,9 @@
                 request.reservation = question.reservation;
                 request.previous = question.previous;
                 request.wants_chain = member.id == source;
+                if (request.wants_chain) {
+                    request.prompt = question.prompt;
+                }
                 send(member, request, started);
             }
         }
@@ -197,6 +200,7 @@
     begun.used_tokens = operation.used_tokens();
     begun.store_answers = operation.answers();
     begun.epoch = operation.map().epoch;
+    begun.holders = operation.holders();
     switch (operation.outcome()) {
         case begin_outcome::admitted:
             begun.result = begin_result::admitted;
@@ -217,7 +221,8 @@
     co_return begun;
 }
 
-asio::awaitable<bool> turn_client::settle(turn_settlement settlement, instant deadline) {
+asio::awaitable<bool> turn_client::settle(turn_settlement settlement, held_prompt held,
+                                          instant deadline) {
     const operation_number number = next_operation_++;
     settle_operation operation(map_);
     const auto waiting = enlist(number);
@@ -235,6 +240,7 @@
                 request.operation = number;
                 request.epoch = operation.map().epoch;
                 request.settlement = settlement;
+                request.held = held;
                 send(member, request, started);
             }
         }
@@ -251,7 +257,9 @@
         [this, settlement = std::move(settlement)]() mutable -> asio::awaitable<void> {
             const instant deadline = http::steady_now() + background_limit;
             const std::string request = settlement.request;
-            const bool done = co_await settle(std::move(settlement), deadline);
+            held_prompt held_nowhere;
+            const bool done =
+                co_await settle(std::move(settlement), std::move(held_nowhere), deadline);
             --settling_;
             if (!done) {
                 logging::write_event(logging::event_id::turn_unsettled, "request=" + request);
--- a/src/tallyfold/turns/turn_client_shell.hpp
+++ b/src/tallyfold/turns/turn_client_shell.hpp
@@ -21,6 +21,8 @@
     std::string previous;
     /// 0 sets no bound.
     token_count budget = 0;
+    /// Ends of the prompt's parts, shortest first.
+    std::vector<scheduling::prefix_point> prompt;
 };
 
 enum class begin_result : std::uint8_t { admitted, over_budget, unknown_previous, unavailable };
@@ -33,6 +35,8 @@
     token_count used_tokens = 0;
     std::size_t store_answers = 0;
     map_epoch epoch = 0;
+    /// Engines that hold most of the prompt, as the stores know it.
+    std::vector<scheduling::cached_prefix> holders;
 };
 
 class turn_client {
@@ -45,7 +49,7 @@
 
     asio::awaitable<begun_turn> begin(turn_question question, instant deadline);
     /// @return true once the end is durable at a majority
-    asio::awaitable<bool> settle(turn_settlement settlement, instant deadline);
+    asio::awaitable<bool> settle(turn_settlement settlement, held_prompt held, instant deadline);
     /// Settles in the background, for turns whose end nobody waits for.
     void settle_later(turn_settlement settlement);
     /// Settlements that are still under way in the background.
--- /dev/null
+++ b/tests/turns/store_fsm_test.cpp
@@ -0,0 +1,74 @@
+#include "tallyfold/turns/store_fsm.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace turns;
+
+class store_fsm_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_fsm_test);
+    CPPUNIT_TEST(a_begun_turn_is_told_which_engine_holds_its_prompt);
+    CPPUNIT_TEST(the_engine_that_a_line_moved_to_is_told_first);
+    CPPUNIT_TEST(a_store_that_isnt_asked_tells_no_engine);
+    CPPUNIT_TEST_SUITE_END();
+
+    static store_fsm store() { return {1, store_map{}, turn_book{}}; }
+
+    static void settle(store_fsm& store, const std::string& engine, token_count tokens) {
+        settle_request request;
+        request.settlement.program = "program";
+        request.settlement.request = "settled-at-" + engine;
+        request.held = {engine, {{7, 1000}, {8, tokens}}};
+        store.receive(1, request);
+        store.take_write();
+        store.written(true, instant{});
+    }
+
+    /// The holders that a turn with this prompt is told.
+    static std::vector<scheduling::cached_prefix> begin(
+        store_fsm& store, const std::vector<scheduling::prefix_point>& prompt) {
+        begin_request request;
+        request.reservation.program = "program";
+        request.reservation.request = "begun";
+        request.prompt = prompt;
+        store.receive(2, request);
+        store.take_write();
+        const auto replies = store.written(true, instant{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replies.size());
+        return std::get<begin_reply>(replies.front().body).holders;
+    }
+
+    void a_begun_turn_is_told_which_engine_holds_its_prompt() {
+        store_fsm asked = store();
+        settle(asked, "engine-1", 1500);
+        const auto holders = begin(asked, {{7, 1000}, {8, 1900}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, holders.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("engine-1"), holders.front().engine);
+        CPPUNIT_ASSERT_EQUAL(scheduling::prefix_hash{8}, holders.front().hash);
+        CPPUNIT_ASSERT_EQUAL(token_count{1500}, holders.front().tokens);
+        // A sub-agent's prompt opens with its parent's.
+        const auto opening = begin(asked, {{7, 1000}, {8, 1700}, {9, 2000}});
+        CPPUNIT_ASSERT_EQUAL(token_count{1500}, opening.front().tokens);
+    }
+
+    void the_engine_that_a_line_moved_to_is_told_first() {
+        store_fsm asked = store();
+        settle(asked, "engine-1", 1500);
+        settle(asked, "engine-2", 2400);
+        const auto holders = begin(asked, {{7, 1000}, {8, 2600}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, holders.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("engine-2"), holders.front().engine);
+        CPPUNIT_ASSERT_EQUAL(token_count{1500}, holders.back().tokens);
+    }
+
+    void a_store_that_isnt_asked_tells_no_engine() {
+        store_fsm asked = store();
+        settle(asked, "engine-1", 1500);
+        CPPUNIT_ASSERT(begin(asked, {}).empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_fsm_test);
+
+}  // namespace tallyfold::tests
