Full back ends are asked again while a request has time

Ruled out: too little capacity on the whole (317 calls a second against about 300 of one replica, for some seconds only); passive ejection (the only back end left is used all the same). Change: attempt_policy gives a request that every back end has proved it didn't run a pause, doubled from 15 to 120 ms and jittered, while 100 ms are left after it; nothing is waited for when none was asked or it may have run. Tests: three in attempt_policy_test (new interface).

--- a/src/tallyfold/forwarding/attempt_policy.cpp
+++ b/src/tallyfold/forwarding/attempt_policy.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/forwarding/attempt_policy.hpp"
 
+#include <algorithm>
+
 namespace tallyfold::forwarding {
 
 namespace {
@@ -11,6 +13,7 @@
 
 next_step attempt_policy::after(attempt_end end, duration time_left) {
     ++sends_;
+    ++sends_since_pause_;
     if (end == attempt_end::may_have_run) {
         ++runs_;
         const bool again = repeatable_ && runs_ < most_runs_;
@@ -18,10 +21,24 @@
             return next_step::fail;
         }
     }
-    if (sends_ >= most_sends || time_left < least_time) {
+    if (sends_since_pause_ >= most_sends || time_left < least_time) {
         return give_up();
     }
     return next_step::retry;
 }
 
+std::optional<duration> attempt_policy::pause_for_room(duration time_left, double jitter) {
+    // Longer pauses than the longest come from no more doublings than these.
+    constexpr std::uint32_t most_doublings = 3;
+    const duration whole = first_pause * (1U << std::min(pauses_, most_doublings));
+    const duration pause =
+        std::chrono::duration_cast<duration>(std::min(whole, longest_pause) * (0.5 + jitter / 2));
+    if (sends_ == 0 || runs_ > 0 || time_left - pause < least_time_after_pause) {
+        return std::nullopt;
+    }
+    ++pauses_;
+    sends_since_pause_ = 0;
+    return pause;
+}
+
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/attempt_policy.hpp
+++ b/src/tallyfold/forwarding/attempt_policy.hpp
@@ -3,6 +3,7 @@
 /// What one request may still do after an attempt ended: try again, refuse, or fail. Pure.
 
 #include <cstdint>
+#include <optional>
 
 #include "tallyfold/common/time.hpp"
 
@@ -30,14 +31,26 @@
 /// Remembers what a request's attempts have come to.
 class attempt_policy {
   public:
-    /// Attempts in all, those that did not run included: a request must not wander for ever.
+    /// Attempts without a pause between them, those that did not run included: a request must not
+    /// wander for ever.
     static constexpr std::uint32_t most_sends = 4;
+    /// First pause before back ends that were full are asked again; each further one is twice as
+    /// long.
+    static constexpr duration first_pause = std::chrono::milliseconds(15);
+    static constexpr duration longest_pause = std::chrono::milliseconds(120);
+    /// Time that a request still needs after a pause, to be worth waiting for.
+    static constexpr duration least_time_after_pause = std::chrono::milliseconds(100);
 
     attempt_policy(bool repeatable, std::uint32_t most_runs)
         : repeatable_(repeatable), most_runs_(most_runs) {}
 
     /// Notes how an attempt ended. @param time_left until the request's deadline
     next_step after(attempt_end end, duration time_left);
+    /// Every back end has proved that it was full, or could not be reached: how long to wait before
+    /// they are asked again. Nothing when none was asked, when the request may have run, or when it
+    /// has too little time left.
+    /// @param jitter 0 to 1; spreads the requests that were turned away together
+    std::optional<duration> pause_for_room(duration time_left, double jitter);
     /// True when a further attempt could still follow one that fails.
     [[nodiscard]] bool may_retry_run() const { return repeatable_ && runs_ + 1 < most_runs_; }
     [[nodiscard]] std::uint32_t sends() const { return sends_; }
@@ -53,6 +66,8 @@
     std::uint32_t most_runs_;
     std::uint32_t sends_ = 0;
     std::uint32_t runs_ = 0;
+    std::uint32_t sends_since_pause_ = 0;
+    std::uint32_t pauses_ = 0;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -74,6 +74,8 @@
     /// The engine holds the parts of a prompt now: it has read them, or made them.
     void holds(const backend_name& name, const std::vector<scheduling::prefix_point>& prompt);
 
+    /// 0 to 1, evenly.
+    [[nodiscard]] double draw_jitter() { return random_.unit(); }
     [[nodiscard]] instant listed_at() const { return listed_at_; }
     [[nodiscard]] bool has_list() const { return has_list_; }
     [[nodiscard]] std::size_t size() const;
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -1,6 +1,9 @@
 #include "tallyfold/forwarding/request_relay_shell.hpp"
 
 #include <algorithm>
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
 #include "tallyfold/logging/event_log.hpp"
@@ -225,7 +228,11 @@
     while (!gone_) {
         const auto backend = context_.backends.choose(question, http::steady_now());
         if (!backend) {
-            break;
+            if (!co_await wait_for_room()) {
+                break;
+            }
+            question.tried.clear();
+            continue;
         }
         ++sends_;
         backend_name_ = backend->name;
@@ -268,6 +275,17 @@
     }
 }
 
+asio::awaitable<bool> request_relay::wait_for_room() {
+    const auto pause = policy_->pause_for_room(time_left(), context_.backends.draw_jitter());
+    if (!pause) {
+        co_return false;
+    }
+    ++waits_for_room_;
+    asio::steady_timer timer(context_.process.loop(), *pause);
+    co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    co_return true;
+}
+
 asio::awaitable<http::connection_pointer> request_relay::open(const chosen_backend& backend,
                                                               send_result& result) {
     const instant now = http::steady_now();
@@ -535,6 +553,7 @@
                        " version=" + std::to_string(table_ ? table_->version() : 0) +
                        " backend=" + (backend_name_.empty() ? "-" : backend_name_) +
                        " sends=" + std::to_string(sends_) +
+                       " waits_for_room=" + std::to_string(waits_for_room_) +
                        " list_age_ms=" + std::to_string(to_milliseconds(list_age)) +
                        " first_byte_ms=" + std::to_string(to_milliseconds(first_byte_)) +
                        " total_ms=" + std::to_string(to_milliseconds(now - request_.received));
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -53,6 +53,8 @@
     asio::awaitable<bool> begin_turn();
     asio::awaitable<void> run_attempts();
     [[nodiscard]] backend_question describe_for_choice() const;
+    /// Waits a moment when every back end was full. @return false when it is given up instead
+    asio::awaitable<bool> wait_for_room();
     asio::awaitable<send_result> send_to(chosen_backend backend);
     asio::awaitable<http::connection_pointer> open(const chosen_backend& backend,
                                                    send_result& result);
@@ -100,6 +102,7 @@
     /// For the log line.
     std::string backend_name_;
     std::uint32_t sends_ = 0;
+    std::uint32_t waits_for_room_ = 0;
     std::string outcome_ = "unknown";
     std::string reason_;
     unsigned status_ = 0;
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST(a_refusal_is_said_only_when_nothing_may_have_run);
     CPPUNIT_TEST(a_repeatable_request_runs_as_often_as_its_route_allows);
     CPPUNIT_TEST(no_time_left_ends_it);
+    CPPUNIT_TEST(full_back_ends_are_asked_again_while_time_is_left);
+    CPPUNIT_TEST(what_may_have_run_waits_for_no_room);
+    CPPUNIT_TEST(any_pauses_end_before_the_time_does);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr duration second = std::chrono::seconds(1);
@@ -52,6 +55,42 @@
         attempt_policy policy(true, 3);
         CPPUNIT_ASSERT(policy.after(attempt_end::not_sent, duration::zero()) == next_step::refuse);
     }
+
+    void full_back_ends_are_asked_again_while_time_is_left() {
+        attempt_policy policy(false, 1);
+        for (std::uint32_t send = 1; send < attempt_policy::most_sends; ++send) {
+            CPPUNIT_ASSERT(policy.after(attempt_end::not_run, second) == next_step::retry);
+        }
+        CPPUNIT_ASSERT(policy.pause_for_room(second, 1) == attempt_policy::first_pause);
+        CPPUNIT_ASSERT(policy.after(attempt_end::not_run, second) == next_step::retry);
+        CPPUNIT_ASSERT(policy.pause_for_room(second, 1) == 2 * attempt_policy::first_pause);
+        CPPUNIT_ASSERT(!policy.pause_for_room(attempt_policy::least_time_after_pause, 0));
+    }
+
+    void what_may_have_run_waits_for_no_room() {
+        attempt_policy policy(true, 2);
+        CPPUNIT_ASSERT(policy.after(attempt_end::may_have_run, second) == next_step::retry);
+        CPPUNIT_ASSERT(!policy.pause_for_room(second, 0.5));
+    }
+
+    void any_pauses_end_before_the_time_does() {
+        check_property("pauses are bounded, and leave the time that a try needs", [] {
+            attempt_policy policy(*rc::gen::arbitrary<bool>(), 1);
+            RC_ASSERT(!policy.pause_for_room(second, 0.5));
+            policy.after(attempt_end::not_run, second);
+            duration left = std::chrono::milliseconds(*rc::gen::inRange(0, 40'000));
+            int pauses = 0;
+            while (const auto pause =
+                       policy.pause_for_room(left, *rc::gen::inRange(0, 101) / 100.0)) {
+                RC_ASSERT(*pause > duration::zero());
+                RC_ASSERT(*pause <= attempt_policy::longest_pause);
+                left -= *pause;
+                RC_ASSERT(left >= attempt_policy::least_time_after_pause);
+                ++pauses;
+            }
+            RC_ASSERT(pauses < 1000);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(attempt_policy_test);
