Calls wait at the forwarder while engines are slow for everybody

Ruled out: reading history again (1 M of 19 M tokens by now); the stores. Change: engine_pace learns from passing events how fast engines work and the slowdown now (middle of the latest events over the least that is seen); admission_window shrinks what a forwarder runs while the slowdown is over most_slowdown (setting, 1.7; 0 is off) and grows it back while calls wait; call_gate lets waiting calls in by route priority, then the policy's order(), each eighth the oldest, after 0.3 of their time at the latest. Policies get call_ms; the shipped one puts programs that can't be in time behind. Events 3108, 3109, three metrics, waited_ms on the request's line. Tests: admission_window_test, engine_pace_test with properties, call_ranking_test (new interfaces).

--- a/policies/platform.lua
+++ b/policies/platform.lua
@@ -1,8 +1,11 @@
 -- The users' platform, both deployments: what a program still has decides how urgent its calls are.
 
--- Lower goes first.
+-- Lower goes first among the calls of one priority that wait: the least time left, but for programs that
+-- can't end in time any more, which go behind, the least late first.
 function order(call)
-  return call.time_left_ms
+  local left = call.time_left_ms
+  if left < call.call_ms / 2 then return 1000000 - left end
+  return left
 end
 
 -- Cost in prompt tokens: what must be computed again, what waits there, and how busy the engine is.
--- /dev/null
+++ b/src/tallyfold/forwarding/admission_window.cpp
@@ -0,0 +1,34 @@
+#include "tallyfold/forwarding/admission_window.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::forwarding {
+
+namespace {
+
+/// However slow the engines, this many calls run.
+constexpr double least_window = 1;
+/// Part that stays of the window at an adjustment, at least.
+constexpr double least_part = 0.8;
+/// Growth at an adjustment while calls wait and the engines keep the bound.
+constexpr double growth = 1.1;
+constexpr double growth_step = 0.5;
+
+}  // namespace
+
+void admission_window::adjust(double slowdown, std::size_t waiting) {
+    const auto running = static_cast<double>(running_);
+    if (slowdown > most_slowdown_) {
+        const double before =
+            bounded_ ? std::min(window_, std::max(running, least_window)) : running;
+        window_ = std::max(least_window, before * std::max(least_part, most_slowdown_ / slowdown));
+        bounded_ = true;
+    } else if (bounded_ && waiting > 0) {
+        window_ = window_ * growth + growth_step;
+    } else if (bounded_) {
+        // Nothing waits and the engines keep up: there is nothing to bound.
+        bounded_ = false;
+    }
+}
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -144,6 +144,7 @@
     const duration took = now - call.since;
     calls.usual += (took - calls.usual) / usual_samples;
     stop_waiting(call);
+    paces_[call.service].prompt_read(call.unread_tokens, took);
     pools_[call.service].prefilled(call.backend, call.unread_tokens);
     call.awaits_first_byte = false;
 }
@@ -190,6 +191,7 @@
 
 void backend_registry::gone(const std::string& service, const backend_name& name) {
     pools_[service].set_drained(name, true);
+    paces_[service].forget(name);
     cache_.forget(name);
 }
 
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/listing/types.hpp"
+#include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
 
 namespace tallyfold::forwarding {
@@ -74,6 +75,10 @@
     /// The engine holds the parts of a prompt now: it has read them, or made them.
     void holds(const backend_name& name, const std::vector<scheduling::prefix_point>& prompt);
 
+    /// How quickly the engines of a service work.
+    [[nodiscard]] scheduling::engine_pace& pace_of(const std::string& service) {
+        return paces_[service];
+    }
     /// 0 to 1, evenly.
     [[nodiscard]] double draw_jitter() { return random_.unit(); }
     [[nodiscard]] instant listed_at() const { return listed_at_; }
@@ -99,6 +104,7 @@
     std::map<std::string, scheduling::backend_pool> pools_;
     std::map<std::string, std::vector<scheduling::backend_member>> listed_;
     std::map<std::string, waiting_calls> waiting_;
+    std::map<std::string, scheduling::engine_pace> paces_;
     scheduling::cache_map cache_{20'000};
     scheduling::placement placement_{scheduling::strategy::policy};
     instant listed_at_{};
--- /dev/null
+++ b/src/tallyfold/forwarding/call_gate_shell.cpp
@@ -0,0 +1,58 @@
+#include "tallyfold/forwarding/call_gate_shell.hpp"
+
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/use_awaitable.hpp>
+
+#include "tallyfold/http/connection_shell.hpp"
+
+namespace tallyfold::forwarding {
+
+asio::awaitable<duration> call_gate::enter(waiting_rank rank, duration longest) {
+    if (open_ || (queue_.size() == 0 && window_.has_room())) {
+        window_.started();
+        co_return duration::zero();
+    }
+    const instant arrived = http::steady_now();
+    scheduling::queued_call call;
+    call.id = next_ticket_++;
+    // The queue's greatest priority goes first, the route's least.
+    call.priority = -rank.priority;
+    call.rank = rank.rank;
+    call.arrived = arrived;
+    queue_.push(call);
+    const auto timer = std::make_shared<asio::steady_timer>(loop_, longest);
+    timers_[call.id] = timer;
+    let_in();
+    if (timers_.contains(call.id)) {
+        co_await timer->async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    }
+    if (timers_.erase(call.id) > 0) {
+        queue_.remove(call.id);
+        window_.started();
+    }
+    co_return http::steady_now() - arrived;
+}
+
+void call_gate::leave() {
+    window_.finished();
+    let_in();
+}
+
+void call_gate::adjust(double slowdown) {
+    window_.adjust(slowdown, queue_.size());
+    let_in();
+}
+
+void call_gate::let_in() {
+    while (queue_.size() > 0 && window_.has_room()) {
+        const scheduling::ticket next = queue_.next(1).front();
+        queue_.take(next);
+        window_.started();
+        const auto waiting = timers_.find(next);
+        const auto timer = waiting->second;
+        timers_.erase(waiting);
+        timer->cancel();
+    }
+}
+
+}  // namespace tallyfold::forwarding
--- /dev/null
+++ b/src/tallyfold/forwarding/call_gate_shell.hpp
@@ -0,0 +1,53 @@
+#pragma once
+/// @file
+/// Where the calls of one service wait until the node may send a further one. Belongs to the loop
+/// thread; admission_window decides how many run, scheduling::call_queue who goes next.
+
+#include <asio/awaitable.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+#include "tallyfold/forwarding/admission_window.hpp"
+#include "tallyfold/scheduling/call_queue.hpp"
+
+namespace tallyfold::forwarding {
+
+/// How a call ranks among those that wait.
+struct waiting_rank {
+    /// Priority of its route: 0 goes first.
+    std::int32_t priority = 0;
+    /// From the policy; lower goes first within a priority.
+    double rank = 0;
+};
+
+class call_gate {
+  public:
+    /// @param most_slowdown times slower than idle that the engines may work; 0 lets every call in
+    call_gate(asio::io_context& loop, double most_slowdown)
+        : loop_(loop), window_(most_slowdown), open_(most_slowdown <= 0) {}
+
+    /// Waits for a place, at most `longest`: then the call goes all the same. leave() has to
+    /// follow.
+    /// @return the time waited
+    asio::awaitable<duration> enter(waiting_rank rank, duration longest);
+    void leave();
+    /// Follows the engines' pace; to be called each admission_window::interval.
+    void adjust(double slowdown);
+
+    [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
+    [[nodiscard]] const admission_window& window() const { return window_; }
+
+  private:
+    void let_in();
+
+    asio::io_context& loop_;
+    admission_window window_;
+    bool open_;
+    scheduling::call_queue queue_;
+    std::map<scheduling::ticket, std::shared_ptr<asio::steady_timer>> timers_;
+    scheduling::ticket next_ticket_ = 1;
+};
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/call_ranking.cpp
+++ b/src/tallyfold/forwarding/call_ranking.cpp
@@ -33,6 +33,16 @@
     return policy_change::in_force;
 }
 
+double call_ranking::order_of(const scheduling::call_features& call) {
+    if (policy_ != nullptr) {
+        if (const auto rank = policy_->order(call)) {
+            return *rank;
+        }
+        ++failures_;
+    }
+    return call.time_left_ms;
+}
+
 std::int32_t call_ranking::urgency_of(const scheduling::call_features& call) {
     if (policy_ == nullptr || !policy_->ranks_urgency()) {
         return level_of(call.priority);
--- a/src/tallyfold/forwarding/call_ranking.hpp
+++ b/src/tallyfold/forwarding/call_ranking.hpp
@@ -26,6 +26,8 @@
     tl::expected<policy_change, scheduling::policy_error> use(const std::string& text);
     /// Level at which engines rank the call.
     std::int32_t urgency_of(const scheduling::call_features& call);
+    /// Rank among the calls that wait at this node; lower goes first.
+    double order_of(const scheduling::call_features& call);
     /// The policy that weighs engines; null for the built-in cost.
     [[nodiscard]] scheduling::policy* placement() { return policy_.get(); }
     /// Evaluations that failed since the policy came into force; the priority ranked those calls.
--- a/src/tallyfold/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/forwarding/forwarder_context.hpp
@@ -2,9 +2,12 @@
 /// @file
 /// What all requests of one forwarder share. Belongs to the loop thread.
 
+#include <map>
 #include <memory>
+#include <string>
 
 #include "tallyfold/forwarding/backend_registry.hpp"
+#include "tallyfold/forwarding/call_gate_shell.hpp"
 #include "tallyfold/forwarding/call_ranking.hpp"
 #include "tallyfold/forwarding/connection_pool_shell.hpp"
 #include "tallyfold/forwarding/dialect.hpp"
@@ -26,8 +29,15 @@
     routing::traffic_splitter splitter;
     /// The configuration in force; requests under way keep the one they began with.
     std::shared_ptr<const routing::route_table> routes;
+    /// Where calls wait, by the service that runs them.
+    std::map<std::string, call_gate> gates;
     /// Answers tell callers to close.
     bool stopping = false;
+
+    call_gate& gate_of(const std::string& service) {
+        return gates.try_emplace(service, process.loop(), process.settings().most_slowdown)
+            .first->second;
+    }
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.cpp
@@ -30,7 +30,14 @@
                                 latency_buckets)),
       total_(net::add_histogram(registry, "tallyfold_forwarder_request_seconds",
                                 "Time from a request's end to the end of its answer",
-                                latency_buckets)) {}
+                                latency_buckets)),
+      wait_(net::add_histogram(registry, "tallyfold_forwarder_wait_seconds",
+                               "Time that a call waited here before it was placed",
+                               latency_buckets)),
+      slowdown_(net::add_gauge(registry, "tallyfold_forwarder_engine_slowdown",
+                               "Times slower than on an idle engine that events come")),
+      waiting_(net::add_gauge(registry, "tallyfold_forwarder_waiting_calls",
+                              "Calls that wait here for a place at the engines")) {}
 
 void forwarder_metrics::finished(const std::string& outcome, duration took) {
     requests_.Add({{"outcome", outcome}}).Increment();
--- a/src/tallyfold/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.hpp
@@ -3,6 +3,7 @@
 /// Counters and histograms of a forwarder.
 
 #include <prometheus/counter.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
@@ -20,6 +21,12 @@
     void finished(const std::string& outcome, duration took);
     void first_byte(duration took) { first_byte_.Observe(seconds(took)); }
     void stored(duration took) { store_.Observe(seconds(took)); }
+    /// @param slowdown times slower than idle that the engines work
+    void paced(double slowdown, std::size_t waiting) {
+        slowdown_.Set(slowdown);
+        waiting_.Set(static_cast<double>(waiting));
+    }
+    void waited(duration took) { wait_.Observe(seconds(took)); }
     void connected() { connections_.Increment(); }
     void attempt_failed(const std::string& reason);
 
@@ -31,6 +38,9 @@
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& store_;
     prometheus::Histogram& total_;
+    prometheus::Histogram& wait_;
+    prometheus::Gauge& slowdown_;
+    prometheus::Gauge& waiting_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -40,6 +40,7 @@
     void use_configuration(const routing::configuration& configuration);
     void use_list(bool changed);
     void read_policy();
+    void adjust_gates();
     void stop();
     void continue_stop();
     void take_no_more();
@@ -76,8 +77,8 @@
       directory_(process_, {}),
       turns_(process_, [this](const turns::store_map& map) { directory_.learn_map(map); }),
       poller_(process_, lists),
-      context_{process_, dialect,  turns_, backends_, connections_,
-               metrics_, ranking_, {},     nullptr,   false},
+      context_{process_, dialect, turns_,  backends_, connections_, metrics_,
+               ranking_, {},      nullptr, {},        false},
       callers_(process_.loop()),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
 
@@ -124,6 +125,23 @@
     }
 }
 
+void forwarder_node::adjust_gates() {
+    const instant now = http::steady_now();
+    for (auto& [service, gate] : context_.gates) {
+        const bool bounded_before = gate.window().size() > 0;
+        const double slowdown = backends_.pace_of(service).slowdown(now);
+        gate.adjust(slowdown);
+        metrics_.paced(slowdown, gate.waiting());
+        if (const bool bounded = gate.window().size() > 0; bounded != bounded_before) {
+            logging::write_event(
+                bounded ? logging::event_id::calls_bounded : logging::event_id::calls_unbounded,
+                "service=" + service + " slowdown=" + std::to_string(slowdown) +
+                    " running=" + std::to_string(gate.window().running()) +
+                    " waiting=" + std::to_string(gate.waiting()));
+        }
+    }
+}
+
 void forwarder_node::accept() {
     callers_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted) {
@@ -286,6 +304,7 @@
     read_policy();
     process_.every(policy_check_interval, [this] { read_policy(); });
     process_.every(housekeeping_interval, [this] { connections_.expire(http::steady_now()); });
+    process_.every(admission_window::interval, [this] { adjust_gates(); });
     process_.every(silence_check_interval, [this] {
         for (const backend_name& name : backends_.suspect_silent(http::steady_now())) {
             logging::write_event(logging::event_id::backend_ejected,
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -19,6 +19,8 @@
 constexpr duration caller_write_limit = std::chrono::seconds(8);
 /// Part of the time left that one try of a repeatable request gets while others may follow.
 constexpr double share_of_one_try = 0.4;
+/// Part of its time left that a call waits for a place at the engines, at most.
+constexpr double share_of_time_to_wait = 0.3;
 /// Answers up to this size are relayed whole, so that one that breaks off can be tried again.
 constexpr std::uint64_t largest_whole_answer = 64U << 10U;
 constexpr std::size_t largest_answer_head = 64U << 10U;
@@ -133,6 +135,7 @@
     const bool admitted = !is_turn() || co_await begin_turn();
     if (admitted) {
         co_await run_attempts();
+        leave_gate();
     }
     caller_->stop_watching();
     if (turn_ && turn_->open()) {
@@ -216,6 +219,7 @@
         question.call.time_left_ms =
             static_cast<double>(to_milliseconds(*facts_.program_time_left));
     }
+    question.call.call_ms = context_.backends.pace_of(service_->name).call_ms();
     question.ranking = context_.ranking.placement();
     return question;
 }
@@ -223,6 +227,9 @@
 asio::awaitable<void> request_relay::run_attempts() {
     backend_question question = describe_for_choice();
     urgency_ = context_.ranking.urgency_of(question.call);
+    if (service_->is_engine) {
+        co_await enter_gate(question.call);
+    }
     send_result last;
     last.reason = "no back end is available";
     while (!gone_) {
@@ -275,6 +282,49 @@
     }
 }
 
+asio::awaitable<void> request_relay::enter_gate(const scheduling::call_features& call) {
+    waiting_rank rank;
+    rank.priority = route_->priority;
+    rank.rank = context_.ranking.order_of(call);
+    const duration longest =
+        std::chrono::duration_cast<duration>(time_left() * share_of_time_to_wait);
+    in_gate_ = true;
+    waited_ = co_await context_.gate_of(service_->name).enter(rank, longest);
+    context_.metrics.waited(waited_);
+}
+
+void request_relay::leave_gate() {
+    if (in_gate_) {
+        in_gate_ = false;
+        context_.gate_of(service_->name).leave();
+    }
+}
+
+void request_relay::note_events() {
+    const std::uint64_t events = events_.events();
+    if (events == noted_events_ || !service_->is_engine) {
+        return;
+    }
+    const instant now = http::steady_now();
+    if (noted_events_ == 0) {
+        first_event_ = now;
+    } else {
+        context_.backends.pace_of(service_->name)
+            .events_came(backend_name_, events - noted_events_, now - latest_event_, now);
+    }
+    noted_events_ = events;
+    latest_event_ = now;
+}
+
+void request_relay::note_stream_end() {
+    constexpr std::uint64_t least_events = 3;
+    scheduling::engine_pace& pace = context_.backends.pace_of(service_->name);
+    if (noted_events_ >= least_events) {
+        pace.stream_ended((latest_event_ - first_event_) / (noted_events_ - 1));
+    }
+    pace.call_ended(http::steady_now() - call_.since);
+}
+
 asio::awaitable<bool> request_relay::wait_for_room() {
     const auto pause = policy_->pause_for_room(time_left(), context_.backends.draw_jitter());
     if (!pause) {
@@ -387,6 +437,9 @@
         } else {
             context_.backends.succeeded(service_->name, backend.name);
             note_held();
+            if (service_->is_engine) {
+                note_stream_end();
+            }
         }
         if (opened->head().keep_alive && opened->message_complete()) {
             context_.connections.put(backend.address, opened, facts.idle_limit, http::steady_now());
@@ -510,6 +563,7 @@
         complete = backend->message_complete();
         if (success) {
             events_.feed(*piece);
+            note_events();
         }
         if (!piece->empty()) {
             outgoing += counted ? *piece : chunk_of(*piece);
@@ -563,6 +617,7 @@
     if (turn_) {
         line +=
             turn_->log_fields() + " cached=" + std::to_string(cached_tokens_) +
+            " waited_ms=" + std::to_string(to_milliseconds(waited_)) +
             " urgency=" + std::to_string(urgency_) + " program_left_ms=" +
             (facts_.program_time_left ? std::to_string(to_milliseconds(*facts_.program_time_left))
                                       : std::string("-")) +
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -53,6 +53,12 @@
     asio::awaitable<bool> begin_turn();
     asio::awaitable<void> run_attempts();
     [[nodiscard]] backend_question describe_for_choice() const;
+    /// Waits until the node may send the call to an engine.
+    asio::awaitable<void> enter_gate(const scheduling::call_features& call);
+    void leave_gate();
+    /// Notes at which pace the engine makes events.
+    void note_events();
+    void note_stream_end();
     /// Waits a moment when every back end was full. @return false when it is given up instead
     asio::awaitable<bool> wait_for_room();
     asio::awaitable<send_result> send_to(chosen_backend backend);
@@ -103,6 +109,11 @@
     std::string backend_name_;
     std::uint32_t sends_ = 0;
     std::uint32_t waits_for_room_ = 0;
+    bool in_gate_ = false;
+    duration waited_{};
+    std::uint64_t noted_events_ = 0;
+    instant first_event_{};
+    instant latest_event_{};
     std::string outcome_ = "unknown";
     std::string reason_;
     unsigned status_ = 0;
--- /dev/null
+++ b/src/tallyfold/scheduling/engine_pace.cpp
@@ -0,0 +1,92 @@
+#include "tallyfold/scheduling/engine_pace.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::scheduling {
+
+namespace {
+
+/// Prompts shorter than this say more of the way than of the engine.
+constexpr token_count least_tokens = 1'000;
+/// A lower value is taken over by this part, a higher one by the other: what an idle engine does is
+/// near the least that is seen, and one odd sample mustn't decide it.
+constexpr double fall = 0.2;
+constexpr double rise = 0.0005;
+/// Weight of a new event in the mean of an engine, and of a new stream in the mean of all.
+constexpr double engine_weight = 0.2;
+constexpr double usual_weight = 0.05;
+
+double milliseconds(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+void follow_least(double& value, double sample) {
+    if (value <= 0) {
+        value = sample;
+    } else {
+        value += (sample - value) * (sample < value ? fall : rise);
+    }
+}
+
+}  // namespace
+
+void engine_pace::prompt_read(token_count tokens, duration took) {
+    if (tokens >= least_tokens && took > duration::zero()) {
+        follow_least(read_ms_per_token_, milliseconds(took) / static_cast<double>(tokens));
+    }
+}
+
+void engine_pace::events_came(const backend_name& engine, std::size_t events, duration took,
+                              instant now) {
+    if (events == 0 || took < duration::zero()) {
+        return;
+    }
+    const double gap = milliseconds(took) / static_cast<double>(events);
+    engine_state& state = engines_[engine];
+    const bool known = state.latest != instant{} && now - state.latest < memory;
+    state.gap_ms = known ? state.gap_ms + engine_weight * (gap - state.gap_ms) : gap;
+    state.latest = now;
+    if (recent_gaps_.size() < kept_gaps) {
+        recent_gaps_.push_back({gap, now});
+    } else {
+        recent_gaps_[next_gap_] = {gap, now};
+        next_gap_ = (next_gap_ + 1) % kept_gaps;
+    }
+}
+
+void engine_pace::stream_ended(duration mean_gap) {
+    if (mean_gap <= duration::zero()) {
+        return;
+    }
+    const double gap = milliseconds(mean_gap);
+    follow_least(idle_gap_ms_, gap);
+    usual_gap_ms_ = usual_gap_ms_ > 0 ? usual_gap_ms_ + usual_weight * (gap - usual_gap_ms_) : gap;
+}
+
+void engine_pace::call_ended(duration took) {
+    const double time = std::max(0.0, milliseconds(took));
+    call_ms_ = call_ms_ > 0 ? call_ms_ + usual_weight * (time - call_ms_) : time;
+}
+
+double engine_pace::gap_ms(const backend_name& engine, instant now) const {
+    const auto known = engines_.find(engine);
+    const bool fresh = known != engines_.end() && now - known->second.latest < memory;
+    return fresh ? known->second.gap_ms : usual_gap_ms_;
+}
+
+double engine_pace::slowdown(instant now) const {
+    std::vector<double> gaps;
+    for (const recent_gap& gap : recent_gaps_) {
+        if (now - gap.at <= recent) {
+            gaps.push_back(gap.gap_ms);
+        }
+    }
+    if (gaps.size() < least_gaps || idle_gap_ms_ <= 0) {
+        return 1;
+    }
+    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+    std::nth_element(gaps.begin(), middle, gaps.end());
+    return std::max(1.0, *middle / idle_gap_ms_);
+}
+
+}  // namespace tallyfold::scheduling
--- /dev/null
+++ b/src/tallyfold/scheduling/engine_pace.hpp
@@ -0,0 +1,71 @@
+#pragma once
+/// @file
+/// How quickly engines work, learned from the answers that pass: prompt tokens read a millisecond,
+/// the time between events, and how much slower than on an idle engine that is now. Pure.
+///
+/// Nothing here is told by a deployment: slow, cold and busy engines show up in what they send.
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/common/types.hpp"
+
+namespace tallyfold::scheduling {
+
+class engine_pace {
+  public:
+    /// An engine whose latest event is older than this counts as working at the usual pace.
+    static constexpr duration memory = std::chrono::milliseconds(1'500);
+
+    /// An engine has read `tokens` that it lacked, and sent its first byte after `took`.
+    void prompt_read(token_count tokens, duration took);
+    /// `events` events of one stream have come, the last of them at `now`, after `took` in all.
+    void events_came(const backend_name& engine, std::size_t events, duration took, instant now);
+    /// A stream has ended, having made its events after the first at this mean distance.
+    void stream_ended(duration mean_gap);
+    /// A call has been answered, `took` after it was sent.
+    void call_ended(duration took);
+    /// Forgets what is known of an engine that is gone.
+    void forget(const backend_name& engine) { engines_.erase(engine); }
+
+    /// Time that an engine with nothing else to do needs for a prompt, in milliseconds a token; 0
+    /// while it isn't known.
+    [[nodiscard]] double read_ms_per_token() const { return read_ms_per_token_; }
+    /// Time between two events of a stream on an engine with little to do, in milliseconds; 0 while
+    /// it isn't known.
+    [[nodiscard]] double idle_gap_ms() const { return idle_gap_ms_; }
+    /// What a call takes as a rule at present, in milliseconds; 0 while it isn't known.
+    [[nodiscard]] double call_ms() const { return call_ms_; }
+    /// Time between two events at the engine now, in milliseconds.
+    [[nodiscard]] double gap_ms(const backend_name& engine, instant now) const;
+    /// How many times slower than idle the middle one of the latest events came, over all engines;
+    /// 1 while it isn't known.
+    [[nodiscard]] double slowdown(instant now) const;
+
+  private:
+    struct engine_state {
+        double gap_ms = 0;
+        instant latest{};
+    };
+    struct recent_gap {
+        double gap_ms = 0;
+        instant at{};
+    };
+    /// Events whose distances the slowdown is taken from.
+    static constexpr std::size_t kept_gaps = 64;
+    static constexpr duration recent = std::chrono::milliseconds(300);
+    static constexpr std::size_t least_gaps = 5;
+
+    std::map<backend_name, engine_state> engines_;
+    std::vector<recent_gap> recent_gaps_;
+    std::size_t next_gap_ = 0;
+    double usual_gap_ms_ = 0;
+    double idle_gap_ms_ = 0;
+    double read_ms_per_token_ = 0;
+    double call_ms_ = 0;
+};
+
+}  // namespace tallyfold::scheduling
--- a/src/tallyfold/scheduling/policy.cpp
+++ b/src/tallyfold/scheduling/policy.cpp
@@ -77,6 +77,7 @@
     set_number(state, "tenant_running", call.tenant_running);
     set_boolean(state, "is_sub_agent", call.is_sub_agent);
     set_number(state, "time_left_ms", call.time_left_ms);
+    set_number(state, "call_ms", call.call_ms);
 }
 
 void fill(lua_State* state, const engine_features& engine) {
@@ -211,7 +212,7 @@
         return tl::unexpected(state->take_error());
     }
     std::unique_ptr<policy> compiled(new policy(std::move(state)));
-    const call_features sample_call{"sample", 1, 1000, 3, 500, 100, 5000, 1, false, 0, 2000};
+    const call_features sample_call{"sample", 1, 1000, 3, 500, 100, 5000, 1, false, 0, 2000, 300};
     for (const double cached : {0.0, 400.0}) {
         const engine_features sample_engine{cached, 500 - cached, 2, 8, 0, 0.5, true};
         if (auto placed = compiled->place(sample_call, sample_engine); !placed) {
--- a/src/tallyfold/scheduling/policy.hpp
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -31,6 +31,9 @@
     bool is_sub_agent = false;
     /// Until the whole program should have ended, in milliseconds; negative once it should have.
     double time_left_ms = no_time_objective_ms;
+    /// What a call of this kind takes from its first send to its end at present, in milliseconds; 0
+    /// while it isn't known.
+    double call_ms = 0;
 };
 
 /// What a policy may know of an engine, for one call.
--- a/src/tallyfold/settings/node_settings.cpp
+++ b/src/tallyfold/settings/node_settings.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::int64_t largest_port = 65'535;
 constexpr double longest_seconds = 3'600;
+constexpr double usual_most_slowdown = 1.7;
+constexpr double largest_slowdown = 1'000;
 
 duration seconds(double value) {
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
@@ -83,6 +85,7 @@
         static_cast<std::uint16_t>(reader.integer_or("metrics_port", 0, 0, largest_port));
     read.backend_list_address = optional_address(reader, "backend_list_address");
     read.policy_file = reader.text_or("policy_file", {});
+    read.most_slowdown = reader.real_or("most_slowdown", usual_most_slowdown, 0, largest_slowdown);
     read.grace = seconds(reader.real_or("grace_seconds", 8, 0.1, longest_seconds));
     read.acknowledge =
         std::chrono::milliseconds(reader.integer_or("acknowledge_ms", 4'000, 1, 600'000));
--- a/src/tallyfold/settings/node_settings.hpp
+++ b/src/tallyfold/settings/node_settings.hpp
@@ -40,6 +40,9 @@
     std::string backend_list_address;
     /// The operators' policy that ranks calls and engines; empty for the built-in ranking.
     std::string policy_file;
+    /// Times slower than idle that a forwarder lets engines become before calls wait; 0 lets every
+    /// call go at once.
+    double most_slowdown = 0;
     /// Time from a stop to the process's end.
     duration grace{};
     /// Time that an operator waits for an acknowledgement.
--- /dev/null
+++ b/tests/forwarding/admission_window_test.cpp
@@ -0,0 +1,81 @@
+#include "tallyfold/forwarding/admission_window.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace forwarding;
+
+class admission_window_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(admission_window_test);
+    CPPUNIT_TEST(while_engines_keep_up_every_call_goes);
+    CPPUNIT_TEST(slow_engines_bound_what_runs);
+    CPPUNIT_TEST(the_window_grows_back_while_calls_wait);
+    CPPUNIT_TEST(the_bound_goes_when_nothing_waits);
+    CPPUNIT_TEST(any_pace_leaves_room_for_one_call);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr double most_slowdown = 2;
+
+    static admission_window window_with(std::size_t running) {
+        admission_window window(most_slowdown);
+        for (std::size_t call = 0; call < running; ++call) {
+            window.started();
+        }
+        return window;
+    }
+
+    void while_engines_keep_up_every_call_goes() {
+        admission_window window = window_with(500);
+        window.adjust(most_slowdown, 0);
+        CPPUNIT_ASSERT(window.has_room());
+    }
+
+    void slow_engines_bound_what_runs() {
+        admission_window window = window_with(20);
+        window.adjust(2 * most_slowdown, 0);
+        CPPUNIT_ASSERT(!window.has_room());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(16, window.size(), 0.01);
+        for (int ended = 0; ended < 5; ++ended) {
+            window.finished();
+        }
+        CPPUNIT_ASSERT(window.has_room());
+    }
+
+    void the_window_grows_back_while_calls_wait() {
+        admission_window window = window_with(20);
+        window.adjust(2 * most_slowdown, 0);
+        const double before = window.size();
+        window.adjust(1, 7);
+        CPPUNIT_ASSERT(window.size() > before);
+    }
+
+    void the_bound_goes_when_nothing_waits() {
+        admission_window window = window_with(20);
+        window.adjust(2 * most_slowdown, 0);
+        window.adjust(1, 0);
+        CPPUNIT_ASSERT(window.has_room());
+    }
+
+    void any_pace_leaves_room_for_one_call() {
+        check_property("an idle node may always run a call", [] {
+            admission_window window(most_slowdown);
+            const int steps = *rc::gen::inRange(1, 300);
+            for (int step = 0; step < steps; ++step) {
+                if (*rc::gen::arbitrary<bool>()) {
+                    window.started();
+                }
+                window.adjust(*rc::gen::inRange(1, 1'000'000) / 10.0,
+                              static_cast<std::size_t>(*rc::gen::inRange(0, 50)));
+            }
+            while (window.running() > 0) {
+                window.finished();
+            }
+            RC_ASSERT(window.has_room());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_window_test);
+
+}  // namespace tallyfold::tests
--- a/tests/forwarding/call_ranking_test.cpp
+++ b/tests/forwarding/call_ranking_test.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(a_failing_evaluation_is_counted_and_the_priority_ranks);
     CPPUNIT_TEST(an_emptied_file_removes_the_policy);
     CPPUNIT_TEST(the_shipped_policy_puts_the_least_time_left_first);
+    CPPUNIT_TEST(the_shipped_policy_lets_late_programs_wait_behind);
+    CPPUNIT_TEST(a_failing_order_falls_back_to_the_time_left);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string policy_with(const std::string& urgency) {
@@ -80,11 +82,14 @@
         CPPUNIT_ASSERT(ranking.placement() == nullptr);
     }
 
-    void the_shipped_policy_puts_the_least_time_left_first() {
+    static std::string shipped_policy() {
         std::ifstream file(std::string(TALLYFOLD_SOURCE_ROOT) + "/policies/platform.lua");
-        const std::string text((std::istreambuf_iterator<char>(file)), {});
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    void the_shipped_policy_puts_the_least_time_left_first() {
         call_ranking ranking;
-        CPPUNIT_ASSERT(ranking.use(text).has_value());
+        CPPUNIT_ASSERT(ranking.use(shipped_policy()).has_value());
         std::int32_t before = call_ranking::most_urgent;
         for (const double left : {100.0, 500.0, 1'500.0, 3'000.0, 9'000.0}) {
             const std::int32_t level = ranking.urgency_of(call_with(1, left));
@@ -97,6 +102,33 @@
                        ranking.urgency_of(call_with(0, 1'500)));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ranking.failures());
     }
+
+    void the_shipped_policy_lets_late_programs_wait_behind() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(ranking.use(shipped_policy()).has_value());
+        const auto rank = [&ranking](double time_left_ms) {
+            scheduling::call_features call = call_with(0, time_left_ms);
+            call.call_ms = 400;
+            return ranking.order_of(call);
+        };
+        CPPUNIT_ASSERT(rank(500) < rank(3000));
+        CPPUNIT_ASSERT(rank(3000) < rank(100));
+        CPPUNIT_ASSERT(rank(100) < rank(-2000));
+    }
+
+    void a_failing_order_falls_back_to_the_time_left() {
+        call_ranking ranking;
+        CPPUNIT_ASSERT(
+            ranking
+                .use("function order(call) if call.time_left_ms == 70 then error('no') end "
+                     "return 1 end\n"
+                     "function place(call, engine) return 1 end\n"
+                     "function retain(program) return 1 end\n")
+                .has_value());
+        CPPUNIT_ASSERT_EQUAL(1.0, ranking.order_of(call_with(0, 50)));
+        CPPUNIT_ASSERT_EQUAL(70.0, ranking.order_of(call_with(0, 70)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, ranking.failures());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(call_ranking_test);
--- /dev/null
+++ b/tests/scheduling/engine_pace_test.cpp
@@ -0,0 +1,97 @@
+#include "tallyfold/scheduling/engine_pace.hpp"
+
+#include <cmath>
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace scheduling;
+
+class engine_pace_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(engine_pace_test);
+    CPPUNIT_TEST(the_reading_rate_is_that_of_an_engine_with_nothing_else_to_do);
+    CPPUNIT_TEST(engines_that_slow_down_together_show_as_slowdown);
+    CPPUNIT_TEST(one_slow_engine_is_seen_and_is_no_slowdown_of_all);
+    CPPUNIT_TEST(what_is_old_no_longer_counts);
+    CPPUNIT_TEST(any_samples_leave_finite_values);
+    CPPUNIT_TEST_SUITE_END();
+
+    static duration ms(double value) {
+        return std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(value));
+    }
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
+
+    /// Many events of each of the engines, ending at `now`.
+    static void play(engine_pace& pace, const std::vector<std::string>& engines, double gap,
+                     instant now) {
+        for (int count = 0; count < 20; ++count) {
+            for (const std::string& engine : engines) {
+                pace.events_came(engine, 1, ms(gap), now);
+                pace.stream_ended(ms(gap));
+            }
+        }
+    }
+
+    void the_reading_rate_is_that_of_an_engine_with_nothing_else_to_do() {
+        engine_pace pace;
+        for (int count = 0; count < 50; ++count) {
+            pace.prompt_read(10'000, ms(100));
+            pace.prompt_read(10'000, ms(400));
+            pace.prompt_read(10, ms(90));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.01, pace.read_ms_per_token(), 0.002);
+    }
+
+    void engines_that_slow_down_together_show_as_slowdown() {
+        engine_pace pace;
+        CPPUNIT_ASSERT_EQUAL(1.0, pace.slowdown(at(1)));
+        play(pace, {"a", "b", "c"}, 20, at(1000));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1, pace.slowdown(at(1000)), 0.05);
+        play(pace, {"a", "b", "c"}, 60, at(2000));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3, pace.slowdown(at(2000)), 0.2);
+    }
+
+    void one_slow_engine_is_seen_and_is_no_slowdown_of_all() {
+        engine_pace pace;
+        play(pace, {"a", "b", "c"}, 20, at(1000));
+        play(pace, {"a", "b"}, 20, at(1500));
+        play(pace, {"c"}, 200, at(1500));
+        CPPUNIT_ASSERT(pace.gap_ms("c", at(1500)) > 150);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20, pace.gap_ms("a", at(1500)), 1);
+        CPPUNIT_ASSERT(pace.slowdown(at(1500)) < 1.5);
+    }
+
+    void what_is_old_no_longer_counts() {
+        engine_pace pace;
+        play(pace, {"a", "b", "c"}, 20, at(1000));
+        pace.events_came("a", 1, ms(500), at(1100));
+        const instant later = at(1100) + engine_pace::memory;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20, pace.gap_ms("a", later), 5);
+        CPPUNIT_ASSERT_EQUAL(1.0, pace.slowdown(later));
+    }
+
+    void any_samples_leave_finite_values() {
+        check_property("the model stays sane whatever engines send", [] {
+            engine_pace pace;
+            instant now{};
+            for (int count = 0; count < 100; ++count) {
+                now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+                const duration took = std::chrono::milliseconds(*rc::gen::inRange(-10, 1'000'000));
+                pace.prompt_read(*rc::gen::arbitrary<std::uint32_t>(), took);
+                pace.events_came("a", *rc::gen::inRange<std::size_t>(0, 1000), took, now);
+                pace.stream_ended(took);
+                pace.call_ended(took);
+                RC_ASSERT(std::isfinite(pace.slowdown(now)) && pace.slowdown(now) >= 1);
+                RC_ASSERT(std::isfinite(pace.gap_ms("a", now)) && pace.gap_ms("a", now) >= 0);
+                RC_ASSERT(std::isfinite(pace.read_ms_per_token()));
+                RC_ASSERT(pace.read_ms_per_token() >= 0);
+            }
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(engine_pace_test);
+
+}  // namespace tallyfold::tests
