Placement weighs learned milliseconds in place of tokens with constants

Cause: costs in tokens (64 a running call) don't carry from one engine to another, and nothing told a forwarder that an engine is slow or busy with other nodes' calls. Change: policies get read_ms, pending_read_ms, gap_ms and idle_gap_ms of an engine from engine_pace; the shipped place() counts reading six times (it stalls every stream there), what waits, the node's own calls and the events' distance over the idle one.

--- a/policies/platform.lua
+++ b/policies/platform.lua
@@ -8,9 +8,12 @@
   return left
 end
 
--- Cost in prompt tokens: what must be computed again, what waits there, and how busy the engine is.
+-- Cost in milliseconds. Reading stalls every stream of the engine, so it counts several times; what this
+-- node has waiting there is read before; each call of its own that runs there stands for those of other
+-- nodes; and an engine whose events come slowly is busy with others' calls, or slow itself.
 function place(call, engine)
-  return engine.uncached_tokens + engine.pending_prefill_tokens + 64 * engine.outstanding
+  return 6 * engine.read_ms + engine.pending_read_ms + 5 * engine.outstanding
+    + engine.gap_ms - engine.idle_gap_ms
 end
 
 -- What it would cost to rebuild.
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -74,6 +74,7 @@
     request.prompt = question.prompt;
     request.prompt_tokens = question.prompt_tokens;
     request.call = question.call;
+    request.pace = &paces_[question.service];
     if (!question.program.empty()) {
         request.home = scheduling::home_of(question.program, pool, now);
         // An earlier turn of the program has left all but the newest part there.
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
+/// Until an engine has been seen to read a prompt.
+constexpr double assumed_read_ms_per_token = 0.01;
+
 engine_features describe(const placement_request& request, const backend_state& engine,
-                         token_count cached_tokens) {
+                         token_count cached_tokens, instant now) {
     engine_features features;
     features.cached_tokens = static_cast<double>(cached_tokens);
     features.uncached_tokens = static_cast<double>(request.prompt_tokens - cached_tokens);
@@ -17,6 +20,14 @@
     features.slots = std::max(1U, engine.member.slots);
     features.pending_prefill_tokens = static_cast<double>(engine.pending_prefill_tokens);
     features.cache_fill = engine.reported.cache_fill;
+    const double learned = request.pace != nullptr ? request.pace->read_ms_per_token() : 0;
+    const double ms_per_token = learned > 0 ? learned : assumed_read_ms_per_token;
+    features.read_ms = features.uncached_tokens * ms_per_token;
+    features.pending_read_ms = features.pending_prefill_tokens * ms_per_token;
+    if (request.pace != nullptr) {
+        features.gap_ms = request.pace->gap_ms(engine.member.name, now);
+        features.idle_gap_ms = request.pace->idle_gap_ms();
+    }
     features.same_zone = engine.member.zone == request.zone;
     return features;
 }
@@ -66,8 +77,8 @@
 }
 
 double placement::cost_of(const placement_request& request, const candidate& option,
-                          policy* ranking) {
-    const engine_features features = describe(request, *option.engine, option.cached_tokens);
+                          policy* ranking, instant now) {
+    const engine_features features = describe(request, *option.engine, option.cached_tokens, now);
     if (ranking != nullptr) {
         if (const auto cost = ranking->place(request.call, features)) {
             return *cost;
@@ -160,7 +171,7 @@
     const candidate* best = nullptr;
     double best_cost = 0;
     for (const candidate& option : options) {
-        const double cost = cost_of(request, option, ranking);
+        const double cost = cost_of(request, option, ranking, now);
         if (best == nullptr || cost < best_cost) {
             best = &option;
             best_cost = cost;
--- a/src/tallyfold/scheduling/placement.hpp
+++ b/src/tallyfold/scheduling/placement.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/scheduling/backend_pool.hpp"
 #include "tallyfold/scheduling/cache_map.hpp"
+#include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/policy.hpp"
 
 namespace tallyfold::scheduling {
@@ -28,6 +29,8 @@
     /// when there is none. It is taken to hold `home_tokens` of the prompt.
     backend_name home;
     token_count home_tokens = 0;
+    /// How quickly the engines work; null when it isn't learned.
+    const engine_pace* pace = nullptr;
 };
 
 /// The engine that a key belongs to (rendezvous hashing): equal on all nodes that see the same
@@ -75,7 +78,7 @@
     const backend_state* next_in_turn(const backend_pool& pool, const std::string& model,
                                       instant now);
     static double cost_of(const placement_request& request, const candidate& option,
-                          policy* ranking);
+                          policy* ranking, instant now);
 
     strategy strategy_;
     backend_name last_in_turn_;
--- a/src/tallyfold/scheduling/policy.cpp
+++ b/src/tallyfold/scheduling/policy.cpp
@@ -86,6 +86,10 @@
     set_number(state, "outstanding", engine.outstanding);
     set_number(state, "slots", engine.slots);
     set_number(state, "pending_prefill_tokens", engine.pending_prefill_tokens);
+    set_number(state, "read_ms", engine.read_ms);
+    set_number(state, "pending_read_ms", engine.pending_read_ms);
+    set_number(state, "gap_ms", engine.gap_ms);
+    set_number(state, "idle_gap_ms", engine.idle_gap_ms);
     set_number(state, "cache_fill", engine.cache_fill);
     set_boolean(state, "same_zone", engine.same_zone);
 }
@@ -145,7 +149,7 @@
     template <class Features>
     static int push_features(lua_State* target) {
         const auto* features = static_cast<const Features*>(lua_touserdata(target, 1));
-        lua_createtable(target, 0, 10);
+        lua_createtable(target, 0, 14);
         fill(target, *features);
         return 1;
     }
@@ -214,7 +218,16 @@
     std::unique_ptr<policy> compiled(new policy(std::move(state)));
     const call_features sample_call{"sample", 1, 1000, 3, 500, 100, 5000, 1, false, 0, 2000, 300};
     for (const double cached : {0.0, 400.0}) {
-        const engine_features sample_engine{cached, 500 - cached, 2, 8, 0, 0.5, true};
+        engine_features sample_engine;
+        sample_engine.cached_tokens = cached;
+        sample_engine.uncached_tokens = 500 - cached;
+        sample_engine.outstanding = 2;
+        sample_engine.slots = 8;
+        sample_engine.read_ms = (500 - cached) / 100;
+        sample_engine.gap_ms = 30;
+        sample_engine.idle_gap_ms = 20;
+        sample_engine.cache_fill = 0.5;
+        sample_engine.same_zone = true;
         if (auto placed = compiled->place(sample_call, sample_engine); !placed) {
             return tl::unexpected(placed.error());
         }
--- a/src/tallyfold/scheduling/policy.hpp
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -46,6 +46,14 @@
     double slots = 1;
     /// Prompt tokens sent there whose first token has not come back.
     double pending_prefill_tokens = 0;
+    /// What reading the uncached tokens, and the pending ones, takes on an idle engine, in
+    /// milliseconds.
+    double read_ms = 0;
+    double pending_read_ms = 0;
+    /// Time between two events of a stream there now, and on an idle engine, in milliseconds; 0
+    /// while it isn't known.
+    double gap_ms = 0;
+    double idle_gap_ms = 0;
     /// Share of the cache that is in use, 0 to 1.
     double cache_fill = 0;
     bool same_zone = false;
