Refusals of full back ends bound what runs; requests that come a moment early wait it out

After the final fault ten requests a restart were refused for a configuration that came 60 ms later, and were told to stay away for a whole second. Change: when every back end of a service was full, the same window that bounds engines shrinks to 0.7 of what runs, and the calls wait in order; a rejection keeps its connection; a request that reaches a node which doesn't yet know routes, list or stores waits up to 50 ms, and one refused then is told to come back after 0.4 s. Test: calls_turned_away_together_shrink_it_once (new interface).

--- a/src/tallyfold/forwarding/admission_window.cpp
+++ b/src/tallyfold/forwarding/admission_window.cpp
@@ -10,14 +10,29 @@
 constexpr double least_window = 1;
 /// Part that stays of the window at an adjustment, at least.
 constexpr double least_part = 0.8;
+/// Part of what runs that stays when every back end is full.
+constexpr double part_when_turned_away = 0.7;
 /// Growth at an adjustment while calls wait and the engines keep the bound.
 constexpr double growth = 1.1;
 constexpr double growth_step = 0.5;
 
 }  // namespace
 
+void admission_window::turned_away() {
+    if (shrunk_) {
+        return;
+    }
+    shrunk_ = true;
+    bounded_ = true;
+    window_ = std::max(least_window, static_cast<double>(running_) * part_when_turned_away);
+}
+
 void admission_window::adjust(double slowdown, std::size_t waiting) {
     const auto running = static_cast<double>(running_);
+    if (shrunk_) {
+        shrunk_ = false;
+        return;
+    }
     if (slowdown > most_slowdown_) {
         const double before =
             bounded_ ? std::min(window_, std::max(running, least_window)) : running;
--- a/src/tallyfold/forwarding/admission_window.hpp
+++ b/src/tallyfold/forwarding/admission_window.hpp
@@ -3,9 +3,11 @@
 /// How many calls of a node may run at the engines of one service at once. Pure.
 ///
 /// Engines share their steps among all that runs, so that under too much work everybody is late
-/// together. The window shrinks while events come slower than a bound allows, and grows back while
-/// they don't; calls beyond it wait at the node, in order. Nodes need no word of each other: all of
-/// them see the same engines slow down, and each gives way in proportion to what it runs there.
+/// together; and back ends that are full turn calls away, which then knock in vain. The window
+/// shrinks while events come slower than a bound allows, or when calls are turned away, and grows
+/// back while that doesn't happen; calls beyond it wait at the node, in order. Nodes need no word
+/// of each other: all of them see the same engines slow down, and each gives way in proportion to
+/// what it runs there.
 
 #include <cstddef>
 
@@ -27,6 +29,9 @@
     }
     void started() { ++running_; }
     void finished() { running_ -= running_ > 0 ? 1 : 0; }
+    /// Every back end of the service has turned a call away. Counts once between two adjustments,
+    /// since those that run together are turned away together.
+    void turned_away();
     /// Follows how much slower than idle the engines work now.
     void adjust(double slowdown, std::size_t waiting);
 
@@ -38,6 +43,7 @@
     double most_slowdown_;
     std::size_t running_ = 0;
     bool bounded_ = false;
+    bool shrunk_ = false;
     double window_ = 0;
 };
 
--- a/src/tallyfold/forwarding/call_gate_shell.cpp
+++ b/src/tallyfold/forwarding/call_gate_shell.cpp
@@ -8,7 +8,7 @@
 namespace tallyfold::forwarding {
 
 asio::awaitable<duration> call_gate::enter(waiting_rank rank, duration longest) {
-    if (open_ || (queue_.size() == 0 && window_.has_room())) {
+    if (lets_in_at_once()) {
         window_.started();
         co_return duration::zero();
     }
@@ -38,6 +38,10 @@
     let_in();
 }
 
+void call_gate::turned_away() {
+    window_.turned_away();
+}
+
 void call_gate::adjust(double slowdown) {
     window_.adjust(slowdown, queue_.size());
     let_in();
--- a/src/tallyfold/forwarding/call_gate_shell.hpp
+++ b/src/tallyfold/forwarding/call_gate_shell.hpp
@@ -32,7 +32,13 @@
     /// follow.
     /// @return the time waited
     asio::awaitable<duration> enter(waiting_rank rank, duration longest);
+    /// True when a call would go at once.
+    [[nodiscard]] bool lets_in_at_once() const {
+        return open_ || (queue_.size() == 0 && window_.has_room());
+    }
     void leave();
+    /// Every back end was full.
+    void turned_away();
     /// Follows the engines' pace; to be called each admission_window::interval.
     void adjust(double slowdown);
 
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -28,7 +28,12 @@
 constexpr int most_surplus_answers = 2;
 /// When a refused caller is asked to come again, in seconds.
 constexpr const char* soon_seconds = "0.2";
-constexpr const char* after_recovery_seconds = "1.0";
+constexpr const char* after_recovery_seconds = "0.4";
+/// Time that an answer which isn't passed on may take to its end.
+constexpr duration read_over_limit = std::chrono::milliseconds(20);
+/// A request that reaches a node just before it knows routes, back ends and stores waits this long.
+constexpr duration longest_early_wait = std::chrono::milliseconds(50);
+constexpr duration early_wait_step = std::chrono::milliseconds(5);
 
 std::string chunk_of(const std::string& bytes) {
     static constexpr const char* digits = "0123456789abcdef";
@@ -104,6 +109,9 @@
 
 asio::awaitable<bool> request_relay::serve() {
     const auto self = shared_from_this();
+    if (!knows_enough()) {
+        co_await wait_until_known();
+    }
     if (!table_) {
         outcome_ = "refused";
         co_await answer(503, "no configuration is known yet", come_again::after_recovery);
@@ -227,15 +235,13 @@
 asio::awaitable<void> request_relay::run_attempts() {
     backend_question question = describe_for_choice();
     urgency_ = context_.ranking.urgency_of(question.call);
-    if (service_->is_engine) {
-        co_await enter_gate(question.call);
-    }
+    co_await enter_gate(question.call);
     send_result last;
     last.reason = "no back end is available";
     while (!gone_) {
         const auto backend = context_.backends.choose(question, http::steady_now());
         if (!backend) {
-            if (!co_await wait_for_room()) {
+            if (!co_await wait_for_room(question.call)) {
                 break;
             }
             question.tried.clear();
@@ -283,14 +289,18 @@
 }
 
 asio::awaitable<void> request_relay::enter_gate(const scheduling::call_features& call) {
+    call_gate& gate = context_.gate_of(service_->name);
     waiting_rank rank;
-    rank.priority = route_->priority;
-    rank.rank = context_.ranking.order_of(call);
+    if (!gate.lets_in_at_once()) {
+        rank.priority = route_->priority;
+        rank.rank = context_.ranking.order_of(call);
+    }
     const duration longest =
         std::chrono::duration_cast<duration>(time_left() * share_of_time_to_wait);
     in_gate_ = true;
-    waited_ = co_await context_.gate_of(service_->name).enter(rank, longest);
-    context_.metrics.waited(waited_);
+    const duration waited = co_await gate.enter(rank, longest);
+    context_.metrics.waited(waited);
+    waited_ += waited;
 }
 
 void request_relay::leave_gate() {
@@ -325,17 +335,33 @@
     pace.call_ended(http::steady_now() - call_.since);
 }
 
-asio::awaitable<bool> request_relay::wait_for_room() {
+asio::awaitable<bool> request_relay::wait_for_room(const scheduling::call_features& call) {
     const auto pause = policy_->pause_for_room(time_left(), context_.backends.draw_jitter());
     if (!pause) {
         co_return false;
     }
     ++waits_for_room_;
+    context_.gate_of(service_->name).turned_away();
+    leave_gate();
     asio::steady_timer timer(context_.process.loop(), *pause);
     co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    co_await enter_gate(call);
     co_return true;
 }
 
+bool request_relay::knows_enough() const {
+    return context_.routes && context_.backends.has_list() && context_.turns.knows_stores();
+}
+
+asio::awaitable<void> request_relay::wait_until_known() {
+    const instant until = request_.received + longest_early_wait;
+    while (!knows_enough() && http::steady_now() < until && !gone_) {
+        asio::steady_timer timer(context_.process.loop(), early_wait_step);
+        co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    }
+    table_ = context_.routes;
+}
+
 asio::awaitable<http::connection_pointer> request_relay::open(const chosen_backend& backend,
                                                               send_result& result) {
     const instant now = http::steady_now();
@@ -412,8 +438,10 @@
         result.reason = facts.wrong_incarnation ? "other_incarnation" : "not_executed";
         if (facts.wrong_incarnation) {
             context_.backends.gone(service_->name, backend.name);
+            opened->close();
+        } else {
+            co_await read_over(opened, backend.address, facts);
         }
-        opened->close();
         co_return result;
     }
     const unsigned status = opened->head().status;
@@ -455,6 +483,23 @@
     co_return result;
 }
 
+asio::awaitable<void> request_relay::read_over(http::connection_pointer backend,
+                                               std::string address, const answer_facts& facts) {
+    const instant until = http::steady_now() + read_over_limit;
+    while (!backend->message_complete()) {
+        const auto piece = co_await backend->read_body_piece(until);
+        if (!piece) {
+            backend->abort();
+            co_return;
+        }
+    }
+    if (backend->head().keep_alive) {
+        context_.connections.put(address, backend, facts.idle_limit, http::steady_now());
+    } else {
+        backend->close();
+    }
+}
+
 asio::awaitable<bool> request_relay::read_matching_head(http::connection_pointer backend,
                                                         instant until, answer_facts& facts,
                                                         send_result& result) {
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -53,14 +53,20 @@
     asio::awaitable<bool> begin_turn();
     asio::awaitable<void> run_attempts();
     [[nodiscard]] backend_question describe_for_choice() const;
-    /// Waits until the node may send the call to an engine.
+    /// Waits until the node may send the call.
     asio::awaitable<void> enter_gate(const scheduling::call_features& call);
     void leave_gate();
     /// Notes at which pace the engine makes events.
     void note_events();
     void note_stream_end();
     /// Waits a moment when every back end was full. @return false when it is given up instead
-    asio::awaitable<bool> wait_for_room();
+    asio::awaitable<bool> wait_for_room(const scheduling::call_features& call);
+    /// Waits a moment for what a node that has just started still has to learn.
+    asio::awaitable<void> wait_until_known();
+    [[nodiscard]] bool knows_enough() const;
+    /// Reads on to the end of an answer that isn't passed on, and keeps its connection.
+    asio::awaitable<void> read_over(http::connection_pointer backend, std::string address,
+                                    const answer_facts& facts);
     asio::awaitable<send_result> send_to(chosen_backend backend);
     asio::awaitable<http::connection_pointer> open(const chosen_backend& backend,
                                                    send_result& result);
--- a/tests/forwarding/admission_window_test.cpp
+++ b/tests/forwarding/admission_window_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(slow_engines_bound_what_runs);
     CPPUNIT_TEST(the_window_grows_back_while_calls_wait);
     CPPUNIT_TEST(the_bound_goes_when_nothing_waits);
+    CPPUNIT_TEST(calls_turned_away_together_shrink_it_once);
     CPPUNIT_TEST(any_pace_leaves_room_for_one_call);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,19 @@
         CPPUNIT_ASSERT(window.has_room());
     }
 
+    void calls_turned_away_together_shrink_it_once() {
+        admission_window window = window_with(20);
+        for (int call = 0; call < 10; ++call) {
+            window.turned_away();
+        }
+        CPPUNIT_ASSERT(!window.has_room());
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(14, window.size(), 0.01);
+        window.adjust(1, 5);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(14, window.size(), 0.01);
+        window.adjust(1, 5);
+        CPPUNIT_ASSERT(window.size() > 14);
+    }
+
     void any_pace_leaves_room_for_one_call() {
         check_property("an idle node may always run a call", [] {
             admission_window window(most_slowdown);
@@ -64,6 +78,8 @@
             for (int step = 0; step < steps; ++step) {
                 if (*rc::gen::arbitrary<bool>()) {
                     window.started();
+                } else if (*rc::gen::arbitrary<bool>()) {
+                    window.turned_away();
                 }
                 window.adjust(*rc::gen::inRange(1, 1'000'000) / 10.0,
                               static_cast<std::size_t>(*rc::gen::inRange(0, 50)));
