A resumable stream that breaks off goes on within its answer; mechanisms can be switched off

Tests: whole_events_test with a property over any cut and overlap, attempt_policy_test, platform_test, node_settings_test (new interfaces).

--- a/src/tallyfold/forwarding/attempt_policy.cpp
+++ b/src/tallyfold/forwarding/attempt_policy.cpp
@@ -11,10 +11,15 @@
 
 }  // namespace
 
-next_step attempt_policy::after(attempt_end end, duration time_left) {
+next_step attempt_policy::after(attempt_end end, duration time_left, bool broke_off) {
     ++sends_;
     ++sends_since_pause_;
     if (end == attempt_end::may_have_run) {
+        const bool repeats = resumable_ && broke_off && repeats_there_ < most_repeats_there;
+        if (repeats && time_left >= least_time) {
+            ++repeats_there_;
+            return next_step::repeat_there;
+        }
         ++runs_;
         const bool again = repeatable_ && runs_ < most_runs_;
         if (!again) {
--- a/src/tallyfold/forwarding/attempt_policy.hpp
+++ b/src/tallyfold/forwarding/attempt_policy.hpp
@@ -22,6 +22,8 @@
 
 enum class next_step : std::uint8_t {
     retry,
+    /// The same back end goes on where its stream broke off, or begins again.
+    repeat_there,
     /// The request has not run and never will: the caller may come again.
     refuse,
     /// It may have run: the caller is told nothing about that.
@@ -41,11 +43,17 @@
     /// Time that a request still needs after a pause, to be worth waiting for.
     static constexpr duration least_time_after_pause = std::chrono::milliseconds(100);
 
-    attempt_policy(bool repeatable, std::uint32_t most_runs)
-        : repeatable_(repeatable), most_runs_(most_runs) {}
+    /// Times that one request is repeated at a back end whose stream broke off.
+    static constexpr std::uint32_t most_repeats_there = 2;
+
+    /// @param resumable a stream that may be continued; at the back end that it broke off at, this
+    /// isn't a run of a further one
+    attempt_policy(bool repeatable, std::uint32_t most_runs, bool resumable = false)
+        : repeatable_(repeatable), resumable_(resumable), most_runs_(most_runs) {}
 
     /// Notes how an attempt ended. @param time_left until the request's deadline
-    next_step after(attempt_end end, duration time_left);
+    /// @param broke_off the connection ended, so that the back end no longer works on it
+    next_step after(attempt_end end, duration time_left, bool broke_off = false);
     /// Every back end has proved that it was full, or could not be reached: how long to wait before
     /// they are asked again. Nothing when none was asked, when the request may have run, or when it
     /// has too little time left.
@@ -63,7 +71,9 @@
     }
 
     bool repeatable_;
+    bool resumable_;
     std::uint32_t most_runs_;
+    std::uint32_t repeats_there_ = 0;
     std::uint32_t sends_ = 0;
     std::uint32_t runs_ = 0;
     std::uint32_t sends_since_pause_ = 0;
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -19,8 +19,9 @@
 
 }  // namespace
 
-backend_registry::backend_registry(std::string zone, std::uint64_t seed)
-    : zone_(std::move(zone)), random_(seed) {}
+backend_registry::backend_registry(std::string zone, std::uint64_t seed,
+                                   scheduling::strategy chosen, settings::switched_off off)
+    : zone_(std::move(zone)), random_(seed), placement_(chosen), off_(std::move(off)) {}
 
 bool backend_registry::update(const std::vector<listing::listed_backend>& backends, instant now) {
     std::map<std::string, std::vector<backend_member>> listed;
@@ -75,7 +76,7 @@
     request.prompt_tokens = question.prompt_tokens;
     request.call = question.call;
     request.pace = &paces_[question.service];
-    if (!question.program.empty()) {
+    if (!question.program.empty() && !off_.contains(settings::mechanism::program_home)) {
         request.home = scheduling::home_of(question.program, pool, now);
         // An earlier turn of the program has left all but the newest part there.
         const auto* prompt = question.prompt;
@@ -162,6 +163,9 @@
 
 std::vector<backend_name> backend_registry::suspect_silent(instant now) {
     std::vector<backend_name> suspected;
+    if (off_.contains(settings::mechanism::silence)) {
+        return suspected;
+    }
     for (const auto& [service, calls] : waiting_) {
         backend_pool& pool = pools_[service];
         const duration limit = std::max(least_silence, calls.usual * silence_factor);
@@ -182,7 +186,9 @@
 }
 
 void backend_registry::failed(const std::string& service, const backend_name& name, instant now) {
-    pools_[service].failed(name, now);
+    if (!off_.contains(settings::mechanism::ejection)) {
+        pools_[service].failed(name, now);
+    }
 }
 
 void backend_registry::unreachable(const std::string& service, const backend_name& name,
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -11,6 +11,7 @@
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
+#include "tallyfold/settings/mechanisms.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -49,7 +50,10 @@
 
 class backend_registry {
   public:
-    backend_registry(std::string zone, std::uint64_t seed);
+    /// @param off what is switched off for a measurement
+    backend_registry(std::string zone, std::uint64_t seed,
+                     scheduling::strategy chosen = scheduling::strategy::policy,
+                     settings::switched_off off = {});
 
     /// Takes the whole list as it stands. @return true when it differs from the one before
     bool update(const std::vector<listing::listed_backend>& backends, instant now);
@@ -106,7 +110,8 @@
     std::map<std::string, waiting_calls> waiting_;
     std::map<std::string, scheduling::engine_pace> paces_;
     scheduling::cache_map cache_{20'000};
-    scheduling::placement placement_{scheduling::strategy::policy};
+    scheduling::placement placement_;
+    settings::switched_off off_;
     instant listed_at_{};
     bool has_list_ = false;
 };
--- a/src/tallyfold/forwarding/dialect.hpp
+++ b/src/tallyfold/forwarding/dialect.hpp
@@ -41,6 +41,8 @@
     /// Level at which the engine ranks the request; 0 goes first.
     std::int32_t urgency = 0;
     bool is_engine = false;
+    /// Identifier of the last event that the caller has; empty for a stream from its beginning.
+    std::string last_event;
 };
 
 /// What the head of a back end's answer says.
--- a/src/tallyfold/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/forwarding/forwarder_context.hpp
@@ -34,9 +34,14 @@
     /// Answers tell callers to close.
     bool stopping = false;
 
+    /// True when a mechanism is switched off for a measurement.
+    [[nodiscard]] bool lacks(settings::mechanism asked) const {
+        return process.settings().off.contains(asked);
+    }
     call_gate& gate_of(const std::string& service) {
-        return gates.try_emplace(service, process.loop(), process.settings().most_slowdown)
-            .first->second;
+        const bool bounded = !lacks(settings::mechanism::bounded_running);
+        const double most_slowdown = bounded ? process.settings().most_slowdown : 0;
+        return gates.try_emplace(service, process.loop(), most_slowdown).first->second;
     }
 };
 
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -73,7 +73,10 @@
                                const listing::list_dialect& lists)
     : process_(settings),
       metrics_(process_.metrics()),
-      backends_(settings.zone, stable_hash(settings.node)),
+      backends_(
+          settings.zone, stable_hash(settings.node),
+          scheduling::parse_strategy(settings.placement).value_or(scheduling::strategy::policy),
+          settings.off),
       directory_(process_, {}),
       turns_(process_, [this](const turns::store_map& map) { directory_.learn_map(map); }),
       poller_(process_, lists),
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -109,7 +109,7 @@
 
 asio::awaitable<bool> request_relay::serve() {
     const auto self = shared_from_this();
-    if (!knows_enough()) {
+    if (!knows_enough() && !context_.lacks(settings::mechanism::early_wait)) {
         co_await wait_until_known();
     }
     if (!table_) {
@@ -132,7 +132,8 @@
     deadline_ = request_.received + patience;
     const bool repeatable =
         route_->repeats == routing::repeatability::repeatable || route_->resumable;
-    policy_.emplace(repeatable, std::max(1U, route_->max_attempts));
+    const bool continues = route_->resumable && !context_.lacks(settings::mechanism::continuation);
+    policy_.emplace(repeatable, std::max(1U, route_->max_attempts), continues);
     std::weak_ptr<request_relay> weak = weak_from_this();
     caller_->watch_close([weak] {
         if (const auto relay = weak.lock()) {
@@ -234,12 +235,16 @@
 
 asio::awaitable<void> request_relay::run_attempts() {
     backend_question question = describe_for_choice();
-    urgency_ = context_.ranking.urgency_of(question.call);
+    urgency_ = context_.lacks(settings::mechanism::urgency)
+                   ? route_->priority
+                   : context_.ranking.urgency_of(question.call);
     co_await enter_gate(question.call);
     send_result last;
     last.reason = "no back end is available";
+    std::optional<chosen_backend> same;
     while (!gone_) {
-        const auto backend = context_.backends.choose(question, http::steady_now());
+        const auto backend = same ? same : context_.backends.choose(question, http::steady_now());
+        same.reset();
         if (!backend) {
             if (!co_await wait_for_room(question.call)) {
                 break;
@@ -265,8 +270,11 @@
                                  " reason=" + last.reason +
                                  " end=" + std::to_string(static_cast<int>(last.end)) +
                                  " time_left_ms=" + std::to_string(to_milliseconds(time_left())));
-        const next_step step = policy_->after(last.end, time_left());
-        if (answer_started_ || step != next_step::retry) {
+        const next_step step = policy_->after(last.end, time_left(), last.broke_off);
+        if (step == next_step::repeat_there) {
+            ++continued_;
+            same = backend;
+        } else if (step != next_step::retry || !may_move_on(last)) {
             break;
         }
     }
@@ -288,6 +296,12 @@
     }
 }
 
+bool request_relay::may_move_on(const send_result& last) const {
+    // A stream that has begun goes on elsewhere only where its back end is gone.
+    const bool gone = last.end == attempt_end::not_sent;
+    return !answer_started_ || (route_->resumable && chunked_answer_ && gone);
+}
+
 asio::awaitable<void> request_relay::enter_gate(const scheduling::call_features& call) {
     call_gate& gate = context_.gate_of(service_->name);
     waiting_rank rank;
@@ -337,7 +351,7 @@
 
 asio::awaitable<bool> request_relay::wait_for_room(const scheduling::call_features& call) {
     const auto pause = policy_->pause_for_room(time_left(), context_.backends.draw_jitter());
-    if (!pause) {
+    if (!pause || context_.lacks(settings::mechanism::asking_again)) {
         co_return false;
     }
     ++waits_for_room_;
@@ -395,6 +409,7 @@
     marks.incarnation = backend.name;
     marks.urgency = urgency_;
     marks.is_engine = service_->is_engine;
+    marks.last_event = passed_.last_id();
     if (marks.time_left <= duration::zero()) {
         result.reason = "no_time_left";
         result.timed_out = true;
@@ -421,6 +436,7 @@
     if (!written) {
         result.reason = "write_" + std::string(http::name_of(written.error()));
         result.timed_out = written.error() == http::io_failure::timed_out;
+        result.broke_off = !result.timed_out;
         context_.backends.failed(service_->name, backend.name, http::steady_now());
         opened->abort();
         co_return result;
@@ -430,6 +446,7 @@
         if (!gone_) {
             context_.backends.failed(service_->name, backend.name, http::steady_now());
         }
+        result.broke_off = !result.timed_out;
         opened->abort();
         co_return result;
     }
@@ -446,6 +463,12 @@
     }
     const unsigned status = opened->head().status;
     const bool success = status / 100 == 2;
+    if (answer_started_ && !success) {
+        // The caller has the head of the first answer: this one can't follow it.
+        result.reason = "continuation_refused";
+        opened->abort();
+        co_return result;
+    }
     if (success && !facts.is_signed) {
         result.reason = "unsigned_answer";
         context_.backends.failed(service_->name, backend.name, http::steady_now());
@@ -454,8 +477,10 @@
     }
     const instant now = http::steady_now();
     context_.backends.answering(call_, now);
-    first_byte_ = now - request_.received;
-    context_.metrics.first_byte(first_byte_);
+    if (!answer_started_) {
+        first_byte_ = now - request_.received;
+        context_.metrics.first_byte(first_byte_);
+    }
     note_held();
     status_ = status;
     result = co_await relay_answer(opened, facts, until);
@@ -596,22 +621,38 @@
     const std::string framing =
         counted ? "Content-Length: " + std::to_string(head.content_length) + "\r\n"
                 : std::string("Transfer-Encoding: chunked\r\n");
-    std::string outgoing = answer_head(head, framing);
+    if (!answer_started_) {
+        chunked_answer_ = !counted;
+    }
+    const bool by_events = success && chunked_answer_ && route_->resumable;
+    passed_.begin_anew();
+    std::string outgoing = answer_started_ ? std::string{} : answer_head(head, framing);
     bool complete = false;
     while (!complete) {
         auto piece = co_await backend->read_body_piece(deadline_);
         if (!piece) {
             result.reason = "body_" + std::string(http::name_of(piece.error()));
             result.timed_out = piece.error() == http::io_failure::timed_out;
+            result.broke_off = by_events && !result.timed_out;
             co_return result;
         }
         complete = backend->message_complete();
+        if (by_events) {
+            *piece = passed_.feed(*piece);
+            if (!passed_.in_order()) {
+                result.reason = "event_missing";
+                co_return result;
+            }
+            if (complete) {
+                *piece += passed_.partial();
+            }
+        }
         if (success) {
             events_.feed(*piece);
             note_events();
         }
         if (!piece->empty()) {
-            outgoing += counted ? *piece : chunk_of(*piece);
+            outgoing += chunked_answer_ ? chunk_of(*piece) : *piece;
         }
         if (complete && success && turn_ && turn_->open()) {
             turns::held_prompt held = held_now();
@@ -622,7 +663,7 @@
                 co_return result;
             }
         }
-        if (complete && !counted) {
+        if (complete && chunked_answer_) {
             outgoing += last_chunk;
         }
         if (outgoing.empty()) {
@@ -652,6 +693,7 @@
                        " version=" + std::to_string(table_ ? table_->version() : 0) +
                        " backend=" + (backend_name_.empty() ? "-" : backend_name_) +
                        " sends=" + std::to_string(sends_) +
+                       " continued=" + std::to_string(continued_) +
                        " waits_for_room=" + std::to_string(waits_for_room_) +
                        " list_age_ms=" + std::to_string(to_milliseconds(list_age)) +
                        " first_byte_ms=" + std::to_string(to_milliseconds(first_byte_)) +
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -11,6 +11,7 @@
 #include "tallyfold/forwarding/forwarder_context.hpp"
 #include "tallyfold/forwarding/turn_session_shell.hpp"
 #include "tallyfold/http/event_stream.hpp"
+#include "tallyfold/http/whole_events.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -47,12 +48,16 @@
         attempt_end end = attempt_end::not_sent;
         std::string reason;
         bool timed_out = false;
+        /// The back end's connection ended: it doesn't work on the request any more.
+        bool broke_off = false;
     };
 
     [[nodiscard]] duration time_left() const { return deadline_ - http::steady_now(); }
     asio::awaitable<bool> begin_turn();
     asio::awaitable<void> run_attempts();
     [[nodiscard]] backend_question describe_for_choice() const;
+    /// True when the request may go to a further back end.
+    [[nodiscard]] bool may_move_on(const send_result& last) const;
     /// Waits until the node may send the call.
     asio::awaitable<void> enter_gate(const scheduling::call_features& call);
     void leave_gate();
@@ -106,10 +111,15 @@
     /// Body as it goes to back ends: with the line of turns before it.
     std::string outgoing_body_;
     http::event_stream_reader events_;
+    /// What of a resumable stream the caller has.
+    http::whole_events passed_;
+    std::uint32_t continued_ = 0;
     std::optional<turn_session> turn_;
     bool gone_ = false;
     bool answer_started_ = false;
     bool answer_whole_ = false;
+    /// The caller's answer has chunks, as its first back end's had.
+    bool chunked_answer_ = true;
     bool caller_usable_ = true;
     /// For the log line.
     std::string backend_name_;
--- a/src/tallyfold/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -38,7 +38,9 @@
     question.reservation.retention_ms = retention_ms();
     question.previous = route_.keeps_history ? facts_.previous_turn : std::string{};
     question.budget = facts_.budget;
-    question.prompt = facts_.prompt;
+    if (!context_.lacks(settings::mechanism::prompt_holders)) {
+        question.prompt = facts_.prompt;
+    }
     const instant limit = std::min(deadline, started + begin_limit);
     const turns::begun_turn begun = co_await context_.turns.begin(std::move(question), limit);
     open_ = true;
--- /dev/null
+++ b/src/tallyfold/http/whole_events.cpp
@@ -0,0 +1,100 @@
+#include "tallyfold/http/whole_events.hpp"
+
+#include <charconv>
+#include <optional>
+
+namespace tallyfold::http {
+
+namespace {
+
+/// Position after the blank line that ends the first event; npos while it isn't whole.
+std::size_t end_of_event(std::string_view bytes) {
+    std::size_t line = 0;
+    while (line < bytes.size()) {
+        const std::size_t end = bytes.find('\n', line);
+        if (end == std::string_view::npos) {
+            return end;
+        }
+        const bool blank = end == line || (end == line + 1 && bytes[line] == '\r');
+        if (blank) {
+            return end + 1;
+        }
+        line = end + 1;
+    }
+    return std::string_view::npos;
+}
+
+/// Value of the event's last `id` field; empty when it has none.
+std::string_view id_of(std::string_view event) {
+    std::string_view id;
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        constexpr std::string_view field = "id:";
+        if (!line.starts_with(field)) {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        if (line.starts_with(' ')) {
+            line.remove_prefix(1);
+        }
+        if (line.ends_with('\r')) {
+            line.remove_suffix(1);
+        }
+        id = line;
+    }
+    return id;
+}
+
+std::optional<std::uint64_t> number_in(std::string_view text) {
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = failure == std::errc{} && end == text.data() + text.size();
+    return whole ? std::optional(number) : std::nullopt;
+}
+
+}  // namespace
+
+std::string whole_events::feed(std::string_view bytes) {
+    held_ += bytes;
+    std::string passed;
+    std::string_view rest = held_;
+    while (in_order_) {
+        const std::size_t end = end_of_event(rest);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        const std::string_view event = rest.substr(0, end);
+        if (take(event)) {
+            passed += event;
+        }
+        rest.remove_prefix(end);
+    }
+    held_ = std::string(rest);
+    return passed;
+}
+
+bool whole_events::take(std::string_view event) {
+    const std::string_view id = id_of(event);
+    if (id.empty()) {
+        return true;
+    }
+    const auto number = number_in(id);
+    const auto last = number_in(last_id_);
+    if (number && last) {
+        if (*number <= *last) {
+            return false;
+        }
+        if (*number != *last + 1 && consecutive_ && passed_ > 1) {
+            in_order_ = false;
+            return false;
+        }
+        consecutive_ = consecutive_ && *number == *last + 1;
+    }
+    last_id_ = id;
+    ++passed_;
+    return true;
+}
+
+}  // namespace tallyfold::http
--- /dev/null
+++ b/src/tallyfold/settings/mechanisms.cpp
@@ -0,0 +1,43 @@
+#include "tallyfold/settings/mechanisms.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace tallyfold::settings {
+
+namespace {
+
+using named_mechanism = std::pair<std::string_view, mechanism>;
+
+constexpr std::array<named_mechanism, 9> all_mechanisms{{
+    {"prompt_holders", mechanism::prompt_holders},
+    {"program_home", mechanism::program_home},
+    {"bounded_running", mechanism::bounded_running},
+    {"asking_again", mechanism::asking_again},
+    {"continuation", mechanism::continuation},
+    {"urgency", mechanism::urgency},
+    {"silence", mechanism::silence},
+    {"ejection", mechanism::ejection},
+    {"early_wait", mechanism::early_wait},
+}};
+
+const named_mechanism* find(std::string_view name) {
+    const auto* found = std::find_if(all_mechanisms.begin(), all_mechanisms.end(),
+                                     [&](const auto& known) { return known.first == name; });
+    return found == all_mechanisms.end() ? nullptr : found;
+}
+
+}  // namespace
+
+bool is_mechanism(std::string_view name) {
+    return find(name) != nullptr;
+}
+
+void switched_off::add(std::string_view name) {
+    if (const named_mechanism* known = find(name)) {
+        off_.insert(known->second);
+    }
+}
+
+}  // namespace tallyfold::settings
--- /dev/null
+++ b/src/tallyfold/settings/mechanisms.hpp
@@ -0,0 +1,48 @@
+#pragma once
+/// @file
+/// What of a forwarder's decisions can be switched off, one by one, to measure what each is worth.
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace tallyfold::settings {
+
+enum class mechanism : std::uint8_t {
+    /// The stores tell which engine holds a turn's prompt.
+    prompt_holders,
+    /// Every forwarder expects a program at the engine that its identifier gives.
+    program_home,
+    /// Calls wait at the forwarder while engines are slow or full.
+    bounded_running,
+    /// Full back ends are asked again while a request has time.
+    asking_again,
+    /// A resumable stream that breaks off goes on within its answer.
+    continuation,
+    /// The policy's level for the engines' own order; off, the route's priority.
+    urgency,
+    /// Back ends that keep calls without a byte are left out for a while.
+    silence,
+    /// Back ends that fail are left out for a while.
+    ejection,
+    /// Requests that reach a node just before it knows its routes wait a moment.
+    early_wait,
+};
+
+/// @param name as in docs/CONFIGURATION.md
+bool is_mechanism(std::string_view name);
+
+/// The mechanisms that are switched off.
+class switched_off {
+  public:
+    /// @param name one for which is_mechanism() is true
+    void add(std::string_view name);
+    [[nodiscard]] bool contains(mechanism asked) const { return off_.contains(asked); }
+    [[nodiscard]] bool empty() const { return off_.empty(); }
+
+  private:
+    std::set<mechanism> off_;
+};
+
+}  // namespace tallyfold::settings
--- a/src/tallyfold/settings/node_settings.cpp
+++ b/src/tallyfold/settings/node_settings.cpp
@@ -19,6 +19,12 @@
     return net::parse_endpoint(text).has_value();
 }
 
+/// The names that scheduling::parse_strategy() knows.
+bool is_placement(const std::string& name) {
+    return name == "tallyfold" || name == "round_robin" || name == "least_outstanding" ||
+           name == "affinity_fcfs";
+}
+
 std::string optional_address(settings_reader& reader, const std::string& key) {
     std::string value = reader.text_or(key, {});
     if (!value.empty() && !is_endpoint(value)) {
@@ -86,6 +92,17 @@
     read.backend_list_address = optional_address(reader, "backend_list_address");
     read.policy_file = reader.text_or("policy_file", {});
     read.most_slowdown = reader.real_or("most_slowdown", usual_most_slowdown, 0, largest_slowdown);
+    for (const std::string& name : reader.text_list("switched_off")) {
+        if (is_mechanism(name)) {
+            read.off.add(name);
+        } else {
+            reader.problem("switched_off", "'" + name + "' is no mechanism");
+        }
+    }
+    read.placement = reader.text_or("placement", "tallyfold");
+    if (!is_placement(read.placement)) {
+        reader.problem("placement", "'" + read.placement + "' is no way to choose engines");
+    }
     read.grace = seconds(reader.real_or("grace_seconds", 8, 0.1, longest_seconds));
     read.acknowledge =
         std::chrono::milliseconds(reader.integer_or("acknowledge_ms", 4'000, 1, 600'000));
--- a/src/tallyfold/settings/node_settings.hpp
+++ b/src/tallyfold/settings/node_settings.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "tallyfold/common/time.hpp"
+#include "tallyfold/settings/mechanisms.hpp"
 #include "tallyfold/settings/settings_reader.hpp"
 
 namespace tallyfold::settings {
@@ -43,6 +44,10 @@
     /// Times slower than idle that a forwarder lets engines become before calls wait; 0 lets every
     /// call go at once.
     double most_slowdown = 0;
+    /// For measurements of what each mechanism is worth; nothing in service.
+    switched_off off;
+    /// How engines are chosen: by the policy, or by a baseline for measurements.
+    std::string placement;
     /// Time from a stop to the process's end.
     duration grace{};
     /// Time that an operator waits for an acknowledgement.
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_refusal_is_said_only_when_nothing_may_have_run);
     CPPUNIT_TEST(a_repeatable_request_runs_as_often_as_its_route_allows);
     CPPUNIT_TEST(no_time_left_ends_it);
+    CPPUNIT_TEST(a_resumable_stream_that_broke_off_is_repeated_there);
     CPPUNIT_TEST(full_back_ends_are_asked_again_while_time_is_left);
     CPPUNIT_TEST(what_may_have_run_waits_for_no_room);
     CPPUNIT_TEST(any_pauses_end_before_the_time_does);
@@ -56,6 +57,22 @@
         CPPUNIT_ASSERT(policy.after(attempt_end::not_sent, duration::zero()) == next_step::refuse);
     }
 
+    void a_resumable_stream_that_broke_off_is_repeated_there() {
+        attempt_policy policy(true, 1, true);
+        for (std::uint32_t repeat = 0; repeat < attempt_policy::most_repeats_there; ++repeat) {
+            CPPUNIT_ASSERT(policy.after(attempt_end::may_have_run, second, true) ==
+                           next_step::repeat_there);
+        }
+        CPPUNIT_ASSERT(policy.after(attempt_end::may_have_run, second, true) == next_step::fail);
+        attempt_policy silent(true, 1, true);
+        CPPUNIT_ASSERT(silent.after(attempt_end::may_have_run, second, false) == next_step::fail);
+        attempt_policy late(true, 1, true);
+        CPPUNIT_ASSERT(late.after(attempt_end::may_have_run, duration::zero(), true) ==
+                       next_step::fail);
+        attempt_policy other(false, 1, false);
+        CPPUNIT_ASSERT(other.after(attempt_end::may_have_run, second, true) == next_step::fail);
+    }
+
     void full_back_ends_are_asked_again_while_time_is_left() {
         attempt_policy policy(false, 1);
         for (std::uint32_t send = 1; send < attempt_policy::most_sends; ++send) {
--- /dev/null
+++ b/tests/http/whole_events_test.cpp
@@ -0,0 +1,85 @@
+#include "tallyfold/http/whole_events.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace http;
+
+class whole_events_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(whole_events_test);
+    CPPUNIT_TEST(what_breaks_off_inside_an_event_is_held_back);
+    CPPUNIT_TEST(a_continued_stream_has_each_event_once);
+    CPPUNIT_TEST(a_missing_event_is_noticed);
+    CPPUNIT_TEST(events_without_identifiers_pass);
+    CPPUNIT_TEST(any_break_and_any_overlap_give_the_same_stream);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string event(int number) {
+        return "id: " + std::to_string(number) + "\ndata: text " + std::to_string(number) + "\n\n";
+    }
+    static std::string events(int first, int last) {
+        std::string text;
+        for (int number = first; number <= last; ++number) {
+            text += event(number);
+        }
+        return text;
+    }
+
+    void what_breaks_off_inside_an_event_is_held_back() {
+        whole_events stream;
+        CPPUNIT_ASSERT_EQUAL(event(1), stream.feed(event(1) + "id: 2\ndata: te"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), stream.last_id());
+        stream.begin_anew();
+        CPPUNIT_ASSERT_EQUAL(event(2), stream.feed(event(2)));
+    }
+
+    void a_continued_stream_has_each_event_once() {
+        whole_events stream;
+        stream.feed(events(1, 4));
+        stream.begin_anew();
+        CPPUNIT_ASSERT_EQUAL(events(5, 6), stream.feed(events(3, 6)));
+        CPPUNIT_ASSERT(stream.in_order());
+    }
+
+    void a_missing_event_is_noticed() {
+        whole_events stream;
+        stream.feed(events(1, 4));
+        stream.begin_anew();
+        CPPUNIT_ASSERT_EQUAL(std::string{}, stream.feed(events(6, 7)));
+        CPPUNIT_ASSERT(!stream.in_order());
+    }
+
+    void events_without_identifiers_pass() {
+        whole_events stream;
+        const std::string text = "data: a\r\n\r\ndata: b\n\n";
+        CPPUNIT_ASSERT_EQUAL(text, stream.feed(text));
+    }
+
+    void any_break_and_any_overlap_give_the_same_stream() {
+        check_property("a stream cut anywhere and continued has each event once, in order", [] {
+            const int count = *rc::gen::inRange(3, 30);
+            const std::string whole = events(1, count);
+            whole_events stream;
+            std::string passed;
+            const auto cut =
+                static_cast<std::size_t>(*rc::gen::inRange(0, static_cast<int>(whole.size())));
+            for (std::size_t at = 0; at < cut;) {
+                const auto piece = static_cast<std::size_t>(*rc::gen::inRange(1, 40));
+                passed +=
+                    stream.feed(std::string_view(whole).substr(at, std::min(piece, cut - at)));
+                at += piece;
+            }
+            stream.begin_anew();
+            const int last = stream.last_id().empty() ? 0 : std::stoi(stream.last_id());
+            const int first = std::max(1, last + 1 - *rc::gen::inRange(0, 3));
+            passed += stream.feed(events(first, count));
+            RC_ASSERT(passed == whole);
+            RC_ASSERT(stream.in_order());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(whole_events_test);
+
+}  // namespace tallyfold::tests
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -79,12 +79,18 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, facts.prompt.size());
         CPPUNIT_ASSERT_EQUAL(token_count{1210}, facts.prompt.back().tokens);
         const http::header_list sent =
-            calls.backend_headers(head, {std::chrono::milliseconds(1500), "i-1", 0, true});
+            calls.backend_headers(head, {std::chrono::milliseconds(1500), "i-1", 0, true, {}});
         CPPUNIT_ASSERT_EQUAL(std::string("1500"), *sent.find("X-Deadline-Ms"));
         CPPUNIT_ASSERT_EQUAL(std::string("i-1"), *sent.find("X-Expected-Instance"));
         CPPUNIT_ASSERT_EQUAL(std::string("abc"), *sent.find("X-Request-Id"));
         CPPUNIT_ASSERT_EQUAL(std::string("kept"), *sent.find("X-Other"));
         CPPUNIT_ASSERT(sent.find("Connection") == nullptr);
+        CPPUNIT_ASSERT(sent.find("Last-Event-Id") == nullptr);
+        // A continued stream begins after the last event that has been passed on.
+        head.headers.add("Last-Event-Id", "3");
+        const http::header_list continued =
+            calls.backend_headers(head, {std::chrono::milliseconds(1500), "i-1", 0, true, "7"});
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), *continued.find("Last-Event-Id"));
     }
 
     void a_proof_of_not_running_is_told_from_a_failure() {
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(what_is_left_out_has_its_default);
     CPPUNIT_TEST(a_node_behind_a_relay_listens_at_another_address);
     CPPUNIT_TEST(every_problem_is_named);
+    CPPUNIT_TEST(mechanisms_are_switched_off_by_name);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* whole =
@@ -51,6 +52,20 @@
         }
     }
 
+    void mechanisms_are_switched_off_by_name() {
+        const auto read = read_node_settings(
+            file_.write(std::string(whole) +
+                        "switched_off = [\"continuation\"]\nplacement = \"round_robin\"\n"));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(read->off.contains(mechanism::continuation));
+        CPPUNIT_ASSERT(!read->off.contains(mechanism::silence));
+        CPPUNIT_ASSERT_EQUAL(std::string("round_robin"), read->placement);
+        const auto wrong = read_node_settings(file_.write(
+            std::string(whole) + "switched_off = [\"magic\"]\nplacement = \"oracle\"\n"));
+        CPPUNIT_ASSERT(!wrong.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, wrong.error().size());
+    }
+
     const temporary_path file_{"node-settings"};
 };
 
