Stores that are slow are asked again ever less often; answers' bytes and a stream's pace have files of their own

Links are connections: what was sent arrives unless they break, and a break asks again at once. Change: resend_schedule doubles the interval up to 2 s. Test: resend_schedule_test (new interface).

--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -4,7 +4,6 @@
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 #include "tallyfold/logging/event_log.hpp"
 
@@ -26,40 +25,14 @@
 constexpr std::size_t largest_answer_head = 64U << 10U;
 /// Answers to other requests that may stand before the one that is due.
 constexpr int most_surplus_answers = 2;
-/// When a refused caller is asked to come again, in seconds.
-constexpr const char* soon_seconds = "0.2";
-constexpr const char* after_recovery_seconds = "0.4";
 /// Time that an answer which isn't passed on may take to its end.
 constexpr duration read_over_limit = std::chrono::milliseconds(20);
 /// A request that reaches a node just before it knows routes, back ends and stores waits this long.
 constexpr duration longest_early_wait = std::chrono::milliseconds(50);
 constexpr duration early_wait_step = std::chrono::milliseconds(5);
 
-std::string chunk_of(const std::string& bytes) {
-    static constexpr const char* digits = "0123456789abcdef";
-    std::string length;
-    for (std::size_t rest = bytes.size(); rest > 0; rest /= 16) {
-        length.insert(length.begin(), digits[rest % 16]);
-    }
-    return length + "\r\n" + bytes + "\r\n";
-}
-
-constexpr const char* last_chunk = "0\r\n\r\n";
-
 }  // namespace
 
-std::string render_own_answer(unsigned status, const std::string& reason, come_again again,
-                              bool keep_alive) {
-    http::endpoint_response response;
-    response.status = status;
-    response.body = nlohmann::json{{"error", reason}}.dump();
-    if (again != come_again::never) {
-        response.headers.push_back(
-            {"Retry-After", again == come_again::soon ? soon_seconds : after_recovery_seconds});
-    }
-    return http::render_response(response, keep_alive);
-}
-
 request_relay::request_relay(forwarder_context& context, http::connection_pointer caller,
                              caller_request request)
     : context_(context),
@@ -324,31 +297,6 @@
     }
 }
 
-void request_relay::note_events() {
-    const std::uint64_t events = events_.events();
-    if (events == noted_events_ || !service_->is_engine) {
-        return;
-    }
-    const instant now = http::steady_now();
-    if (noted_events_ == 0) {
-        first_event_ = now;
-    } else {
-        context_.backends.pace_of(service_->name)
-            .events_came(backend_name_, events - noted_events_, now - latest_event_, now);
-    }
-    noted_events_ = events;
-    latest_event_ = now;
-}
-
-void request_relay::note_stream_end() {
-    constexpr std::uint64_t least_events = 3;
-    scheduling::engine_pace& pace = context_.backends.pace_of(service_->name);
-    if (noted_events_ >= least_events) {
-        pace.stream_ended((latest_event_ - first_event_) / (noted_events_ - 1));
-    }
-    pace.call_ended(http::steady_now() - call_.since);
-}
-
 asio::awaitable<bool> request_relay::wait_for_room(const scheduling::call_features& call) {
     const auto pause = policy_->pause_for_room(time_left(), context_.backends.draw_jitter());
     if (!pause || context_.lacks(settings::mechanism::asking_again)) {
@@ -491,7 +439,8 @@
             context_.backends.succeeded(service_->name, backend.name);
             note_held();
             if (service_->is_engine) {
-                note_stream_end();
+                pace_.ended(context_.backends.pace_of(service_->name), call_.since,
+                            http::steady_now());
             }
         }
         if (opened->head().keep_alive && opened->message_complete()) {
@@ -553,21 +502,6 @@
     co_return false;
 }
 
-std::string request_relay::answer_head(const http::message_head& head,
-                                       const std::string& framing) const {
-    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " " +
-                       std::string(http::reason_of(head.status)) + "\r\n";
-    const http::header_list kept = head.headers.end_to_end();
-    for (const http::header_field& field : kept.fields()) {
-        if (!http::same_name(field.name, "Content-Length")) {
-            text += field.name + ": " + field.value + "\r\n";
-        }
-    }
-    text += framing;
-    text += keeps_connection() ? "\r\n" : "Connection: close\r\n\r\n";
-    return text;
-}
-
 asio::awaitable<request_relay::send_result> request_relay::relay_answer(
     http::connection_pointer backend, const answer_facts& /*facts*/, instant until) {
     const http::message_head& head = backend->head();
@@ -604,10 +538,10 @@
     }
     const http::message_head& head = backend->head();
     const bool bodiless = head.framing == http::body_framing::none;
-    const std::string framing =
-        bodiless ? std::string{} : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string bytes =
+        render_relayed_head(head, {false, body.size(), bodiless}, keeps_connection()) + body;
     answer_started_ = true;
-    answer_whole_ = co_await write_to_caller(answer_head(head, framing) + body);
+    answer_whole_ = co_await write_to_caller(std::move(bytes));
     co_return result;
 }
 
@@ -618,15 +552,16 @@
     const http::message_head head = backend->head();
     const bool counted = head.framing == http::body_framing::length;
     const bool success = head.status / 100 == 2;
-    const std::string framing =
-        counted ? "Content-Length: " + std::to_string(head.content_length) + "\r\n"
-                : std::string("Transfer-Encoding: chunked\r\n");
     if (!answer_started_) {
         chunked_answer_ = !counted;
     }
     const bool by_events = success && chunked_answer_ && route_->resumable;
     passed_.begin_anew();
-    std::string outgoing = answer_started_ ? std::string{} : answer_head(head, framing);
+    std::string outgoing;
+    if (!answer_started_) {
+        outgoing =
+            render_relayed_head(head, {!counted, head.content_length, false}, keeps_connection());
+    }
     bool complete = false;
     while (!complete) {
         auto piece = co_await backend->read_body_piece(deadline_);
@@ -649,10 +584,13 @@
         }
         if (success) {
             events_.feed(*piece);
-            note_events();
+            if (service_->is_engine) {
+                pace_.events_came(context_.backends.pace_of(service_->name), backend_name_,
+                                  events_.events(), http::steady_now());
+            }
         }
         if (!piece->empty()) {
-            outgoing += chunked_answer_ ? chunk_of(*piece) : *piece;
+            outgoing += chunked_answer_ ? render_chunk(*piece) : *piece;
         }
         if (complete && success && turn_ && turn_->open()) {
             turns::held_prompt held = held_now();
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -7,23 +7,16 @@
 #include <optional>
 #include <string>
 
+#include "tallyfold/forwarding/answer_rendering.hpp"
 #include "tallyfold/forwarding/attempt_policy.hpp"
 #include "tallyfold/forwarding/forwarder_context.hpp"
+#include "tallyfold/forwarding/stream_pace.hpp"
 #include "tallyfold/forwarding/turn_session_shell.hpp"
 #include "tallyfold/http/event_stream.hpp"
 #include "tallyfold/http/whole_events.hpp"
 
 namespace tallyfold::forwarding {
 
-/// When a refused caller is asked to come again.
-enum class come_again : std::uint8_t {
-    never,
-    /// Another node or back end may serve it at once.
-    soon,
-    /// What is missing takes about a second to recover.
-    after_recovery,
-};
-
 /// A request that was read whole.
 struct caller_request {
     http::message_head head;
@@ -61,9 +54,6 @@
     /// Waits until the node may send the call.
     asio::awaitable<void> enter_gate(const scheduling::call_features& call);
     void leave_gate();
-    /// Notes at which pace the engine makes events.
-    void note_events();
-    void note_stream_end();
     /// Waits a moment when every back end was full. @return false when it is given up instead
     asio::awaitable<bool> wait_for_room(const scheduling::call_features& call);
     /// Waits a moment for what a node that has just started still has to learn.
@@ -83,8 +73,6 @@
     asio::awaitable<send_result> relay_stream(http::connection_pointer backend);
     asio::awaitable<void> answer(unsigned status, std::string reason, come_again again);
     asio::awaitable<bool> write_to_caller(std::string bytes);
-    [[nodiscard]] std::string answer_head(const http::message_head& head,
-                                          const std::string& framing) const;
     [[nodiscard]] bool keeps_connection() const;
     void caller_left();
     void log_finish();
@@ -127,9 +115,7 @@
     std::uint32_t waits_for_room_ = 0;
     bool in_gate_ = false;
     duration waited_{};
-    std::uint64_t noted_events_ = 0;
-    instant first_event_{};
-    instant latest_event_{};
+    stream_pace pace_;
     std::string outcome_ = "unknown";
     std::string reason_;
     unsigned status_ = 0;
@@ -137,8 +123,4 @@
     token_count cached_tokens_ = 0;
 };
 
-/// Bytes of a whole answer of the forwarder's own.
-std::string render_own_answer(unsigned status, const std::string& reason, come_again again,
-                              bool keep_alive);
-
 }  // namespace tallyfold::forwarding
--- /dev/null
+++ b/src/tallyfold/forwarding/stream_pace.cpp
@@ -0,0 +1,33 @@
+#include "tallyfold/forwarding/stream_pace.hpp"
+
+namespace tallyfold::forwarding {
+
+namespace {
+
+/// Streams of fewer events say little of an engine's pace.
+constexpr std::uint64_t least_events = 3;
+
+}  // namespace
+
+void stream_pace::events_came(scheduling::engine_pace& pace, const backend_name& engine,
+                              std::uint64_t events, instant now) {
+    if (events <= events_) {
+        return;
+    }
+    if (events_ == 0) {
+        first_ = now;
+    } else {
+        pace.events_came(engine, events - events_, now - latest_, now);
+    }
+    events_ = events;
+    latest_ = now;
+}
+
+void stream_pace::ended(scheduling::engine_pace& pace, instant since, instant now) const {
+    if (events_ >= least_events) {
+        pace.stream_ended((latest_ - first_) / (events_ - 1));
+    }
+    pace.call_ended(now - since);
+}
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/turns/turn_client_shell.cpp
+++ b/src/tallyfold/turns/turn_client_shell.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Stores that have not answered are asked again after this time.
-constexpr duration resend_interval = std::chrono::milliseconds(250);
+/// Another store is asked for texts that are missing after this time.
+constexpr duration chain_interval = std::chrono::milliseconds(250);
 /// The nearest store may be this much later than the majority before another sends the texts.
 constexpr duration chain_patience = std::chrono::milliseconds(15);
 /// A store that says nothing for this long while it is asked gets a new connection.
@@ -48,7 +48,9 @@
                 messaging::log_link(address, "store", up, reason);
                 // What was asked over the lost connection is asked again at once.
                 for (const auto& [number, waiting] : operations_) {
-                    waiting->ask_again = waiting->ask_again || up;
+                    if (up) {
+                        waiting->schedule.ask_at_once();
+                    }
                     waiting->timer.cancel();
                 }
             });
@@ -58,7 +60,7 @@
 void turn_client::on_newer_map(waiting_operation& waiting, const std::vector<store_map>& maps) {
     for (const store_map& map : maps) {
         newer_map_handler_(map);
-        waiting.ask_again = true;
+        waiting.schedule.ask_at_once();
     }
 }
 
@@ -130,15 +132,6 @@
     co_await waiting->timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
 }
 
-bool turn_client::waiting_operation::takes_turn(instant now) {
-    if (!ask_again && now < next_send) {
-        return false;
-    }
-    ask_again = false;
-    next_send = now + resend_interval;
-    return true;
-}
-
 std::shared_ptr<turn_client::waiting_operation> turn_client::enlist(operation_number number) {
     auto waiting = std::make_shared<waiting_operation>(process_.loop());
     operations_[number] = waiting;
@@ -158,7 +151,7 @@
         if (now >= deadline) {
             break;
         }
-        if (waiting->takes_turn(now)) {
+        if (waiting->schedule.takes_turn(now)) {
             operation.use_map(map_);
             const store_id source = nearest(operation.map());
             chain_asked = {source};
@@ -187,9 +180,9 @@
                     break;
                 }
             }
-            next_chain = now + resend_interval;
+            next_chain = now + chain_interval;
         }
-        instant until = std::min(deadline, waiting->next_send);
+        instant until = std::min(deadline, waiting->schedule.next());
         if (reserved) {
             until = std::min(until, next_chain);
         }
@@ -233,7 +226,7 @@
         if (now >= deadline) {
             break;
         }
-        if (waiting->takes_turn(now)) {
+        if (waiting->schedule.takes_turn(now)) {
             operation.use_map(map_);
             for (const store_member& member : operation.unanswered()) {
                 settle_request request;
@@ -244,7 +237,7 @@
                 send(member, request, started);
             }
         }
-        co_await wait(waiting, std::min(deadline, waiting->next_send));
+        co_await wait(waiting, std::min(deadline, waiting->schedule.next()));
     }
     operations_.erase(number);
     co_return operation.done();
--- a/src/tallyfold/turns/turn_client_shell.hpp
+++ b/src/tallyfold/turns/turn_client_shell.hpp
@@ -13,6 +13,7 @@
 #include "tallyfold/messaging/peer_link_shell.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
 #include "tallyfold/turns/quorum_operations.hpp"
+#include "tallyfold/turns/resend_schedule.hpp"
 
 namespace tallyfold::turns {
 
@@ -61,13 +62,7 @@
         asio::steady_timer timer;
         begin_operation* begin = nullptr;
         settle_operation* settle = nullptr;
-        /// A newer map is known, or a store has come back.
-        bool ask_again = false;
-        /// When stores that haven't answered are asked again.
-        instant next_send{};
-
-        /// True when they are to be asked now; the next time is a while later.
-        bool takes_turn(instant now);
+        resend_schedule schedule;
     };
     struct known_store {
         messaging::link_pointer link;
--- /dev/null
+++ b/tests/forwarding/stream_pace_test.cpp
@@ -0,0 +1,42 @@
+#include "tallyfold/forwarding/stream_pace.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace forwarding;
+
+class stream_pace_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(stream_pace_test);
+    CPPUNIT_TEST(the_time_to_the_first_event_is_no_distance);
+    CPPUNIT_TEST(a_short_stream_says_nothing_of_an_idle_engine);
+    CPPUNIT_TEST_SUITE_END();
+
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
+
+    void the_time_to_the_first_event_is_no_distance() {
+        scheduling::engine_pace pace;
+        stream_pace stream;
+        stream.events_came(pace, "e", 1, at(900));
+        CPPUNIT_ASSERT_EQUAL(0.0, pace.gap_ms("e", at(900)));
+        // Two events that come in one piece share its distance.
+        stream.events_came(pace, "e", 3, at(960));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(30, pace.gap_ms("e", at(960)), 0.001);
+        stream.ended(pace, at(400), at(960));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(30, pace.idle_gap_ms(), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(560, pace.call_ms(), 0.001);
+    }
+
+    void a_short_stream_says_nothing_of_an_idle_engine() {
+        scheduling::engine_pace pace;
+        stream_pace stream;
+        stream.events_came(pace, "e", 1, at(100));
+        stream.events_came(pace, "e", 2, at(105));
+        stream.ended(pace, at(0), at(105));
+        CPPUNIT_ASSERT_EQUAL(0.0, pace.idle_gap_ms());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stream_pace_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/turns/resend_schedule_test.cpp
@@ -0,0 +1,40 @@
+#include "tallyfold/turns/resend_schedule.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace turns;
+
+class resend_schedule_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(resend_schedule_test);
+    CPPUNIT_TEST(slow_stores_are_asked_ever_less_often);
+    CPPUNIT_TEST(a_store_that_came_back_is_asked_at_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
+
+    void slow_stores_are_asked_ever_less_often() {
+        resend_schedule schedule;
+        int asked = 0;
+        for (int now = 1'000; now < 2'500; ++now) {
+            asked += schedule.takes_turn(at(now)) ? 1 : 0;
+        }
+        // At 0, 250 and 750 ms of the 1,500 that a begin may take; with a fixed interval it were
+        // six.
+        CPPUNIT_ASSERT_EQUAL(3, asked);
+    }
+
+    void a_store_that_came_back_is_asked_at_once() {
+        resend_schedule schedule;
+        CPPUNIT_ASSERT(schedule.takes_turn(at(1'000)));
+        CPPUNIT_ASSERT(!schedule.takes_turn(at(1'001)));
+        schedule.ask_at_once();
+        CPPUNIT_ASSERT(schedule.takes_turn(at(1'002)));
+        CPPUNIT_ASSERT(!schedule.takes_turn(at(1'003)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(resend_schedule_test);
+
+}  // namespace tallyfold::tests
