A joining store waits for the pages of loaded sources

Cause: a joining store gave a source 300 ms for a page and then asked the next one, with all that it holds in the request and from the beginning there; the page that came later no longer led to a further one. Sources that need more than 300 ms under load thus work in vain, one after the other, for every joining store. Ruled out: forwarders' processors (plain calls stay at 14 ms), losses of messages (all seven answer). Change: copy_watch: patience follows what pages took and doubles with each stall, 0.3 to 2.4 s.

--- a/src/tallyfold/forwarding/answer_rendering.cpp
+++ b/src/tallyfold/forwarding/answer_rendering.cpp
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "tallyfold/http/endpoint_server_shell.hpp"
+#include "tallyfold/http/endpoint_messages.hpp"
 
 namespace tallyfold::forwarding {
 
--- a/src/tallyfold/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/http/endpoint_server_shell.cpp
@@ -16,20 +16,6 @@
 
 }  // namespace
 
-std::string render_response(const endpoint_response& response, bool keep_alive) {
-    std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                       std::string(reason_of(response.status)) + "\r\n";
-    if (!response.body.empty()) {
-        text += "Content-Type: " + response.content_type + "\r\n";
-    }
-    for (const header_field& field : response.headers) {
-        text += field.name + ": " + field.value + "\r\n";
-    }
-    text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-    text += keep_alive ? "\r\n" : "Connection: close\r\n\r\n";
-    return text + response.body;
-}
-
 endpoint_server::endpoint_server(asio::io_context& loop, std::string address,
                                  std::size_t largest_body)
     : loop_(loop), address_(std::move(address)), largest_body_(largest_body), acceptor_(loop) {}
--- a/src/tallyfold/http/endpoint_server_shell.hpp
+++ b/src/tallyfold/http/endpoint_server_shell.hpp
@@ -8,26 +8,12 @@
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <string>
-#include <vector>
 
 #include "tallyfold/http/connection_shell.hpp"
+#include "tallyfold/http/endpoint_messages.hpp"
 
 namespace tallyfold::http {
 
-struct endpoint_request {
-    std::string method;
-    /// Path and query.
-    std::string target;
-    std::string body;
-};
-
-struct endpoint_response {
-    unsigned status = 200;
-    std::string content_type = "application/json";
-    std::string body;
-    std::vector<header_field> headers;
-};
-
 class endpoint_server {
   public:
     using handler = std::function<asio::awaitable<endpoint_response>(endpoint_request)>;
@@ -48,7 +34,4 @@
     handler on_request_;
 };
 
-/// Bytes of a whole answer.
-std::string render_response(const endpoint_response& response, bool keep_alive);
-
 }  // namespace tallyfold::http
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -11,6 +11,7 @@
 #include "tallyfold/messaging/peer_link_shell.hpp"
 #include "tallyfold/net/instruments.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
+#include "tallyfold/turns/copy_watch.hpp"
 #include "tallyfold/turns/store_fsm.hpp"
 #include "tallyfold/turns/turn_log.hpp"
 
@@ -22,7 +23,7 @@
 /// Kept beyond the retention, for clocks that run apart and turns under way.
 constexpr duration expiry_margin = std::chrono::seconds(15);
 constexpr duration repair_interval = std::chrono::milliseconds(500);
-constexpr duration copy_interval = std::chrono::milliseconds(300);
+constexpr duration copy_check_interval = std::chrono::milliseconds(100);
 /// Changes that one record of a new segment holds, about.
 constexpr std::size_t segment_page_bytes = 64U << 10U;
 constexpr duration stop_delay = std::chrono::milliseconds(300);
@@ -68,7 +69,8 @@
     std::map<std::string, messaging::link_pointer> sources_;
     map_epoch logged_copy_ = 0;
     store_id asked_source_ = 0;
-    bool page_arrived_ = false;
+    bool copying_ = false;
+    copy_watch copy_watch_;
     bool ask_next_ = false;
     prometheus::Counter& changes_;
     prometheus::Counter& syncs_;
@@ -269,8 +271,10 @@
                 if (const auto* reply = std::get_if<copy_reply>(&message)) {
                     store_->receive(*reply);
                     // Another disk at the asked one's address says nothing of the copy.
-                    page_arrived_ = page_arrived_ || reply->store == asked_source_;
-                    ask_next_ = ask_next_ || reply->store == asked_source_;
+                    if (reply->store == asked_source_) {
+                        copy_watch_.page_came(http::steady_now());
+                        ask_next_ = true;
+                    }
                     gather();
                 }
             },
@@ -287,18 +291,21 @@
     const std::optional<copy_order> order = store_->next_copy();
     if (!order.has_value()) {
         sources_.clear();
+        copying_ = false;
+        copy_watch_ = copy_watch{};
         return;
     }
+    copying_ = true;
     asked_source_ = order->source.id;
+    copy_watch_.asked(http::steady_now());
     link_to(order->source)->send(order->request);
 }
 
 void store_node::watch_copy() {
-    if (!page_arrived_) {
+    if (copying_ && copy_watch_.stalled(http::steady_now())) {
         store_->copy_stalled();
         copy_more();
     }
-    page_arrived_ = false;
 }
 
 int store_node::run() {
@@ -318,7 +325,7 @@
     directory_.learn_map(store_->map());
     process_.every(expiry_interval, [this] { store_->expire(http::steady_now(), expiry_margin); });
     process_.every(repair_interval, [this] { repair(); });
-    process_.every(copy_interval, [this] { watch_copy(); });
+    process_.every(copy_check_interval, [this] { watch_copy(); });
     return process_.run([this] { process_.after(stop_delay, [this] { process_.finish(); }); },
                         [this](const settings::node_settings& settings) {
                             directory_.use_seeds(settings.seed_directories());
