A stream that broke off is never told as not run

Cause: a repeat at the back end whose stream broke off wasn't counted among the runs, so that a rejection or a refused connection after it ended with 503, which promises that the request has not run. Change: runs() counts repeats; refusals and pauses go by it. Test: a_stream_that_broke_off_is_never_told_as_not_run, seen to fail first.

--- a/src/tallyfold/forwarding/attempt_policy.cpp
+++ b/src/tallyfold/forwarding/attempt_policy.cpp
@@ -38,7 +38,7 @@
     const duration whole = first_pause * (1U << std::min(pauses_, most_doublings));
     const duration pause =
         std::chrono::duration_cast<duration>(std::min(whole, longest_pause) * (0.5 + jitter / 2));
-    if (sends_ == 0 || runs_ > 0 || time_left - pause < least_time_after_pause) {
+    if (sends_ == 0 || runs() > 0 || time_left - pause < least_time_after_pause) {
         return std::nullopt;
     }
     ++pauses_;
--- a/src/tallyfold/forwarding/attempt_policy.hpp
+++ b/src/tallyfold/forwarding/attempt_policy.hpp
@@ -62,12 +62,12 @@
     /// True when a further attempt could still follow one that fails.
     [[nodiscard]] bool may_retry_run() const { return repeatable_ && runs_ + 1 < most_runs_; }
     [[nodiscard]] std::uint32_t sends() const { return sends_; }
-    /// Attempts that may have run.
-    [[nodiscard]] std::uint32_t runs() const { return runs_; }
+    /// Attempts that may have run, those included that were repeated where they broke off.
+    [[nodiscard]] std::uint32_t runs() const { return runs_ + repeats_there_; }
 
   private:
     [[nodiscard]] next_step give_up() const {
-        return runs_ == 0 ? next_step::refuse : next_step::fail;
+        return runs() == 0 ? next_step::refuse : next_step::fail;
     }
 
     bool repeatable_;
--- a/tests/forwarding/attempt_policy_test.cpp
+++ b/tests/forwarding/attempt_policy_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_repeatable_request_runs_as_often_as_its_route_allows);
     CPPUNIT_TEST(no_time_left_ends_it);
     CPPUNIT_TEST(a_resumable_stream_that_broke_off_is_repeated_there);
+    CPPUNIT_TEST(a_stream_that_broke_off_is_never_told_as_not_run);
     CPPUNIT_TEST(full_back_ends_are_asked_again_while_time_is_left);
     CPPUNIT_TEST(what_may_have_run_waits_for_no_room);
     CPPUNIT_TEST(any_pauses_end_before_the_time_does);
@@ -73,6 +74,15 @@
         CPPUNIT_ASSERT(other.after(attempt_end::may_have_run, second, true) == next_step::fail);
     }
 
+    void a_stream_that_broke_off_is_never_told_as_not_run() {
+        attempt_policy policy(true, 1, true);
+        CPPUNIT_ASSERT(policy.after(attempt_end::may_have_run, second, true) ==
+                       next_step::repeat_there);
+        CPPUNIT_ASSERT(policy.runs() > 0);
+        CPPUNIT_ASSERT(!policy.pause_for_room(second, 0.5));
+        CPPUNIT_ASSERT(policy.after(attempt_end::not_run, duration::zero()) == next_step::fail);
+    }
+
     void full_back_ends_are_asked_again_while_time_is_left() {
         attempt_policy policy(false, 1);
         for (std::uint32_t send = 1; send < attempt_policy::most_sends; ++send) {
