The gauges of waiting and slowdown are of all services, not of the last one

Cause: each service's gate wrote the same two gauges in turn, so that the last one was shown. Change: the greatest slowdown and the sum of those that wait. Found by reading; no decision depends on it. Test: none of its own: a gauge set in the shell; seen in the code only.

--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/forwarding/forwarder_shell.hpp"
 
+#include <algorithm>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
 #include <optional>
@@ -130,11 +131,14 @@
 
 void forwarder_node::adjust_gates() {
     const instant now = http::steady_now();
+    double most_slowdown = 1;
+    std::size_t waiting = 0;
     for (auto& [service, gate] : context_.gates) {
         const bool bounded_before = gate.window().size() > 0;
         const double slowdown = backends_.pace_of(service).slowdown(now);
         gate.adjust(slowdown);
-        metrics_.paced(slowdown, gate.waiting());
+        most_slowdown = std::max(most_slowdown, slowdown);
+        waiting += gate.waiting();
         if (const bool bounded = gate.window().size() > 0; bounded != bounded_before) {
             logging::write_event(
                 bounded ? logging::event_id::calls_bounded : logging::event_id::calls_unbounded,
@@ -143,6 +147,7 @@
                     " waiting=" + std::to_string(gate.waiting()));
         }
     }
+    metrics_.paced(most_slowdown, waiting);
 }
 
 void forwarder_node::accept() {
