Each node keeps to a few back ends of a plain service

Change: backend_subset, an order of the back ends of its own for each node (rendezvous hashing). Switched off by backend_subset.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -17,11 +17,26 @@
 /// Answers over which the usual time is averaged, about.
 constexpr int usual_samples = 16;
 
+template <class Condition>
+std::vector<const backend_state*> all_of(const backend_pool& pool, Condition&& condition) {
+    std::vector<const backend_state*> chosen;
+    for (const auto& [name, backend] : pool.all()) {
+        if (condition(backend)) {
+            chosen.push_back(&backend);
+        }
+    }
+    return chosen;
+}
+
 }  // namespace
 
 backend_registry::backend_registry(std::string zone, std::uint64_t seed,
                                    scheduling::strategy chosen, settings::switched_off off)
-    : zone_(std::move(zone)), random_(seed), placement_(chosen), off_(std::move(off)) {}
+    : zone_(std::move(zone)),
+      node_key_(seed),
+      random_(seed),
+      placement_(chosen),
+      off_(std::move(off)) {}
 
 bool backend_registry::update(const std::vector<listing::listed_backend>& backends, instant now) {
     std::map<std::string, std::vector<backend_member>> listed;
@@ -36,10 +51,12 @@
     for (const auto& [service, members] : listed_) {
         if (!listed.contains(service)) {
             pools_[service].update({});
+            subsets_.erase(service);
         }
     }
     for (const auto& [service, members] : listed) {
         pools_[service].update(members);
+        subsets_.try_emplace(service, node_key_).first->second.update(members);
     }
     listed_ = std::move(listed);
     return true;
@@ -94,20 +111,19 @@
 std::optional<chosen_backend> backend_registry::choose_service(const backend_question& question,
                                                                const backend_pool& pool,
                                                                instant now) {
-    std::vector<const backend_state*> usable;
-    std::vector<const backend_state*> ejected;
-    for (const auto& [name, backend] : pool.all()) {
-        if (question.tried.contains(name)) {
-            continue;
-        }
-        if (pool.available(backend, now)) {
-            usable.push_back(&backend);
-        } else if (!backend.leaving()) {
-            ejected.push_back(&backend);
-        }
+    const auto is_usable = [&](const backend_state& backend) {
+        return !question.tried.contains(backend.member.name) && pool.available(backend, now);
+    };
+    std::vector<const backend_state*> options =
+        off_.contains(settings::mechanism::backend_subset)
+            ? all_of(pool, is_usable)
+            : subsets_[question.service].usable(pool, is_usable);
+    if (options.empty()) {
+        // Rather one that failed lately than none.
+        options = all_of(pool, [&](const backend_state& backend) {
+            return !question.tried.contains(backend.member.name) && !backend.leaving();
+        });
     }
-    // Rather one that failed lately than none.
-    const auto& options = usable.empty() ? ejected : usable;
     if (options.empty()) {
         return std::nullopt;
     }
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "tallyfold/common/random.hpp"
+#include "tallyfold/forwarding/backend_subset.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
@@ -50,6 +51,7 @@
 
 class backend_registry {
   public:
+    /// @param seed differs from node to node, so that their choices do
     /// @param off what is switched off for a measurement
     backend_registry(std::string zone, std::uint64_t seed,
                      scheduling::strategy chosen = scheduling::strategy::policy,
@@ -104,9 +106,12 @@
                                                  const scheduling::backend_pool& pool, instant now);
 
     std::string zone_;
+    std::uint64_t node_key_;
     random_source random_;
     std::map<std::string, scheduling::backend_pool> pools_;
     std::map<std::string, std::vector<scheduling::backend_member>> listed_;
+    /// Back ends that this node keeps to, by service.
+    std::map<std::string, backend_subset> subsets_;
     std::map<std::string, waiting_calls> waiting_;
     std::map<std::string, scheduling::engine_pace> paces_;
     scheduling::cache_map cache_{20'000};
--- a/src/tallyfold/settings/mechanisms.hpp
+++ b/src/tallyfold/settings/mechanisms.hpp
@@ -28,6 +28,8 @@
     ejection,
     /// Requests that reach a node just before it knows its routes wait a moment.
     early_wait,
+    /// Each node keeps to a few back ends of a service.
+    backend_subset,
 };
 
 /// @param name as in docs/CONFIGURATION.md
