Engines that are weighed beside a program's home come from each node's own order

Test: nodes_that_pass_over_a_home_spread_over_the_engines, seen to fail first (one engine got all calls).

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -100,6 +100,14 @@
         request.home_tokens =
             prompt != nullptr && prompt->size() > 1 ? (*prompt)[prompt->size() - 2].tokens : 0;
     }
+    std::vector<const backend_state*> sample;
+    if (!off_.contains(settings::mechanism::backend_subset)) {
+        const auto is_usable = [&](const backend_state& engine) {
+            return pool.available(engine, now);
+        };
+        sample = subsets_[question.service].usable(pool, is_usable);
+        request.sample = &sample;
+    }
     const auto choice = placement_.choose(request, pool, cache_, question.ranking, now);
     if (!choice) {
         return std::nullopt;
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -106,6 +106,25 @@
     return nullptr;
 }
 
+std::vector<const backend_state*> placement::sampled(const placement_request& request,
+                                                     const backend_pool& pool, instant now) const {
+    if (strategy_ != strategy::policy) {
+        // A baseline sends a call at once and lets the engine queue it.
+        return pool.least_loaded(1, request.model, true, now);
+    }
+    if (request.sample == nullptr) {
+        return pool.least_loaded(sampled_engines, request.model, false, now);
+    }
+    std::vector<const backend_state*> engines;
+    for (const backend_state* engine : *request.sample) {
+        const bool fits = request.model.empty() || engine->member.model == request.model;
+        if (fits && has_free_slot(*engine)) {
+            engines.push_back(engine);
+        }
+    }
+    return engines;
+}
+
 std::vector<placement::candidate> placement::gather(const placement_request& request,
                                                     const backend_pool& pool,
                                                     const cache_map& cache, instant now) const {
@@ -133,11 +152,7 @@
             known->cached_tokens = std::max(known->cached_tokens, held);
         }
     }
-    const std::size_t sample = strategy_ == strategy::policy ? sampled_engines : 1;
-    // A baseline sends a call at once and lets the engine queue it.
-    const bool include_busy = strategy_ != strategy::policy;
-    for (const backend_state* engine :
-         pool.least_loaded(sample, request.model, include_busy, now)) {
+    for (const backend_state* engine : sampled(request, pool, now)) {
         const bool known = std::any_of(options.begin(), options.end(), [&](const candidate& other) {
             return other.engine == engine;
         });
--- a/src/tallyfold/scheduling/placement.hpp
+++ b/src/tallyfold/scheduling/placement.hpp
@@ -29,6 +29,10 @@
     /// when there is none. It is taken to hold `home_tokens` of the prompt.
     backend_name home;
     token_count home_tokens = 0;
+    /// Engines that are weighed beside the home and those that hold the prompt; null for the least
+    /// loaded ones. Nodes that see little of each other's calls find the same engines idle, so each
+    /// has to bring an order of its own.
+    const std::vector<const backend_state*>* sample = nullptr;
     /// How quickly the engines work; null when it isn't learned.
     const engine_pace* pace = nullptr;
 };
@@ -77,6 +81,9 @@
                                   const cache_map& cache, instant now) const;
     const backend_state* next_in_turn(const backend_pool& pool, const std::string& model,
                                       instant now);
+    /// Engines that are weighed although nothing is known to tie the call to them.
+    std::vector<const backend_state*> sampled(const placement_request& request,
+                                              const backend_pool& pool, instant now) const;
     static double cost_of(const placement_request& request, const candidate& option,
                           policy* ranking, instant now);
 
--- a/tests/forwarding/backend_registry_test.cpp
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/forwarding/backend_registry.hpp"
 
+#include "tallyfold/common/hash.hpp"
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -17,6 +18,7 @@
     CPPUNIT_TEST(a_call_that_ends_without_a_byte_leaves_nothing_booked);
     CPPUNIT_TEST(an_engine_left_behind_counts_as_holding_only_what_it_read);
     CPPUNIT_TEST(new_input_isnt_taken_for_held);
+    CPPUNIT_TEST(nodes_that_pass_over_a_home_spread_over_the_engines);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<listing::listed_backend> engines(std::size_t count) {
@@ -71,6 +73,25 @@
         CPPUNIT_ASSERT(used.size() >= 6);
     }
 
+    void nodes_that_pass_over_a_home_spread_over_the_engines() {
+        // Without a policy's word the home wins; a call without a program has none.
+        std::map<std::string, int> calls;
+        constexpr int nodes = 200;
+        for (int node = 0; node < nodes; ++node) {
+            backend_registry registry("zone", stable_hash("node-" + std::to_string(node)));
+            registry.update(engines(20), instant{});
+            backend_question question;
+            question.service = "s";
+            question.is_engine = true;
+            ++calls[registry.choose(question, instant{})->name];
+        }
+        for (const auto& [name, count] : calls) {
+            // 10 on the mean; the same four engines got all of them before.
+            CPPUNIT_ASSERT_MESSAGE(name + " " + std::to_string(count), count < 30);
+        }
+        CPPUNIT_ASSERT(calls.size() > 15);
+    }
+
     void an_unreachable_back_end_is_left_out_at_once() {
         backend_registry registry("zone", 1);
         registry.update(engines(3), instant{});
