One directory node reads the list of back ends, the others take over in turn

Change: the leader reads (list_duty); the others ask it for differences five times a second and read themselves once what they know is 1.5 s old, 0.15 s after one another; forwarders after 2.4 s.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -73,6 +73,7 @@
     report.configuration = version_;
     report.stores = stores_.epoch;
     report.wants_configuration = settings_.wants_configuration;
+    report.wants_list = list_ != nullptr;
     if (list_ != nullptr) {
         report.list = list_->fingerprint();
         const duration age = http::steady_now() - list_->seen();
--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -91,6 +91,15 @@
     return found == replica_.members().members.end() ? node_name{} : found->second.node;
 }
 
+std::size_t directory_core::rank_behind_leader() const {
+    const node_name leader = leader_address();
+    std::size_t rank = 0;
+    for (const auto& [id, member] : replica_.members().members) {
+        rank += member.node != leader && member.node < settings_.address ? 1 : 0;
+    }
+    return rank;
+}
+
 void directory_core::event(logging::event_id id, std::string fields) {
     work_.events.push_back({id, std::move(fields)});
 }
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -105,6 +105,8 @@
     void remember(directory_state earlier) { earlier_ = std::move(earlier); }
     [[nodiscard]] bool leads() const;
     [[nodiscard]] node_name leader_address() const;
+    /// Place of this node among the members that don't lead, by address.
+    [[nodiscard]] std::size_t rank_behind_leader() const;
     [[nodiscard]] bool may_retire(const node_name& node) const {
         return store_planner_.may_retire(state_, node);
     }
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -9,6 +9,7 @@
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_core.hpp"
 #include "tallyfold/directory/operator_desk_shell.hpp"
+#include "tallyfold/listing/list_duty.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/messaging/link_log.hpp"
@@ -30,6 +31,8 @@
 constexpr duration stop_delay = std::chrono::milliseconds(300);
 /// Earlier lists of back ends that nodes may still hold, so that they are told differences.
 constexpr std::size_t kept_lists = 8;
+/// A node that doesn't lead asks the leader for the list this often.
+constexpr duration list_question_interval = std::chrono::milliseconds(200);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
 /// Hold the state applied last and the one before: written in turn, so that a lost power tears one
@@ -57,6 +60,10 @@
     void recall_state();
     void note_state();
     void send(addressed_message message);
+    messaging::link_pointer link_to(const node_name& address);
+    void learn_list(const directory_beat& beat);
+    void ask_leader_for_list();
+    [[nodiscard]] bool reads_list() const;
     void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
     [[nodiscard]] directory_settings core_settings() const;
 
@@ -173,18 +180,59 @@
     }
 }
 
+messaging::link_pointer directory_node::link_to(const node_name& address) {
+    messaging::link_pointer& link = links_[address];
+    if (!link) {
+        link = std::make_shared<messaging::peer_link>(process_.loop(), address);
+        link->start(
+            [this](const messaging::peer_message& message) {
+                if (const auto* beat = std::get_if<directory_beat>(&message)) {
+                    learn_list(*beat);
+                }
+            },
+            [address](bool up, const std::string& reason) {
+                messaging::log_link(address, "directory", up, reason);
+            });
+    }
+    return link;
+}
+
+void directory_node::learn_list(const directory_beat& beat) {
+    for (const listing::list_sight& sight : beat.list) {
+        list_.learn(sight, http::steady_now());
+    }
+}
+
+void directory_node::ask_leader_for_list() {
+    if (!core_ || core_->leads() || core_->leader_address().empty()) {
+        return;
+    }
+    node_report report;
+    report.node = process_.settings().node;
+    // What the log holds comes over the log.
+    report.configuration = core_->state().configuration().version;
+    report.stores = core_->state().stores().epoch;
+    report.wants_configuration = false;
+    report.list = list_.fingerprint();
+    const duration age = http::steady_now() - list_.seen();
+    report.list_age_ms = static_cast<std::uint32_t>(list_.known() ? to_milliseconds(age) : 0);
+    link_to(core_->leader_address())->send(report);
+}
+
+bool directory_node::reads_list() const {
+    listing::list_duty duty;
+    duty.leads = core_ && core_->leads();
+    duty.known = list_.known();
+    duty.age = http::steady_now() - list_.seen();
+    duty.rank = core_ ? core_->rank_behind_leader() : 0;
+    return duty.reads();
+}
+
 void directory_node::send(addressed_message message) {
     if (message.to.empty() || message.to == process_.settings().directory_address()) {
         return;
     }
-    auto& link = links_[message.to];
-    if (!link) {
-        link = std::make_shared<messaging::peer_link>(process_.loop(), message.to);
-        link->start([](const messaging::peer_message&) {},
-                    [address = message.to](bool up, const std::string& reason) {
-                        messaging::log_link(address, "directory", up, reason);
-                    });
-    }
+    const messaging::link_pointer link = link_to(message.to);
     if (auto* replica = std::get_if<consensus::replica_message>(&message.body)) {
         link->send(messaging::replica_envelope{process_.settings().directory_address(),
                                                std::move(*replica)});
@@ -264,7 +312,7 @@
         core_->receive(*join, now);
     } else if (const auto* report = std::get_if<node_report>(&message)) {
         directory_beat beat = core_->receive(*report, now);
-        if (report->wants_configuration) {
+        if (report->wants_list) {
             beat.list =
                 list_.tell(report->list, std::chrono::milliseconds(report->list_age_ms), now);
         }
@@ -292,7 +340,8 @@
         [this](const std::vector<listing::listed_backend>& backends) {
             list_.see(backends, http::steady_now());
         },
-        [] { return true; });
+        [this] { return reads_list(); });
+    process_.every(list_question_interval, [this] { ask_leader_for_list(); });
     process_.every(tick_interval, [this] {
         if (core_) {
             core_->tick(http::steady_now());
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -35,6 +35,8 @@
     std::vector<store_report> store;
     /// False when the node has no use for the configuration.
     bool wants_configuration = true;
+    /// True when the node has a use for the list of back ends.
+    bool wants_list = true;
     /// The list of back ends that the node holds.
     listing::list_fingerprint list = 0;
     /// Time since some node saw it, in milliseconds.
@@ -42,7 +44,8 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(node, configuration, stores, store, wants_configuration, list, list_age_ms);
+        archive(node, configuration, stores, store, wants_configuration, wants_list, list,
+                list_age_ms);
     }
 };
 
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -19,8 +19,9 @@
 namespace {
 
 constexpr duration silence_check_interval = std::chrono::milliseconds(100);
-/// A list that nobody has seen for this long is read by this node itself.
-constexpr duration own_sight_after = std::chrono::milliseconds(1'800);
+/// A list that nobody has seen for this long is read by this node itself: after the last of the
+/// directory's nodes had its turn (listing::list_duty).
+constexpr duration own_sight_after = std::chrono::milliseconds(2'400);
 constexpr duration policy_check_interval = std::chrono::seconds(1);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
