The directory tells forwarders how many calls the fleet sends to the engines they choose among

Change: forwarders tell with the reports they send anyway which back ends they have begun calls at, and the few they watch; a directory node answers those with the rates of all nodes (listing/fleet_load). A program's first turn is placed among the node's own few engines by that load; the policy's input fleet_calls, calls under way by Little's law; calls beyond the slots cost the time they wait. What is known of a line's holder goes before its home. What all programs share counts as held by every engine. Bounded: a forwarder watches eight engines and those it lately called; answers of 64 at most; absurd positions and rates, other lists and old answers are passed over (tests).

--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/forwarding/backend_subset.hpp"
+#include "tallyfold/listing/fleet_load.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
@@ -85,6 +86,8 @@
     [[nodiscard]] scheduling::engine_pace& pace_of(const std::string& service) {
         return paces_[service];
     }
+    /// What is told to the directory of calls that begin here, and learned of all nodes' calls.
+    [[nodiscard]] listing::load_watch& load() { return load_; }
     /// 0 to 1, evenly.
     [[nodiscard]] double draw_jitter() { return random_.unit(); }
     [[nodiscard]] instant listed_at() const { return listed_at_; }
@@ -100,6 +103,11 @@
 
     /// Nothing waits for a first byte of the call any more.
     void stop_waiting(const backend_call& call);
+    /// Has the directory asked for the load of the engines that this node chooses among.
+    void watch_load(const std::string& service);
+    [[nodiscard]] scheduling::home_guess guess_home(const backend_question& question,
+                                                    const scheduling::backend_pool& pool,
+                                                    instant now) const;
     std::optional<chosen_backend> choose_engine(const backend_question& question,
                                                 const scheduling::backend_pool& pool, instant now);
     std::optional<chosen_backend> choose_service(const backend_question& question,
@@ -116,6 +124,9 @@
     std::map<std::string, scheduling::engine_pace> paces_;
     scheduling::cache_map cache_{20'000};
     scheduling::placement placement_;
+    listing::load_watch load_;
+    /// Services whose engines are watched as the list stands.
+    std::set<std::string> watched_;
     settings::switched_off off_;
     instant listed_at_{};
     bool has_list_ = false;
