Forwarders that have just started wait to be told the list; a turn's line names its group of stores

Change: forwarder_reads (listing/list_duty), 2.4 s after the start at the earliest. Test: list_duty_test, written with the function.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -148,7 +148,8 @@
         return std::nullopt;
     }
     const backend_state* engine = pool.find(choice->engine);
-    return chosen_backend{choice->engine, engine->member.address, choice->cached_tokens};
+    return chosen_backend{choice->engine, engine->member.address, choice->cached_tokens,
+                          load_.calls_per_second(choice->engine, now)};
 }
 
 std::optional<chosen_backend> backend_registry::choose_service(const backend_question& question,
@@ -174,7 +175,7 @@
     const backend_state* one = options[random_.below(options.size())];
     const backend_state* other = options[random_.below(options.size())];
     const backend_state* best = other->outstanding() < one->outstanding() ? other : one;
-    return chosen_backend{best->member.name, best->member.address, 0};
+    return chosen_backend{best->member.name, best->member.address, 0, 0};
 }
 
 backend_call backend_registry::started(const std::string& service, const chosen_backend& chosen,
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -38,6 +38,8 @@
     std::string address;
     /// Tokens of the prompt that it is believed to hold.
     token_count cached_tokens = 0;
+    /// Calls a second that all nodes together sent there as last told; 0 when it isn't known.
+    double fleet_calls_per_second = 0;
 };
 
 /// One call under way at a back end, from started() to finished().
--- a/src/tallyfold/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.cpp
@@ -22,6 +22,8 @@
                     .Register(registry)),
       connections_(net::add_counter(registry, "tallyfold_forwarder_backend_connections_total",
                                     "New connections to back ends")),
+      adopted_(net::add_counter(registry, "tallyfold_forwarder_adopted_lines_total",
+                                "Turns that go on with a line of another group of stores")),
       first_byte_(net::add_histogram(registry, "tallyfold_forwarder_first_byte_seconds",
                                      "Time from a request's end to the first byte of its answer",
                                      latency_buckets)),
--- a/src/tallyfold/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.hpp
@@ -28,6 +28,8 @@
     }
     void waited(duration took) { wait_.Observe(seconds(took)); }
     void connected() { connections_.Increment(); }
+    /// A turn goes on with a line that another group of stores keeps.
+    void adopted() { adopted_.Increment(); }
     void attempt_failed(const std::string& reason);
 
   private:
@@ -35,6 +37,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Counter& connections_;
+    prometheus::Counter& adopted_;
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& store_;
     prometheus::Histogram& total_;
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -10,6 +10,7 @@
 #include "tallyfold/directory/directory_client_shell.hpp"
 #include "tallyfold/forwarding/request_relay_shell.hpp"
 #include "tallyfold/forwarding/stop_sequence.hpp"
+#include "tallyfold/listing/list_duty.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
 #include "tallyfold/net/tcp_sockets_shell.hpp"
@@ -19,9 +20,6 @@
 namespace {
 
 constexpr duration silence_check_interval = std::chrono::milliseconds(100);
-/// A list that nobody has seen for this long is read by this node itself: after the last of the
-/// directory's nodes had its turn (listing::list_duty).
-constexpr duration own_sight_after = std::chrono::milliseconds(2'400);
 constexpr duration policy_check_interval = std::chrono::seconds(1);
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
@@ -311,7 +309,9 @@
         [this](const std::vector<listing::listed_backend>& backends) {
             use_list(list_.see(backends, http::steady_now()));
         },
-        [this] { return http::steady_now() - list_.seen() > own_sight_after; });
+        [this, started = http::steady_now()] {
+            return listing::forwarder_reads(list_.seen(), started, http::steady_now());
+        });
     read_policy();
     process_.every(policy_check_interval, [this] { read_policy(); });
     process_.every(housekeeping_interval, [this] { connections_.expire(http::steady_now()); });
--- a/src/tallyfold/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -47,6 +47,8 @@
     store_time_ = http::steady_now() - started;
     store_answers_ = begun.store_answers;
     used_tokens_ = begun.used_tokens;
+    store_group_ = begun.group;
+    store_epoch_ = begun.epoch;
     context_.metrics.stored(store_time_);
     for (const scheduling::cached_prefix& holder : begun.holders) {
         context_.backends.holds(holder.engine, {{holder.hash, holder.tokens}});
@@ -61,19 +63,21 @@
     if (begun.adopted) {
         adopted_ = begun.chain;
         adopted_turns_ = adopted_.size();
+        context_.metrics.adopted();
     }
     co_return begun.result;
 }
 
 void turn_session::log_refusal(const turns::begun_turn& begun) const {
-    logging::write_event(logging::event_id::turn_refused,
-                         "request=" + facts_.request + " program=" + facts_.program + " previous=" +
-                             facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
-                             " used=" + std::to_string(begun.used_tokens) +
-                             " most=" + std::to_string(facts_.most_tokens) +
-                             " store_answers=" + std::to_string(begun.store_answers) +
-                             " epoch=" + std::to_string(begun.epoch) +
-                             " result=" + std::to_string(static_cast<int>(begun.result)));
+    logging::write_event(
+        logging::event_id::turn_refused,
+        "request=" + facts_.request + " program=" + facts_.program +
+            " previous=" + facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
+            " used=" + std::to_string(begun.used_tokens) +
+            " most=" + std::to_string(facts_.most_tokens) +
+            " store_answers=" + std::to_string(begun.store_answers) +
+            " group=" + std::to_string(begun.group) + " epoch=" + std::to_string(begun.epoch) +
+            " result=" + std::to_string(static_cast<int>(begun.result)));
 }
 
 asio::awaitable<bool> turn_session::settle(token_count tokens, std::string input,
@@ -102,6 +106,8 @@
 
 std::string turn_session::log_fields() const {
     return " store_ms=" + std::to_string(to_milliseconds(store_time_)) +
+           " store_group=" + std::to_string(store_group_) +
+           " store_epoch=" + std::to_string(store_epoch_) +
            " store_answers=" + std::to_string(store_answers_) +
            " used=" + std::to_string(used_tokens_) + " adopted=" + std::to_string(adopted_turns_);
 }
--- a/src/tallyfold/forwarding/turn_session_shell.hpp
+++ b/src/tallyfold/forwarding/turn_session_shell.hpp
@@ -46,6 +46,9 @@
     bool open_ = false;
     duration store_time_{};
     std::size_t store_answers_ = 0;
+    /// The group that keeps the program, and the epoch of its map at the decision.
+    turns::group_number store_group_ = 0;
+    turns::map_epoch store_epoch_ = 0;
     token_count used_tokens_ = 0;
     /// The line before the turn when another group of stores keeps it, until it is settled along.
     std::vector<turns::turn_record> adopted_;
--- a/src/tallyfold/listing/list_duty.hpp
+++ b/src/tallyfold/listing/list_duty.hpp
@@ -1,11 +1,12 @@
 #pragma once
 /// @file
-/// Which directory node reads the list of back ends. Pure.
+/// Which node reads the list of back ends. Pure.
 ///
 /// Each call of the list is paid for, and all nodes together have a rate. One reader suffices: the
 /// leader reads, the others ask the leader for what has changed. The others take over one after
 /// the other when what they know has grown old: the leader is gone, or can't reach the list.
 
+#include <algorithm>
 #include <cstddef>
 
 #include "tallyfold/common/time.hpp"
@@ -32,4 +33,14 @@
     }
 };
 
+/// A forwarder reads a list that nobody has seen for this long: after the last of the directory's
+/// nodes had its turn.
+constexpr duration forwarder_reads_after = std::chrono::milliseconds(2'400);
+
+/// True when a forwarder is to read the list itself. One that has just started waits to be told:
+/// hundreds that restart together would exceed the list's rate, and keep each other from it.
+[[nodiscard]] inline bool forwarder_reads(instant seen, instant started, instant now) {
+    return now - std::max(seen, started) > forwarder_reads_after;
+}
+
 }  // namespace tallyfold::listing
--- a/tests/listing/list_duty_test.cpp
+++ b/tests/listing/list_duty_test.cpp
@@ -11,10 +11,22 @@
     CPPUNIT_TEST(the_leader_reads);
     CPPUNIT_TEST(a_node_that_knows_no_list_reads);
     CPPUNIT_TEST(successors_take_over_one_after_the_other);
+    CPPUNIT_TEST(a_forwarder_that_has_just_started_waits_to_be_told);
     CPPUNIT_TEST_SUITE_END();
 
     static duration after(int milliseconds) { return std::chrono::milliseconds(milliseconds); }
 
+    static instant at(int milliseconds) { return instant(after(milliseconds)); }
+
+    void a_forwarder_that_has_just_started_waits_to_be_told() {
+        const instant started = at(100'000);
+        CPPUNIT_ASSERT(!listing::forwarder_reads(instant{}, started, at(100'050)));
+        CPPUNIT_ASSERT(listing::forwarder_reads(instant{}, started, at(102'450)));
+        // Told once, it reads when nobody has seen the list for as long.
+        CPPUNIT_ASSERT(!listing::forwarder_reads(at(101'000), started, at(103'300)));
+        CPPUNIT_ASSERT(listing::forwarder_reads(at(101'000), started, at(103'500)));
+    }
+
     void the_leader_reads() { CPPUNIT_ASSERT((list_duty{true, true, after(0), 0}.reads())); }
 
     void a_node_that_knows_no_list_reads() {
