--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -8,7 +8,6 @@
 using turns::store_id;
 using turns::store_map;
 using turns::store_member;
-using turns::store_table;
 
 namespace {
 
