Reverted: the fleet's load told by the directory

Hypothesis: placed by the rates of all nodes, fresh programs spread better than by the hash of their identifier. Conclusion: the hash over all engines spreads programs better than the best of four by rates that are half a second old; what binds was where programs began, not that nodes don't see each other.

--- a/policies/platform.lua
+++ b/policies/platform.lua
@@ -9,12 +9,10 @@
 end
 
 -- Cost in milliseconds. Reading stalls every stream of the engine, so it counts several times; what this
--- node has waiting there is read before; each call that runs there slows the others a little, and where
--- more come than there are slots, they wait; an engine whose events come slowly is busy, or slow itself.
+-- node has waiting there is read before; each call of its own that runs there stands for those of other
+-- nodes; and an engine whose events come slowly is busy with others' calls, or slow itself.
 function place(call, engine)
-  local running = math.max(engine.outstanding, engine.fleet_calls)
-  local waiting = math.max(0, running + 1 - engine.slots)
-  return 6 * engine.read_ms + engine.pending_read_ms + 5 * running + waiting * call.call_ms / engine.slots
+  return 6 * engine.read_ms + engine.pending_read_ms + 5 * engine.outstanding
     + engine.gap_ms - engine.idle_gap_ms
 end
 
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -96,9 +96,6 @@
         }
         if (position->second->connected()) {
             last_asked_ = position->first;
-            if (load_ != nullptr) {
-                report.load = load_->ask(position->first, *list_, now);
-            }
             position->second->send(report);
             return;
         }
@@ -126,9 +123,6 @@
             on_list_(list_->learn(sight, heard_));
         }
     }
-    if (load_ != nullptr) {
-        load_->learn(beat.load, *list_, heard_);
-    }
     for (const routing::configuration& configuration : beat.newer_configuration) {
         if (configuration.version > version_) {
             version_ = configuration.version;
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -34,9 +34,6 @@
                std::function<std::vector<store_report>()> describe_store);
     /// Takes part in spreading the list of back ends. @param on_list called with each newer sight
     void share_list(listing::list_memory& list, std::function<void(bool changed)> on_list);
-    /// Tells the directory of calls that begin, and learns the rates of all nodes together. Needs
-    /// share_list().
-    void share_load(listing::load_watch& load) { load_ = &load; }
     /// Takes over a group's map that came from elsewhere.
     void learn_map(const turns::store_map& map);
     /// The settings changed: other seeds may be known.
@@ -65,7 +62,6 @@
     stores_handler on_stores_;
     std::function<std::vector<store_report>()> describe_store_;
     listing::list_memory* list_ = nullptr;
-    listing::load_watch* load_ = nullptr;
     std::function<void(bool changed)> on_list_;
 };
 
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -9,7 +9,6 @@
 #include "tallyfold/common/hash.hpp"
 #include "tallyfold/directory/directory_core.hpp"
 #include "tallyfold/directory/operator_desk_shell.hpp"
-#include "tallyfold/listing/fleet_load.hpp"
 #include "tallyfold/listing/list_duty.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
@@ -34,8 +33,6 @@
 constexpr std::size_t kept_lists = 8;
 /// A node that doesn't lead asks the leader for the list this often.
 constexpr duration list_question_interval = std::chrono::milliseconds(200);
-/// What is known of back ends that are gone is dropped this often.
-constexpr duration load_cleaning_interval = std::chrono::seconds(5);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
 /// Hold the state applied last and the one before: written in turn, so that a lost power tears one
@@ -65,7 +62,6 @@
     void send(addressed_message message);
     messaging::link_pointer link_to(const node_name& address);
     void learn_list(const directory_beat& beat);
-    void share_load(const node_report& report, directory_beat& beat, instant now);
     void ask_leader_for_list();
     [[nodiscard]] bool reads_list() const;
     void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
@@ -74,7 +70,6 @@
     net::node_process process_;
     listing::list_poller poller_;
     listing::list_memory list_{kept_lists};
-    listing::fleet_load load_;
     messaging::peer_server peers_;
     http::endpoint_server operators_;
     std::map<std::string, messaging::link_pointer> links_;
@@ -202,16 +197,6 @@
     return link;
 }
 
-void directory_node::share_load(const node_report& report, directory_beat& beat, instant now) {
-    // Positions in another list would name other back ends.
-    if (report.list == 0 || report.list != list_.fingerprint()) {
-        return;
-    }
-    load_.take(report.load, list_.backends(), now);
-    beat.load.list = list_.fingerprint();
-    beat.load.rates = load_.answer(report.load, list_.backends(), now);
-}
-
 void directory_node::learn_list(const directory_beat& beat) {
     for (const listing::list_sight& sight : beat.list) {
         list_.learn(sight, http::steady_now());
@@ -330,7 +315,6 @@
         if (report->wants_list) {
             beat.list =
                 list_.tell(report->list, std::chrono::milliseconds(report->list_age_ms), now);
-            share_load(*report, beat, now);
         }
         channel->send(beat);
     }
@@ -357,7 +341,6 @@
             list_.see(backends, http::steady_now());
         },
         [this] { return reads_list(); });
-    process_.every(load_cleaning_interval, [this] { load_.keep_only(list_.backends()); });
     process_.every(list_question_interval, [this] { ask_leader_for_list(); });
     process_.every(tick_interval, [this] {
         if (core_) {
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "tallyfold/consensus/messages.hpp"
-#include "tallyfold/listing/fleet_load.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/routing/configuration.hpp"
 #include "tallyfold/turns/types.hpp"
@@ -42,13 +41,11 @@
     listing::list_fingerprint list = 0;
     /// Time since some node saw it, in milliseconds.
     std::uint32_t list_age_ms = 0;
-    /// Calls that the node has begun, by the list that it holds, and the back ends that it watches.
-    listing::load_question load;
 
     template <class Archive>
     void serialize(Archive& archive) {
         archive(node, configuration, stores, store, wants_configuration, wants_list, list,
-                list_age_ms, load);
+                list_age_ms);
     }
 };
 
@@ -63,12 +60,10 @@
     /// The list of back ends as this node saw it; at most one entry. It isn't part of the log: any
     /// node's own sight is as good as another's.
     std::vector<listing::list_sight> list;
-    /// Rates of the watched back ends; empty when this node holds another list than the asker.
-    listing::load_answer load;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(configuration, newer_configuration, newer_stores, directory_addresses, list, load);
+        archive(configuration, newer_configuration, newer_stores, directory_addresses, list);
     }
 };
 
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -16,10 +16,6 @@
 constexpr int silence_factor = 5;
 /// Answers over which the usual time is averaged, about.
 constexpr int usual_samples = 16;
-/// Engines of a service whose load the directory is asked for: a node's subset, and as many again.
-constexpr std::size_t watched_engines = 2 * backend_subset::kept;
-/// The prompt of a line's first turn is what all programs share, and its own input.
-constexpr std::size_t parts_of_a_first_turn = 2;
 
 template <class Condition>
 std::vector<const backend_state*> all_of(const backend_pool& pool, Condition&& condition) {
@@ -62,7 +58,6 @@
         pools_[service].update(members);
         subsets_.try_emplace(service, node_key_).first->second.update(members);
     }
-    watched_.clear();
     listed_ = std::move(listed);
     return true;
 }
@@ -89,38 +84,6 @@
     return choose_service(question, pool->second, now);
 }
 
-void backend_registry::watch_load(const std::string& service) {
-    if (!watched_.insert(service).second) {
-        return;
-    }
-    const std::vector<backend_name>& order = subsets_[service].order();
-    const std::size_t count = std::min(order.size(), watched_engines);
-    load_.watch(service, {order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count)});
-}
-
-scheduling::home_guess backend_registry::guess_home(const backend_question& question,
-                                                    const backend_pool& pool, instant now) const {
-    scheduling::home_guess home;
-    if (question.program.empty() || off_.contains(settings::mechanism::program_home)) {
-        return home;
-    }
-    const std::vector<scheduling::prefix_point>* prompt = question.prompt;
-    const std::size_t parts = prompt == nullptr ? 0 : prompt->size();
-    const bool begins_line = parts <= parts_of_a_first_turn;
-    if (begins_line && load_.knows_rates(now)) {
-        // The engines whose load is told are chosen among; the home's isn't.
-        return home;
-    }
-    home.engine = scheduling::home_of(question.program, pool, now);
-    if (parts > 1) {
-        // An earlier turn of the program has left all but the newest part there, unless some other
-        // engine is known to hold its line.
-        const bool elsewhere = cache_.holds_beyond_first(*prompt);
-        home.tokens = elsewhere ? prompt->front().tokens : (*prompt)[parts - 2].tokens;
-    }
-    return home;
-}
-
 std::optional<chosen_backend> backend_registry::choose_engine(const backend_question& question,
                                                               const backend_pool& pool,
                                                               instant now) {
@@ -130,26 +93,27 @@
     request.prompt_tokens = question.prompt_tokens;
     request.call = question.call;
     request.pace = &paces_[question.service];
-    request.home = guess_home(question, pool, now);
+    if (!question.program.empty() && !off_.contains(settings::mechanism::program_home)) {
+        request.home = scheduling::home_of(question.program, pool, now);
+        // An earlier turn of the program has left all but the newest part there.
+        const auto* prompt = question.prompt;
+        request.home_tokens =
+            prompt != nullptr && prompt->size() > 1 ? (*prompt)[prompt->size() - 2].tokens : 0;
+    }
     std::vector<const backend_state*> sample;
     if (!off_.contains(settings::mechanism::backend_subset)) {
-        watch_load(question.service);
         const auto is_usable = [&](const backend_state& engine) {
             return pool.available(engine, now);
         };
         sample = subsets_[question.service].usable(pool, is_usable);
         request.sample = &sample;
-        request.fleet_calls_per_second = [&](const backend_name& name) {
-            return load_.calls_per_second(name, now);
-        };
     }
     const auto choice = placement_.choose(request, pool, cache_, question.ranking, now);
     if (!choice) {
         return std::nullopt;
     }
     const backend_state* engine = pool.find(choice->engine);
-    return chosen_backend{choice->engine, engine->member.address, choice->cached_tokens,
-                          load_.calls_per_second(choice->engine, now)};
+    return chosen_backend{choice->engine, engine->member.address, choice->cached_tokens};
 }
 
 std::optional<chosen_backend> backend_registry::choose_service(const backend_question& question,
@@ -175,7 +139,7 @@
     const backend_state* one = options[random_.below(options.size())];
     const backend_state* other = options[random_.below(options.size())];
     const backend_state* best = other->outstanding() < one->outstanding() ? other : one;
-    return chosen_backend{best->member.name, best->member.address, 0, 0};
+    return chosen_backend{best->member.name, best->member.address, 0};
 }
 
 backend_call backend_registry::started(const std::string& service, const chosen_backend& chosen,
@@ -184,7 +148,6 @@
     const token_count unread = prompt_tokens - held;
     pools_[service].started(chosen.name, unread);
     waiting_[service].since[chosen.name].insert(now);
-    load_.begun(chosen.name, now);
     return {service, chosen.name, now, unread, true};
 }
 
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -9,7 +9,6 @@
 
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/forwarding/backend_subset.hpp"
-#include "tallyfold/listing/fleet_load.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
@@ -38,8 +37,6 @@
     std::string address;
     /// Tokens of the prompt that it is believed to hold.
     token_count cached_tokens = 0;
-    /// Calls a second that all nodes together sent there as last told; 0 when it isn't known.
-    double fleet_calls_per_second = 0;
 };
 
 /// One call under way at a back end, from started() to finished().
@@ -88,8 +85,6 @@
     [[nodiscard]] scheduling::engine_pace& pace_of(const std::string& service) {
         return paces_[service];
     }
-    /// What is told to the directory of calls that begin here, and learned of all nodes' calls.
-    [[nodiscard]] listing::load_watch& load() { return load_; }
     /// 0 to 1, evenly.
     [[nodiscard]] double draw_jitter() { return random_.unit(); }
     [[nodiscard]] instant listed_at() const { return listed_at_; }
@@ -105,11 +100,6 @@
 
     /// Nothing waits for a first byte of the call any more.
     void stop_waiting(const backend_call& call);
-    /// Has the directory asked for the load of the engines that this node chooses among.
-    void watch_load(const std::string& service);
-    [[nodiscard]] scheduling::home_guess guess_home(const backend_question& question,
-                                                    const scheduling::backend_pool& pool,
-                                                    instant now) const;
     std::optional<chosen_backend> choose_engine(const backend_question& question,
                                                 const scheduling::backend_pool& pool, instant now);
     std::optional<chosen_backend> choose_service(const backend_question& question,
@@ -126,9 +116,6 @@
     std::map<std::string, scheduling::engine_pace> paces_;
     scheduling::cache_map cache_{20'000};
     scheduling::placement placement_;
-    listing::load_watch load_;
-    /// Services whose engines are watched as the list stands.
-    std::set<std::string> watched_;
     settings::switched_off off_;
     instant listed_at_{};
     bool has_list_ = false;
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -302,9 +302,6 @@
     // The directory's nodes read the list and tell it; this node reads it itself only when they
     // haven't for a while.
     directory_.share_list(list_, [this](bool changed) { use_list(changed); });
-    if (!context_.lacks(settings::mechanism::fleet_load)) {
-        directory_.share_load(backends_.load());
-    }
     poller_.start(
         [this](const std::vector<listing::listed_backend>& backends) {
             use_list(list_.see(backends, http::steady_now()));
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -4,7 +4,6 @@
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
-#include <cmath>
 
 #include "tallyfold/logging/event_log.hpp"
 
@@ -229,7 +228,6 @@
         ++sends_;
         backend_name_ = backend->name;
         cached_tokens_ = backend->cached_tokens;
-        fleet_calls_per_second_ = backend->fleet_calls_per_second;
         question.tried.insert(backend->name);
         call_ = context_.backends.started(question.service, *backend, facts_.prompt_tokens,
                                           http::steady_now());
@@ -644,7 +642,6 @@
     if (turn_) {
         line +=
             turn_->log_fields() + " cached=" + std::to_string(cached_tokens_) +
-            " fleet_calls_s=" + std::to_string(std::lround(fleet_calls_per_second_)) +
             " waited_ms=" + std::to_string(to_milliseconds(waited_)) +
             " urgency=" + std::to_string(urgency_) + " program_left_ms=" +
             (facts_.program_time_left ? std::to_string(to_milliseconds(*facts_.program_time_left))
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -121,7 +121,6 @@
     unsigned status_ = 0;
     duration first_byte_{};
     token_count cached_tokens_ = 0;
-    double fleet_calls_per_second_ = 0;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/scheduling/cache_map.cpp
+++ b/src/tallyfold/scheduling/cache_map.cpp
@@ -102,12 +102,4 @@
     return matches;
 }
 
-bool cache_map::holds_beyond_first(const std::vector<prefix_point>& points) const {
-    return points.size() > 1 &&
-           std::any_of(points.begin() + 1, points.end(), [&](const auto& point) {
-               const auto found = entries_.find(point.hash);
-               return found != entries_.end() && !found->second.holders.empty();
-           });
-}
-
 }  // namespace tallyfold::scheduling
--- a/src/tallyfold/scheduling/cache_map.hpp
+++ b/src/tallyfold/scheduling/cache_map.hpp
@@ -64,8 +64,6 @@
     /// and within a point those that hold most of it.
     /// @param points the conversation's points, shortest first
     [[nodiscard]] std::vector<cached_prefix> find(const std::vector<prefix_point>& points) const;
-    /// True when some engine is believed to hold more than the first of the points.
-    [[nodiscard]] bool holds_beyond_first(const std::vector<prefix_point>& points) const;
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
   private:
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr double milliseconds_in_a_second = 1'000;
 /// Until an engine has been seen to read a prompt.
 constexpr double assumed_read_ms_per_token = 0.01;
 
@@ -29,11 +28,6 @@
         features.gap_ms = request.pace->gap_ms(engine.member.name, now);
         features.idle_gap_ms = request.pace->idle_gap_ms();
     }
-    if (request.fleet_calls_per_second && request.pace != nullptr) {
-        // What comes in a second times what each stays: Little's law.
-        features.fleet_calls = request.fleet_calls_per_second(engine.member.name) *
-                               request.pace->call_ms() / milliseconds_in_a_second;
-    }
     features.same_zone = engine.member.zone == request.zone;
     return features;
 }
@@ -112,13 +106,6 @@
     return nullptr;
 }
 
-token_count placement::shared_tokens(const placement_request& request) {
-    // What all programs begin with lies on every engine that is in use; the last part is new.
-    const bool has_shared =
-        request.sample != nullptr && request.prompt != nullptr && request.prompt->size() > 1;
-    return has_shared ? std::min(request.prompt->front().tokens, request.prompt_tokens) : 0;
-}
-
 std::vector<const backend_state*> placement::sampled(const placement_request& request,
                                                      const backend_pool& pool, instant now) const {
     if (strategy_ != strategy::policy) {
@@ -154,9 +141,9 @@
         }
     }
     const backend_state* home =
-        strategy_ == strategy::policy ? pool.find(request.home.engine) : nullptr;
+        strategy_ == strategy::policy && !request.home.empty() ? pool.find(request.home) : nullptr;
     if (home != nullptr && pool.available(*home, now)) {
-        const token_count held = std::min(request.home.tokens, request.prompt_tokens);
+        const token_count held = std::min(request.home_tokens, request.prompt_tokens);
         const auto known = std::find_if(options.begin(), options.end(),
                                         [&](const auto& other) { return other.engine == home; });
         if (known == options.end()) {
@@ -175,7 +162,7 @@
             return other.engine == engine;
         });
         if (!known) {
-            options.push_back({engine, shared_tokens(request)});
+            options.push_back({engine, 0});
         }
     }
     return options;
--- a/src/tallyfold/scheduling/placement.hpp
+++ b/src/tallyfold/scheduling/placement.hpp
@@ -2,7 +2,6 @@
 /// @file
 /// Chooses the engine for one call, by the class's policy or by a baseline strategy.
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -20,30 +19,22 @@
 
 std::optional<strategy> parse_strategy(std::string_view name);
 
-/// Engine that every node would choose for a program without knowing better.
-struct home_guess {
-    /// Empty when there is none.
-    backend_name engine;
-    /// Tokens of the prompt that it is taken to hold.
-    token_count tokens = 0;
-};
-
 struct placement_request {
     call_features call;
     std::string model;
     std::string zone;
     const std::vector<prefix_point>* prompt = nullptr;
     token_count prompt_tokens = 0;
-    home_guess home;
+    /// Engine that every node would choose for the call's program without knowing better; empty
+    /// when there is none. It is taken to hold `home_tokens` of the prompt.
+    backend_name home;
+    token_count home_tokens = 0;
     /// Engines that are weighed beside the home and those that hold the prompt; null for the least
     /// loaded ones. Nodes that see little of each other's calls find the same engines idle, so each
     /// has to bring an order of its own.
     const std::vector<const backend_state*>* sample = nullptr;
     /// How quickly the engines work; null when it isn't learned.
     const engine_pace* pace = nullptr;
-    /// Calls a second that all nodes together send to an engine, 0 when unknown; empty when nobody
-    /// tells.
-    std::function<double(const backend_name&)> fleet_calls_per_second;
 };
 
 /// The engine that a key belongs to (rendezvous hashing): equal on all nodes that see the same
@@ -90,8 +81,6 @@
                                   const cache_map& cache, instant now) const;
     const backend_state* next_in_turn(const backend_pool& pool, const std::string& model,
                                       instant now);
-    /// Tokens of the prompt that any engine is taken to hold.
-    static token_count shared_tokens(const placement_request& request);
     /// Engines that are weighed although nothing is known to tie the call to them.
     std::vector<const backend_state*> sampled(const placement_request& request,
                                               const backend_pool& pool, instant now) const;
--- a/src/tallyfold/scheduling/policy.cpp
+++ b/src/tallyfold/scheduling/policy.cpp
@@ -88,7 +88,6 @@
     set_number(state, "pending_prefill_tokens", engine.pending_prefill_tokens);
     set_number(state, "read_ms", engine.read_ms);
     set_number(state, "pending_read_ms", engine.pending_read_ms);
-    set_number(state, "fleet_calls", engine.fleet_calls);
     set_number(state, "gap_ms", engine.gap_ms);
     set_number(state, "idle_gap_ms", engine.idle_gap_ms);
     set_number(state, "cache_fill", engine.cache_fill);
@@ -225,7 +224,6 @@
         sample_engine.outstanding = 2;
         sample_engine.slots = 8;
         sample_engine.read_ms = (500 - cached) / 100;
-        sample_engine.fleet_calls = 3;
         sample_engine.gap_ms = 30;
         sample_engine.idle_gap_ms = 20;
         sample_engine.cache_fill = 0.5;
--- a/src/tallyfold/scheduling/policy.hpp
+++ b/src/tallyfold/scheduling/policy.hpp
@@ -43,9 +43,6 @@
     double uncached_tokens = 0;
     /// Calls under way there: this scheduler's own, plus the others' as last reported.
     double outstanding = 0;
-    /// Calls of all nodes together that ran or waited there on the mean of about the last second;
-    /// 0 while it isn't known.
-    double fleet_calls = 0;
     double slots = 1;
     /// Prompt tokens sent there whose first token has not come back.
     double pending_prefill_tokens = 0;
--- a/src/tallyfold/settings/mechanisms.hpp
+++ b/src/tallyfold/settings/mechanisms.hpp
@@ -30,8 +30,6 @@
     early_wait,
     /// Each node keeps to a few back ends of a service.
     backend_subset,
-    /// The directory tells how many calls all nodes together send to an engine.
-    fleet_load,
 };
 
 /// @param name as in docs/CONFIGURATION.md
