--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -62,7 +62,13 @@
     /// Reads on to the end of an answer that isn't passed on, and keeps its connection.
     asio::awaitable<void> read_over(http::connection_pointer backend, std::string address,
                                     const answer_facts& facts);
+    /// The request as it goes to a back end.
+    [[nodiscard]] std::string render_for_backend(const attempt_marks& marks) const;
     asio::awaitable<send_result> send_to(chosen_backend backend);
+    /// Relays an answer whose head is this request's own and says that it was run.
+    asio::awaitable<send_result> take_answer(http::connection_pointer opened,
+                                             chosen_backend backend, answer_facts facts,
+                                             instant until);
     asio::awaitable<http::connection_pointer> open(const chosen_backend& backend,
                                                    send_result& result);
     asio::awaitable<bool> read_matching_head(http::connection_pointer backend, instant until,
