Nodes tell each other which back ends broke calls off; limits count their window exactly

Change: a break before any byte of an answer is told to all directory nodes and comes to every node with its next beat; connections kept to that back end are given up, and calls that must run at most once go elsewhere for 2 s, longer after further breaks; where most back ends are doubted, none is avoided.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -147,9 +147,19 @@
             on_configuration_(configuration);
         }
     }
+    if (on_breaks_ && !beat.breaks.empty()) {
+        on_breaks_(beat.breaks);
+    }
     end_refreshes(beat.question);
 }
 
+void directory_client::report_break(const backend_name& backend) {
+    const break_report report{process_.settings().node, backend};
+    for (const auto& [address, link] : links_) {
+        link->send(report);
+    }
+}
+
 void directory_client::end_refreshes(std::uint64_t question) {
     const auto asked = asked_.find(question);
     if (asked == asked_.end()) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -47,6 +47,12 @@
     void on_other_messages(std::function<void(const messaging::peer_message&)> handler) {
         on_other_ = std::move(handler);
     }
+    /// Tells all directory nodes that a back end broke a call off.
+    void report_break(const backend_name& backend);
+    /// @param handler gets what other nodes have told of breaks, again and again while it is young
+    void on_breaks(std::function<void(const std::vector<told_break>&)> handler) {
+        on_breaks_ = std::move(handler);
+    }
     /// Who leads, by the newest term heard of; empty while none is known.
     [[nodiscard]] const node_name& leader() const { return leader_; }
     /// The settings changed: other seeds may be known.
@@ -79,6 +85,7 @@
     listing::list_memory* list_ = nullptr;
     std::function<void(bool changed)> on_list_;
     std::function<void(const messaging::peer_message&)> on_other_;
+    std::function<void(const std::vector<told_break>&)> on_breaks_;
     node_name leader_;
     consensus::term_number term_ = 0;
     std::uint64_t question_ = 0;
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "tallyfold/common/hash.hpp"
+#include "tallyfold/directory/break_board.hpp"
 #include "tallyfold/directory/directory_core.hpp"
 #include "tallyfold/directory/operator_desk_shell.hpp"
 #include "tallyfold/listing/list_duty.hpp"
@@ -86,6 +87,7 @@
     std::pair<routing::configuration_version, turns::map_epoch> noted_{};
     std::size_t next_note_ = 0;
     operator_desk desk_;
+    break_board breaks_;
     tenants::quota_keeper keeper_;
     /// Version of the limits that the keeper goes by; nothing while this node keeps no permits.
     std::optional<routing::configuration_version> keeping_;
@@ -359,7 +361,10 @@
             beat.list =
                 list_.tell(report->list, std::chrono::milliseconds(report->list_age_ms), now);
         }
+        beat.breaks = breaks_.tell(now);
         channel->send(beat);
+    } else if (const auto* broken = std::get_if<break_report>(&message)) {
+        breaks_.note(broken->backend, now);
     } else if (const auto* permits = std::get_if<tenants::permit_report>(&message)) {
         answer_permits(channel, *permits);
     }
--- a/src/tallyfold/forwarding/attempt_policy.hpp
+++ b/src/tallyfold/forwarding/attempt_policy.hpp
@@ -61,6 +61,7 @@
     std::optional<duration> pause_for_room(duration time_left, double jitter);
     /// True when a further attempt could still follow one that fails.
     [[nodiscard]] bool may_retry_run() const { return repeatable_ && runs_ + 1 < most_runs_; }
+    [[nodiscard]] bool repeatable() const { return repeatable_; }
     [[nodiscard]] std::uint32_t sends() const { return sends_; }
     /// Attempts that may have run, those included that were repeated where they broke off.
     [[nodiscard]] std::uint32_t runs() const { return runs_ + repeats_there_; }
--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -122,6 +122,12 @@
     const auto is_usable = [&](const backend_state& backend) {
         return !question.tried.contains(backend.member.name) && pool.available(backend, now);
     };
+    if (!question.repeatable && !off_.contains(settings::mechanism::break_evidence)) {
+        const auto options = trusted(question.service, pool, question.tried, now);
+        if (!options.empty()) {
+            return less_loaded_of_two(options);
+        }
+    }
     std::vector<const backend_state*> options =
         off_.contains(settings::mechanism::backend_subset)
             ? all_of(pool, is_usable)
@@ -135,13 +141,57 @@
     if (options.empty()) {
         return std::nullopt;
     }
-    // The less loaded of two drawn by lot: nodes that don't see each other's calls spread well.
+    return less_loaded_of_two(options);
+}
+
+chosen_backend backend_registry::less_loaded_of_two(
+    const std::vector<const backend_state*>& options) {
+    // Drawn by lot: nodes that don't see each other's calls spread well.
     const backend_state* one = options[random_.below(options.size())];
     const backend_state* other = options[random_.below(options.size())];
     const backend_state* best = other->outstanding() < one->outstanding() ? other : one;
     return chosen_backend{best->member.name, best->member.address, 0};
 }
 
+std::vector<const backend_state*> backend_registry::trusted(const std::string& service,
+                                                            const backend_pool& pool,
+                                                            const std::set<backend_name>& tried,
+                                                            instant now) const {
+    const auto is_trusted = [&](const backend_state& backend) {
+        return !tried.contains(backend.member.name) && pool.available(backend, now) &&
+               !breaks_.doubted(backend.member.name, now);
+    };
+    // A fault that most share is no reason to crowd the others.
+    const std::size_t doubted = all_of(pool, [&](const backend_state& backend) {
+                                    return breaks_.doubted(backend.member.name, now);
+                                }).size();
+    const auto subset = subsets_.find(service);
+    if (2 * doubted > pool.all().size() || subset == subsets_.end()) {
+        return {};
+    }
+    return off_.contains(settings::mechanism::backend_subset)
+               ? all_of(pool, is_trusted)
+               : subset->second.usable(pool, is_trusted);
+}
+
+const backend_state* backend_registry::find(const backend_name& name) const {
+    for (const auto& [service, pool] : pools_) {
+        if (const backend_state* found = pool.find(name)) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+std::string backend_registry::broke_off(const backend_name& name, instant at) {
+    const backend_state* broken = find(name);
+    if (broken == nullptr || off_.contains(settings::mechanism::break_evidence)) {
+        return {};
+    }
+    breaks_.expire(at);
+    return breaks_.note(name, at) ? broken->member.address : std::string{};
+}
+
 backend_call backend_registry::started(const std::string& service, const chosen_backend& chosen,
                                        token_count prompt_tokens, instant now) {
     const token_count held = std::min(chosen.cached_tokens, prompt_tokens);
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/forwarding/backend_subset.hpp"
+#include "tallyfold/forwarding/break_evidence.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/scheduling/engine_pace.hpp"
 #include "tallyfold/scheduling/placement.hpp"
@@ -20,6 +21,8 @@
 struct backend_question {
     std::string service;
     bool is_engine = false;
+    /// False: the request must run at most once.
+    bool repeatable = false;
     /// Back ends that this request has been at.
     std::set<backend_name> tried;
     /// Program of the request; its calls belong together on one engine.
@@ -76,6 +79,9 @@
     void succeeded(const std::string& service, const backend_name& name);
     void failed(const std::string& service, const backend_name& name, instant now);
     void unreachable(const std::string& service, const backend_name& name, instant now);
+    /// The back end broke a call off before any byte of its answer, at this node or another.
+    /// @return its address when the break isn't known yet; empty otherwise
+    std::string broke_off(const backend_name& name, instant at);
     /// The back end's incarnation is gone, whatever the list says.
     void gone(const std::string& service, const backend_name& name);
     /// The engine holds the parts of a prompt now: it has read them, or made them.
@@ -105,6 +111,14 @@
     std::optional<chosen_backend> choose_service(const backend_question& question,
                                                  const scheduling::backend_pool& pool, instant now);
 
+    chosen_backend less_loaded_of_two(const std::vector<const scheduling::backend_state*>& options);
+    /// Usable back ends of the node's own few, those that lately broke calls off left out.
+    std::vector<const scheduling::backend_state*> trusted(const std::string& service,
+                                                          const scheduling::backend_pool& pool,
+                                                          const std::set<backend_name>& tried,
+                                                          instant now) const;
+    [[nodiscard]] const scheduling::backend_state* find(const backend_name& name) const;
+
     std::string zone_;
     std::uint64_t node_key_;
     random_source random_;
@@ -117,6 +131,7 @@
     scheduling::cache_map cache_{20'000};
     scheduling::placement placement_;
     settings::switched_off off_;
+    break_evidence breaks_;
     instant listed_at_{};
     bool has_list_ = false;
 };
--- a/src/tallyfold/forwarding/connection_pool_shell.cpp
+++ b/src/tallyfold/forwarding/connection_pool_shell.cpp
@@ -40,6 +40,17 @@
     idle_[address].push_back({std::move(idle), now + limit - closing_margin});
 }
 
+void connection_pool::drop(const std::string& address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (idle_connection& kept : found->second) {
+        kept.connection->close();
+    }
+    idle_.erase(found);
+}
+
 void connection_pool::expire(instant now) {
     for (auto entry = idle_.begin(); entry != idle_.end();) {
         std::erase_if(entry->second, [&](idle_connection& kept) {
--- a/src/tallyfold/forwarding/connection_pool_shell.hpp
+++ b/src/tallyfold/forwarding/connection_pool_shell.hpp
@@ -19,6 +19,8 @@
     /// @param idle_limit time that the back end keeps it open, when it said so
     void put(const std::string& address, http::connection_pointer idle,
              std::optional<duration> idle_limit, instant now);
+    /// Gives up all idle connections to `address`.
+    void drop(const std::string& address);
     /// Closes those that have been idle for too long.
     void expire(instant now);
 
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -39,6 +39,7 @@
                                  std::string reason);
     void use_configuration(const routing::configuration& configuration);
     void use_list(bool changed);
+    void learn_breaks(const std::vector<directory::told_break>& told);
     void read_policy();
     void adjust_gates();
     void stop();
@@ -118,6 +119,20 @@
                              " leaving=" + std::to_string(leaving));
 }
 
+void forwarder_node::learn_breaks(const std::vector<directory::told_break>& told) {
+    const instant now = http::steady_now();
+    for (const directory::told_break& each : told) {
+        const instant at = now - std::chrono::milliseconds(each.age_ms);
+        const std::string address = backends_.broke_off(each.backend, at);
+        if (!address.empty()) {
+            connections_.drop(address);
+            logging::write_event(
+                logging::event_id::backend_doubted,
+                "backend=" + each.backend + " told_age_ms=" + std::to_string(each.age_ms));
+        }
+    }
+}
+
 void forwarder_node::read_policy() {
     const std::string& path = process_.settings().policy_file;
     const auto change = ranking_.use(path.empty() ? std::string{} : net::file_text(path));
@@ -304,6 +319,8 @@
         },
         {});
     quotas_.start();
+    directory_.on_breaks(
+        [this](const std::vector<directory::told_break>& told) { learn_breaks(told); });
     // The directory's nodes read the list and tell it; this node reads it itself only when they
     // haven't for a while.
     directory_.share_list(list_, [this](bool changed) { use_list(changed); });
--- a/src/tallyfold/forwarding/request_attempt_shell.cpp
+++ b/src/tallyfold/forwarding/request_attempt_shell.cpp
@@ -91,6 +91,9 @@
         result.timed_out = written.error() == http::io_failure::timed_out;
         result.broke_off = !result.timed_out;
         context_.backends.failed(service_->name, backend.name, http::steady_now());
+        if (result.broke_off && !gone_) {
+            note_break(backend);
+        }
         opened->abort();
         co_return result;
     }
@@ -100,6 +103,9 @@
             context_.backends.failed(service_->name, backend.name, http::steady_now());
         }
         result.broke_off = !result.timed_out;
+        if (result.broke_off && !gone_) {
+            note_break(backend);
+        }
         opened->abort();
         co_return result;
     }
@@ -186,6 +192,14 @@
     }
 }
 
+void request_relay::note_break(const chosen_backend& backend) {
+    const std::string address = context_.backends.broke_off(backend.name, http::steady_now());
+    if (!address.empty()) {
+        context_.connections.drop(address);
+        context_.directory.report_break(backend.name);
+    }
+}
+
 asio::awaitable<bool> request_relay::read_matching_head(http::connection_pointer backend,
                                                         instant until, answer_facts& facts,
                                                         send_result& result) {
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -179,6 +179,7 @@
     backend_question question;
     question.service = service_->name;
     question.is_engine = service_->is_engine;
+    question.repeatable = policy_->repeatable();
     question.program = facts_.program;
     question.prompt = &facts_.prompt;
     question.prompt_tokens = facts_.prompt_tokens;
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -84,6 +84,8 @@
                                              instant until);
     asio::awaitable<http::connection_pointer> open(const chosen_backend& backend,
                                                    send_result& result);
+    /// The back end broke the call off before any byte of its answer.
+    void note_break(const chosen_backend& backend);
     asio::awaitable<bool> read_matching_head(http::connection_pointer backend, instant until,
                                              answer_facts& facts, send_result& result);
     asio::awaitable<send_result> relay_answer(http::connection_pointer backend,
--- a/src/tallyfold/logging/event_catalogue.cpp
+++ b/src/tallyfold/logging/event_catalogue.cpp
@@ -56,6 +56,7 @@
         {event_id::backend_list_regained, event_level::info, "backend_list_regained"},
         {event_id::calls_bounded, event_level::info, "calls_bounded"},
         {event_id::calls_unbounded, event_level::info, "calls_unbounded"},
+        {event_id::backend_doubted, event_level::info, "backend_doubted"},
         {event_id::request_finished, event_level::info, "request_finished"},
         {event_id::attempt_failed, event_level::warning, "attempt_failed"},
         {event_id::turn_admitted, event_level::info, "turn_admitted"},
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -61,6 +61,7 @@
     backend_list_regained = 3107,
     calls_bounded = 3108,
     calls_unbounded = 3109,
+    backend_doubted = 3110,
     request_finished = 3201,
     attempt_failed = 3202,
     turn_admitted = 3301,
--- a/src/tallyfold/settings/mechanisms.hpp
+++ b/src/tallyfold/settings/mechanisms.hpp
@@ -32,6 +32,8 @@
     backend_subset,
     /// Permits of tenants are held for calls to come; off, each call asks for its own.
     spare_permits,
+    /// Nodes tell each other which back ends broke calls off, and trust those with less.
+    break_evidence,
 };
 
 /// @param name as in docs/CONFIGURATION.md
--- a/src/tallyfold/tenants/spent_window.hpp
+++ b/src/tallyfold/tenants/spent_window.hpp
@@ -1,6 +1,9 @@
 #pragma once
 /// @file
-/// Counts what was spent within the last span of time, in slots, never too low. Pure.
+/// Counts what was spent within the last span of time, in slots. Pure.
+///
+/// Of the oldest slot, which the span covers in part, that part is counted, rounded up: counting it
+/// whole would hold a tenant to a window longer than its limit's, by up to a 20th.
 
 #include <array>
 #include <cstdint>
@@ -11,7 +14,7 @@
 
 class spent_window {
   public:
-    /// @param window split into slots; a slot counts until all of it is older than the window
+    /// @param window split into slots
     explicit spent_window(duration window) : slot_length_(window / (slot_count - 1)) {}
 
     void add(instant now) {
@@ -33,11 +36,14 @@
     }
     [[nodiscard]] std::uint32_t count(instant now) {
         roll(now);
-        return sum_;
+        const std::uint32_t oldest = slots_[(newest_ + 1) % slot_count];
+        const duration into_newest = now.time_since_epoch() % slot_length_;
+        const auto passed =
+            static_cast<std::uint32_t>(oldest * into_newest.count() / slot_length_.count());
+        return sum_ - passed;
     }
 
   private:
-    /// A 20th of the window is how much longer than the window a permit may count.
     static constexpr std::uint64_t slot_count = 21;
 
     void roll(instant now) {
--- a/tests/forwarding/backend_registry_test.cpp
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -20,6 +20,9 @@
     CPPUNIT_TEST(new_input_isnt_taken_for_held);
     CPPUNIT_TEST(nodes_that_pass_over_a_home_spread_over_the_engines);
     CPPUNIT_TEST(a_holder_of_what_programs_share_draws_none_from_its_home);
+    CPPUNIT_TEST(calls_that_must_not_repeat_avoid_what_broke_one_off);
+    CPPUNIT_TEST(breaks_that_most_share_are_no_reason_to_crowd_the_others);
+    CPPUNIT_TEST(breaks_are_noted_once_and_forgotten);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<listing::listed_backend> engines(std::size_t count) {
@@ -34,6 +37,60 @@
         return listed;
     }
 
+    static std::map<std::string, int> choices(backend_registry& registry, bool repeatable,
+                                              instant now) {
+        backend_question question;
+        question.service = "s";
+        question.repeatable = repeatable;
+        std::map<std::string, int> counts;
+        for (int count = 0; count < 200; ++count) {
+            ++counts[registry.choose(question, now)->name];
+        }
+        return counts;
+    }
+
+    void calls_that_must_not_repeat_avoid_what_broke_one_off() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry registry("zone", 1);
+        registry.update(engines(8), now);
+        const std::string victim = choices(registry, false, now).begin()->first;
+        CPPUNIT_ASSERT(!registry.broke_off(victim, now).empty());
+        CPPUNIT_ASSERT(!choices(registry, false, now).contains(victim));
+        // Calls that may be repeated try it all the same.
+        CPPUNIT_ASSERT(choices(registry, true, now).contains(victim));
+        CPPUNIT_ASSERT(
+            choices(registry, false, now + break_evidence::first_doubt).contains(victim));
+    }
+
+    void breaks_that_most_share_are_no_reason_to_crowd_the_others() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), now);
+        for (int number = 0; number < 3; ++number) {
+            registry.broke_off("b" + std::to_string(number), now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, choices(registry, false, now).size());
+    }
+
+    void breaks_are_noted_once_and_forgotten() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry registry("zone", 1);
+        registry.update(engines(4), now);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:8001"), registry.broke_off("b1", now));
+        // Another node tells of the same break, and of one at a back end that isn't listed.
+        CPPUNIT_ASSERT_EQUAL(std::string{},
+                             registry.broke_off("b1", now + std::chrono::milliseconds(200)));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, registry.broke_off("nobody", now));
+        CPPUNIT_ASSERT(!registry.broke_off("b1", now + std::chrono::seconds(1)).empty());
+        // A second break within a while is doubted for longer.
+        break_evidence evidence;
+        evidence.note("b", now);
+        evidence.note("b", now + std::chrono::seconds(3));
+        CPPUNIT_ASSERT(evidence.doubted("b", now + std::chrono::seconds(6)));
+        evidence.expire(now + std::chrono::seconds(20));
+        CPPUNIT_ASSERT(!evidence.doubted("b", now + std::chrono::seconds(6)));
+    }
+
     void a_leaving_back_end_is_not_chosen() {
         backend_registry registry("zone", 1);
         std::vector<listing::listed_backend> listed = engines(2);
