--- /dev/null
+++ b/src/tallyfold/consensus/replica_election.cpp
@@ -0,0 +1,165 @@
+/// @file
+/// Elections of a replica: when it asks for votes, when it gives its own, and when it stops
+/// leading. The members of replica_fsm that replicate the log stand in replica_fsm.cpp.
+
+#include "tallyfold/consensus/replica_fsm.hpp"
+
+namespace tallyfold::consensus {
+
+void replica_fsm::wait_for_first_leader(instant now) {
+    const std::int64_t first = settings_.first_election_timeout.count();
+    if (first > 0) {
+        election_deadline_ = now + duration(random_.between(first, 2 * first));
+    }
+}
+
+void replica_fsm::reset_election_deadline(instant now) {
+    const std::int64_t base = settings_.election_timeout.count();
+    election_deadline_ = now + duration(random_.between(base, 2 * base));
+}
+
+void replica_fsm::step_down_if_cut_off(instant now) {
+    // A leader that has not heard from a quorum for a whole election timeout may have been
+    // replaced: it stops leading, so that nobody waits on it.
+    std::size_t reachable = 0;
+    for (const auto& [id, member] : members().members) {
+        if (member.learner) {
+            continue;
+        }
+        const bool self = id == settings_.self;
+        const auto found = progress_.find(id);
+        const bool heard = found != progress_.end() &&
+                           now - found->second.last_heard() < 2 * settings_.election_timeout;
+        reachable += self || heard ? 1 : 0;
+    }
+    if (reachable < members().quorum()) {
+        become_follower(state_.term, no_replica);
+        reset_election_deadline(now);
+    }
+}
+
+void replica_fsm::become_follower(term_number term, replica_id leader) {
+    if (term > state_.term) {
+        state_ = {term, no_replica};
+        ready_.new_state = state_;
+    }
+    role_ = replica_role::follower;
+    leader_ = leader;
+    votes_.clear();
+    progress_.clear();
+    pending_reads_.clear();
+}
+
+void replica_fsm::start_pre_vote(instant now) {
+    role_ = replica_role::pre_candidate;
+    leader_ = no_replica;
+    votes_ = {settings_.self};
+    reset_election_deadline(now);
+    if (votes_.size() >= members().quorum()) {
+        start_election(now);
+        return;
+    }
+    wait_for_first_leader(now);
+    for (const auto& [id, member] : members().members) {
+        if (id != settings_.self && !member.learner) {
+            send(id, vote_request{true, log_.last_index(), log_.last_term()}, false);
+        }
+    }
+}
+
+void replica_fsm::start_election(instant now) {
+    role_ = replica_role::candidate;
+    state_ = {state_.term + 1, settings_.self};
+    ready_.new_state = state_;
+    votes_ = {settings_.self};
+    reset_election_deadline(now);
+    if (votes_.size() >= members().quorum()) {
+        become_leader(now);
+        return;
+    }
+    for (const auto& [id, member] : members().members) {
+        if (id != settings_.self && !member.learner) {
+            send(id, vote_request{false, log_.last_index(), log_.last_term()}, true);
+        }
+    }
+}
+
+void replica_fsm::become_leader(instant now) {
+    role_ = replica_role::leader;
+    leader_ = settings_.self;
+    progress_.clear();
+    pending_reads_.clear();
+    for (const auto& [id, member] : members().members) {
+        progress_[id] = replica_progress(log_.last_index() + 1, now);
+    }
+    // An entry of its own term lets the leader commit what earlier terms left behind.
+    append_own(entry_kind::no_operation, {});
+    begin_round(now);
+}
+
+bool replica_fsm::log_is_current(log_index last_index, term_number last_term) const {
+    if (last_term != log_.last_term()) {
+        return last_term > log_.last_term();
+    }
+    return last_index >= log_.last_index();
+}
+
+bool replica_fsm::heard_from_leader_recently(instant now) const {
+    if (role_ == replica_role::leader) {
+        return true;
+    }
+    return heard_leader_ever_ && leader_ != no_replica &&
+           now - leader_heard_ < settings_.election_timeout;
+}
+
+void replica_fsm::on_vote_request(const replica_message& message, const vote_request& body,
+                                  instant now) {
+    const bool current = log_is_current(body.last_index, body.last_term);
+    // The candidate's membership decides whose votes count, not ours: ours may be older, and its
+    // newer one may need this vote. A removed candidate fails by its log, which lacks its removal.
+    // A replica without any membership has not been formed yet; forming it would forget its vote.
+    const bool entitled = !members().members.empty();
+    if (body.pre_vote) {
+        const bool granted =
+            entitled && current && message.term > state_.term && !heard_from_leader_recently(now);
+        send(message.from, vote_reply{true, granted}, false);
+        if (granted) {
+            ready_.messages_before_sync.back().term = message.term;
+        }
+        return;
+    }
+    const bool may_vote =
+        message.term == state_.term && (state_.vote == no_replica || state_.vote == message.from);
+    const bool granted = entitled && current && may_vote && role_ != replica_role::leader;
+    if (granted) {
+        state_.vote = message.from;
+        ready_.new_state = state_;
+        reset_election_deadline(now);
+    }
+    send(message.from, vote_reply{false, granted}, true);
+}
+
+void replica_fsm::on_vote_reply(const replica_message& message, const vote_reply& body,
+                                instant now) {
+    const bool answers_pre_vote =
+        body.pre_vote && role_ == replica_role::pre_candidate && message.term == state_.term + 1;
+    const bool answers_vote =
+        !body.pre_vote && role_ == replica_role::candidate && message.term == state_.term;
+    if (!body.granted || !(answers_pre_vote || answers_vote)) {
+        return;
+    }
+    if (!members().is_voter(message.from)) {
+        return;
+    }
+    votes_.insert(message.from);
+    if (votes_.size() < members().quorum()) {
+        return;
+    }
+    if (answers_pre_vote) {
+        start_election(now);
+    } else {
+        become_leader(now);
+    }
+}
+
+}  // namespace tallyfold::consensus
