--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tallyfold/common/hash.hpp"
+
 namespace tallyfold::forwarding {
 
 using scheduling::backend_member;
@@ -14,6 +16,8 @@
 /// suspect.
 constexpr duration least_silence = std::chrono::milliseconds(700);
 constexpr int silence_factor = 5;
+/// Own calls at an object's back end from which on the next in its order is taken.
+constexpr std::uint32_t most_calls_at_object_home = 2;
 /// Answers over which the usual time is averaged, about.
 constexpr int usual_samples = 16;
 
@@ -122,6 +126,16 @@
     const auto is_usable = [&](const backend_state& backend) {
         return !question.tried.contains(backend.member.name) && pool.available(backend, now);
     };
+    const bool by_object =
+        !question.object.empty() && !off_.contains(settings::mechanism::object_home);
+    if (by_object) {
+        const auto options = all_of(pool, [&](const backend_state& backend) {
+            return is_usable(backend) && !breaks_.doubted(backend.member.name, now);
+        });
+        if (!options.empty()) {
+            return home_of_object(question.object, options);
+        }
+    }
     if (!question.repeatable && !off_.contains(settings::mechanism::break_evidence)) {
         const auto options = trusted(question.service, pool, question.tried, now);
         if (!options.empty()) {
@@ -144,6 +158,22 @@
     return less_loaded_of_two(options);
 }
 
+chosen_backend backend_registry::home_of_object(const std::string& object,
+                                                const std::vector<const backend_state*>& options) {
+    const std::uint64_t key = stable_hash(object);
+    const auto weight = [&](const backend_state* backend) {
+        return combine_hash(key, stable_hash(backend->member.name));
+    };
+    std::vector<const backend_state*> order = options;
+    std::sort(order.begin(), order.end(),
+              [&](const auto* left, const auto* right) { return weight(left) < weight(right); });
+    const auto free = std::find_if(order.begin(), order.end(), [](const backend_state* backend) {
+        return backend->own_outstanding < most_calls_at_object_home;
+    });
+    const backend_state* chosen = free == order.end() ? order.front() : *free;
+    return {chosen->member.name, chosen->member.address, 0};
+}
+
 chosen_backend backend_registry::less_loaded_of_two(
     const std::vector<const backend_state*>& options) {
     // Drawn by lot: nodes that don't see each other's calls spread well.
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -23,6 +23,8 @@
     bool is_engine = false;
     /// False: the request must run at most once.
     bool repeatable = false;
+    /// What it is about, where back ends work faster on what they know; empty otherwise.
+    std::string object;
     /// Back ends that this request has been at.
     std::set<backend_name> tried;
     /// Program of the request; its calls belong together on one engine.
@@ -111,6 +113,10 @@
     std::optional<chosen_backend> choose_service(const backend_question& question,
                                                  const scheduling::backend_pool& pool, instant now);
 
+    /// The back end that every node expects the object at, or the next in the object's order while
+    /// this node keeps that one busy.
+    static chosen_backend home_of_object(
+        const std::string& object, const std::vector<const scheduling::backend_state*>& options);
     chosen_backend less_loaded_of_two(const std::vector<const scheduling::backend_state*>& options);
     /// Usable back ends of the node's own few, those that lately broke calls off left out.
     std::vector<const scheduling::backend_state*> trusted(const std::string& service,
--- a/src/tallyfold/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/forwarding/request_relay_shell.cpp
@@ -180,6 +180,7 @@
     question.service = service_->name;
     question.is_engine = service_->is_engine;
     question.repeatable = policy_->repeatable();
+    question.object = route_->object_affinity ? facts_.object : std::string{};
     question.program = facts_.program;
     question.prompt = &facts_.prompt;
     question.prompt_tokens = facts_.prompt_tokens;
--- a/src/tallyfold/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -12,15 +12,7 @@
 
 turn_session::turn_session(forwarder_context& context, const request_facts& facts,
                            const routing::route& route, const tenants::tenant_name& tenant)
-    : context_(context),
-      facts_(facts),
-      route_(route),
-      // With its length before it, no tenant's name can be taken for part of an identifier.
-      scope_(tenant.empty() ? std::string{} : std::to_string(tenant.size()) + ":" + tenant + "/") {}
-
-std::string turn_session::scoped(const std::string& identifier) const {
-    return identifier.empty() ? identifier : scope_ + identifier;
-}
+    : context_(context), facts_(facts), route_(route), scope_(tenant) {}
 
 std::uint32_t turn_session::retention_ms() const {
     const double seconds =
@@ -30,8 +22,8 @@
 
 turns::turn_settlement turn_session::settlement(token_count tokens) const {
     turns::turn_settlement ended;
-    ended.program = scoped(facts_.program);
-    ended.request = scoped(facts_.request);
+    ended.program = scope_.scoped(facts_.program);
+    ended.request = scope_.scoped(facts_.request);
     ended.tokens = tokens;
     ended.retention_ms = retention_ms();
     return ended;
@@ -40,11 +32,11 @@
 asio::awaitable<turns::begin_result> turn_session::begin(instant deadline, std::string& line) {
     const instant started = http::steady_now();
     turns::turn_question question;
-    question.reservation.program = scoped(facts_.program);
-    question.reservation.request = scoped(facts_.request);
+    question.reservation.program = scope_.scoped(facts_.program);
+    question.reservation.request = scope_.scoped(facts_.request);
     question.reservation.most_tokens = facts_.most_tokens;
     question.reservation.retention_ms = retention_ms();
-    question.previous = route_.keeps_history ? scoped(facts_.previous_turn) : std::string{};
+    question.previous = route_.keeps_history ? scope_.scoped(facts_.previous_turn) : std::string{};
     question.budget = facts_.budget;
     if (!context_.lacks(settings::mechanism::prompt_holders)) {
         question.prompt = facts_.prompt;
@@ -81,8 +73,8 @@
         logging::event_id::turn_refused,
         "request=" + facts_.request + " program=" + facts_.program +
             " previous=" + facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
-            " used=" + std::to_string(begun.used_tokens) +
-            " most=" + std::to_string(facts_.most_tokens) +
+            " used=" + std::to_string(begun.used_tokens) + " reserved=" +
+            std::to_string(begun.reserved_tokens) + " most=" + std::to_string(facts_.most_tokens) +
             " store_answers=" + std::to_string(begun.store_answers) +
             " group=" + std::to_string(begun.group) + " epoch=" + std::to_string(begun.epoch) +
             " result=" + std::to_string(static_cast<int>(begun.result)));
@@ -92,8 +84,9 @@
                                            std::string output, turns::held_prompt held) {
     turns::turn_settlement ended = settlement(tokens);
     if (route_.keeps_history) {
-        ended.record = turns::turn_record{scoped(facts_.request), scoped(facts_.previous_turn),
-                                          std::move(input), std::move(output)};
+        ended.record =
+            turns::turn_record{scope_.scoped(facts_.request), scope_.scoped(facts_.previous_turn),
+                               std::move(input), std::move(output)};
         ended.adopted = std::move(adopted_);
     }
     open_ = false;
--- a/src/tallyfold/forwarding/turn_session_shell.hpp
+++ b/src/tallyfold/forwarding/turn_session_shell.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "tallyfold/forwarding/forwarder_context.hpp"
+#include "tallyfold/tenants/tenant_scope.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -39,9 +40,6 @@
     [[nodiscard]] std::string log_fields() const;
 
   private:
-    /// An identifier of the caller's as the stores know it: what one tenant names is nothing to
-    /// another, even under the same name.
-    [[nodiscard]] std::string scoped(const std::string& identifier) const;
     [[nodiscard]] turns::turn_settlement settlement(token_count tokens) const;
     [[nodiscard]] std::uint32_t retention_ms() const;
     void log_refusal(const turns::begun_turn& begun) const;
@@ -49,8 +47,8 @@
     forwarder_context& context_;
     const request_facts& facts_;
     const routing::route& route_;
-    /// Before each identifier; empty where callers need no key.
-    std::string scope_;
+    /// Of the identifiers that the stores know.
+    tenants::tenant_scope scope_;
     bool open_ = false;
     duration store_time_{};
     std::size_t store_answers_ = 0;
--- a/src/tallyfold/settings/mechanisms.cpp
+++ b/src/tallyfold/settings/mechanisms.cpp
@@ -10,7 +10,7 @@
 
 using named_mechanism = std::pair<std::string_view, mechanism>;
 
-constexpr std::array<named_mechanism, 12> all_mechanisms{{
+constexpr std::array<named_mechanism, 14> all_mechanisms{{
     {"prompt_holders", mechanism::prompt_holders},
     {"program_home", mechanism::program_home},
     {"bounded_running", mechanism::bounded_running},
@@ -22,7 +22,9 @@
     {"early_wait", mechanism::early_wait},
     {"backend_subset", mechanism::backend_subset},
     {"spare_permits", mechanism::spare_permits},
+    {"permit_wait", mechanism::permit_wait},
     {"break_evidence", mechanism::break_evidence},
+    {"object_home", mechanism::object_home},
 }};
 
 const named_mechanism* find(std::string_view name) {
--- a/src/tallyfold/settings/mechanisms.hpp
+++ b/src/tallyfold/settings/mechanisms.hpp
@@ -32,8 +32,12 @@
     backend_subset,
     /// Permits of tenants are held for calls to come; off, each call asks for its own.
     spare_permits,
+    /// Calls of programs under way wait for a permit that is about to be free.
+    permit_wait,
     /// Nodes tell each other which back ends broke calls off, and trust those with less.
     break_evidence,
+    /// Calls about an object go to the back end that every node expects it at.
+    object_home,
 };
 
 /// @param name as in docs/CONFIGURATION.md
--- a/src/tallyfold/tenants/messages.hpp
+++ b/src/tallyfold/tenants/messages.hpp
@@ -22,15 +22,17 @@
     std::uint64_t ceiling = 0;
     /// Permits spent within the quota's window, as the node counts it.
     std::uint32_t recent = 0;
-    /// Calls that wait for a permit now.
+    /// Calls of programs under way that wait for a permit now.
     std::uint32_t needed = 0;
+    /// Calls that begin a program and wait for one.
+    std::uint32_t beginning = 0;
     /// Permits that it would like to have at hand beyond those.
     std::uint32_t wanted = 0;
 
     bool operator==(const permit_use&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(tenant, spent, ceiling, recent, needed, wanted);
+        archive(tenant, spent, ceiling, recent, needed, beginning, wanted);
     }
 };
 
@@ -57,13 +59,15 @@
     tenant_name tenant;
     /// As in permit_use.
     std::uint64_t ceiling = 0;
-    /// When there may be room again, for calls that got none; in milliseconds.
+    /// When there may be room again for calls that got none, of programs under way and of new ones;
+    /// in milliseconds, 0 where all got one.
     std::uint32_t room_after_ms = 0;
+    std::uint32_t room_to_begin_ms = 0;
 
     bool operator==(const permit_grant&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(tenant, ceiling, room_after_ms);
+        archive(tenant, ceiling, room_after_ms, room_to_begin_ms);
     }
 };
 
--- a/src/tallyfold/tenants/permit_holder.cpp
+++ b/src/tallyfold/tenants/permit_holder.cpp
@@ -77,7 +77,7 @@
     use.ceiling = std::max(held.ceiling, held.spent);
     use.recent = held.recent.count(now);
     use.needed = held.waiting_under_way;
-    use.wanted = held.waiting_new;
+    use.beginning = held.waiting_new;
     if (spare_ && limited(tenant) && now - held.last_call < interest) {
         const double pace = static_cast<double>(use.recent) * provision / rules_.window;
         use.wanted += 1 + static_cast<std::uint32_t>(std::ceil(pace));
@@ -110,12 +110,12 @@
         auto& [tenant, held] = *entry;
         permit_use use = describe(tenant, held, now);
         const bool idle = use.recent == 0 && use.ceiling == use.spent && use.wanted == 0 &&
-                          use.needed == 0 && now - held.last_call >= interest;
+                          use.needed == 0 && use.beginning == 0 && now - held.last_call >= interest;
         if (idle && (whole_next_ || use == held.told)) {
             entry = tenants_.erase(entry);
             continue;
         }
-        if (whole_next_ || use != held.told || use.needed > 0 || held.waiting_new > 0) {
+        if (whole_next_ || use != held.told || use.needed > 0 || use.beginning > 0) {
             report.uses.push_back(std::move(use));
         }
         ++entry;
@@ -141,6 +141,7 @@
         const auto found = tenants_.find(use.tenant);
         if (found != tenants_.end()) {
             found->second.room_after_ms = 0;
+            found->second.room_to_begin_ms = 0;
             found->second.told = std::move(use);
         }
     }
@@ -154,6 +155,7 @@
         // A lower ceiling frees permits once the keeper knows that it has come.
         found->second.told.ceiling = std::max(granted.ceiling, found->second.told.ceiling);
         found->second.room_after_ms = granted.room_after_ms;
+        found->second.room_to_begin_ms = granted.room_to_begin_ms;
     }
     keeper_settles_ = answer.settling;
     if (!keeper_settles_) {
@@ -165,9 +167,14 @@
     return true;
 }
 
-duration permit_holder::room_after(const tenant_name& tenant) const {
+duration permit_holder::room_after(const tenant_name& tenant, permit_need need) const {
     const auto found = tenants_.find(tenant);
-    return std::chrono::milliseconds(found == tenants_.end() ? 0 : found->second.room_after_ms);
+    if (found == tenants_.end()) {
+        return duration::zero();
+    }
+    const bool begins = need == permit_need::new_program;
+    return std::chrono::milliseconds(begins ? found->second.room_to_begin_ms
+                                            : found->second.room_after_ms);
 }
 
 }  // namespace tallyfold::tenants
--- a/src/tallyfold/tenants/quota_client_shell.hpp
+++ b/src/tallyfold/tenants/quota_client_shell.hpp
@@ -52,10 +52,15 @@
     void on_answer(const permit_answer& answer);
     void wake_all();
     permit_decision without_keeper(const tenant_name& tenant);
+    /// Has the keeper told of a call that waits. @return the report whose answer tells of it
+    std::uint64_t ask_for_waiting();
+    asio::awaitable<permit_decision> wait_for_permit(const tenant_name& tenant, permit_need need);
 
     net::node_process& process_;
     directory::directory_client& directory_;
     permit_holder holder_;
+    /// A call of a program under way waits so long for room.
+    duration longest_wait_{};
     /// The report that is under way was sent then; nothing while none is.
     std::optional<instant> asked_;
     instant last_report_{};
--- a/src/tallyfold/tenants/quota_keeper.cpp
+++ b/src/tallyfold/tenants/quota_keeper.cpp
@@ -73,13 +73,20 @@
         lent.spare = std::min(static_cast<double>(use.wanted), static_cast<double>(had));
     } else {
         const double unreserved = left(held.limit * (1 - reserved_share), held.spent);
-        lent.spare =
-            std::min(static_cast<double>(use.wanted), std::max(0.0, unreserved - lent.needed));
+        const double open_to_new = std::max(0.0, unreserved - lent.needed);
+        lent.beginning = std::min<double>(use.beginning, open_to_new);
+        lent.spare = std::min(static_cast<double>(use.wanted), open_to_new - lent.beginning);
     }
-    lent.spare = std::min(lent.spare, within_bound - lent.needed);
+    lent.beginning = std::min(lent.beginning, within_bound - lent.needed);
+    lent.spare = std::min(lent.spare, within_bound - lent.needed - lent.beginning);
     return lent;
 }
 
+std::uint32_t quota_keeper::time_to_free(const account& held, double permits) const {
+    const double flow = std::max(1.0, held.limit / seconds(rules_.window));
+    return static_cast<std::uint32_t>(std::max(least_room_after_ms, permits / flow * 1'000));
+}
+
 void quota_keeper::take(known_node& node, const permit_use& use) {
     const auto account_of = accounts_.find(use.tenant);
     if (account_of == accounts_.end()) {
@@ -96,7 +103,7 @@
     const auto account_of = accounts_.find(use.tenant);
     if (account_of == accounts_.end()) {
         // No longer in the configuration here: nothing more is lent.
-        return {{use.tenant, use.spent, 0}};
+        return {{use.tenant, use.spent, 0, 0}};
     }
     account& held = account_of->second;
     share& known = node.shares[use.tenant];
@@ -104,19 +111,22 @@
     known.ceiling = known.spent;
     add(held, known);
     const lendable lent = lendable_to(use, held, now);
-    permit_grant granted{use.tenant,
-                         known.spent + static_cast<std::uint64_t>(lent.needed + lent.spare), 0};
+    const double permits = lent.needed + lent.beginning + lent.spare;
+    permit_grant granted{use.tenant, known.spent + static_cast<std::uint64_t>(permits), 0, 0};
     remove(held, known);
     // Until the node has reported a lower ceiling, it may spend up to the one it has.
     known.ceiling = std::max(use.ceiling, granted.ceiling);
     add(held, known);
     if (lent.needed < use.needed) {
-        const double missing = use.needed - lent.needed;
-        const double flow = std::max(1.0, held.limit / seconds(rules_.window));
-        granted.room_after_ms =
-            static_cast<std::uint32_t>(std::max(least_room_after_ms, missing / flow * 1'000));
+        granted.room_after_ms = time_to_free(held, use.needed - lent.needed);
+    }
+    if (lent.beginning < use.beginning) {
+        const double open = held.limit * (1 - reserved_share);
+        const double over = std::max(0.0, static_cast<double>(held.spent) - open);
+        granted.room_to_begin_ms = time_to_free(held, over + use.beginning - lent.beginning);
     }
-    if (granted.ceiling == use.ceiling && granted.room_after_ms == 0) {
+    const bool all_got = lent.needed >= use.needed && lent.beginning >= use.beginning;
+    if (granted.ceiling == use.ceiling && all_got) {
         return {};
     }
     return {std::move(granted)};
--- a/src/tallyfold/tenants/quota_keeper.hpp
+++ b/src/tallyfold/tenants/quota_keeper.hpp
@@ -41,8 +41,8 @@
     /// Nodes in touch have reported twice in this time. Until then a new keeper lends no more than
     /// the rate, and nothing for calls to come.
     static constexpr duration settling = std::chrono::milliseconds(500);
-    /// Permits for calls to come are lent only while this part of the limit is free: at its limit,
-    /// a tenant's last permits go to calls that are there.
+    /// New programs, and calls to come, get permits only while this part of the limit is free: a
+    /// program under way that loses one call fails whole, so a tenant's last permits are its.
     static constexpr double reserved_share = 0.25;
 
     explicit quota_keeper(quota_rules rules) : rules_(rules) {}
@@ -95,8 +95,9 @@
     std::vector<permit_grant> grant(known_node& node, const permit_use& use, instant now);
     /// Permits that may be lent to one node.
     struct lendable {
-        /// For calls that wait there.
+        /// For calls that wait there, of programs under way and of new ones.
         double needed = 0;
+        double beginning = 0;
         /// For calls to come.
         double spare = 0;
     };
@@ -104,6 +105,9 @@
     /// Takes a node's share out of the sums, or puts it back.
     static void add(account& held, const share& known);
     static void remove(account& held, const share& known);
+    /// Milliseconds until so many permits are free again: what was spent comes back a window later,
+    /// on the mean at the pace that the limit allows.
+    [[nodiscard]] std::uint32_t time_to_free(const account& held, double permits) const;
     void drop_unnamed(known_node& node, const std::vector<permit_use>& uses);
     void forget(known_node& node);
 
--- a/src/tallyfold/turns/quorum_operations.cpp
+++ b/src/tallyfold/turns/quorum_operations.cpp
@@ -74,6 +74,15 @@
     return used;
 }
 
+token_count begin_operation::reserved_tokens() const {
+    token_count reserved = 0;
+    for (const auto& [request, entry] : ledger_) {
+        const bool open = request != reservation_.request && !entry.settled;
+        reserved += open ? entry.tokens : 0;
+    }
+    return reserved;
+}
+
 std::string begin_operation::missing_turn() const {
     std::string next = previous_;
     while (!next.empty()) {
--- a/src/tallyfold/turns/quorum_operations.hpp
+++ b/src/tallyfold/turns/quorum_operations.hpp
@@ -50,6 +50,10 @@
     [[nodiscard]] std::vector<const turn_record*> chain() const;
     /// Tokens that the program's other turns have used or may use.
     [[nodiscard]] token_count used_tokens() const;
+    /// What of these is reserved by turns that have not ended, refused ones too: they count at
+    /// their most until the stores have settled them, so the sum may be above the budget for a
+    /// moment.
+    [[nodiscard]] token_count reserved_tokens() const;
     /// Engines that hold most of the turn's prompt, as the store told that was asked for it.
     [[nodiscard]] const std::vector<scheduling::cached_prefix>& holders() const { return holders_; }
     [[nodiscard]] const store_map& map() const { return map_; }
--- a/src/tallyfold/turns/turn_beginning.hpp
+++ b/src/tallyfold/turns/turn_beginning.hpp
@@ -36,6 +36,8 @@
     bool adopted = false;
     /// What the decision was made from.
     token_count used_tokens = 0;
+    /// Of these, by turns that have not ended.
+    token_count reserved_tokens = 0;
     std::size_t store_answers = 0;
     group_number group = 0;
     map_epoch epoch = 0;
--- a/tests/forwarding/backend_registry_test.cpp
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(a_holder_of_what_programs_share_draws_none_from_its_home);
     CPPUNIT_TEST(calls_that_must_not_repeat_avoid_what_broke_one_off);
     CPPUNIT_TEST(breaks_that_most_share_are_no_reason_to_crowd_the_others);
+    CPPUNIT_TEST(every_node_expects_an_object_at_the_same_back_end);
     CPPUNIT_TEST(breaks_are_noted_once_and_forgotten);
     CPPUNIT_TEST_SUITE_END();
 
@@ -72,6 +73,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, choices(registry, false, now).size());
     }
 
+    void every_node_expects_an_object_at_the_same_back_end() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry one("zone-a", 1);
+        backend_registry other("zone-b", 2);
+        one.update(engines(8), now);
+        other.update(engines(8), now);
+        std::set<std::string> used;
+        for (int number = 0; number < 60; ++number) {
+            backend_question question;
+            question.service = "s";
+            question.object = std::to_string(number);
+            const chosen_backend home = *one.choose(question, now);
+            CPPUNIT_ASSERT_EQUAL(home.name, other.choose(question, now)->name);
+            used.insert(home.name);
+            // A busy home passes the object on; so does one that broke a call off.
+            backend_call first = one.started("s", home, 0, now);
+            backend_call second = one.started("s", home, 0, now);
+            CPPUNIT_ASSERT(one.choose(question, now)->name != home.name);
+            one.finished(first);
+            one.finished(second);
+            CPPUNIT_ASSERT_EQUAL(home.name, one.choose(question, now)->name);
+            question.tried.insert(home.name);
+            CPPUNIT_ASSERT(one.choose(question, now)->name != home.name);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, used.size());
+    }
+
     void breaks_are_noted_once_and_forgotten() {
         const instant now(std::chrono::seconds(50));
         backend_registry registry("zone", 1);
--- a/tests/tenants/key_index_test.cpp
+++ b/tests/tenants/key_index_test.cpp
@@ -3,6 +3,7 @@
 #include "tallyfold/protocol/binary_codec.hpp"
 #include "tallyfold/routing/route_table.hpp"
 #include "tallyfold/routing/validation.hpp"
+#include "tallyfold/tenants/tenant_scope.hpp"
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -14,6 +15,7 @@
     CPPUNIT_TEST(each_key_finds_its_tenant_and_no_other_text_does);
     CPPUNIT_TEST(absurd_keys_find_nobody);
     CPPUNIT_TEST(what_logs_show_is_not_the_key);
+    CPPUNIT_TEST(tenants_share_no_identifier);
     CPPUNIT_TEST(each_kind_of_invalid_tenant_is_refused);
     CPPUNIT_TEST(configurations_from_before_there_were_keys_are_read);
     CPPUNIT_TEST(configurations_with_tenants_survive_the_codec);
@@ -74,6 +76,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("-"), loggable_key(""));
     }
 
+    void tenants_share_no_identifier() {
+        check_property("two tenants never name the same, whatever they are called", [] {
+            const auto name = rc::gen::nonEmpty(
+                rc::gen::container<std::string>(rc::gen::element('1', '2', ':', '/', 'a')));
+            const std::string one = *name;
+            const std::string other = *name;
+            RC_PRE(one != other);
+            const std::string of_one = tenant_scope(one).scoped(*name);
+            const std::string of_other = tenant_scope(other).scoped(*name);
+            RC_ASSERT(of_one != of_other);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string("p1"), tenant_scope("").scoped("p1"));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, tenant_scope("one").scoped(""));
+    }
+
     static void refused(const std::function<void(routing::configuration&)>& spoil) {
         routing::configuration candidate = valid();
         spoil(candidate);
--- a/tests/turns/quorum_operations_test.cpp
+++ b/tests/turns/quorum_operations_test.cpp
@@ -84,6 +84,7 @@
         fits.on_reply(durable(1, {{"x", {100, false}}}));
         fits.on_reply(durable(2, {{"x", {40, true}}, {"y", {100, false}}}));
         CPPUNIT_ASSERT_EQUAL(token_count{140}, fits.used_tokens());
+        CPPUNIT_ASSERT_EQUAL(token_count{100}, fits.reserved_tokens());
         CPPUNIT_ASSERT(fits.outcome() == begin_outcome::admitted);
         begin_operation exceeds = operation(map_of({1, 2, 3}), {}, 239);
         exceeds.on_reply(durable(1, {{"x", {40, true}}}));
