--- a/src/tallyfold/forwarding/caller_admission_shell.cpp
+++ b/src/tallyfold/forwarding/caller_admission_shell.cpp
@@ -83,12 +83,9 @@
         holds_permit_ = true;
         co_return true;
     }
-    const come_again again{decision.room_after};
-    if (decision.state == tenants::permit_state::over_limit) {
-        co_await refuse_caller(429, "over_limit", again, decision.waited);
-    } else {
-        co_await refuse_caller(503, "limit_unknown", again, decision.waited);
-    }
+    const bool over_limit = decision.state == tenants::permit_state::over_limit;
+    co_await refuse_caller(over_limit ? 429 : 503, over_limit ? "over_limit" : "limit_unknown",
+                           come_again{decision.room_after}, decision.waited);
     co_return false;
 }
 
--- a/src/tallyfold/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/forwarding/forwarder_metrics.hpp
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "tallyfold/common/time.hpp"
-#include "tallyfold/tenants/quota_client_shell.hpp"
+#include "tallyfold/tenants/permit_decision.hpp"
 
 namespace tallyfold::forwarding {
 
--- /dev/null
+++ b/src/tallyfold/tenants/permit_decision.hpp
@@ -0,0 +1,29 @@
+#pragma once
+/// @file
+/// What came of a call's question for a permit of its tenant.
+
+#include <cstdint>
+
+#include "tallyfold/common/time.hpp"
+
+namespace tallyfold::tenants {
+
+enum class permit_state : std::uint8_t {
+    granted,
+    /// The tenant is at its limit.
+    over_limit,
+    /// Nobody can say: the keeper is silent, and this node has used what it may without it.
+    unknown,
+};
+
+struct permit_decision {
+    permit_state state = permit_state::unknown;
+    /// When the call may come again.
+    duration room_after{};
+    /// Time that the call waited for the keeper.
+    duration waited{};
+    /// True when a question to the keeper was needed.
+    bool asked = false;
+};
+
+}  // namespace tallyfold::tenants
--- a/src/tallyfold/tenants/quota_client_shell.hpp
+++ b/src/tallyfold/tenants/quota_client_shell.hpp
@@ -11,28 +11,11 @@
 
 #include "tallyfold/directory/directory_client_shell.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
+#include "tallyfold/tenants/permit_decision.hpp"
 #include "tallyfold/tenants/permit_holder.hpp"
 
 namespace tallyfold::tenants {
 
-enum class permit_state : std::uint8_t {
-    granted,
-    /// The tenant is at its limit.
-    over_limit,
-    /// Nobody can say: the keeper is silent, and this node has used what it may without it.
-    unknown,
-};
-
-struct permit_decision {
-    permit_state state = permit_state::unknown;
-    /// When the call may come again.
-    duration room_after{};
-    /// Time that the call waited for the keeper.
-    duration waited{};
-    /// True when a question to the keeper was needed.
-    bool asked = false;
-};
-
 class quota_client {
   public:
     quota_client(net::node_process& process, directory::directory_client& directory);
