A node that doesn't keep permits names who does

Cause: the answer carried the leader and nobody read it; a node waited for its next beat, up to 120 ms, after a change of leader. Change: the answer carries the term too, and the directory's client takes the newer leader over.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -127,10 +127,7 @@
     for (const std::string& address : beat.directory_addresses) {
         add_address(address);
     }
-    if (!beat.leader.empty() && beat.term >= term_) {
-        leader_ = beat.leader;
-        term_ = beat.term;
-    }
+    learn_leader(beat.leader, beat.term);
     for (const turns::store_table& stores : beat.newer_stores) {
         if (stores_.take(stores)) {
             on_stores_(stores_);
@@ -153,6 +150,13 @@
     end_refreshes(beat.question);
 }
 
+void directory_client::learn_leader(const node_name& leader, consensus::term_number term) {
+    if (!leader.empty() && term >= term_) {
+        leader_ = leader;
+        term_ = term;
+    }
+}
+
 void directory_client::report_break(const backend_name& backend) {
     const break_report report{process_.settings().node, backend};
     for (const auto& [address, link] : links_) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -53,6 +53,8 @@
     void on_breaks(std::function<void(const std::vector<told_break>&)> handler) {
         on_breaks_ = std::move(handler);
     }
+    /// A directory node has said who leads.
+    void learn_leader(const node_name& leader, consensus::term_number term);
     /// Who leads, by the newest term heard of; empty while none is known.
     [[nodiscard]] const node_name& leader() const { return leader_; }
     /// The settings changed: other seeds may be known.
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -105,6 +105,7 @@
     void remember(directory_state earlier) { earlier_ = std::move(earlier); }
     [[nodiscard]] bool leads() const;
     [[nodiscard]] node_name leader_address() const;
+    [[nodiscard]] consensus::term_number term() const { return replica_.term(); }
     /// Place of this node among the members that don't lead, by address.
     [[nodiscard]] std::size_t rank_behind_leader() const;
     [[nodiscard]] bool may_retire(const node_name& node) const {
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -239,6 +239,7 @@
         answer.outcome = tenants::permit_outcome::not_keeper;
     }
     answer.leader = core_->leader_address();
+    answer.term = core_->term();
     channel->send(answer);
 }
 
--- a/src/tallyfold/tenants/messages.hpp
+++ b/src/tallyfold/tenants/messages.hpp
@@ -84,15 +84,16 @@
 struct permit_answer {
     std::uint64_t question = 0;
     permit_outcome outcome = permit_outcome::granted;
-    /// Who leads, as far as the answering node knows.
+    /// Who leads in which term, as far as the answering node knows.
     node_name leader;
+    std::uint64_t term = 0;
     std::vector<permit_grant> grants;
     /// True: the keeper may not have heard every node yet, so a refusal says little.
     bool settling = false;
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(question, outcome, leader, grants, settling);
+        archive(question, outcome, leader, term, grants, settling);
     }
 };
 
--- a/src/tallyfold/tenants/quota_client_shell.cpp
+++ b/src/tallyfold/tenants/quota_client_shell.cpp
@@ -101,9 +101,10 @@
         return;
     }
     asked_.reset();
+    directory_.learn_leader(answer.leader, answer.term);
     if (!holder_.apply(answer, http::steady_now())) {
-        // Another node keeps permits, or this one needs to hear all: ask anew at once, the first
-        // time; after that with the next tick.
+        // A keeper that needs to hear all is told at once. Who doesn't keep permits may have named
+        // who does: that one is asked with the next tick.
         if (answer.outcome == permit_outcome::wants_whole) {
             ask();
         }
