--- a/src/tallyfold/tenants/key_index.hpp
+++ b/src/tallyfold/tenants/key_index.hpp
@@ -14,8 +14,8 @@
 
 namespace tallyfold::tenants {
 
-/// Keyed digest (SHA-256 with a secret of the process) of a key. It stands for the key wherever one is compared or
-/// logged.
+/// Keyed digest (SHA-256 with a secret of the process) of a key. It stands for the key wherever one
+/// is compared or logged.
 using key_digest = std::array<unsigned char, 32>;
 
 class key_index {
--- /dev/null
+++ b/tests/directory/break_board_test.cpp
@@ -0,0 +1,50 @@
+#include "tallyfold/directory/break_board.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace directory;
+using std::chrono::milliseconds;
+
+class break_board_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(break_board_test);
+    CPPUNIT_TEST(a_break_is_told_with_its_age_and_then_no_more);
+    CPPUNIT_TEST(reports_of_one_break_count_once);
+    CPPUNIT_TEST(a_flood_of_breaks_is_bounded);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr instant now{std::chrono::seconds(9)};
+
+    void a_break_is_told_with_its_age_and_then_no_more() {
+        break_board board;
+        CPPUNIT_ASSERT(board.tell(now).empty());
+        board.note("b", now);
+        const auto told = board.tell(now + milliseconds(120));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), told.front().backend);
+        CPPUNIT_ASSERT_EQUAL(120U, told.front().age_ms);
+        CPPUNIT_ASSERT(board.tell(now + break_board::told_for + milliseconds(1)).empty());
+    }
+
+    void reports_of_one_break_count_once() {
+        break_board board;
+        board.note("b", now);
+        board.note("b", now + milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(200U, board.tell(now + milliseconds(200)).front().age_ms);
+        // A later one is another break.
+        board.note("b", now + milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(0U, board.tell(now + milliseconds(400)).front().age_ms);
+    }
+
+    void a_flood_of_breaks_is_bounded() {
+        break_board board;
+        for (int number = 0; number < 1'000; ++number) {
+            board.note("b" + std::to_string(number), now);
+        }
+        CPPUNIT_ASSERT_EQUAL(break_board::most_told, board.tell(now).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(break_board_test);
+
+}  // namespace tallyfold::tests
