A store is not retired below a group before there are groups

While no group is formed the bound was 0 groups, so the order was taken, and then acknowledged again at each repeat: the system would have been left with two stores of three. Change: the bound is one group at least. The new test failed before it. 290 tests passed.

--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -250,7 +250,10 @@
     for (const auto& [id, entry] : stores_) {
         count(entry.report.member);
     }
-    return left.size() >= settings_.group_size() * state.stores().groups.size();
+    // Before the groups are formed, one of them has to be possible: an order taken then would leave
+    // the system without any.
+    const std::size_t groups = std::max<std::size_t>(1, state.stores().groups.size());
+    return left.size() >= settings_.group_size() * groups;
 }
 
 std::vector<store_id> store_planner::disks_of(const directory_state& state,
--- a/tests/directory/store_planner_test.cpp
+++ b/tests/directory/store_planner_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_change_whose_new_member_died_is_planned_again);
     CPPUNIT_TEST(a_retired_store_leaves_and_does_not_return);
     CPPUNIT_TEST(a_store_is_not_retired_when_too_few_would_remain);
+    CPPUNIT_TEST(no_store_is_retired_below_a_group_before_there_are_groups);
     CPPUNIT_TEST(a_silent_store_is_left_out_while_enough_remain);
     CPPUNIT_TEST(many_stores_form_groups_spread_over_zones);
     CPPUNIT_TEST(a_lost_member_is_replaced_by_a_store_that_stands_by);
@@ -154,6 +155,17 @@
         CPPUNIT_ASSERT(!planner.may_retire(state, "1"));
     }
 
+    void no_store_is_retired_below_a_group_before_there_are_groups() {
+        store_planner planner({});
+        planner.start(at(0));
+        for (const store_member& store : three()) {
+            report(planner, store, at(100));
+        }
+        CPPUNIT_ASSERT(!planner.may_retire({}, "1"));
+        report(planner, member(4, "4"), at(100));
+        CPPUNIT_ASSERT(planner.may_retire({}, "1"));
+    }
+
     void a_silent_store_is_left_out_while_enough_remain() {
         std::vector<store_member> four = three();
         four.push_back(member(4, "4"));
