Breaks of back ends: one place for their messages and for how far apart reports of one break are

Cause: the 300 ms stood in the directory's board and in the forwarders' evidence. The messages and the figure stand in listing/backend_breaks now; two test bodies share the making of their question.

--- a/src/tallyfold/directory/break_board.hpp
+++ b/src/tallyfold/directory/break_board.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "tallyfold/common/time.hpp"
-#include "tallyfold/directory/messages.hpp"
+#include "tallyfold/listing/backend_breaks.hpp"
 
 namespace tallyfold::directory {
 
@@ -15,23 +15,21 @@
   public:
     /// Told for this long: every node has asked each directory node about once by then.
     static constexpr duration told_for = std::chrono::milliseconds(800);
-    /// Reports this close together are of one break.
-    static constexpr duration same_break = std::chrono::milliseconds(300);
     /// More back ends than this at once are a fault that nodes find out without being told.
     static constexpr std::size_t most_told = 64;
 
     void note(const backend_name& backend, instant now) {
         const auto known = breaks_.find(backend);
-        if (known != breaks_.end() && now - known->second < same_break) {
+        if (known != breaks_.end() && now - known->second < listing::same_break) {
             return;
         }
         if (known != breaks_.end() || breaks_.size() < most_told) {
             breaks_[backend] = now;
         }
     }
-    [[nodiscard]] std::vector<told_break> tell(instant now) {
+    [[nodiscard]] std::vector<listing::told_break> tell(instant now) {
         std::erase_if(breaks_, [&](const auto& each) { return now - each.second > told_for; });
-        std::vector<told_break> told;
+        std::vector<listing::told_break> told;
         for (const auto& [backend, at] : breaks_) {
             told.push_back({backend, static_cast<std::uint32_t>(to_milliseconds(now - at))});
         }
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -158,7 +158,7 @@
 }
 
 void directory_client::report_break(const backend_name& backend) {
-    const break_report report{process_.settings().node, backend};
+    const listing::break_report report{process_.settings().node, backend};
     for (const auto& [address, link] : links_) {
         link->send(report);
     }
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -50,7 +50,7 @@
     /// Tells all directory nodes that a back end broke a call off.
     void report_break(const backend_name& backend);
     /// @param handler gets what other nodes have told of breaks, again and again while it is young
-    void on_breaks(std::function<void(const std::vector<told_break>&)> handler) {
+    void on_breaks(std::function<void(const std::vector<listing::told_break>&)> handler) {
         on_breaks_ = std::move(handler);
     }
     /// A directory node has said who leads.
@@ -87,7 +87,7 @@
     listing::list_memory* list_ = nullptr;
     std::function<void(bool changed)> on_list_;
     std::function<void(const messaging::peer_message&)> on_other_;
-    std::function<void(const std::vector<told_break>&)> on_breaks_;
+    std::function<void(const std::vector<listing::told_break>&)> on_breaks_;
     node_name leader_;
     consensus::term_number term_ = 0;
     std::uint64_t question_ = 0;
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -364,7 +364,7 @@
         }
         beat.breaks = breaks_.tell(now);
         channel->send(beat);
-    } else if (const auto* broken = std::get_if<break_report>(&message)) {
+    } else if (const auto* broken = std::get_if<listing::break_report>(&message)) {
         breaks_.note(broken->backend, now);
     } else if (const auto* permits = std::get_if<tenants::permit_report>(&message)) {
         answer_permits(channel, *permits);
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "tallyfold/consensus/messages.hpp"
+#include "tallyfold/listing/backend_breaks.hpp"
 #include "tallyfold/listing/types.hpp"
 #include "tallyfold/routing/configuration.hpp"
 #include "tallyfold/turns/types.hpp"
@@ -51,29 +52,6 @@
     }
 };
 
-/// A node to all directory nodes: a back end broke a call off before any byte of its answer.
-struct break_report {
-    node_name node;
-    backend_name backend;
-
-    template <class Archive>
-    void serialize(Archive& archive) {
-        archive(node, backend);
-    }
-};
-
-/// Such a break, as a directory node tells it on.
-struct told_break {
-    backend_name backend;
-    /// Since it was reported, in milliseconds, when the message left.
-    std::uint32_t age_ms = 0;
-
-    template <class Archive>
-    void serialize(Archive& archive) {
-        archive(backend, age_ms);
-    }
-};
-
 /// A directory node's answer. Everything in it is committed.
 struct directory_beat {
     routing::configuration_version configuration = routing::no_version;
@@ -91,7 +69,7 @@
     node_name leader;
     consensus::term_number term = 0;
     /// Back ends that have broken calls off lately.
-    std::vector<told_break> breaks;
+    std::vector<listing::told_break> breaks;
 
     template <class Archive>
     void serialize(Archive& archive) {
--- a/src/tallyfold/forwarding/break_evidence.cpp
+++ b/src/tallyfold/forwarding/break_evidence.cpp
@@ -11,7 +11,7 @@
         return true;
     }
     entry& known = found->second;
-    if (at < known.last + same_break) {
+    if (at < known.last + listing::same_break) {
         return false;
     }
     known.last = at;
--- a/src/tallyfold/forwarding/break_evidence.hpp
+++ b/src/tallyfold/forwarding/break_evidence.hpp
@@ -13,6 +13,7 @@
 
 #include "tallyfold/common/time.hpp"
 #include "tallyfold/common/types.hpp"
+#include "tallyfold/listing/backend_breaks.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -22,8 +23,6 @@
     static constexpr duration first_doubt = std::chrono::seconds(2);
     static constexpr std::uint32_t most_doublings = 2;
     static constexpr duration forgotten_after = std::chrono::seconds(10);
-    /// Several nodes notice the same break about this far apart.
-    static constexpr duration same_break = std::chrono::milliseconds(300);
 
     /// @return true when the break isn't known yet: connections kept from before it are worth
     /// nothing, and, seen here, it is worth telling
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -39,7 +39,7 @@
                                  std::string reason);
     void use_configuration(const routing::configuration& configuration);
     void use_list(bool changed);
-    void learn_breaks(const std::vector<directory::told_break>& told);
+    void learn_breaks(const std::vector<listing::told_break>& told);
     void read_policy();
     void adjust_gates();
     void stop();
@@ -119,9 +119,9 @@
                              " leaving=" + std::to_string(leaving));
 }
 
-void forwarder_node::learn_breaks(const std::vector<directory::told_break>& told) {
+void forwarder_node::learn_breaks(const std::vector<listing::told_break>& told) {
     const instant now = http::steady_now();
-    for (const directory::told_break& each : told) {
+    for (const listing::told_break& each : told) {
         const instant at = now - std::chrono::milliseconds(each.age_ms);
         const std::string address = backends_.broke_off(each.backend, at);
         if (!address.empty()) {
@@ -320,7 +320,7 @@
         {});
     quotas_.start();
     directory_.on_breaks(
-        [this](const std::vector<directory::told_break>& told) { learn_breaks(told); });
+        [this](const std::vector<listing::told_break>& told) { learn_breaks(told); });
     // The directory's nodes read the list and tell it; this node reads it itself only when they
     // haven't for a while.
     directory_.share_list(list_, [this](bool changed) { use_list(changed); });
--- /dev/null
+++ b/src/tallyfold/listing/backend_breaks.hpp
@@ -0,0 +1,38 @@
+#pragma once
+/// @file
+/// How nodes tell each other that a back end broke a call off before any byte of its answer.
+
+#include <cstdint>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/common/types.hpp"
+
+namespace tallyfold::listing {
+
+/// Several nodes notice the same break of a back end about this far apart.
+constexpr duration same_break = std::chrono::milliseconds(300);
+
+/// A node to all directory nodes.
+struct break_report {
+    node_name node;
+    backend_name backend;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(node, backend);
+    }
+};
+
+/// Such a break, as a directory node tells it on.
+struct told_break {
+    backend_name backend;
+    /// Since it was reported, in milliseconds, when the message left.
+    std::uint32_t age_ms = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(backend, age_ms);
+    }
+};
+
+}  // namespace tallyfold::listing
--- a/src/tallyfold/messaging/peer_message.hpp
+++ b/src/tallyfold/messaging/peer_message.hpp
@@ -32,7 +32,7 @@
                  turns::chain_request, turns::chain_reply, turns::settle_request,
                  turns::settle_reply, turns::copy_request, turns::copy_reply, turns::find_request,
                  turns::find_reply, tenants::permit_report, tenants::permit_answer,
-                 directory::break_report>;
+                 listing::break_report>;
 
 /// Frames longer than this are refused: nothing that is sent comes near it.
 constexpr std::size_t largest_frame = 32U << 20U;
--- a/tests/forwarding/backend_registry_test.cpp
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -134,6 +134,21 @@
         CPPUNIT_ASSERT(!registry.choose(question, instant{}).has_value());
     }
 
+    /// What all programs share, and a part of the program's own.
+    static std::vector<scheduling::prefix_point> prompt_of_program(int number) {
+        return {{1, 512}, {100 + std::uint64_t(number), 900}};
+    }
+    static backend_question first_turn_of(int number,
+                                          const std::vector<scheduling::prefix_point>& prompt) {
+        backend_question question;
+        question.service = "s";
+        question.is_engine = true;
+        question.program = "program-" + std::to_string(number);
+        question.prompt = &prompt;
+        question.prompt_tokens = prompt.back().tokens;
+        return question;
+    }
+
     void calls_of_a_program_go_to_one_engine() {
         // Two nodes that know nothing of each other choose the same.
         backend_registry one("zone-a", 1);
@@ -142,14 +157,8 @@
         other.update(engines(8), instant{});
         std::set<std::string> used;
         for (int number = 0; number < 40; ++number) {
-            const std::vector<scheduling::prefix_point> prompt{{1, 512},
-                                                               {100 + std::uint64_t(number), 900}};
-            backend_question question;
-            question.service = "s";
-            question.is_engine = true;
-            question.program = "program-" + std::to_string(number);
-            question.prompt = &prompt;
-            question.prompt_tokens = 900;
+            const auto prompt = prompt_of_program(number);
+            const backend_question question = first_turn_of(number, prompt);
             const auto first = one.choose(question, instant{});
             const auto second_choice = other.choose(question, instant{});
             CPPUNIT_ASSERT(first.has_value() && second_choice.has_value());
@@ -187,14 +196,8 @@
             backend_registry registry("zone", stable_hash("node-" + std::to_string(number)));
             registry.update(engines(20), instant{});
             registry.holds("b3", shared);
-            const std::vector<scheduling::prefix_point> prompt{{1, 512},
-                                                               {100 + std::uint64_t(number), 900}};
-            backend_question question;
-            question.service = "s";
-            question.is_engine = true;
-            question.program = "program-" + std::to_string(number);
-            question.prompt = &prompt;
-            question.prompt_tokens = 900;
+            const auto prompt = prompt_of_program(number);
+            const backend_question question = first_turn_of(number, prompt);
             ++calls[registry.choose(question, instant{})->name];
         }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(calls["b3"]), calls["b3"] < 20);
