Back ends: one way to candidates for all plain calls; a fault that most share doesn't crowd objects onto the rest

Cause: calls about an object left out every doubted back end, also where most are doubted, on a path of their own: of four back ends with three doubted all objects went to one (the widened test failed so before). Change: candidates are filtered once, by trust while most are trusted, and then chosen by object or by load. Calls about an object that may be repeated are trials now like others.

--- a/src/tallyfold/forwarding/backend_registry.cpp
+++ b/src/tallyfold/forwarding/backend_registry.cpp
@@ -126,26 +126,16 @@
     const auto is_usable = [&](const backend_state& backend) {
         return !question.tried.contains(backend.member.name) && pool.available(backend, now);
     };
-    const bool by_object =
-        !question.object.empty() && !off_.contains(settings::mechanism::object_home);
-    if (by_object) {
-        const auto options = all_of(pool, [&](const backend_state& backend) {
-            return is_usable(backend) && !breaks_.doubted(backend.member.name, now);
-        });
-        if (!options.empty()) {
-            return home_of_object(question.object, options);
-        }
+    const auto is_trusted = [&](const backend_state& backend) {
+        return is_usable(backend) && !breaks_.doubted(backend.member.name, now);
+    };
+    std::vector<const backend_state*> options;
+    if (!question.repeatable && !most_are_doubted(pool, now)) {
+        options = candidates(question, pool, is_trusted);
     }
-    if (!question.repeatable && !off_.contains(settings::mechanism::break_evidence)) {
-        const auto options = trusted(question.service, pool, question.tried, now);
-        if (!options.empty()) {
-            return less_loaded_of_two(options);
-        }
+    if (options.empty()) {
+        options = candidates(question, pool, is_usable);
     }
-    std::vector<const backend_state*> options =
-        off_.contains(settings::mechanism::backend_subset)
-            ? all_of(pool, is_usable)
-            : subsets_[question.service].usable(pool, is_usable);
     if (options.empty()) {
         // Rather one that failed lately than none.
         options = all_of(pool, [&](const backend_state& backend) {
@@ -155,7 +145,28 @@
     if (options.empty()) {
         return std::nullopt;
     }
-    return less_loaded_of_two(options);
+    return goes_by_object(question) ? home_of_object(question.object, options)
+                                    : less_loaded_of_two(options);
+}
+
+bool backend_registry::goes_by_object(const backend_question& question) const {
+    return !question.object.empty() && !off_.contains(settings::mechanism::object_home);
+}
+
+std::vector<const backend_state*> backend_registry::candidates(
+    const backend_question& question, const backend_pool& pool,
+    const std::function<bool(const backend_state&)>& condition) const {
+    const auto subset = subsets_.find(question.service);
+    const bool any = goes_by_object(question) || subset == subsets_.end() ||
+                     off_.contains(settings::mechanism::backend_subset);
+    return any ? all_of(pool, condition) : subset->second.usable(pool, condition);
+}
+
+bool backend_registry::most_are_doubted(const backend_pool& pool, instant now) const {
+    const auto doubted = all_of(pool, [&](const backend_state& backend) {
+        return breaks_.doubted(backend.member.name, now);
+    });
+    return 2 * doubted.size() > pool.all().size();
 }
 
 chosen_backend backend_registry::home_of_object(const std::string& object,
@@ -183,27 +194,6 @@
     return chosen_backend{best->member.name, best->member.address, 0};
 }
 
-std::vector<const backend_state*> backend_registry::trusted(const std::string& service,
-                                                            const backend_pool& pool,
-                                                            const std::set<backend_name>& tried,
-                                                            instant now) const {
-    const auto is_trusted = [&](const backend_state& backend) {
-        return !tried.contains(backend.member.name) && pool.available(backend, now) &&
-               !breaks_.doubted(backend.member.name, now);
-    };
-    // A fault that most share is no reason to crowd the others.
-    const std::size_t doubted = all_of(pool, [&](const backend_state& backend) {
-                                    return breaks_.doubted(backend.member.name, now);
-                                }).size();
-    const auto subset = subsets_.find(service);
-    if (2 * doubted > pool.all().size() || subset == subsets_.end()) {
-        return {};
-    }
-    return off_.contains(settings::mechanism::backend_subset)
-               ? all_of(pool, is_trusted)
-               : subset->second.usable(pool, is_trusted);
-}
-
 const backend_state* backend_registry::find(const backend_name& name) const {
     for (const auto& [service, pool] : pools_) {
         if (const backend_state* found = pool.find(name)) {
--- a/src/tallyfold/forwarding/backend_registry.hpp
+++ b/src/tallyfold/forwarding/backend_registry.hpp
@@ -2,6 +2,7 @@
 /// @file
 /// The back ends of all services as one node sees them, and the choice among them. Pure.
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -118,11 +119,13 @@
     static chosen_backend home_of_object(
         const std::string& object, const std::vector<const scheduling::backend_state*>& options);
     chosen_backend less_loaded_of_two(const std::vector<const scheduling::backend_state*>& options);
-    /// Usable back ends of the node's own few, those that lately broke calls off left out.
-    std::vector<const scheduling::backend_state*> trusted(const std::string& service,
-                                                          const scheduling::backend_pool& pool,
-                                                          const std::set<backend_name>& tried,
-                                                          instant now) const;
+    [[nodiscard]] bool goes_by_object(const backend_question& question) const;
+    /// Back ends that the call may go to: of the node's own few, or of all when it goes by object.
+    [[nodiscard]] std::vector<const scheduling::backend_state*> candidates(
+        const backend_question& question, const scheduling::backend_pool& pool,
+        const std::function<bool(const scheduling::backend_state&)>& condition) const;
+    /// A fault that most share is no reason to crowd the others.
+    [[nodiscard]] bool most_are_doubted(const scheduling::backend_pool& pool, instant now) const;
     [[nodiscard]] const scheduling::backend_state* find(const backend_name& name) const;
 
     std::string zone_;
--- a/src/tallyfold/tenants/permit_holder.cpp
+++ b/src/tallyfold/tenants/permit_holder.cpp
@@ -9,7 +9,7 @@
     limited_.clear();
     for (const routing::tenant& tenant : tenants) {
         if (tenant.is_limited()) {
-            limited_[tenant.name] = true;
+            limited_.insert(tenant.name);
         }
     }
 }
--- a/src/tallyfold/tenants/permit_holder.hpp
+++ b/src/tallyfold/tenants/permit_holder.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "tallyfold/common/time.hpp"
@@ -102,7 +103,7 @@
     node_name node_;
     std::uint64_t life_;
     bool spare_ = true;
-    std::unordered_map<tenant_name, bool> limited_;
+    std::unordered_set<tenant_name> limited_;
     std::unordered_map<tenant_name, held_permits> tenants_;
     std::uint64_t question_ = 0;
     instant asked_{};
--- a/src/tallyfold/tenants/quota_keeper.cpp
+++ b/src/tallyfold/tenants/quota_keeper.cpp
@@ -98,12 +98,12 @@
     add(account_of->second, known);
 }
 
-std::vector<permit_grant> quota_keeper::grant(known_node& node, const permit_use& use,
-                                              instant now) {
+std::optional<permit_grant> quota_keeper::grant(known_node& node, const permit_use& use,
+                                                instant now) {
     const auto account_of = accounts_.find(use.tenant);
     if (account_of == accounts_.end()) {
         // No longer in the configuration here: nothing more is lent.
-        return {{use.tenant, use.spent, 0, 0}};
+        return permit_grant{use.tenant, use.spent, 0, 0};
     }
     account& held = account_of->second;
     share& known = node.shares[use.tenant];
@@ -127,9 +127,9 @@
     }
     const bool all_got = lent.needed >= use.needed && lent.beginning >= use.beginning;
     if (granted.ceiling == use.ceiling && all_got) {
-        return {};
+        return std::nullopt;
     }
-    return {std::move(granted)};
+    return granted;
 }
 
 void quota_keeper::forget(known_node& node) {
@@ -181,8 +181,8 @@
         take(node, use);
     }
     for (const permit_use& use : report.uses) {
-        for (permit_grant& granted : grant(node, use, now)) {
-            answer.grants.push_back(std::move(granted));
+        if (auto granted = grant(node, use, now)) {
+            answer.grants.push_back(std::move(*granted));
         }
     }
     return answer;
--- a/src/tallyfold/tenants/quota_keeper.hpp
+++ b/src/tallyfold/tenants/quota_keeper.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -92,7 +93,7 @@
 
     void take(known_node& node, const permit_use& use);
     /// @return nothing when the node's ceiling stays as it reported it
-    std::vector<permit_grant> grant(known_node& node, const permit_use& use, instant now);
+    std::optional<permit_grant> grant(known_node& node, const permit_use& use, instant now);
     /// Permits that may be lent to one node.
     struct lendable {
         /// For calls that wait there, of programs under way and of new ones.
--- a/tests/forwarding/backend_registry_test.cpp
+++ b/tests/forwarding/backend_registry_test.cpp
@@ -71,6 +71,15 @@
             registry.broke_off("b" + std::to_string(number), now);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, choices(registry, false, now).size());
+        // Objects stay at their homes, too.
+        std::set<std::string> homes;
+        for (int number = 0; number < 60; ++number) {
+            backend_question question;
+            question.service = "s";
+            question.object = std::to_string(number);
+            homes.insert(registry.choose(question, now)->name);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, homes.size());
     }
 
     void every_node_expects_an_object_at_the_same_back_end() {
