--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -84,7 +84,8 @@
                                                   ("Content-Length", "0")]))
             await writer.drain()
             return True
-        run = Run(request, instance, self.service, method, target, body, at=self.clock())
+        run = Run(request, instance, self.service, method, target, body, at=self.clock(),
+                  tenant=headers.get("x-tenant-id", ""), key=headers.get("x-credential", ""))
         self.history.runs.append(run)
         await asyncio.sleep(self.random.uniform(0.005, 0.04) + (0.8 if sick == "slow" else 0))
         if sick == "lost":
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -32,11 +32,15 @@
 class Caller:
     """Runs programs one after the other, each turn at any forwarder."""
 
-    def __init__(self, history, clock, forwarders, seed):
+    def __init__(self, history, clock, forwarders, seed, tenant, keys):
         self.history = history
         self.clock = clock
         self.forwarders = forwarders
         self.random = random.Random(seed)
+        self.tenant = tenant
+        self.keys = keys
+        #: Callers of other tenants, whose turns must stay unknown to this one.
+        self.strangers = []
         self.stopping = False
         #: Ends of lines of turns that were answered whole: (request, body of the whole line).
         self.lines = []
@@ -47,6 +51,8 @@
     async def exchange(self, attempt, patience, fields=()):
         """Sends one request on a new connection and notes what comes back."""
         self.history.attempts.append(attempt)
+        attempt.tenant = "" if self.random.random() < 0.03 else self.tenant
+        key = self.keys.current(self.tenant) if attempt.tenant else self.keys.forged()
         writer = None
         try:
             async with asyncio.timeout(patience):
@@ -55,6 +61,7 @@
                 head = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {HOST}",
                         f"X-Request-Id: {attempt.request}",
                         f"X-Deadline-Ms: {int(patience * 1000)}",
+                        f"X-Credential: {key}", "X-Tenant-Id: open", "X-Hold: forged",
                         f"Content-Length: {len(attempt.body)}", *fields, "", ""]
                 writer.write("\r\n".join(head).encode() + attempt.body)
                 attempt.status, headers = await read_head(reader)
@@ -113,6 +120,8 @@
                 return attempt.request, attempt.expected_body + output
             if attempt.status in (402, 404):
                 return None
+            if attempt.status == 429:
+                await asyncio.sleep(float(attempt.retry_after or 0.2))
             await asyncio.sleep(0.1 + self.random.random() * 0.3)
         return None
 
@@ -122,6 +131,11 @@
         line = None
         if self.lines and self.random.random() < 0.15:
             line = self.random.choice(self.lines)
+        stranger = self.random.choice(self.strangers) if self.strangers else None
+        if stranger is not None and stranger.lines and self.random.random() < 0.05:
+            attempt = self.turn(program, self.random.choice(stranger.lines), budget)
+            attempt.foreign = True
+            await self.send_turn(attempt)
         for _ in range(self.random.randint(1, 6)):
             line = await self.run_turn(program, line, budget)
             if line is None or self.stopping:
@@ -152,10 +166,11 @@
 class Operator:
     """Sends configurations with rising versions and reads them back, at any directory node."""
 
-    def __init__(self, history, clock, nodes, seed):
+    def __init__(self, history, clock, nodes, seed, keys):
         self.history = history
         self.clock = clock
         self.nodes = nodes
+        self.keys = keys
         self.random = random.Random(seed)
         self.version = 1
         self.stopping = False
@@ -176,7 +191,8 @@
         services = [{"Name": "engines", "HealthPath": "/health", "MaxConnections": 100,
                      "Engine": engine},
                     {"Name": "apps", "HealthPath": "/health", "MaxConnections": 100}]
-        return {"Version": self.version, "Routes": routes + spare, "Services": services}
+        return {"Version": self.version, "Routes": routes + spare, "Services": services,
+                "Tenants": self.keys.configuration()}
 
     async def call(self, method, path, body=b""):
         """Returns (status, body) at any node; status 0 when nothing came."""
@@ -209,6 +225,7 @@
             status, _ = await self.call("POST", "/v1/config/replace", body)
             if status == 200:
                 self.history.changes.append(ConfigurationChange(self.version, self.clock()))
+                self.keys.took()
                 self.version += self.random.randint(1, 3)
                 return
             await asyncio.sleep(0.2)
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -2,6 +2,8 @@
 
 from collections import defaultdict
 
+from .tenants import QUOTA_WINDOW, TENANTS, limit_of
+
 #: Statuses that promise that the request has not run and never will.
 PROMISES = {402, 408, 421, 429, 503}
 #: A read that was sent this long after an acknowledgement must show that version, in seconds.
@@ -34,8 +36,8 @@
 
 def refusals_say_when(history):
     """A refusal that may pass says when to come back."""
-    refused = [attempt for attempt in history.attempts if attempt.status == 503]
-    return len(refused), [f"{attempt.request} got 503 without a time"
+    refused = [attempt for attempt in history.attempts if attempt.status in (429, 503)]
+    return len(refused), [f"{attempt.request} got {attempt.status} without a time"
                           for attempt in refused if not attempt.retry_after]
 
 
@@ -88,7 +90,7 @@
         if attempt.kind == "turn" and attempt.status == 200 and attempt.whole:
             answered[attempt.request] = attempt.ended
     going_on = [attempt for attempt in history.attempts
-                if attempt.previous and answered.get(attempt.previous, attempt.sent) < attempt.sent]
+                if attempt.previous and not attempt.foreign and answered.get(attempt.previous, attempt.sent) < attempt.sent]
     wrong = [f"{attempt.request} got {attempt.status}: {attempt.previous} was forgotten"
              for attempt in going_on if attempt.status in (404, 410)]
     wrong += [f"{turn} does not go on after all faults: {status}"
@@ -131,9 +133,66 @@
     return len(history.endings), wrong
 
 
+def keys_stay_inside(history):
+    """A back end is told the tenant that the key belongs to, and never the key."""
+    sent = {attempt.request: attempt for attempt in history.attempts}
+    wrong = [f"{run.request} ran with a key" for run in history.runs if run.key]
+    wrong += [f"{run.request} of {sent[run.request].tenant} ran as {run.tenant}"
+              for run in history.runs
+              if run.request in sent and sent[run.request].tenant not in ("", run.tenant)]
+    return len(history.runs), wrong
+
+
+def strangers_never_run(history):
+    """A request with a key that nobody holds runs nowhere, and isn't told that it did."""
+    runs = runs_by_request(history)
+    strange = [attempt for attempt in history.attempts if not attempt.tenant]
+    return len(strange), [f"{attempt.request} without a key got {attempt.status}"
+                          for attempt in strange
+                          if runs[attempt.request] or attempt.status not in (0, 401, 503)]
+
+
+def proper_keys_are_let_in(history):
+    """A key that every configuration in force holds is never called unknown."""
+    proper = [attempt for attempt in history.attempts if attempt.tenant]
+    return len(proper), [f"{attempt.request} of {attempt.tenant} got 401 at {attempt.sent:.2f}"
+                         for attempt in proper if attempt.status == 401]
+
+
+def others_turns_are_unknown(history):
+    """Nobody goes on from another tenant's turn."""
+    runs = runs_by_request(history)
+    foreign = [attempt for attempt in history.attempts if attempt.foreign]
+    return len(foreign), [f"{attempt.request} of {attempt.tenant} went on from {attempt.previous}"
+                          for attempt in foreign if runs[attempt.request]]
+
+
+def limits_hold(history):
+    """Within any window no more of a tenant's requests are sent and run than its limit allows."""
+    first_run = {}
+    for run in history.runs:
+        first_run[run.request] = min(run.at, first_run.get(run.request, run.at))
+    wrong = []
+    checked = 0
+    for tenant in TENANTS:
+        bound = limit_of(tenant)
+        times = sorted((attempt.sent, first_run[attempt.request]) for attempt in history.attempts
+                       if attempt.tenant == tenant and attempt.request in first_run)
+        if bound is None:
+            continue
+        checked += len(times)
+        for number, (begin, _) in enumerate(times):
+            inside = sum(at <= begin + QUOTA_WINDOW for sent, at in times[number:]
+                         if sent <= begin + QUOTA_WINDOW)
+            if inside > bound:
+                wrong.append(f"{inside} of {tenant} from {begin:.2f} on, bound {bound:.0f}")
+    return checked, wrong
+
+
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
-          configurations_never_revert, processes_stay_up]
+          configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
+          proper_keys_are_let_in, others_turns_are_unknown, limits_hold]
 
 
 def check_all(history):
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -26,7 +26,7 @@
         return check(History(**parts))[1]
 
     def test_a_good_history_has_no_violations(self):
-        good = History(runs=[run()], attempts=[attempt()], reads=[ConfigurationRead(9, 3)],
+        good = History(runs=[run(tenant="open")], attempts=[attempt(tenant="open")], reads=[ConfigurationRead(9, 3)],
                        changes=[ConfigurationChange(3, 1)], endings=[Ending("p", 1, 0, True)],
                        continued=[("a", 200)], read_back=3)
         for name, _, violations in checks.check_all(good):
@@ -98,6 +98,39 @@
                                         read_back=2))
         self.assertTrue(self.violations(checks.configurations_never_revert, changes=changes))
 
+    def test_a_key_or_another_tenant_at_a_back_end_is_found(self):
+        mine = attempt(tenant="open")
+        self.assertTrue(self.violations(checks.keys_stay_inside, attempts=[mine],
+                                        runs=[run(tenant="open", key="k")]))
+        self.assertTrue(self.violations(checks.keys_stay_inside, attempts=[mine],
+                                        runs=[run(tenant="tight")]))
+        self.assertFalse(self.violations(checks.keys_stay_inside, attempts=[mine],
+                                         runs=[run(tenant="open")]))
+
+    def test_a_stranger_that_ran_or_was_served_is_found(self):
+        self.assertTrue(self.violations(checks.strangers_never_run, runs=[run()],
+                                        attempts=[attempt(status=401)]))
+        self.assertTrue(self.violations(checks.strangers_never_run, attempts=[attempt()]))
+        self.assertFalse(self.violations(checks.strangers_never_run,
+                                         attempts=[attempt(status=401)]))
+
+    def test_a_proper_key_that_is_called_unknown_is_found(self):
+        self.assertTrue(self.violations(checks.proper_keys_are_let_in,
+                                        attempts=[attempt(tenant="open", status=401)]))
+
+    def test_a_turn_on_from_another_tenants_is_found(self):
+        self.assertTrue(self.violations(checks.others_turns_are_unknown, runs=[run()],
+                                        attempts=[attempt(tenant="open", foreign=True)]))
+
+    def test_a_limit_that_is_exceeded_is_found(self):
+        bound = int(checks.limit_of("tight"))
+        for count, gap in ((bound, 0.01), (bound + 1, 0.01), (bound + 1, 0.1)):
+            attempts = [attempt(str(number), tenant="tight", sent=number * gap)
+                        for number in range(count)]
+            runs = [run(str(number), at=number * gap + 0.001) for number in range(count)]
+            found = self.violations(checks.limits_hold, attempts=attempts, runs=runs)
+            self.assertEqual(count > bound and gap < 0.05, bool(found))
+
     def test_a_process_that_ends_by_itself_is_found(self):
         self.assertTrue(self.violations(checks.processes_stay_up,
                                         endings=[Ending("p", 1, 139, False)]))
--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -9,6 +9,7 @@
 
 from .history import Ending
 from .links import Link
+from .tenants import QUOTA_OVERSHOOT, QUOTA_SLACK, QUOTA_WINDOW
 
 DIRECTORY_PORT, STORE_PORT, OPERATORS_PORT = 7601, 7602, 7603
 CALLERS_PORT, READINESS_PORT, LIST_PORT = 7604, 7605, 7609
@@ -51,7 +52,9 @@
             f'readiness_address = "{self.own}:{READINESS_PORT}"\n'
             f'operators_address = "{self.own}:{OPERATORS_PORT}"\n'
             f'backend_list_address = "{LIST_ADDRESS[0]}:{LIST_PORT}"\n'
-            f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n")
+            f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n"
+            f"quota_window_seconds = {QUOTA_WINDOW}\nquota_overshoot = {QUOTA_OVERSHOOT}\n"
+            f"quota_slack = {QUOTA_SLACK}\n")
         return path
 
     async def start(self):
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -19,6 +19,9 @@
     #: The back end sent its answer to the end.
     whole: bool = False
     at: float = 0.0
+    #: Whose request the system said it was, and the key that came along; it must not.
+    tenant: str = ""
+    key: str = ""
 
 
 @dataclass
@@ -39,6 +42,10 @@
     pieces: list = field(default_factory=list)
     whole: bool = False
     retry_after: str = ""
+    #: Who calls; empty with a key that nobody holds.
+    tenant: str = ""
+    #: It goes on from another tenant's turn.
+    foreign: bool = False
     # Of turns.
     program: str = ""
     previous: str = ""
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -21,8 +21,9 @@
 from .cluster import CALLERS_PORT, LIST_ADDRESS, OPERATORS_PORT, Cluster
 from .faults import Faults
 from .history import History
+from .tenants import TENANTS, KeyRing
 
-CALLERS = 6
+CALLERS = 9
 ENGINES, APPS = 4, 4
 #: Lines of turns that are asked to go on at the end.
 CONTINUED = 60
@@ -48,12 +49,17 @@
         await backend.start()
     await BackendList(backends, LIST_ADDRESS).start()
     await cluster.start()
-    operator = Operator(history, clock, [(node.own, OPERATORS_PORT)
-                                         for node in cluster.of("directory")], draw.random())
+    keys = KeyRing(clock, draw.random())
+    operators = [(node.own, OPERATORS_PORT) for node in cluster.of("directory")]
+    operator = Operator(history, clock, operators, draw.random(), keys)
     await operator.change()
     await asyncio.sleep(1.0)
     forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
-    callers = [Caller(history, clock, forwarders, draw.random()) for _ in range(CALLERS)]
+    names = list(TENANTS)
+    callers = [Caller(history, clock, forwarders, draw.random(), names[number % len(names)], keys)
+               for number in range(CALLERS)]
+    for caller in callers:
+        caller.strangers = [other for other in callers if other.tenant != caller.tenant]
     faults = Faults(cluster, backends, clock, draw.random())
     work_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     work_tasks.append(asyncio.ensure_future(operator.run()))
@@ -65,9 +71,9 @@
     for worker in (*callers, operator):
         worker.stopping = True
     await asyncio.gather(*work_tasks)
-    lines = [line for caller in callers for line in caller.lines]
-    for line in draw.sample(lines, min(CONTINUED, len(lines))):
-        history.continued.append((line[0], await callers[0].go_on_from(line)))
+    lines = [(caller, line) for caller in callers for line in caller.lines]
+    for caller, line in draw.sample(lines, min(CONTINUED, len(lines))):
+        history.continued.append((line[0], await caller.go_on_from(line)))
     for _ in range(10):
         history.read_back = await operator.read()
         if history.read_back is not None:
