--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -178,9 +178,10 @@
     refreshes_.erase(refreshes_.begin(), end);
 }
 
-asio::awaitable<void> directory_client::refresh(duration limit) {
-    if (http::steady_now() - fresh_as_of_ < fresh_enough) {
-        co_return;
+asio::awaitable<bool> directory_client::refresh(duration limit) {
+    const instant began = http::steady_now();
+    if (began - fresh_as_of_ < fresh_enough) {
+        co_return true;
     }
     // Who comes while others wait shares their question when it is young enough.
     const auto newest = asked_.find(question_);
@@ -193,6 +194,8 @@
     refreshes_.emplace(question_, timer);
     co_await timer->async_wait(asio::experimental::as_tuple(asio::use_awaitable));
     std::erase_if(refreshes_, [&](const auto& entry) { return entry.second == timer; });
+    // Whoever shared a question had it asked up to that long before.
+    co_return fresh_as_of_ + fresh_enough > began;
 }
 
 void directory_client::send_to(const node_name& address, const messaging::peer_message& message) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -40,7 +40,8 @@
     void learn_map(const turns::store_map& map);
     /// Asks for what is newer, and waits until a node has answered a question asked from now on, or
     /// until the limit. All who wait share one question; one that was answered just now is enough.
-    asio::awaitable<void> refresh(duration limit);
+    /// @return false when no answer came: this node may be behind
+    asio::awaitable<bool> refresh(duration limit);
     /// Sends to a directory node; dropped while it isn't connected.
     void send_to(const node_name& address, const messaging::peer_message& message);
     /// @param handler gets the directory nodes' messages that aren't answers to reports
--- a/src/tallyfold/forwarding/caller_admission_shell.cpp
+++ b/src/tallyfold/forwarding/caller_admission_shell.cpp
@@ -20,25 +20,35 @@
 
 }  // namespace
 
-asio::awaitable<void> request_relay::refresh_table() {
-    co_await context_.directory.refresh(refresh_limit);
+asio::awaitable<bool> request_relay::refresh_table() {
+    const bool confirmed = co_await context_.directory.refresh(refresh_limit);
     table_ = context_.routes;
+    co_return confirmed;
+}
+
+const routing::route* request_relay::known_route() const {
+    const std::string* host = request_.head.headers.find("Host");
+    return table_->find(host != nullptr ? *host : std::string{}, request_.head.path());
 }
 
 asio::awaitable<bool> request_relay::find_route() {
-    const std::string* named = request_.head.headers.find("Host");
-    const std::string host = named != nullptr ? *named : std::string{};
-    route_ = table_->find(host, request_.head.path());
-    if (route_ == nullptr) {
-        co_await refresh_table();
-        route_ = table_->find(host, request_.head.path());
+    route_ = known_route();
+    if (route_ != nullptr) {
+        co_return true;
+    }
+    const bool confirmed = co_await refresh_table();
+    route_ = known_route();
+    if (route_ != nullptr) {
+        co_return true;
     }
-    if (route_ == nullptr) {
-        outcome_ = "no_route";
+    outcome_ = confirmed ? "no_route" : "refused";
+    if (confirmed) {
         co_await answer(404, "no route", come_again::never());
-        co_return false;
+    } else {
+        co_await answer(503, "no route known, and the directory is silent",
+                        come_again::after_recovery());
     }
-    co_return true;
+    co_return false;
 }
 
 asio::awaitable<bool> request_relay::identify_caller() {
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -54,8 +54,11 @@
     asio::awaitable<bool> take_permit();
     /// The permit of a request that has run nowhere goes back.
     void give_back_unused_permit();
-    /// Asks the directory for a newer configuration and takes it over.
-    asio::awaitable<void> refresh_table();
+    /// Asks the directory for a newer configuration and takes it over. @return false when the
+    /// directory is silent: what this node doesn't know may exist all the same
+    asio::awaitable<bool> refresh_table();
+    /// The route by the configuration at hand; null for none.
+    [[nodiscard]] const routing::route* known_route() const;
     asio::awaitable<void> refuse_caller(unsigned status, std::string reason, come_again again,
                                         duration waited);
     [[nodiscard]] tenants::tenant_name tenant_name() const;
