--- a/src/tallyfold/forwarding/caller_admission_shell.cpp
+++ b/src/tallyfold/forwarding/caller_admission_shell.cpp
@@ -68,16 +68,21 @@
         co_return true;
     }
     const instant began = http::steady_now();
-    co_await refresh_table();
+    const bool confirmed = co_await refresh_table();
     if (!co_await find_route()) {
         co_return false;
     }
     tenant_ = table_->keys().find(facts_.credential);
-    if (tenant_ == nullptr && table_->keys().required() && !route_->is_public) {
-        co_await refuse_caller(401, "unknown_key", come_again::never(), http::steady_now() - began);
-        co_return false;
+    if (tenant_ != nullptr || !table_->keys().required() || route_->is_public) {
+        co_return true;
     }
-    co_return true;
+    const duration waited = http::steady_now() - began;
+    if (confirmed) {
+        co_await refuse_caller(401, "unknown_key", come_again::never(), waited);
+    } else {
+        co_await refuse_caller(503, "unconfirmed_key", come_again::after_recovery(), waited);
+    }
+    co_return false;
 }
 
 asio::awaitable<bool> request_relay::take_permit() {
