Refused turns say what the stores said; open changes and leaders without a commit are logged

Cause: the record of an incident couldn't tell stores that don't write from disks that the map doesn't list, nor from a directory that commits nothing; a store that failed to repair its log and a directory that waited said nothing. Change: 3302 and 3304 tell durable and unlisted answers and whether the group is changing; 3304 also program, group and epoch. Stores log why a repair failed, every two seconds at most. New events 2108 store_change_open and 2109 leader_uncommitted at the directory's leader. Ruled out: nothing yet; this is sight only, no decision changed.

--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr duration duty_interval = std::chrono::milliseconds(100);
+/// A change of stores, or a lead without a committed entry, that lasts longer is logged, and again
+/// after each such time.
+constexpr duration hindrance_interval = std::chrono::seconds(2);
 constexpr duration join_interval = std::chrono::milliseconds(300);
 /// A replica that no leader has spoken to for this long asks to be taken in again.
 constexpr duration orphaned_after = std::chrono::milliseconds(2500);
@@ -192,6 +195,9 @@
     if (led_) {
         member_planner_.start(now);
         store_planner_.start(now);
+        leads_since_ = now;
+        changing_since_.reset();
+        next_hindrance_ = now + hindrance_interval;
         event(logging::event_id::leadership_gained,
               "term=" + std::to_string(replica_.term()) +
                   " commit=" + std::to_string(replica_.commit_index()));
@@ -220,6 +226,37 @@
     }
 }
 
+void directory_core::note_hindrances(instant now) {
+    const std::vector<std::string> open = store_planner_.describe_open_changes(state_, now);
+    if (open.empty()) {
+        changing_since_.reset();
+    } else if (!changing_since_.has_value()) {
+        changing_since_ = now;
+        next_hindrance_ = now + hindrance_interval;
+    }
+    if (now < next_hindrance_) {
+        return;
+    }
+    next_hindrance_ = now + hindrance_interval;
+    if (!replica_.has_committed_in_term()) {
+        std::string matched;
+        for (const auto& [id, member] : replica_.members().members) {
+            matched += (matched.empty() ? "" : ",") + std::to_string(replica_.match_index(id));
+        }
+        event(logging::event_id::leader_uncommitted,
+              "term=" + std::to_string(replica_.term()) +
+                  " led_ms=" + std::to_string(to_milliseconds(now - leads_since_)) +
+                  " last=" + std::to_string(replica_.log().last_index()) +
+                  " commit=" + std::to_string(replica_.commit_index()) + " durable=" +
+                  std::to_string(replica_.match_index(identity_)) + " matched=" + matched);
+        return;
+    }
+    for (const std::string& fields : open) {
+        event(logging::event_id::store_change_open,
+              fields + " open_ms=" + std::to_string(to_milliseconds(now - *changing_since_)));
+    }
+}
+
 void directory_core::join(instant now) {
     const bool orphaned = !leads() && now - leader_seen_ > orphaned_after;
     if ((is_member() && !orphaned) || now < next_join_) {
@@ -248,6 +285,9 @@
         if (replica_.has_committed_in_term()) {
             lead(now);
         }
+        if (leads()) {
+            note_hindrances(now);
+        }
     }
 }
 
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -130,6 +130,8 @@
     void apply(const consensus::log_entry& entry);
     void note_leadership(instant now);
     void lead(instant now);
+    /// Logs what keeps this leader from its duties, every now and then.
+    void note_hindrances(instant now);
     void join(instant now);
     void event(logging::event_id id, std::string fields);
     void note_changed_groups(turns::map_epoch since);
@@ -154,6 +156,10 @@
     bool led_ = false;
     instant next_duty_{};
     instant next_join_{};
+    instant leads_since_{};
+    /// Since when changes of groups are open without a pause; nothing while none is.
+    std::optional<instant> changing_since_;
+    instant next_hindrance_{};
     instant leader_seen_{};
     directory_work work_;
     /// The last entry of the write under way, and the snapshot taken with it.
--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -238,6 +238,28 @@
     return change;
 }
 
+std::vector<std::string> store_planner::describe_open_changes(const directory_state& state,
+                                                              instant now) const {
+    std::vector<std::string> lines;
+    for (const store_map& map : state.stores().groups) {
+        if (!map.changing()) {
+            continue;
+        }
+        const auto uncopied = [&](const store_member& member) { return !has_copied(member, map); };
+        const auto silent_too = [&](const store_member& member) {
+            return uncopied(member) && !live(member.id, now);
+        };
+        const auto lost = [&](const store_member& member) { return replaced(member, now); };
+        const auto count = [](const member_list& members, const auto& holds) {
+            return std::to_string(std::count_if(members.begin(), members.end(), holds));
+        };
+        lines.push_back(turns::describe(map) + " uncopied=" + count(map.next, uncopied) +
+                        " silent=" + count(map.next, silent_too) +
+                        " lost=" + count(map.current, lost));
+    }
+    return lines;
+}
+
 bool store_planner::may_retire(const directory_state& state, const node_name& node) const {
     std::set<store_id> left;
     const auto count = [&](const store_member& member) {
--- a/src/tallyfold/directory/store_planner.hpp
+++ b/src/tallyfold/directory/store_planner.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "tallyfold/common/time.hpp"
@@ -52,6 +53,9 @@
     /// Disks of the node's store, in a group or standing by.
     [[nodiscard]] std::vector<turns::store_id> disks_of(const directory_state& state,
                                                         const node_name& node) const;
+    /// Fields of a log line for each group whose change is under way: what it waits for.
+    [[nodiscard]] std::vector<std::string> describe_open_changes(const directory_state& state,
+                                                                 instant now) const;
     /// False while this leader may not have heard every live store yet.
     [[nodiscard]] bool has_listened(instant now) const { return now - started_ >= settings_.live; }
 
--- a/src/tallyfold/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/forwarding/turn_session_shell.cpp
@@ -45,7 +45,7 @@
     const turns::begun_turn begun = co_await context_.turns.begin(std::move(question), limit);
     open_ = true;
     store_time_ = http::steady_now() - started;
-    store_answers_ = begun.store_answers;
+    store_answers_ = begun.answers.answers;
     used_tokens_ = begun.used_tokens;
     store_group_ = begun.group;
     store_epoch_ = begun.epoch;
@@ -73,9 +73,9 @@
         logging::event_id::turn_refused,
         "request=" + facts_.request + " program=" + facts_.program +
             " previous=" + facts_.previous_turn + " budget=" + std::to_string(facts_.budget) +
-            " used=" + std::to_string(begun.used_tokens) + " reserved=" +
-            std::to_string(begun.reserved_tokens) + " most=" + std::to_string(facts_.most_tokens) +
-            " store_answers=" + std::to_string(begun.store_answers) +
+            " used=" + std::to_string(begun.used_tokens) +
+            " reserved=" + std::to_string(begun.reserved_tokens) +
+            " most=" + std::to_string(facts_.most_tokens) + " " + turns::describe(begun.answers) +
             " group=" + std::to_string(begun.group) + " epoch=" + std::to_string(begun.epoch) +
             " result=" + std::to_string(static_cast<int>(begun.result)));
 }
@@ -94,9 +94,6 @@
     const bool settled =
         co_await context_.turns.settle(std::move(ended), std::move(held), started + settle_limit);
     context_.metrics.stored(http::steady_now() - started);
-    if (!settled) {
-        logging::write_event(logging::event_id::turn_unsettled, "request=" + facts_.request);
-    }
     co_return settled;
 }
 
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -35,6 +35,8 @@
     store_map_changed = 2105,
     store_copied = 2106,
     identity_renewed = 2107,
+    store_change_open = 2108,
+    leader_uncommitted = 2109,
     shard_assigned = 2201,
     shard_released = 2202,
     shard_loaded = 2203,
--- a/src/tallyfold/turns/quorum_operations.cpp
+++ b/src/tallyfold/turns/quorum_operations.cpp
@@ -23,8 +23,28 @@
     return left;
 }
 
+answer_count count_answers(const store_map& map, const std::set<store_id>& answered,
+                           const std::set<store_id>& durable) {
+    answer_count count;
+    count.answers = answered.size();
+    count.changing = map.changing();
+    for (const store_id store : answered) {
+        const bool listed = map.holds(store);
+        count.durable += listed && durable.contains(store) ? 1 : 0;
+        count.unlisted += listed ? 0 : 1;
+    }
+    return count;
+}
+
 }  // namespace
 
+std::string describe(const answer_count& count) {
+    return "store_answers=" + std::to_string(count.answers) +
+           " durable=" + std::to_string(count.durable) +
+           " unlisted=" + std::to_string(count.unlisted) +
+           " changing=" + (count.changing ? "yes" : "no");
+}
+
 begin_operation::begin_operation(store_map map, turn_reservation reservation, std::string previous,
                                  token_count budget)
     : map_(std::move(map)),
@@ -108,6 +128,10 @@
     return missing_turn().empty() ? begin_outcome::admitted : begin_outcome::pending;
 }
 
+answer_count begin_operation::answers() const {
+    return count_answers(map_, answered_, durable_);
+}
+
 std::vector<store_member> begin_operation::unanswered() const {
     return members_without(map_, durable_);
 }
@@ -127,16 +151,24 @@
 void settle_operation::use_map(const store_map& map) {
     if (map.epoch > map_.epoch) {
         map_ = map;
+        answered_.clear();
         durable_.clear();
     }
 }
 
 void settle_operation::on_reply(const settle_reply& reply) {
+    if (reply.newer_map.empty()) {
+        answered_.insert(reply.store);
+    }
     if (reply.durable) {
         durable_.insert(reply.store);
     }
 }
 
+answer_count settle_operation::answers() const {
+    return count_answers(map_, answered_, durable_);
+}
+
 bool settle_operation::done() const {
     return write_quorum(map_, durable_);
 }
--- a/src/tallyfold/turns/quorum_operations.hpp
+++ b/src/tallyfold/turns/quorum_operations.hpp
@@ -22,6 +22,20 @@
     unknown_previous,
 };
 
+/// What the stores of a map have answered to one operation, for a log line.
+struct answer_count {
+    std::size_t answers = 0;
+    /// Of these, by members of the map that have made the change durable.
+    std::size_t durable = 0;
+    /// Of these, by disks that the map doesn't list: they don't count towards a majority.
+    std::size_t unlisted = 0;
+    /// A change of the group's members is under way, which asks for two majorities.
+    bool changing = false;
+};
+
+/// The fields of a log line that tell it.
+std::string describe(const answer_count& count);
+
 /// Begins one turn: reserved at a majority of the stores, and judged by their merged answers.
 ///
 /// Two turns of a program that begin at once write to overlapping majorities, so at least one of
@@ -57,7 +71,7 @@
     /// Engines that hold most of the turn's prompt, as the store told that was asked for it.
     [[nodiscard]] const std::vector<scheduling::cached_prefix>& holders() const { return holders_; }
     [[nodiscard]] const store_map& map() const { return map_; }
-    [[nodiscard]] std::size_t answers() const { return answered_.size(); }
+    [[nodiscard]] answer_count answers() const;
 
   private:
     store_map map_;
@@ -82,9 +96,11 @@
     [[nodiscard]] bool done() const;
     [[nodiscard]] std::vector<store_member> unanswered() const;
     [[nodiscard]] const store_map& map() const { return map_; }
+    [[nodiscard]] answer_count answers() const;
 
   private:
     store_map map_;
+    std::set<store_id> answered_;
     std::set<store_id> durable_;
 };
 
--- a/src/tallyfold/turns/turn_beginning.cpp
+++ b/src/tallyfold/turns/turn_beginning.cpp
@@ -185,7 +185,7 @@
     begun_turn begun;
     begun.used_tokens = operation_.used_tokens();
     begun.reserved_tokens = operation_.reserved_tokens();
-    begun.store_answers = operation_.answers();
+    begun.answers = operation_.answers();
     begun.group = group_;
     begun.epoch = operation_.map().epoch;
     begun.holders = operation_.holders();
--- a/src/tallyfold/turns/turn_beginning.hpp
+++ b/src/tallyfold/turns/turn_beginning.hpp
@@ -38,7 +38,8 @@
     token_count used_tokens = 0;
     /// Of these, by turns that have not ended.
     token_count reserved_tokens = 0;
-    std::size_t store_answers = 0;
+    /// What the stores of the program's group have said.
+    answer_count answers;
     group_number group = 0;
     map_epoch epoch = 0;
     /// Engines that hold most of the prompt, as the stores know it.
--- a/src/tallyfold/turns/turn_client_shell.cpp
+++ b/src/tallyfold/turns/turn_client_shell.cpp
@@ -203,6 +203,13 @@
         co_await wait(waiting, std::min(deadline, waiting->schedule.next()));
     }
     operations_.erase(number);
+    if (!operation.done()) {
+        logging::write_event(logging::event_id::turn_unsettled,
+                             "request=" + settlement.request + " program=" + settlement.program +
+                                 " " + describe(operation.answers()) +
+                                 " group=" + std::to_string(group) +
+                                 " epoch=" + std::to_string(operation.map().epoch));
+    }
     co_return operation.done();
 }
 
@@ -212,14 +219,9 @@
         process_.loop(),
         [this, settlement = std::move(settlement)]() mutable -> asio::awaitable<void> {
             const instant deadline = http::steady_now() + background_limit;
-            const std::string request = settlement.request;
             held_prompt held_nowhere;
-            const bool done =
-                co_await settle(std::move(settlement), std::move(held_nowhere), deadline);
+            co_await settle(std::move(settlement), std::move(held_nowhere), deadline);
             --settling_;
-            if (!done) {
-                logging::write_event(logging::event_id::turn_unsettled, "request=" + request);
-            }
         },
         asio::detached);
 }
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -23,6 +23,8 @@
 /// Kept beyond the retention, for clocks that run apart and turns under way.
 constexpr duration expiry_margin = std::chrono::seconds(15);
 constexpr duration repair_interval = std::chrono::milliseconds(500);
+/// A disk that goes on refusing is told this often.
+constexpr duration failure_log_interval = std::chrono::seconds(2);
 constexpr duration copy_check_interval = std::chrono::milliseconds(100);
 /// Changes that one record of a new segment holds, about.
 constexpr std::size_t segment_page_bytes = 64U << 10U;
@@ -49,7 +51,9 @@
     void gather(int turns_left);
     void write_waiting();
     bool make_durable(const store_write& write);
+    /// @return false when the disk refused, which is logged
     bool begin_segment();
+    void note_failure(const storage::storage_error& error);
     void repair();
     void use_stores(const store_table& stores);
     void copy_more();
@@ -72,6 +76,7 @@
     bool copying_ = false;
     copy_watch copy_watch_;
     bool ask_next_ = false;
+    instant failure_logged_{};
     prometheus::Counter& changes_;
     prometheus::Counter& syncs_;
     prometheus::Counter& failures_;
@@ -193,8 +198,8 @@
     const std::vector<addressed_reply> replies = store_->written(durable, http::steady_now());
     answer(replies);
     bytes_.Set(static_cast<double>(store_->book().bytes()));
-    if (durable && log_->wants_rotation() && !begin_segment()) {
-        failures_.Increment();
+    if (durable && log_->wants_rotation()) {
+        begin_segment();
     }
     if (!store_->has_work()) {
         // Whoever has no reply by now gets none.
@@ -227,19 +232,31 @@
         written = log_->append(write.changes);
     }
     if (!written) {
-        failures_.Increment();
-        logging::write_event(logging::event_id::storage_failed,
-                             "reason=\"" + written.error().detail + "\"");
+        note_failure(written.error());
     }
     return written.has_value();
 }
 
+void store_node::note_failure(const storage::storage_error& error) {
+    failures_.Increment();
+    const instant now = http::steady_now();
+    if (now - failure_logged_ < failure_log_interval) {
+        return;
+    }
+    failure_logged_ = now;
+    logging::write_event(logging::event_id::storage_failed, "reason=\"" + error.detail + "\"");
+}
+
 bool store_node::begin_segment() {
     const turn_book& book = store_->book();
     const auto pages = [&book](const std::string& from, std::string& next) {
         return book.missing_from({}, from, segment_page_bytes, next);
     };
-    return log_->rotate(pages).has_value();
+    const auto rotated = log_->rotate(pages);
+    if (!rotated) {
+        note_failure(rotated.error());
+    }
+    return rotated.has_value();
 }
 
 void store_node::repair() {
