Tests that fail: a group that lost a majority of its disks, one after the other, never serves again

Cause: see the head of the test. The simulation lost a disk only once its group was whole again, so this never came up. It found a second fault: disks that are gone count as stores that would remain when one is to be emptied.

--- a/tests/directory/store_planner_test.cpp
+++ b/tests/directory/store_planner_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(a_change_whose_new_member_died_is_planned_again);
     CPPUNIT_TEST(a_retired_store_leaves_and_does_not_return);
     CPPUNIT_TEST(a_store_is_not_retired_when_too_few_would_remain);
+    CPPUNIT_TEST(a_lost_disk_is_not_counted_as_a_store_that_would_remain);
     CPPUNIT_TEST(no_store_is_retired_below_a_group_before_there_are_groups);
     CPPUNIT_TEST(a_silent_store_is_left_out_while_enough_remain);
     CPPUNIT_TEST(many_stores_form_groups_spread_over_zones);
@@ -155,6 +156,22 @@
         CPPUNIT_ASSERT(!planner.may_retire(state, "1"));
     }
 
+    // Symptom: with three stores, an order to empty one was taken, and the group went on with two.
+    // Sequence: a store lost its disk and came back with a new one while the same leader led.
+    // Cause: the leader counted the disk that was gone beside the new one, so four seemed to be
+    // there. Settled by: the simulation, which emptied one of three machines as soon as a disk was
+    // lost.
+    void a_lost_disk_is_not_counted_as_a_store_that_would_remain() {
+        store_planner planner({});
+        planner.start(at(0));
+        for (const store_member& store : three()) {
+            report(planner, store, at(100));
+        }
+        report(planner, member(30, "3"), at(3000));
+        const std::vector<store_member> now_current{three()[0], three()[1], member(30, "3")};
+        CPPUNIT_ASSERT(!planner.may_retire(with_map(now_current), "1"));
+    }
+
     void no_store_is_retired_below_a_group_before_there_are_groups() {
         store_planner planner({});
         planner.start(at(0));
--- a/tests/turns/store_simulation_test.cpp
+++ b/tests/turns/store_simulation_test.cpp
@@ -27,13 +27,24 @@
     denied_turn,
 };
 
+/// When a machine may lose its disk.
+enum class disk_losses : std::uint8_t {
+    /// Once the group that lost the one before is whole again.
+    one_at_a_time,
+    /// At any time, also while a change is open, as long as each acknowledged turn and each
+    /// admitted
+    /// request stays on the disk of another machine. All power is lost at times as well.
+    in_series,
+};
+
 /// Stores with disks, a forwarder and the planner of the groups, on a network that delays, reorders
 /// and loses messages at the choice of a seed. Machines crash, lose their disks one at a time, and
 /// are emptied and taken away. Programs go on with their own turns and with those of others.
 class store_world {
   public:
-    store_world(std::uint64_t seed, std::size_t machine_count, put_back fault = put_back::nothing)
-        : random_(seed), fault_(fault), planner_(planner_settings()) {
+    store_world(std::uint64_t seed, std::size_t machine_count, put_back fault = put_back::nothing,
+                disk_losses losses = disk_losses::one_at_a_time)
+        : random_(seed), fault_(fault), losses_(losses), planner_(planner_settings()) {
         for (std::size_t number = 0; number < machine_count; ++number) {
             machines_.emplace_back();
             wipe_disk(number);
@@ -55,6 +66,32 @@
         settle_down();
     }
 
+    /// A disk is lost, its successor copies all that there is, and before the directory hears of it
+    /// all power is lost together with a second disk.
+    void lose_a_second_disk_while_a_change_is_open() {
+        machines_[0].store.reset();
+        wipe_disk(0);
+        start(0);
+        now_ += std::chrono::seconds(2);
+        report_all();
+        plan();
+        const std::size_t open = static_cast<std::size_t>(
+            std::count_if(state_.stores().groups.begin(), state_.stores().groups.end(),
+                          [](const store_map& map) { return map.changing(); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, open);
+        for (int round = 0; round < 60; ++round) {
+            exchange();
+        }
+        CPPUNIT_ASSERT_EQUAL(state_.stores().epoch, machines_[0].store->copied_epoch());
+        lose_power();
+        wipe_disk(2);
+        planner_.start(now_);
+        settle_down();
+    }
+
+    /// True when a program that is new begins its first turn.
+    bool serves_new_programs() { return continues({}, "new-program"); }
+
     /// Turns that were settled and can't be continued any more, by their own program or another.
     std::vector<std::string> lost_turns() {
         std::vector<std::string> lost;
@@ -72,6 +109,9 @@
     [[nodiscard]] std::size_t settled() const { return settled_.size(); }
     [[nodiscard]] int wipes() const { return wipes_; }
     [[nodiscard]] int crashes() const { return crashes_; }
+    [[nodiscard]] int power_losses() const { return power_losses_; }
+    /// Disks that were lost while a change was open.
+    [[nodiscard]] int wipes_in_change() const { return wipes_in_change_; }
     [[nodiscard]] int retired() const { return retired_; }
     [[nodiscard]] int adopted() const { return adopted_; }
     /// Beginnings that were told that a settled turn doesn't exist.
@@ -270,6 +310,7 @@
             return;
         }
         ++admitted_[ended.program];
+        admitted_requests_.insert(request);
         turn_settlement settlement{ended.program,
                                    request,
                                    1,
@@ -370,7 +411,71 @@
         return true;
     }
 
+    /// Requests whose reservation or settlement a machine's disk holds.
+    [[nodiscard]] std::set<std::string> requests_on(std::size_t number) const {
+        std::set<std::string> requests;
+        for (const book_change& change : machines_[number].disk) {
+            std::visit([&](const auto& body) { requests.insert(body.request); }, change);
+        }
+        return requests;
+    }
+
+    [[nodiscard]] std::set<std::string> turns_on(std::size_t number) const {
+        std::set<std::string> turns;
+        for (const book_change& change : machines_[number].disk) {
+            const auto* settlement = std::get_if<turn_settlement>(&change);
+            if (settlement != nullptr && settlement->record.has_value()) {
+                turns.insert(settlement->request);
+            }
+        }
+        return turns;
+    }
+
+    /// True when all that was acknowledged is on another machine's disk too.
+    [[nodiscard]] bool outlives(std::size_t number) const {
+        std::set<std::string> requests;
+        std::set<std::string> turns;
+        for (std::size_t other = 0; other < machines_.size(); ++other) {
+            if (other != number) {
+                requests.merge(requests_on(other));
+                turns.merge(turns_on(other));
+            }
+        }
+        return std::includes(requests.begin(), requests.end(), admitted_requests_.begin(),
+                             admitted_requests_.end()) &&
+               std::all_of(settled_.begin(), settled_.end(),
+                           [&](const auto& entry) { return turns.contains(entry.first); });
+    }
+
+    void lose_power() {
+        ++power_losses_;
+        for (machine& dark : machines_) {
+            dark.store.reset();
+        }
+    }
+
+    void lose_disks_in_series() {
+        const std::size_t number = random_.below(machines_.size());
+        if (random_.chance(0.1)) {
+            lose_power();
+        }
+        if (random_.chance(0.1)) {
+            planner_.start(now_);
+        }
+        machines_[number].store.reset();
+        if (!outlives(number)) {
+            return;
+        }
+        ++wipes_;
+        wipes_in_change_ += whole() ? 0 : 1;
+        wipe_disk(number);
+    }
+
     void lose_a_machine() {
+        if (losses_ == disk_losses::in_series) {
+            lose_disks_in_series();
+            return;
+        }
         const std::size_t number = random_.below(machines_.size());
         if (!whole() || machines_[number].taken_away || random_.chance(0.3)) {
             return;
@@ -459,6 +564,29 @@
         }
     }
 
+    /// All stores learn the table and copy, and all messages arrive; the directory plans nothing.
+    void exchange() {
+        now_ += std::chrono::milliseconds(20);
+        for (std::size_t number = 0; number < machines_.size(); ++number) {
+            if (machines_[number].taken_away) {
+                continue;
+            }
+            if (!machines_[number].store) {
+                start(number);
+            }
+            machines_[number].store->learn_table(state_.stores());
+            copy_more(number);
+        }
+        while (!network_.empty()) {
+            const std::function<void()> message = std::move(network_.back());
+            network_.pop_back();
+            message();
+        }
+        for (std::size_t number = 0; number < machines_.size(); ++number) {
+            flush(number);
+        }
+    }
+
     /// Lets what is under way end, without further losses.
     void settle_down() {
         // What is still on its way must not make up for what the stores lack.
@@ -466,27 +594,9 @@
         beginnings_.clear();
         settlings_.clear();
         for (int round = 0; round < 400; ++round) {
-            now_ += std::chrono::milliseconds(20);
-            for (std::size_t number = 0; number < machines_.size(); ++number) {
-                if (machines_[number].taken_away) {
-                    continue;
-                }
-                if (!machines_[number].store) {
-                    start(number);
-                }
-                report(number);
-                machines_[number].store->learn_table(state_.stores());
-                copy_more(number);
-            }
+            exchange();
+            report_all();
             plan();
-            while (!network_.empty()) {
-                const std::function<void()> message = std::move(network_.back());
-                network_.pop_back();
-                message();
-            }
-            for (std::size_t number = 0; number < machines_.size(); ++number) {
-                flush(number);
-            }
         }
     }
 
@@ -535,6 +645,7 @@
 
     random_source random_;
     put_back fault_;
+    disk_losses losses_;
     instant now_{};
     std::vector<machine> machines_;
     store_id last_identity_ = 100;
@@ -543,6 +654,8 @@
     int last_turn_ = 0;
     int wipes_ = 0;
     int crashes_ = 0;
+    int power_losses_ = 0;
+    int wipes_in_change_ = 0;
     int retired_ = 0;
     int adopted_ = 0;
     int refused_ = 0;
@@ -558,6 +671,7 @@
     /// Program of each turn that was answered whole.
     std::map<std::string, std::string> settled_;
     std::map<std::string, token_count> admitted_;
+    std::set<std::string> admitted_requests_;
 };
 
 }  // namespace
@@ -566,6 +680,8 @@
     CPPUNIT_TEST_SUITE(store_simulation_test);
     CPPUNIT_TEST(nothing_is_lost_by_wipes_in_one_group);
     CPPUNIT_TEST(nothing_is_lost_by_wipes_and_moves_over_several_groups);
+    CPPUNIT_TEST(turns_are_served_after_a_second_disk_was_lost_while_a_change_was_open);
+    CPPUNIT_TEST(nothing_is_lost_by_disks_lost_in_series);
     CPPUNIT_TEST(the_checks_notice_a_doubled_budget);
     CPPUNIT_TEST(the_checks_notice_a_turn_told_as_unknown);
     CPPUNIT_TEST(the_checks_notice_a_store_that_joins_without_copying);
@@ -578,25 +694,32 @@
         int adopted = 0;
         int refused = 0;
         int broken = 0;
+        int power_losses = 0;
+        int wipes_in_change = 0;
         std::size_t settled = 0;
         std::string first_broken;
     };
 
-    static totals run(std::size_t machines, std::uint64_t seeds, put_back fault) {
+    static totals run(std::size_t machines, std::uint64_t seeds, put_back fault,
+                      disk_losses losses = disk_losses::one_at_a_time) {
         totals sum;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            store_world world(seed, machines, fault);
+            store_world world(seed, machines, fault, losses);
             world.run(6000);
+            const bool serves = world.serves_new_programs();
             const std::vector<std::string> lost = world.lost_turns();
+            sum.power_losses += world.power_losses();
+            sum.wipes_in_change += world.wipes_in_change();
             sum.wipes += world.wipes();
             sum.crashes += world.crashes();
             sum.retired += world.retired();
             sum.adopted += world.adopted();
             sum.refused += world.refused();
             sum.settled += world.settled();
-            if (!lost.empty() || world.false_unknowns() > 0 || world.overdrawn() > 0) {
+            if (!serves || !lost.empty() || world.false_unknowns() > 0 || world.overdrawn() > 0) {
                 ++sum.broken;
-                sum.first_broken = "seed " + std::to_string(seed) + " lost " +
+                sum.first_broken = "seed " + std::to_string(seed) +
+                                   (serves ? " serves" : " serves nothing") + ", lost " +
                                    std::to_string(lost.size()) + ", told unknown " +
                                    std::to_string(world.false_unknowns()) + ", overdrawn " +
                                    std::to_string(world.overdrawn());
@@ -625,6 +748,37 @@
         CPPUNIT_ASSERT(sum.settled > 5'000);
     }
 
+    // Symptom: after all machines had lost power, turns were refused for good, though each store
+    // answered and wrote: turn_refused with store_answers=3 and durable=3 or less, turn_unsettled.
+    // Sequence: a disk was lost; the change of the group to its successor stayed open over restarts
+    // that came in a row; all power was lost, and a second disk with it.
+    // Cause: a change ends only after copies from a majority of the members of before, and turns
+    // need a majority of them while it is open. Two of three were gone for good, so neither could
+    // ever happen, although the stores that were left held everything.
+    // Settled by: store_map_changed epoch=8 stores=3 next=3 as the last line of its kind at all
+    // nodes for five minutes, and storage_opened with turns=310 programs=217 at all three stores;
+    // the lists named two disks that had been lost.
+    void turns_are_served_after_a_second_disk_was_lost_while_a_change_was_open() {
+        store_world world(1, 3);
+        world.run(1500);
+        CPPUNIT_ASSERT(world.settled() > 10);
+        world.lose_a_second_disk_while_a_change_is_open();
+        CPPUNIT_ASSERT(world.serves_new_programs());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.lost_turns().size());
+    }
+
+    void nothing_is_lost_by_disks_lost_in_series() {
+        const totals one_group = run(3, 60, put_back::nothing, disk_losses::in_series);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(one_group.first_broken, 0, one_group.broken);
+        CPPUNIT_ASSERT(one_group.wipes_in_change > 100);
+        CPPUNIT_ASSERT(one_group.power_losses > 60);
+        CPPUNIT_ASSERT(one_group.settled > 1'000);
+        const totals groups = run(13, 40, put_back::nothing, disk_losses::in_series);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(groups.first_broken, 0, groups.broken);
+        CPPUNIT_ASSERT(groups.wipes_in_change > 100);
+        CPPUNIT_ASSERT(groups.settled > 1'000);
+    }
+
     void the_checks_notice_a_doubled_budget() {
         CPPUNIT_ASSERT(run(13, 5, put_back::blind_ledger).broken > 0);
     }
