--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -9,6 +9,11 @@
 #: A read that was sent this long after an acknowledgement must show that version, in seconds.
 CONFIGURATION_BOUND = 2.0
 
+#: Service is back this long after the machines are, in seconds.
+RECOVERY_SECONDS = 12.0
+#: Of what is asked from then on, at least this share is served.
+SERVED_SHARE = 0.9
+
 
 def runs_by_request(history):
     """Runs of each request, in order."""
@@ -133,6 +138,24 @@
     return len(history.endings), wrong
 
 
+def service_returns(history):
+    """Once the machines are back for the bound, turns and calls are served again."""
+    wrong = []
+    checked = 0
+    if history.returned is None:
+        return 0, wrong
+    for kind in ("turn", "repeatable", "once"):
+        asked = [attempt for attempt in history.attempts
+                 if attempt.kind == kind and attempt.tenant and not attempt.foreign
+                 and attempt.sent >= history.returned + RECOVERY_SECONDS
+                 and attempt.status not in (402, 429)]
+        served = sum(attempt.status == 200 and attempt.whole for attempt in asked)
+        checked += len(asked)
+        if served < SERVED_SHARE * len(asked):
+            wrong.append(f"{kind}: {served} of {len(asked)} served")
+    return checked, wrong
+
+
 def keys_stay_inside(history):
     """A back end is told the tenant that the key belongs to, and never the key."""
     sent = {attempt.request: attempt for attempt in history.attempts}
@@ -192,7 +215,7 @@
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
-          proper_keys_are_let_in, others_turns_are_unknown, limits_hold]
+          proper_keys_are_let_in, others_turns_are_unknown, limits_hold, service_returns]
 
 
 def check_all(history):
--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -1,6 +1,7 @@
 """The real programs as separate processes, each behind a relay of its own."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import resource
@@ -13,10 +14,24 @@
 
 DIRECTORY_PORT, STORE_PORT, OPERATORS_PORT = 7601, 7602, 7603
 CALLERS_PORT, READINESS_PORT, LIST_PORT = 7604, 7605, 7609
-LIST_ADDRESS = ("127.0.7.99", LIST_PORT)
 GRACE_SECONDS = 8
 
 
+class Addresses:
+    """Loopback addresses of one cluster: clusters with other numbers run beside it."""
+
+    def __init__(self, number):
+        self.number = number
+
+    def own(self, last):
+        """Where a process itself listens."""
+        return f"127.{self.number}.7.{last}"
+
+    def relayed(self, last):
+        """Where others reach it, through its relay."""
+        return f"127.{self.number}.8.{last}"
+
+
 class Node:
     """One process. It listens at its own address; others reach it through its relay."""
 
@@ -24,11 +39,12 @@
         self.cluster = cluster
         self.program = program
         self.name = f"{program}-{number}"
-        self.own = f"127.0.7.{last}"
-        self.relayed = f"127.0.8.{last}"
+        self.own = cluster.addresses.own(last)
+        self.relayed = cluster.addresses.relayed(last)
         self.folder = cluster.work / self.name
         self.process = None
         self.asked = False
+        self.starting = asyncio.Lock()
         port = DIRECTORY_PORT if program == "directory" else STORE_PORT
         self.link = Link(self.name, (self.relayed, port), (self.own, port))
         #: What to prepend to a log's name when it was kept.
@@ -51,13 +67,20 @@
             f'callers_address = "{self.own}:{CALLERS_PORT}"\n'
             f'readiness_address = "{self.own}:{READINESS_PORT}"\n'
             f'operators_address = "{self.own}:{OPERATORS_PORT}"\n'
-            f'backend_list_address = "{LIST_ADDRESS[0]}:{LIST_PORT}"\n'
+            f'backend_list_address = "{self.cluster.addresses.own(99)}:{LIST_PORT}"\n'
             f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n"
             f"quota_window_seconds = {QUOTA_WINDOW}\nquota_overshoot = {QUOTA_OVERSHOOT}\n"
             f"quota_slack = {QUOTA_SLACK}\n")
         return path
 
     async def start(self):
+        """Starts it unless it runs; while all power is off, waits until it is back."""
+        async with self.starting:
+            await self.cluster.power.wait()
+            if not self.running:
+                await self._start()
+
+    async def _start(self):
         settings = self.write_settings()
         self.starts += 1
         self.asked = False
@@ -75,12 +98,14 @@
 
     def send(self, number):
         if self.running:
-            os.kill(self.process.pid, number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, number)
 
     async def kill(self):
         self.asked = True
         self.send(signal.SIGKILL)
-        await self.process.wait()
+        if self.process is not None:
+            await self.process.wait()
 
     async def stop(self):
         """SIGTERM, and SIGKILL after the grace, which is then a violation."""
@@ -113,11 +138,15 @@
 class Cluster:
     """Three directory nodes, three stores, three forwarders."""
 
-    def __init__(self, history, clock, build, work):
+    def __init__(self, history, clock, build, work, addresses):
+        self.addresses = addresses
         self.history = history
         self.clock = clock
         self.build = pathlib.Path(build)
         self.work = pathlib.Path(work)
+        #: Cleared while every machine is dark.
+        self.power = asyncio.Event()
+        self.power.set()
         self.nodes = []
         for program, first in (("directory", 1), ("turn-store", 11), ("forwarder", 21)):
             self.nodes += [Node(self, program, number, first + number) for number in range(3)]
@@ -131,6 +160,29 @@
                 await node.link.start()
             await node.start()
 
+    async def lose_power(self, lost_disks, dark_seconds, generator):
+        """Ends every process at once, empties the disks of some, and starts all again."""
+        self.power.clear()
+        for node in self.nodes:
+            node.asked = True
+            node.send(signal.SIGKILL)
+        await asyncio.gather(*(node.kill() for node in self.nodes))
+        for node in self.nodes:
+            node.link.heal()
+            if node in lost_disks:
+                node.wipe()
+            elif node.program == "turn-store":
+                node.tear_tail(generator)
+        await asyncio.sleep(dark_seconds)
+        self.power.set()
+        await asyncio.gather(*(self._start_late(node, generator.uniform(0, 0.3))
+                               for node in self.nodes))
+
+    @staticmethod
+    async def _start_late(node, delay):
+        await asyncio.sleep(delay)
+        await node.start()
+
     async def stop(self):
         """Ends what this cluster started."""
         for node in self.nodes:
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -6,8 +6,9 @@
 import signal
 from collections import Counter
 
-#: Seconds between two lost disks: a store that lost its disk has to copy first.
-WIPE_GAP = 8.0
+#: A lost disk counts as lost until this many seconds after its machine's return: by then the new
+#: one has to hold what the old one held, whatever else struck meanwhile.
+CATCH_UP_SECONDS = 4.4
 
 
 class Faults:
@@ -21,12 +22,15 @@
         self.injected = Counter()
         self.log = []
         self.busy = set()
-        self.last_wipe = -WIPE_GAP
+        #: When the machine whose disk was lost last came back; None while it is away.
+        self.wiped_back = -CATCH_UP_SECONDS
         self.stopping = False
-        self.kinds = [self.kill, self.pause, self.stop, self.wipe, self.torn_kill, self.cut,
+        #: Seconds between two faults, at least and at most.
+        self.pauses = (0.2, 1.5)
+        self.kinds = [self.kill, self.pause, self.slow, self.stop, self.wipe, self.torn_kill, self.cut,
                       self.cut_one_way, self.reset_link, self.delay_link, self.full_disk,
                       self.backend_crash, self.backend_sick, self.backend_leave,
-                      self.kill_all_of_a_kind]
+                      self.kill_all_of_a_kind, self.power_now_and_then]
 
     def note(self, kind, what):
         self.injected[kind] += 1
@@ -65,6 +69,17 @@
             node.send(signal.SIGCONT)
         await self.on_node("pause", ("directory", "turn-store", "forwarder"), work)
 
+    async def slow(self):
+        """A machine with a fifth of its processor, or less."""
+        async def work(node):
+            until = self.clock() + self.random.uniform(1.0, 6.0)
+            while self.clock() < until:
+                node.send(signal.SIGSTOP)
+                await self.pause_between(0.03, 0.15)
+                node.send(signal.SIGCONT)
+                await asyncio.sleep(0.02)
+        await self.on_node("slow", ("directory", "turn-store", "forwarder"), work)
+
     async def stop(self):
         async def work(node):
             await node.stop()
@@ -73,17 +88,46 @@
         await self.on_node("stop", ("directory", "turn-store", "forwarder"), work)
 
     async def wipe(self):
-        if self.clock() - self.last_wipe < WIPE_GAP:
+        if not self.may_lose_a_disk():
             return
-        self.last_wipe = self.clock()
 
         async def work(node):
+            self.wiped_back = None
             await node.kill()
             node.wipe()
             await self.pause_between(0.1, 1.0)
             await node.start()
+            self.wiped_back = self.clock()
         await self.on_node("wipe", ("directory", "turn-store"), work)
 
+    def may_lose_a_disk(self):
+        back = self.wiped_back
+        return back is not None and self.clock() - back >= CATCH_UP_SECONDS
+
+    async def lose_all_power(self):
+        """Strikes all machines at once, whatever else is under way, with or without a lost disk."""
+        if not self.cluster.power.is_set():
+            return
+        lost = []
+        kind = self.random.choice(["power", "store", "store", "directory"])
+        if kind != "power" and self.may_lose_a_disk():
+            program = "turn-store" if kind == "store" else "directory"
+            lost = [self.random.choice(self.cluster.of(program))]
+            self.wiped_back = None
+        self.note("lose_all_power", " ".join(node.name for node in lost) or "no disk")
+        await self.cluster.lose_power(lost, self.random.uniform(0.3, 2.0), self.random)
+        if lost:
+            self.wiped_back = self.clock()
+
+    async def close(self):
+        """The last fault of a run."""
+        self.stopping = True
+        await self.lose_all_power()
+
+    async def power_now_and_then(self):
+        if self.random.random() < 0.3:
+            await self.lose_all_power()
+
     async def torn_kill(self):
         async def work(node):
             await node.kill()
@@ -187,5 +231,5 @@
             task = asyncio.ensure_future(self.random.choice(self.kinds)())
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await self.pause_between(0.2, 1.5)
+            await self.pause_between(*self.pauses)
         await asyncio.gather(*tasks)
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -94,5 +94,7 @@
     endings: list = field(default_factory=list)
     #: Turns that were asked to go on after all faults had ended: (turn, status of the last try).
     continued: list = field(default_factory=list)
+    #: When all machines were back after the last fault; None when there was none.
+    returned: float | None = None
     #: Version that was read back at the end; None when nothing came.
     read_back: int | None = None
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -18,12 +18,11 @@
 from . import checks
 from .backends import Backend, BackendList
 from .callers import Caller, Operator
-from .cluster import CALLERS_PORT, LIST_ADDRESS, OPERATORS_PORT, Cluster
+from .cluster import CALLERS_PORT, LIST_PORT, OPERATORS_PORT, Addresses, Cluster
 from .faults import Faults
 from .history import History
 from .tenants import TENANTS, KeyRing
 
-CALLERS = 9
 ENGINES, APPS = 4, 4
 #: Lines of turns that are asked to go on at the end.
 CONTINUED = 60
@@ -38,16 +37,17 @@
 
     draw = random.Random(options.seed)
     history = History()
-    cluster = Cluster(history, clock, options.build, work)
+    addresses = Addresses(options.network)
+    cluster = Cluster(history, clock, options.build, work, addresses)
     backends = [Backend(history, clock, f"engine-{number}", "engines",
-                        (f"127.0.7.{41 + number}", 7700), True, draw.random())
+                        (addresses.own(41 + number), 7700), True, draw.random())
                 for number in range(ENGINES)]
     backends += [Backend(history, clock, f"app-{number}", "apps",
-                         (f"127.0.7.{51 + number}", 7700), False, draw.random())
+                         (addresses.own(51 + number), 7700), False, draw.random())
                  for number in range(APPS)]
     for backend in backends:
         await backend.start()
-    await BackendList(backends, LIST_ADDRESS).start()
+    await BackendList(backends, (addresses.own(99), LIST_PORT)).start()
     await cluster.start()
     keys = KeyRing(clock, draw.random())
     operators = [(node.own, OPERATORS_PORT) for node in cluster.of("directory")]
@@ -57,17 +57,21 @@
     forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
     names = list(TENANTS)
     callers = [Caller(history, clock, forwarders, draw.random(), names[number % len(names)], keys)
-               for number in range(CALLERS)]
+               for number in range(options.callers)]
     for caller in callers:
         caller.strangers = [other for other in callers if other.tenant != caller.tenant]
     faults = Faults(cluster, backends, clock, draw.random())
+    faults.pauses = (options.fault_gap / 8, options.fault_gap)
+    if options.kinds:
+        faults.kinds = [getattr(faults, kind) for kind in options.kinds.split(",")]
     work_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     work_tasks.append(asyncio.ensure_future(operator.run()))
     fault_task = asyncio.ensure_future(faults.run())
     await asyncio.sleep(options.seconds)
-    faults.stopping = True
+    await faults.close()
     await fault_task
-    await asyncio.sleep(SETTLE_SECONDS)
+    history.returned = clock()
+    await asyncio.sleep(checks.RECOVERY_SECONDS + SETTLE_SECONDS)
     for worker in (*callers, operator):
         worker.stopping = True
     await asyncio.gather(*work_tasks)
@@ -108,6 +112,12 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 32))
     parser.add_argument("--build", default="build")
+    parser.add_argument("--callers", type=int, default=9)
+    parser.add_argument("--fault-gap", type=float, default=1.5,
+                        help="seconds between two faults at most; faults last longer and overlap")
+    parser.add_argument("--kinds", default="", help="kinds of faults, by comma; all when empty")
+    parser.add_argument("--network", type=int, default=0,
+                        help="second number of the loopback addresses; runs at once need others")
     parser.add_argument("--keep", default="", help="folder for the logs, kept in any case")
     options = parser.parse_args()
     work = pathlib.Path(tempfile.mkdtemp(prefix="tallyfold-soak-"))
