Stores that would remain are counted by machine, not by disk

Cause: a leader remembers the disks it has heard of, also those that were lost meanwhile; may_retire counted each, so with three stores one could be emptied after another had lost its disk. Change: machines are counted; one with an emptied disk doesn't count. Ruled out: leaving out silent stores, since a leader that is new has heard none. Test store_planner_test::a_lost_disk_is_not_counted_as_a_store_that_would_remain failed before, passes now.

--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -261,17 +261,21 @@
 }
 
 bool store_planner::may_retire(const directory_state& state, const node_name& node) const {
-    std::set<store_id> left;
+    // Machines are counted: one that lost a disk would count twice by its disks.
+    std::set<node_name> left;
+    std::set<node_name> emptied;
     const auto count = [&](const store_member& member) {
-        if (member.node != node && !state.retired().contains(member.id)) {
-            left.insert(member.id);
-        }
+        (state.retired().contains(member.id) ? emptied : left).insert(member.node);
     };
     const member_list members = state.stores().all();
     std::for_each(members.begin(), members.end(), count);
     for (const auto& [id, entry] : stores_) {
         count(entry.report.member);
     }
+    left.erase(node);
+    for (const node_name& gone : emptied) {
+        left.erase(gone);
+    }
     // Before the groups are formed, one of them has to be possible: an order taken then would leave
     // the system without any.
     const std::size_t groups = std::max<std::size_t>(1, state.stores().groups.size());
