A group that lost a majority of its disks goes on from what survives

Cause: a change of a group's members ends only after copies from a majority of the members of before, and turns need a majority of them while it is open. When two of three disks were lost one after the other while a change was open, neither could ever happen again: an open change had no way out, although the stores that were left held everything. Class: progress that depends on parties that can't come back, with nobody deciding so. Change: the directory's leader tells disks that are gone (their machine reports another one, or an operator emptied it) from silent ones. Once no majority of a group's members is left, it plans a change from all disks that survive, marked after_loss: until it ends, all of them count in place of a majority and copies come from all, so nothing that is on any disk is left out. A turn that no store holds gets 503 instead of 404 until lost turns would have expired. A change no longer waits for members that stay and are away, once every majority of the new members has a whole copy. Weighed: counting silent disks as gone (a cut would split the group); waiting for an operator (service rests meanwhile, though the facts are known); 404 for what can't be found (untrue). Open: the epoch, identity and flag of maps on disk carry no format version.

--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr duration duty_interval = std::chrono::milliseconds(100);
+/// How much longer than their time stores keep turns: after a restart their time starts anew, and
+/// clocks run apart.
+constexpr duration retention_margin = std::chrono::seconds(15);
 /// A change of stores, or a lead without a committed entry, that lasts longer is logged, and again
 /// after each such time.
 constexpr duration hindrance_interval = std::chrono::seconds(2);
@@ -207,6 +210,14 @@
     }
 }
 
+duration directory_core::longest_retention() const {
+    double seconds = 0;
+    for (const routing::route& route : state_.configuration().routes) {
+        seconds = std::max(seconds, route.retention_seconds);
+    }
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 void directory_core::lead(instant now) {
     if (const auto members = member_planner_.plan(view_of(replica_), identity_, now)) {
         if (replica_.propose_membership(*members)) {
@@ -221,6 +232,7 @@
     if (waiting) {
         return;
     }
+    store_planner_.watch_losses(state_, longest_retention() + retention_margin, now);
     if (auto change = store_planner_.plan(state_, now)) {
         submit(0, std::move(*change));
     }
@@ -323,6 +335,9 @@
     for (const turns::store_map& map : state_.stores().groups) {
         if (map.epoch > since) {
             event(logging::event_id::store_map_changed, turns::describe(map));
+            if (map.after_loss && map.changing()) {
+                event(logging::event_id::store_majority_lost, turns::describe(map));
+            }
         }
     }
 }
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -130,6 +130,8 @@
     void apply(const consensus::log_entry& entry);
     void note_leadership(instant now);
     void lead(instant now);
+    /// Of the turns of all routes.
+    [[nodiscard]] duration longest_retention() const;
     /// Logs what keeps this leader from its duties, every now and then.
     void note_hindrances(instant now);
     void join(instant now);
--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -65,12 +65,25 @@
 void store_planner::start(instant now) {
     started_ = now;
     stores_.clear();
+    doubted_since_.clear();
 }
 
 void store_planner::on_report(const store_report& report, instant now) {
     stores_[report.member.id] = {report, now};
 }
 
+void store_planner::watch_losses(const directory_state& state, duration doubt, instant now) {
+    settings_.doubt = doubt;
+    std::map<turns::map_epoch, instant> doubted;
+    for (const store_map& map : state.stores().groups) {
+        if (map.after_loss && !map.changing()) {
+            const auto known = doubted_since_.find(map.epoch);
+            doubted[map.epoch] = known == doubted_since_.end() ? now : known->second;
+        }
+    }
+    doubted_since_ = std::move(doubted);
+}
+
 bool store_planner::live(store_id id, instant now) const {
     const auto found = stores_.find(id);
     return found != stores_.end() && now - found->second.heard <= settings_.live;
@@ -150,8 +163,8 @@
 std::optional<store_map> store_planner::finish(const directory_state& state, const store_map& map,
                                                instant now) const {
     const auto copied = [&](const store_member& member) { return has_copied(member, map); };
-    if (std::all_of(map.next.begin(), map.next.end(), copied)) {
-        return store_map{0, map.next, {}, map.group};
+    if (copies_suffice(map)) {
+        return store_map{0, map.next, {}, map.group, map.after_loss};
     }
     // A joining store that died would hold the change up for ever: plan again without it.
     const bool stuck =
@@ -166,7 +179,60 @@
     if (shrinks(members, map) || same_members(members, map.next)) {
         return std::nullopt;
     }
-    return store_map{0, map.current, std::move(members), map.group};
+    return store_map{0, map.current, std::move(members), map.group, map.after_loss};
+}
+
+bool store_planner::majority_lost(const directory_state& state, const store_map& map,
+                                  instant now) const {
+    // Silence doesn't count: a disk that is only out of reach may hold what nobody else does.
+    std::set<store_id> left;
+    for (const store_member& member : map.current) {
+        if (!state.retired().contains(member.id) && !replaced(member, now)) {
+            left.insert(member.id);
+        }
+    }
+    return !map.suffices_of_current(left);
+}
+
+std::optional<store_map> store_planner::salvage(const directory_state& state, const store_map& map,
+                                                instant now) const {
+    store_map survivors{0, {}, {}, map.group, true};
+    for (const store_member& member : map.all()) {
+        if (!state.retired().contains(member.id) && !replaced(member, now)) {
+            survivors.current.push_back(member);
+        }
+    }
+    member_list members = wanted(state, survivors, now);
+    if (members.size() < std::min(settings_.group_size(), map.current.size())) {
+        return std::nullopt;
+    }
+    // A new disk that the map doesn't list yet has been written to under its predecessor's address,
+    // and may be the last that holds a turn.
+    for (const store_member& member : members) {
+        if (!has_id(survivors.current, member.id)) {
+            survivors.current.push_back(member);
+        }
+    }
+    survivors.next = std::move(members);
+    return survivors;
+}
+
+std::optional<store_map> store_planner::plan_group(const directory_state& state,
+                                                   const store_map& map, instant now) const {
+    // What is gone is judged only once this leader has listened for a while.
+    if (has_listened(now) && majority_lost(state, map, now)) {
+        return salvage(state, map, now);
+    }
+    if (map.changing()) {
+        return finish(state, map, now);
+    }
+    std::optional<store_map> next = revise(state, map, now);
+    const auto doubted = doubted_since_.find(map.epoch);
+    const bool certain = doubted != doubted_since_.end() && now - doubted->second > settings_.doubt;
+    if (!next.has_value() && certain) {
+        return store_map{0, map.current, {}, map.group};
+    }
+    return next;
 }
 
 std::optional<store_map> store_planner::revise(const directory_state& state, const store_map& map,
@@ -179,7 +245,20 @@
     if (shrinks(members, map) || same_members(members, map.current)) {
         return std::nullopt;
     }
-    return store_map{0, map.current, std::move(members), map.group};
+    return store_map{0, map.current, std::move(members), map.group, map.after_loss};
+}
+
+bool store_planner::copies_suffice(const store_map& map) const {
+    const auto holds_enough = [&](const store_member& member) {
+        return has_id(map.current, member.id) || has_copied(member, map);
+    };
+    const auto copied = [&](const store_member& member) { return has_copied(member, map); };
+    const auto whole = std::count_if(map.next.begin(), map.next.end(), copied);
+    // Each majority of `next` then has a member with a whole copy. A member that stays and is away
+    // doesn't hold the change up: while it is open, the loss of one more disk stops the group.
+    const std::size_t needed = map.next.size() - (map.next.size() / 2 + 1) + 1;
+    return std::all_of(map.next.begin(), map.next.end(), holds_enough) &&
+           static_cast<std::size_t>(whole) >= needed;
 }
 
 std::optional<change_store_groups> store_planner::form_groups(const directory_state& state,
@@ -220,11 +299,8 @@
     change_store_groups change;
     bool searched = false;
     for (const store_map& map : state.stores().groups) {
-        std::optional<store_map> next = map.changing() ? finish(state, map, now) : std::nullopt;
+        std::optional<store_map> next = plan_group(state, map, now);
         const bool completes = next.has_value() && !next->changing();
-        if (!next.has_value() && !map.changing()) {
-            next = revise(state, map, now);
-        }
         if (!next.has_value() || (!completes && searched)) {
             continue;
         }
--- a/src/tallyfold/directory/store_planner.hpp
+++ b/src/tallyfold/directory/store_planner.hpp
@@ -27,6 +27,10 @@
     duration silence = std::chrono::seconds(6);
     /// A store counts as live within this time of its last report.
     duration live = std::chrono::milliseconds(1500);
+    /// How long a group counts as one that may lack turns after a majority of its disks was lost:
+    /// the longest time that turns are kept, as the directory's configuration says, and what stores
+    /// add.
+    duration doubt = std::chrono::seconds(75);
     /// At the very first, reports are gathered for this long.
     duration first_gathering = std::chrono::milliseconds(1500);
 
@@ -45,6 +49,8 @@
     /// This node has begun to lead: what was heard before says nothing.
     void start(instant now);
     void on_report(const store_report& report, instant now);
+    /// Notes groups that may lack turns, and takes over how long that counts.
+    void watch_losses(const directory_state& state, duration doubt, instant now);
     /// The next change to commit, or nothing.
     [[nodiscard]] std::optional<change_store_groups> plan(const directory_state& state,
                                                           instant now) const;
@@ -86,6 +92,19 @@
     [[nodiscard]] std::optional<turns::store_map> revise(const directory_state& state,
                                                          const turns::store_map& map,
                                                          instant now) const;
+    /// True when the change may end: who joins holds a whole copy, and enough of the others do.
+    [[nodiscard]] bool copies_suffice(const turns::store_map& map) const;
+    /// True when no majority of `current` can ever answer again: its disks are known to be gone.
+    [[nodiscard]] bool majority_lost(const directory_state& state, const turns::store_map& map,
+                                     instant now) const;
+    /// A change from what survives of a group that lost the majority of its disks.
+    [[nodiscard]] std::optional<turns::store_map> salvage(const directory_state& state,
+                                                          const turns::store_map& map,
+                                                          instant now) const;
+    /// A group's next map, or nothing.
+    [[nodiscard]] std::optional<turns::store_map> plan_group(const directory_state& state,
+                                                             const turns::store_map& map,
+                                                             instant now) const;
     [[nodiscard]] std::optional<turns::store_map> finish(const directory_state& state,
                                                          const turns::store_map& map,
                                                          instant now) const;
@@ -93,6 +112,8 @@
     store_planner_settings settings_;
     instant started_{};
     std::map<turns::store_id, heard_store> stores_;
+    /// Since when this leader has seen a group's map that may lack turns, by the map's epoch.
+    std::map<turns::map_epoch, instant> doubted_since_;
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -37,6 +37,7 @@
     identity_renewed = 2107,
     store_change_open = 2108,
     leader_uncommitted = 2109,
+    store_majority_lost = 2110,
     shard_assigned = 2201,
     shard_released = 2202,
     shard_loaded = 2203,
--- a/src/tallyfold/turns/copy_progress.cpp
+++ b/src/tallyfold/turns/copy_progress.cpp
@@ -33,10 +33,7 @@
 }
 
 bool copy_progress::whole() const {
-    const std::size_t stores = map_.current.size();
-    const std::size_t majority = stores / 2 + 1;
-    const std::size_t needed = stores - majority + 1;
-    return done_.size() >= needed;
+    return done_.size() >= map_.copies_needed();
 }
 
 }  // namespace tallyfold::turns
--- a/src/tallyfold/turns/quorum_operations.cpp
+++ b/src/tallyfold/turns/quorum_operations.cpp
@@ -8,7 +8,7 @@
 
 /// True when `answered` suffices for a write under `map`.
 bool write_quorum(const store_map& map, const std::set<store_id>& answered) {
-    return !map.current.empty() && is_majority(map.current, answered) &&
+    return map.suffices_of_current(answered) &&
            (!map.changing() || is_majority(map.next, answered));
 }
 
--- a/src/tallyfold/turns/turn_beginning.cpp
+++ b/src/tallyfold/turns/turn_beginning.cpp
@@ -61,7 +61,8 @@
         case begin_outcome::pending:
             return true;
         case begin_outcome::unknown_previous:
-            return !only_group_ && !(search_.has_value() && search_->nowhere());
+            return operation_.map().after_loss ||
+                   (!only_group_ && !(search_.has_value() && search_->nowhere()));
         case begin_outcome::admitted:
         case begin_outcome::over_budget:
             return false;
--- a/src/tallyfold/turns/turn_search.cpp
+++ b/src/tallyfold/turns/turn_search.cpp
@@ -55,7 +55,7 @@
 bool turn_search::nowhere() const {
     const auto says_no = [](const auto& entry) {
         const asked_group& asked = entry.second;
-        return !asked.map.current.empty() && is_majority(asked.map.current, asked.without);
+        return !asked.map.after_loss && asked.map.suffices_of_current(asked.without);
     };
     return !found() && std::all_of(groups_.begin(), groups_.end(), says_no);
 }
--- a/src/tallyfold/turns/types.cpp
+++ b/src/tallyfold/turns/types.cpp
@@ -46,6 +46,21 @@
     return members;
 }
 
+bool store_map::suffices_of_current(const std::set<store_id>& answered) const {
+    if (after_loss && changing()) {
+        return !current.empty() &&
+               std::all_of(current.begin(), current.end(), [&](const store_member& member) {
+                   return answered.contains(member.id);
+               });
+    }
+    return !current.empty() && is_majority(current, answered);
+}
+
+std::size_t store_map::copies_needed() const {
+    const std::size_t majority = current.size() / 2 + 1;
+    return after_loss && changing() ? current.size() : current.size() - majority + 1;
+}
+
 group_number store_table::group_of(const std::string& program) const {
     return static_cast<group_number>(stable_hash(program) % groups.size());
 }
@@ -93,7 +108,8 @@
 std::string describe(const store_map& map) {
     return "epoch=" + std::to_string(map.epoch) + " group=" + std::to_string(map.group) +
            " stores=" + std::to_string(map.current.size()) +
-           " next=" + std::to_string(map.next.size());
+           " next=" + std::to_string(map.next.size()) +
+           " after_loss=" + (map.after_loss ? "yes" : "no");
 }
 
 bool is_majority(const std::vector<store_member>& members, const std::set<store_id>& answered) {
--- a/src/tallyfold/turns/types.hpp
+++ b/src/tallyfold/turns/types.hpp
@@ -107,21 +107,33 @@
 
 /// Which stores form one group. While `next` is not empty a change is under way: writes need a
 /// majority of both lists, reads one of `current`.
+///
+/// After a majority of the disks of `current` was lost, one after the other, `current` lists the
+/// disks that survive (`after_loss`). Each of them may be the only one that holds a turn, so until
+/// the change ends all of them count in place of a majority, and copies come from all of them.
 struct store_map {
     map_epoch epoch = 0;
     std::vector<store_member> current;
     std::vector<store_member> next;
     group_number group = 0;
+    /// Turns may have been lost with the disks: while this is set, one that no store holds isn't
+    /// known not to exist.
+    bool after_loss = false;
 
     [[nodiscard]] bool changing() const { return !next.empty(); }
     [[nodiscard]] bool holds(store_id id) const;
     /// Members of both lists, each once.
     [[nodiscard]] std::vector<store_member> all() const;
+    /// True when `answered` holds as many of `current` as an answer about what is kept takes.
+    [[nodiscard]] bool suffices_of_current(const std::set<store_id>& answered) const;
+    /// Members of `current` from which a store has to copy to hold all that may have been
+    /// acknowledged: every set that suffices has one of them.
+    [[nodiscard]] std::size_t copies_needed() const;
 
     bool operator==(const store_map&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(epoch, current, next, group);
+        archive(epoch, current, next, group, after_loss);
     }
 };
 
--- a/tests/directory/store_planner_test.cpp
+++ b/tests/directory/store_planner_test.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(a_new_disk_takes_the_place_of_the_old_one);
     CPPUNIT_TEST(a_new_disk_is_seen_while_the_old_one_still_counts_as_live);
     CPPUNIT_TEST(a_change_ends_only_when_each_new_member_has_copied);
+    CPPUNIT_TEST(a_member_that_stays_and_is_away_does_not_hold_a_change_up);
+    CPPUNIT_TEST(a_group_goes_on_from_what_survives_a_lost_majority);
+    CPPUNIT_TEST(silence_alone_is_no_lost_majority);
+    CPPUNIT_TEST(a_group_without_any_disk_left_goes_on_with_new_ones);
+    CPPUNIT_TEST(doubt_ends_once_lost_turns_would_have_expired);
     CPPUNIT_TEST(a_change_whose_new_member_died_is_planned_again);
     CPPUNIT_TEST(a_retired_store_leaves_and_does_not_return);
     CPPUNIT_TEST(a_store_is_not_retired_when_too_few_would_remain);
@@ -112,6 +117,83 @@
         CPPUNIT_ASSERT(done->current == next);
     }
 
+    void a_member_that_stays_and_is_away_does_not_hold_a_change_up() {
+        const std::vector<store_member> next{three()[0], three()[1], member(30, "3")};
+        const directory_state state = with_map(three(), next);
+        store_planner planner({});
+        planner.start(at(0));
+        report(planner, next[0], at(3000), 0);
+        report(planner, next[1], at(3000), 1);
+        report(planner, next[2], at(3000), 0);
+        CPPUNIT_ASSERT(!planner.plan(state, at(3000)).has_value());
+        report(planner, next[2], at(3000), 1);
+        const auto done = planned(planner, state, at(3000));
+        CPPUNIT_ASSERT(done.has_value() && !done->changing());
+        CPPUNIT_ASSERT(done->current == next);
+    }
+
+    /// Two of the three disks of before are gone; the first one's successor has joined the change.
+    static std::optional<store_map> after_two_lost_disks(store_planner& planner,
+                                                         const directory_state& state) {
+        planner.start(at(0));
+        report(planner, member(10, "1"), at(3000));
+        report(planner, three()[1], at(3000));
+        report(planner, member(30, "3"), at(3000));
+        return planned(planner, state, at(3000));
+    }
+
+    void a_group_goes_on_from_what_survives_a_lost_majority() {
+        const std::vector<store_member> next{member(10, "1"), three()[1], three()[2]};
+        store_planner planner({});
+        const auto map = after_two_lost_disks(planner, with_map(three(), next));
+        CPPUNIT_ASSERT(map.has_value() && map->after_loss);
+        // The successor may hold what only the second lost disk held.
+        const std::vector<store_member> survivors{three()[1], member(10, "1"), member(30, "3")};
+        CPPUNIT_ASSERT(map->current == survivors);
+        CPPUNIT_ASSERT(map->next == survivors);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, map->copies_needed());
+        CPPUNIT_ASSERT(!map->suffices_of_current({2, 10}));
+        CPPUNIT_ASSERT(map->suffices_of_current({2, 10, 30}));
+    }
+
+    void silence_alone_is_no_lost_majority() {
+        store_planner planner({});
+        planner.start(at(0));
+        report(planner, three()[0], at(60'000));
+        CPPUNIT_ASSERT(!planner.plan(with_map(three()), at(60'000)).has_value());
+    }
+
+    void a_group_without_any_disk_left_goes_on_with_new_ones() {
+        store_planner planner({});
+        planner.start(at(0));
+        for (const char* node : {"1", "2", "3"}) {
+            report(planner, member(10 + static_cast<store_id>(node[0]), node), at(3000));
+        }
+        const auto map = planned(planner, with_map(three()), at(3000));
+        CPPUNIT_ASSERT(map.has_value() && map->after_loss);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, map->current.size());
+        CPPUNIT_ASSERT(map->current == map->next);
+    }
+
+    void doubt_ends_once_lost_turns_would_have_expired() {
+        directory_state state;
+        state.apply(change_store_groups{{store_map{1, three(), {}, 0, true}}});
+        store_planner planner({});
+        planner.start(at(0));
+        const auto planned_at = [&](int now) {
+            planner.watch_losses(state, std::chrono::seconds(60), at(now));
+            for (const store_member& store : three()) {
+                report(planner, store, at(now));
+            }
+            return planned(planner, state, at(now));
+        };
+        CPPUNIT_ASSERT(!planned_at(3'000).has_value());
+        CPPUNIT_ASSERT(!planned_at(63'000).has_value());
+        const auto certain = planned_at(63'100);
+        CPPUNIT_ASSERT(certain.has_value() && !certain->after_loss);
+        CPPUNIT_ASSERT(certain->current == three() && !certain->changing());
+    }
+
     void a_change_whose_new_member_died_is_planned_again() {
         const std::vector<store_member> next{three()[0], three()[1], three()[2], member(40, "4")};
         const directory_state state = with_map(three(), next);
--- a/tests/turns/store_simulation_test.cpp
+++ b/tests/turns/store_simulation_test.cpp
@@ -390,6 +390,7 @@
     }
 
     void plan() {
+        planner_.watch_losses(state_, std::chrono::seconds(2), now_);
         if (const auto change = planner_.plan(state_, now_)) {
             state_.apply(*change);
         }
