Release build: a string is joined without a warning of GCC 12

Cause: the optimizing build of the platform's programs, with warnings as errors, took an insertion into a temporary string for an overlapping copy. The tests' build doesn't optimize that way.

--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -253,7 +253,10 @@
     if (!replica_.has_committed_in_term()) {
         std::string matched;
         for (const auto& [id, member] : replica_.members().members) {
-            matched += (matched.empty() ? "" : ",") + std::to_string(replica_.match_index(id));
+            if (!matched.empty()) {
+                matched += ',';
+            }
+            matched += std::to_string(replica_.match_index(id));
         }
         event(logging::event_id::leader_uncommitted,
               "term=" + std::to_string(replica_.term()) +
