--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -94,6 +94,8 @@
     endings: list = field(default_factory=list)
     #: Turns that were asked to go on after all faults had ended: (turn, status of the last try).
     continued: list = field(default_factory=list)
+    #: Disks were lost faster than copies can be made, so turns may be gone.
+    disks_in_series: bool = False
     #: When all machines were back after the last fault; None when there was none.
     returned: float | None = None
     #: Version that was read back at the end; None when nothing came.
--- a/tests/tenants/quota_test.cpp
+++ b/tests/tenants/quota_test.cpp
@@ -68,6 +68,16 @@
     /// The node's process ends; another life of it begins at once.
     void restart(std::size_t number) { nodes_[number] = make_node(number); }
 
+    /// All processes end at once and are back after `dark`.
+    void lose_power(duration dark) {
+        messages_.clear();
+        now += dark;
+        change_keeper();
+        for (std::size_t number = 0; number < nodes_.size(); ++number) {
+            restart(number);
+        }
+    }
+
     /// One millisecond. @param calls_a_second over all nodes together
     void step(double calls_a_second) {
         now += milliseconds(1);
@@ -285,6 +295,8 @@
     CPPUNIT_TEST(far_below_the_limit_nothing_is_refused);
     CPPUNIT_TEST(far_above_the_limit_just_the_limit_is_let_in);
     CPPUNIT_TEST(the_bound_holds_under_faults);
+    CPPUNIT_TEST(the_bound_holds_when_all_power_is_lost);
+    CPPUNIT_TEST(a_keeper_that_is_new_alone_lends_the_whole_limit);
     CPPUNIT_TEST(without_the_bound_faults_are_noticed);
     CPPUNIT_TEST(permits_of_dead_and_frozen_nodes_come_back);
     CPPUNIT_TEST(a_lowered_limit_binds_after_a_window);
@@ -359,6 +371,42 @@
         }
     }
 
+    // Symptom: within five seconds 140 of a tenant's requests ran where 99 are allowed.
+    // Sequence: all machines lost power while the tenant pressed against its limit, and came back
+    // within two seconds.
+    // Cause: a new keeper lent the whole limit at once. It knows what living nodes have spent, but
+    // the nodes were new too, so nobody knew what had been spent in the window before. Settled by:
+    // limits_hold in eight of twelve runs with real processes, each time in a window that holds the
+    // loss of power.
+    void the_bound_holds_when_all_power_is_lost() {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            quota_world played = world(seed, 60);
+            std::mt19937_64 random(seed);
+            for (int round = 0; round < 4; ++round) {
+                played.run(milliseconds(1'500 + random() % 7'000), 100 + random() % 500);
+                played.lose_power(milliseconds(200 + random() % 1'800));
+            }
+            played.run(std::chrono::seconds(7), 300);
+            const auto without_keeper = static_cast<double>(played.most_silences());
+            CPPUNIT_ASSERT_MESSAGE(
+                "seed " + std::to_string(seed) + ": " + std::to_string(played.most_in_window()),
+                static_cast<double>(played.most_in_window()) <= played.bound() + without_keeper);
+            // What is forgotten costs a window, not more.
+            const double let_in =
+                static_cast<double>(played.let_in_since(played.now - std::chrono::seconds(2)));
+            CPPUNIT_ASSERT(let_in >= 2 * 60 * 0.8);
+        }
+    }
+
+    void a_keeper_that_is_new_alone_lends_the_whole_limit() {
+        quota_world played = world(8, 100);
+        played.run(std::chrono::seconds(8), 60);
+        const std::uint64_t before = played.refused;
+        played.change_keeper();
+        played.run(std::chrono::seconds(4), 60);
+        CPPUNIT_ASSERT(played.refused - before <= 3);
+    }
+
     /// Shows that the check above sees a keeper that forgets what it lent.
     void without_the_bound_faults_are_noticed() {
         quota_world played = world(3, 60);
