A tenant's limit holds over a loss of all power

Cause: a new keeper of permits lent the whole limit at once. It adds up what living nodes say they have spent; when the nodes are new too, what was spent in the window before is known to nobody. Change: nodes report how long their life has lasted (the first lives of all count as long). A new keeper takes the limit to be spent already in the share of nodes that are as new as itself, for one window. The keeper uses half of the allowance; the rest is for the calls that new nodes let go before they are first answered, also when power is lost twice within a window. A keeper that is new alone lends the whole limit as before. Cost: calls of limited tenants are refused for a window after a loss of all power.

--- a/src/tallyfold/tenants/permit_holder.hpp
+++ b/src/tallyfold/tenants/permit_holder.hpp
@@ -58,6 +58,8 @@
     void begin_wait(const tenant_name& tenant, permit_need need);
     void end_wait(const tenant_name& tenant, permit_need need);
 
+    /// This life is the first: before the whole system's first start nobody has spent anything.
+    void begin_without_predecessor() { has_predecessor_ = false; }
     /// True when something has changed that the keeper should know, or leases should be renewed.
     [[nodiscard]] bool should_report(instant now);
     /// What to ask now; the answer to an earlier report is void from here on.
@@ -106,6 +108,9 @@
     std::unordered_set<tenant_name> limited_;
     std::unordered_map<tenant_name, held_permits> tenants_;
     std::uint64_t question_ = 0;
+    bool has_predecessor_ = true;
+    /// When the first report was made.
+    std::optional<instant> first_report_;
     instant asked_{};
     instant lease_end_{};
     bool whole_next_ = true;
--- a/src/tallyfold/tenants/quota_keeper.hpp
+++ b/src/tallyfold/tenants/quota_keeper.hpp
@@ -46,6 +46,11 @@
     /// program under way that loses one call fails whole, so a tenant's last permits are its.
     static constexpr double reserved_share = 0.25;
 
+    /// The keeper uses this part of the allowance over a limit. The other part is for the calls
+    /// that new nodes let go before a keeper, new as well, has answered them: after a loss of all
+    /// power what was spent in the window before is known to nobody.
+    static constexpr double allowance_in_use = 0.5;
+
     explicit quota_keeper(quota_rules rules) : rules_(rules) {}
 
     /// This node begins to keep permits; what it knew from before is void.
@@ -75,6 +80,9 @@
     struct known_node {
         std::uint64_t question = 0;
         instant heard{};
+        /// It had lived less than a window when it was first heard: what its predecessor had spent
+        /// is known only to a keeper that heard that one.
+        bool fresh = false;
         std::unordered_map<tenant_name, share> shares;
     };
     struct account {
@@ -102,6 +110,8 @@
         /// For calls to come.
         double spare = 0;
     };
+    /// The most that may be spent and lent together now.
+    [[nodiscard]] double bound_of(const account& held, instant now) const;
     [[nodiscard]] lendable lendable_to(const permit_use& use, account& held, instant now) const;
     /// Takes a node's share out of the sums, or puts it back.
     static void add(account& held, const share& known);
@@ -116,6 +126,7 @@
     instant started_{};
     std::unordered_map<tenant_name, account> accounts_;
     std::map<node_life, known_node> nodes_;
+    std::size_t fresh_nodes_ = 0;
 };
 
 }  // namespace tallyfold::tenants
