A log whose new segment may be in place takes no records into the older one

Cause: a rewrite that failed after the new segment was renamed into place left the log usable. Records that were synced into the older segment were gone after a restart, which reads the newer one. Class: two things that both count as newest. Elsewhere: the directory's log gives up its folder after any failed write, so it was spared. Test segmented_log_test failed before, passes now.

--- a/src/tallyfold/storage/segmented_log.cpp
+++ b/src/tallyfold/storage/segmented_log.cpp
@@ -127,6 +127,9 @@
     if (!length) {
         return tl::unexpected(length.error());
     }
+    // From its renaming on, a restart may read the new segment: nothing is added to the older one
+    // until the new one is in use.
+    failed_ = true;
     if (auto replaced = commit_replacement(next); !replaced) {
         return replaced;
     }
