A group goes on without a machine that is gone for good, and takes back what it holds

A machine whose successor stands elsewhere never reports, and an emptied one that is alive was counted as lost. Change: a silent member isn't waited for any more once an open change leaves it out, or once it has been silent for longer than turns are kept; it then stands in the map as absent, and when it is back the group copies from it. An emptied member counts as lost only after that time too. A member that is only dark is waited for as before. Nothing is planned while silent members could suffice by themselves. Weighed: going on after six seconds of any member's silence (a program's spending could be known to that one alone: budgets hold whatever is out of reach); waiting for ever.

--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -43,6 +43,16 @@
     return dealt;
 }
 
+/// The group's map with other members; its epoch is given when the change is planned.
+store_map with_members(const store_map& map, std::vector<store_member> current,
+                       std::vector<store_member> next) {
+    store_map changed = map;
+    changed.epoch = 0;
+    changed.current = std::move(current);
+    changed.next = std::move(next);
+    return changed;
+}
+
 /// Takes out the candidate whose zone has the fewest of the members.
 store_member take_best(std::vector<store_member>& candidates,
                        const std::vector<store_member>& members) {
@@ -89,10 +99,13 @@
     return found != stores_.end() && now - found->second.heard <= settings_.live;
 }
 
-bool store_planner::silent(store_id id, instant now) const {
+instant store_planner::last_heard(store_id id) const {
     const auto found = stores_.find(id);
-    const instant heard = found == stores_.end() ? started_ : found->second.heard;
-    return now - heard > settings_.silence;
+    return found == stores_.end() ? started_ : found->second.heard;
+}
+
+bool store_planner::silent(store_id id, instant now) const {
+    return now - last_heard(id) > settings_.silence;
 }
 
 bool store_planner::replaced(const store_member& member, instant now) const {
@@ -164,7 +177,7 @@
                                                instant now) const {
     const auto copied = [&](const store_member& member) { return has_copied(member, map); };
     if (copies_suffice(map)) {
-        return store_map{0, map.next, {}, map.group, map.after_loss};
+        return with_members(map, map.next, {});
     }
     // A joining store that died would hold the change up for ever: plan again without it.
     const bool stuck =
@@ -179,28 +192,59 @@
     if (shrinks(members, map) || same_members(members, map.next)) {
         return std::nullopt;
     }
-    return store_map{0, map.current, std::move(members), map.group, map.after_loss};
+    return with_members(map, map.current, std::move(members));
 }
 
-bool store_planner::majority_lost(const directory_state& state, const store_map& map,
+bool store_planner::lost(const directory_state& state, const store_member& member,
+                         instant now) const {
+    if (replaced(member, now)) {
+        return true;
+    }
+    return state.retired().contains(member.id) && now - last_heard(member.id) > settings_.doubt;
+}
+
+bool store_planner::needs_salvage(const directory_state& state, const store_map& map,
                                   instant now) const {
-    // Silence doesn't count: a disk that is only out of reach may hold what nobody else does.
-    std::set<store_id> left;
+    std::set<store_id> may_answer;
+    std::set<store_id> out_of_reach;
+    std::size_t gone = 0;
     for (const store_member& member : map.current) {
-        if (!state.retired().contains(member.id) && !replaced(member, now)) {
-            left.insert(member.id);
+        if (lost(state, member, now)) {
+            ++gone;
+            continue;
+        }
+        if (!live(member.id, now)) {
+            out_of_reach.insert(member.id);
+        }
+        if (!given_up(map, member, now)) {
+            may_answer.insert(member.id);
         }
     }
-    return !map.suffices_of_current(left);
+    return gone > 0 && !map.suffices_of_current(may_answer) &&
+           !map.suffices_of_current(out_of_reach);
+}
+
+bool store_planner::given_up(const store_map& map, const store_member& member, instant now) const {
+    const bool left_out = map.changing() && !has_id(map.next, member.id);
+    const bool expired = now - last_heard(member.id) > settings_.doubt;
+    const bool absent = has_id(map.absent, member.id) && !live(member.id, now);
+    return (left_out && silent(member.id, now)) || expired || absent;
 }
 
 std::optional<store_map> store_planner::salvage(const directory_state& state, const store_map& map,
                                                 instant now) const {
     store_map survivors{0, {}, {}, map.group, true};
-    for (const store_member& member : map.all()) {
-        if (!state.retired().contains(member.id) && !replaced(member, now)) {
-            survivors.current.push_back(member);
+    member_list known = map.all();
+    known.insert(known.end(), map.absent.begin(), map.absent.end());
+    for (const store_member& member : known) {
+        if (lost(state, member, now)) {
+            continue;
+        }
+        const bool absent = given_up(map, member, now);
+        if (!absent && !live(member.id, now)) {
+            return std::nullopt;
         }
+        (absent ? survivors.absent : survivors.current).push_back(member);
     }
     member_list members = wanted(state, survivors, now);
     if (members.size() < std::min(settings_.group_size(), map.current.size())) {
@@ -217,16 +261,31 @@
     return survivors;
 }
 
+std::optional<store_map> store_planner::take_back(const store_map& map, instant now) const {
+    store_map joined = with_members(map, map.current, map.current);
+    joined.absent.clear();
+    for (const store_member& member : map.absent) {
+        (live(member.id, now) ? joined.current : joined.absent).push_back(member);
+    }
+    if (joined.current.size() == map.current.size()) {
+        return std::nullopt;
+    }
+    return joined;
+}
+
 std::optional<store_map> store_planner::plan_group(const directory_state& state,
                                                    const store_map& map, instant now) const {
     // What is gone is judged only once this leader has listened for a while.
-    if (has_listened(now) && majority_lost(state, map, now)) {
+    if (has_listened(now) && needs_salvage(state, map, now)) {
         return salvage(state, map, now);
     }
     if (map.changing()) {
         return finish(state, map, now);
     }
-    std::optional<store_map> next = revise(state, map, now);
+    std::optional<store_map> next = take_back(map, now);
+    if (!next.has_value()) {
+        next = revise(state, map, now);
+    }
     const auto doubted = doubted_since_.find(map.epoch);
     const bool certain = doubted != doubted_since_.end() && now - doubted->second > settings_.doubt;
     if (!next.has_value() && certain) {
@@ -245,7 +304,7 @@
     if (shrinks(members, map) || same_members(members, map.current)) {
         return std::nullopt;
     }
-    return store_map{0, map.current, std::move(members), map.group, map.after_loss};
+    return with_members(map, map.current, std::move(members));
 }
 
 bool store_planner::copies_suffice(const store_map& map) const {
@@ -325,13 +384,13 @@
         const auto silent_too = [&](const store_member& member) {
             return uncopied(member) && !live(member.id, now);
         };
-        const auto lost = [&](const store_member& member) { return replaced(member, now); };
+        const auto gone = [&](const store_member& member) { return lost(state, member, now); };
         const auto count = [](const member_list& members, const auto& holds) {
             return std::to_string(std::count_if(members.begin(), members.end(), holds));
         };
         lines.push_back(turns::describe(map) + " uncopied=" + count(map.next, uncopied) +
                         " silent=" + count(map.next, silent_too) +
-                        " lost=" + count(map.current, lost));
+                        " lost=" + count(map.current, gone));
     }
     return lines;
 }
--- a/src/tallyfold/directory/store_planner.hpp
+++ b/src/tallyfold/directory/store_planner.hpp
@@ -73,6 +73,8 @@
     using member_list = std::vector<turns::store_member>;
 
     [[nodiscard]] bool live(turns::store_id id, instant now) const;
+    /// When the store reported last, or this leader began when it never did.
+    [[nodiscard]] instant last_heard(turns::store_id id) const;
     [[nodiscard]] bool silent(turns::store_id id, instant now) const;
     /// A disk whose machine has since reported another one is gone.
     [[nodiscard]] bool replaced(const turns::store_member& member, instant now) const;
@@ -94,13 +96,26 @@
                                                          instant now) const;
     /// True when the change may end: who joins holds a whole copy, and enough of the others do.
     [[nodiscard]] bool copies_suffice(const turns::store_map& map) const;
-    /// True when no majority of `current` can ever answer again: its disks are known to be gone.
-    [[nodiscard]] bool majority_lost(const directory_state& state, const turns::store_map& map,
+    /// True when the member's disk is known to be gone: its machine reports another one, or was to
+    /// be emptied and has been silent for longer than turns are kept.
+    [[nodiscard]] bool lost(const directory_state& state, const turns::store_member& member,
+                            instant now) const;
+    /// True for a silent member that isn't waited for any more: another takes its place already, or
+    /// it has been silent for longer than turns are kept.
+    [[nodiscard]] bool given_up(const turns::store_map& map, const turns::store_member& member,
+                                instant now) const;
+    /// True when disks were lost, the members that may answer don't suffice, and those that are out
+    /// of reach are too few to suffice by themselves, so that nothing can be acknowledged
+    /// elsewhere.
+    [[nodiscard]] bool needs_salvage(const directory_state& state, const turns::store_map& map,
                                      instant now) const;
-    /// A change from what survives of a group that lost the majority of its disks.
+    /// A change from what survives of such a group; nothing while a member may be back any moment.
     [[nodiscard]] std::optional<turns::store_map> salvage(const directory_state& state,
                                                           const turns::store_map& map,
                                                           instant now) const;
+    /// A change that takes in what members hold that were absent and are back.
+    [[nodiscard]] std::optional<turns::store_map> take_back(const turns::store_map& map,
+                                                            instant now) const;
     /// A group's next map, or nothing.
     [[nodiscard]] std::optional<turns::store_map> plan_group(const directory_state& state,
                                                              const turns::store_map& map,
