--- a/src/tallyfold/tenants/permit_holder.cpp
+++ b/src/tallyfold/tenants/permit_holder.cpp
@@ -39,9 +39,16 @@
     return true;
 }
 
+bool permit_holder::is_new(instant now) const {
+    return has_predecessor_ && (!first_report_.has_value() || now - *first_report_ < rules_.window);
+}
+
 bool permit_holder::take_unasked(const tenant_name& tenant, instant now) {
     held_permits& held = of(tenant);
     held.last_call = now;
+    if (is_new(now)) {
+        return false;
+    }
     const double pace = held.proven * (1 + rules_.overshoot);
     if (held.recent.count(now) > pace) {
         return false;
--- a/src/tallyfold/tenants/permit_holder.hpp
+++ b/src/tallyfold/tenants/permit_holder.hpp
@@ -98,6 +98,8 @@
     };
 
     held_permits& of(const tenant_name& tenant);
+    /// True within a window of this life's begin: what its predecessor spent isn't known here.
+    [[nodiscard]] bool is_new(instant now) const;
     permit_use describe(const tenant_name& tenant, held_permits& held, instant now);
     [[nodiscard]] bool lease_holds(instant now) const { return now < lease_end_; }
 
--- a/src/tallyfold/tenants/quota_keeper.cpp
+++ b/src/tallyfold/tenants/quota_keeper.cpp
@@ -49,7 +49,7 @@
         account held = accounts_[tenant.name];
         held.rate_per_second = tenant.rate_per_second;
         held.limit = tenant.rate_per_second * seconds(rules_.window) + tenant.burst;
-        held.bound = held.limit + (held.limit * rules_.overshoot + rules_.slack) * allowance_in_use;
+        held.bound = held.limit * (1 + rules_.overshoot) + rules_.slack;
         next.emplace(tenant.name, held);
     }
     accounts_ = std::move(next);
--- a/src/tallyfold/tenants/quota_keeper.hpp
+++ b/src/tallyfold/tenants/quota_keeper.hpp
@@ -46,11 +46,6 @@
     /// program under way that loses one call fails whole, so a tenant's last permits are its.
     static constexpr double reserved_share = 0.25;
 
-    /// The keeper uses this part of the allowance over a limit. The other part is for the calls
-    /// that new nodes let go before a keeper, new as well, has answered them: after a loss of all
-    /// power what was spent in the window before is known to nobody.
-    static constexpr double allowance_in_use = 0.5;
-
     explicit quota_keeper(quota_rules rules) : rules_(rules) {}
 
     /// This node begins to keep permits; what it knew from before is void.
