--- a/src/tallyfold/storage/segmented_log.hpp
+++ b/src/tallyfold/storage/segmented_log.hpp
@@ -33,8 +33,8 @@
             on_payload);
     /// Adds records and syncs them. After an error, only rewrite() makes the log usable again.
     tl::expected<void, storage_error> append(std::string_view records);
-    /// Begins a new segment, page by page, and removes the older ones. After an error the log may have
-    /// failed.
+    /// Begins a new segment, page by page, and removes the older ones. After an error the log may
+    /// have failed.
     tl::expected<void, storage_error> rewrite(const segment_pages& pages);
     /// True when the segment is large, and at least twice what it began with: the live records
     /// alone may be larger than `segment_bytes`, and writing them anew has to pay.
