What a leader has heard of stores stands in a class of its own

store_planner decides; store_sightings tells which stores are live, silent, replaced, and what they have copied.

--- a/src/tallyfold/directory/store_planner.cpp
+++ b/src/tallyfold/directory/store_planner.cpp
@@ -73,15 +73,10 @@
 }  // namespace
 
 void store_planner::start(instant now) {
-    started_ = now;
-    stores_.clear();
+    stores_.start(now);
     doubted_since_.clear();
 }
 
-void store_planner::on_report(const store_report& report, instant now) {
-    stores_[report.member.id] = {report, now};
-}
-
 void store_planner::watch_losses(const directory_state& state, duration doubt, instant now) {
     settings_.doubt = doubt;
     std::map<turns::map_epoch, instant> doubted;
@@ -95,38 +90,25 @@
 }
 
 bool store_planner::live(store_id id, instant now) const {
-    const auto found = stores_.find(id);
-    return found != stores_.end() && now - found->second.heard <= settings_.live;
-}
-
-instant store_planner::last_heard(store_id id) const {
-    const auto found = stores_.find(id);
-    return found == stores_.end() ? started_ : found->second.heard;
+    return stores_.heard_within(id, settings_.live, now);
 }
 
 bool store_planner::silent(store_id id, instant now) const {
-    return now - last_heard(id) > settings_.silence;
+    return stores_.silence_of(id, now) > settings_.silence;
 }
 
 bool store_planner::replaced(const store_member& member, instant now) const {
-    const auto old = stores_.find(member.id);
-    const instant heard = old == stores_.end() ? instant::min() : old->second.heard;
-    return std::any_of(stores_.begin(), stores_.end(), [&](const auto& entry) {
-        const store_member& other = entry.second.report.member;
-        return other.node == member.node && other.id != member.id && live(other.id, now) &&
-               entry.second.heard > heard;
-    });
+    return stores_.replaced(member, settings_.live, now);
 }
 
 bool store_planner::has_copied(const store_member& member, const store_map& map) const {
-    const auto found = stores_.find(member.id);
-    return found != stores_.end() && found->second.report.copied_epoch == map.epoch;
+    return stores_.copied_epoch(member.id) == map.epoch;
 }
 
 store_planner::member_list store_planner::candidates_for(const directory_state& state,
                                                          const store_map& map, instant now) const {
     member_list candidates;
-    for (const auto& [id, entry] : stores_) {
+    for (const auto& [id, entry] : stores_.all()) {
         const store_member& member = entry.report.member;
         const bool elsewhere = state.stores().holds(id) && !map.holds(id);
         const bool gone = state.retired().contains(id) || replaced(member, now);
@@ -142,9 +124,7 @@
     member_list members;
     for (const store_member& member : map.current) {
         if (!state.retired().contains(member.id) && !replaced(member, now)) {
-            const auto found = stores_.find(member.id);
-            // The address may have changed with a restart.
-            members.push_back(found == stores_.end() ? member : found->second.report.member);
+            members.push_back(stores_.newest(member));
         }
     }
     member_list candidates = candidates_for(state, map, now);
@@ -200,7 +180,8 @@
     if (replaced(member, now)) {
         return true;
     }
-    return state.retired().contains(member.id) && now - last_heard(member.id) > settings_.doubt;
+    return state.retired().contains(member.id) &&
+           stores_.silence_of(member.id, now) > settings_.doubt;
 }
 
 bool store_planner::needs_salvage(const directory_state& state, const store_map& map,
@@ -226,7 +207,7 @@
 
 bool store_planner::given_up(const store_map& map, const store_member& member, instant now) const {
     const bool left_out = map.changing() && !has_id(map.next, member.id);
-    const bool expired = now - last_heard(member.id) > settings_.doubt;
+    const bool expired = stores_.silence_of(member.id, now) > settings_.doubt;
     const bool absent = has_id(map.absent, member.id) && !live(member.id, now);
     return (left_out && silent(member.id, now)) || expired || absent;
 }
@@ -323,14 +304,14 @@
 std::optional<change_store_groups> store_planner::form_groups(const directory_state& state,
                                                               instant now) const {
     member_list found;
-    for (const auto& [id, entry] : stores_) {
+    for (const auto& [id, entry] : stores_.all()) {
         if (live(id, now)) {
             found.push_back(entry.report.member);
         }
     }
-    const bool enough =
-        found.size() >= settings_.group_size() || now - started_ > 4 * settings_.first_gathering;
-    if (found.empty() || now - started_ < settings_.first_gathering || !enough) {
+    const bool enough = found.size() >= settings_.group_size() ||
+                        now - stores_.started() > 4 * settings_.first_gathering;
+    if (found.empty() || now - stores_.started() < settings_.first_gathering || !enough) {
         return std::nullopt;
     }
     const member_list dealt = dealt_over_zones(found);
@@ -404,7 +385,7 @@
     };
     const member_list members = state.stores().all();
     std::for_each(members.begin(), members.end(), count);
-    for (const auto& [id, entry] : stores_) {
+    for (const auto& [id, entry] : stores_.all()) {
         count(entry.report.member);
     }
     left.erase(node);
@@ -427,7 +408,7 @@
     };
     const member_list members = state.stores().all();
     std::for_each(members.begin(), members.end(), collect);
-    for (const auto& [id, entry] : stores_) {
+    for (const auto& [id, entry] : stores_.all()) {
         collect(entry.report.member);
     }
     return {disks.begin(), disks.end()};
--- a/src/tallyfold/directory/store_planner.hpp
+++ b/src/tallyfold/directory/store_planner.hpp
@@ -17,6 +17,7 @@
 #include "tallyfold/common/time.hpp"
 #include "tallyfold/directory/directory_state.hpp"
 #include "tallyfold/directory/messages.hpp"
+#include "tallyfold/directory/store_sightings.hpp"
 
 namespace tallyfold::directory {
 
@@ -48,7 +49,7 @@
 
     /// This node has begun to lead: what was heard before says nothing.
     void start(instant now);
-    void on_report(const store_report& report, instant now);
+    void on_report(const store_report& report, instant now) { stores_.on_report(report, now); }
     /// Notes groups that may lack turns, and takes over how long that counts.
     void watch_losses(const directory_state& state, duration doubt, instant now);
     /// The next change to commit, or nothing.
@@ -63,18 +64,14 @@
     [[nodiscard]] std::vector<std::string> describe_open_changes(const directory_state& state,
                                                                  instant now) const;
     /// False while this leader may not have heard every live store yet.
-    [[nodiscard]] bool has_listened(instant now) const { return now - started_ >= settings_.live; }
+    [[nodiscard]] bool has_listened(instant now) const {
+        return now - stores_.started() >= settings_.live;
+    }
 
   private:
-    struct heard_store {
-        store_report report;
-        instant heard{};
-    };
     using member_list = std::vector<turns::store_member>;
 
     [[nodiscard]] bool live(turns::store_id id, instant now) const;
-    /// When the store reported last, or this leader began when it never did.
-    [[nodiscard]] instant last_heard(turns::store_id id) const;
     [[nodiscard]] bool silent(turns::store_id id, instant now) const;
     /// A disk whose machine has since reported another one is gone.
     [[nodiscard]] bool replaced(const turns::store_member& member, instant now) const;
@@ -125,8 +122,7 @@
                                                          instant now) const;
 
     store_planner_settings settings_;
-    instant started_{};
-    std::map<turns::store_id, heard_store> stores_;
+    store_sightings stores_;
     /// Since when this leader has seen a group's map that may lack turns, by the map's epoch.
     std::map<turns::map_epoch, instant> doubted_since_;
 };
--- /dev/null
+++ b/src/tallyfold/directory/store_sightings.cpp
@@ -0,0 +1,49 @@
+#include "tallyfold/directory/store_sightings.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::directory {
+
+using turns::store_id;
+using turns::store_member;
+
+void store_sightings::start(instant now) {
+    started_ = now;
+    stores_.clear();
+}
+
+void store_sightings::on_report(const store_report& report, instant now) {
+    stores_[report.member.id] = {report, now};
+}
+
+bool store_sightings::heard_within(store_id id, duration limit, instant now) const {
+    const auto found = stores_.find(id);
+    return found != stores_.end() && now - found->second.heard <= limit;
+}
+
+duration store_sightings::silence_of(store_id id, instant now) const {
+    const auto found = stores_.find(id);
+    return now - (found == stores_.end() ? started_ : found->second.heard);
+}
+
+bool store_sightings::replaced(const store_member& member, duration limit, instant now) const {
+    const auto old = stores_.find(member.id);
+    const instant heard = old == stores_.end() ? instant::min() : old->second.heard;
+    return std::any_of(stores_.begin(), stores_.end(), [&](const auto& entry) {
+        const store_member& other = entry.second.report.member;
+        return other.node == member.node && other.id != member.id &&
+               heard_within(other.id, limit, now) && entry.second.heard > heard;
+    });
+}
+
+const store_member& store_sightings::newest(const store_member& known) const {
+    const auto found = stores_.find(known.id);
+    return found == stores_.end() ? known : found->second.report.member;
+}
+
+turns::map_epoch store_sightings::copied_epoch(store_id id) const {
+    const auto found = stores_.find(id);
+    return found == stores_.end() ? 0 : found->second.report.copied_epoch;
+}
+
+}  // namespace tallyfold::directory
