A turn that may have been lost is refused as soon as all stores have answered

Change: turn_beginning::waits_in_vain ends the wait once every store has said no and no group changes. Test: what_may_have_been_lost_is_undecided_and_not_waited_for came with the interface.

--- a/src/tallyfold/turns/turn_beginning.cpp
+++ b/src/tallyfold/turns/turn_beginning.cpp
@@ -70,6 +70,12 @@
     return false;
 }
 
+bool turn_beginning::waits_in_vain() const {
+    const bool others_deny = only_group_ || (search_.has_value() && search_->all_deny());
+    return operation_.outcome() == begin_outcome::unknown_previous && others_deny &&
+           !operation_.map().changing() && operation_.unanswered().empty();
+}
+
 std::string turn_beginning::wanted_elsewhere() const {
     if (only_group_ || !operation_.reserved()) {
         return {};
--- a/src/tallyfold/turns/turn_beginning.hpp
+++ b/src/tallyfold/turns/turn_beginning.hpp
@@ -73,6 +73,9 @@
 
     /// True until it is sure how the beginning ends.
     [[nodiscard]] bool undecided() const;
+    /// True when it is undecided only since the turn to go on from may have been lost: all stores
+    /// have answered, and waiting longer tells nothing more.
+    [[nodiscard]] bool waits_in_vain() const;
     /// What is to be sent now.
     std::vector<store_question> due(instant now, const store_table& table,
                                     const store_choice& nearest);
--- a/src/tallyfold/turns/turn_client_shell.cpp
+++ b/src/tallyfold/turns/turn_client_shell.cpp
@@ -161,7 +161,7 @@
     waiting->begin = &beginning;
     const instant started = http::steady_now();
     const auto choose = [this](const store_map& map) { return nearest(map); };
-    while (beginning.undecided()) {
+    while (beginning.undecided() && !beginning.waits_in_vain()) {
         const instant now = http::steady_now();
         if (now >= deadline) {
             break;
--- a/src/tallyfold/turns/turn_search.cpp
+++ b/src/tallyfold/turns/turn_search.cpp
@@ -60,6 +60,17 @@
     return !found() && std::all_of(groups_.begin(), groups_.end(), says_no);
 }
 
+bool turn_search::all_deny() const {
+    return !found() && std::all_of(groups_.begin(), groups_.end(), [](const auto& entry) {
+        const asked_group& asked = entry.second;
+        const std::vector<store_member> members = asked.map.all();
+        return !asked.map.changing() &&
+               std::all_of(members.begin(), members.end(), [&](const store_member& member) {
+                   return asked.without.contains(member.id);
+               });
+    });
+}
+
 std::vector<turn_search::question> turn_search::unanswered(operation_number operation) const {
     std::vector<question> questions;
     for (const auto& [number, asked] : groups_) {
--- a/tests/turns/turn_search_test.cpp
+++ b/tests/turns/turn_search_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(a_store_with_a_newer_map_says_nothing);
     CPPUNIT_TEST(a_newer_map_asks_its_group_again);
     CPPUNIT_TEST(a_group_without_majority_leaves_a_turn_undecided);
+    CPPUNIT_TEST(what_may_have_been_lost_is_undecided_and_not_waited_for);
     CPPUNIT_TEST(a_line_of_another_group_is_brought_along);
     CPPUNIT_TEST(a_store_that_changed_its_group_is_not_asked_again_at_once);
     CPPUNIT_TEST_SUITE_END();
@@ -131,6 +132,27 @@
         CPPUNIT_ASSERT(begun.outcome().result == begin_result::unknown_previous);
     }
 
+    void what_may_have_been_lost_is_undecided_and_not_waited_for() {
+        store_table table;
+        table.epoch = 1;
+        store_map map = three_groups().groups.front();
+        map.after_loss = true;
+        table.groups.push_back(map);
+        turn_question question;
+        question.reservation = {"program", "t", 1, 60'000};
+        question.previous = "lost";
+        turn_beginning begun(1, question, table);
+        begun.on_reply(reserved(0));
+        begun.on_reply(reserved(1));
+        CPPUNIT_ASSERT(begun.undecided());
+        // The third store may hold it.
+        CPPUNIT_ASSERT(!begun.waits_in_vain());
+        begun.on_reply(reserved(2));
+        CPPUNIT_ASSERT(begun.undecided());
+        CPPUNIT_ASSERT(begun.waits_in_vain());
+        CPPUNIT_ASSERT(begun.outcome().result == begin_result::unavailable);
+    }
+
     void a_line_of_another_group_is_brought_along() {
         const store_table table = three_groups();
         group_number group = 0;
