--- a/src/tallyfold/turns/types.hpp
+++ b/src/tallyfold/turns/types.hpp
@@ -119,8 +119,8 @@
     /// Turns may have been lost with the disks: while this is set, one that no store holds isn't
     /// known not to exist.
     bool after_loss = false;
-    /// Members that were silent when the others went on without them. They may hold what nobody else
-    /// does: when one is back, the group copies from it.
+    /// Members that were silent when the others went on without them. They may hold what nobody
+    /// else does: when one is back, the group copies from it.
     std::vector<store_member> absent = {};
 
     [[nodiscard]] bool changing() const { return !next.empty(); }
