Soak: a try with a forged key says nothing of the turn that it names

Cause: a run in series ended with 401 for a turn whose last disk was lost. Each request has a forged key at 3 in 100, and the last of twelve tries decided; the eleven before got 503, which is allowed there.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -154,13 +154,17 @@
 
     async def go_on_from(self, line):
         """Asks until the turn after `line` is answered. Returns the last status."""
-        attempt = None
+        status = 0
         for _ in range(12):
             attempt = await self.send_turn(self.turn(self.draw_id(), line, 0))
-            if attempt.status == 200 and attempt.whole:
+            if not attempt.tenant:
+                # Sent with a key that nobody holds, as some are: it says nothing of the turn.
+                continue
+            status = attempt.status if attempt.whole else 0
+            if status == 200:
                 break
             await asyncio.sleep(0.3)
-        return attempt.status if attempt.whole else 0
+        return status
 
 
 class Operator:
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -144,6 +144,7 @@
             program = kind if kind in self.losable() else "turn-store"
             lost = [self.random.choice(self.cluster.of(program))]
             self.catching_up = True
+            self.wiped_back = float("inf")
         self.note("lose_all_power", " ".join(node.name for node in lost) or "no disk")
         free = [node for node in self.cluster.nodes if node.name not in self.busy]
         self.busy.update(node.name for node in free)
