--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -160,6 +160,10 @@
             if not attempt.tenant:
                 # Sent with a key that nobody holds, as some are: it says nothing of the turn.
                 continue
+            if attempt.status == 429:
+                # Over the tenant's limit: not a word about the turn either.
+                await asyncio.sleep(float(attempt.retry_after or 0.3))
+                continue
             status = attempt.status if attempt.whole else 0
             if status == 200:
                 break
