Sight: which directory node proved a configuration to be the newest, and whether a change came into force

Cause: a 404 left no trace of what had confirmed it, and event 2301 said 'taken' for a version that was acknowledged and altered nothing. Change: event 3405 for each request without a route, the same fields on 3401; 2301 tells in_force from overtaken. No decision is changed. Conclusion: a wrong 404 names the node and version that confirmed it.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -54,9 +54,9 @@
     auto link = std::make_shared<messaging::peer_link>(process_.loop(), address);
     links_[address] = link;
     link->start(
-        [this](const messaging::peer_message& message) {
+        [this, address](const messaging::peer_message& message) {
             if (const auto* beat = std::get_if<directory_beat>(&message)) {
-                on_beat(*beat);
+                on_beat(address, *beat);
             } else if (on_other_) {
                 on_other_(message);
             }
@@ -117,7 +117,7 @@
     }
 }
 
-void directory_client::on_beat(const directory_beat& beat) {
+void directory_client::on_beat(const node_name& from, const directory_beat& beat) {
     heard_ = http::steady_now();
     if (lost_) {
         lost_ = false;
@@ -147,7 +147,7 @@
     if (on_breaks_ && !beat.breaks.empty()) {
         on_breaks_(beat.breaks);
     }
-    end_refreshes(beat.question);
+    end_refreshes(from, beat);
 }
 
 void directory_client::learn_leader(const node_name& leader, consensus::term_number term) {
@@ -164,14 +164,16 @@
     }
 }
 
-void directory_client::end_refreshes(std::uint64_t question) {
-    const auto asked = asked_.find(question);
+void directory_client::end_refreshes(const node_name& from, const directory_beat& beat) {
+    const auto asked = asked_.find(beat.question);
     if (asked == asked_.end()) {
         return;
     }
-    fresh_as_of_ = std::max(fresh_as_of_, asked->second);
+    if (asked->second > proof_.asked) {
+        proof_ = {from, beat.configuration, asked->second};
+    }
     asked_.erase(asked_.begin(), std::next(asked));
-    const auto end = refreshes_.upper_bound(question);
+    const auto end = refreshes_.upper_bound(beat.question);
     for (auto waiting = refreshes_.begin(); waiting != end; ++waiting) {
         waiting->second->cancel();
     }
@@ -180,7 +182,7 @@
 
 asio::awaitable<bool> directory_client::refresh(duration limit) {
     const instant began = http::steady_now();
-    if (began - fresh_as_of_ < fresh_enough) {
+    if (began - proof_.asked < fresh_enough) {
         co_return true;
     }
     // Who comes while others wait shares their question when it is young enough.
@@ -195,7 +197,7 @@
     co_await timer->async_wait(asio::experimental::as_tuple(asio::use_awaitable));
     std::erase_if(refreshes_, [&](const auto& entry) { return entry.second == timer; });
     // Whoever shared a question had it asked up to that long before.
-    co_return fresh_as_of_ + fresh_enough > began;
+    co_return proof_.asked + fresh_enough > began;
 }
 
 void directory_client::send_to(const node_name& address, const messaging::peer_message& message) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -18,6 +18,16 @@
 
 namespace tallyfold::directory {
 
+/// What a node last took for proof that it holds the newest configuration.
+struct configuration_proof {
+    /// Address of the directory node that gave it; empty for none.
+    node_name node;
+    /// The version that node held.
+    routing::configuration_version version = routing::no_version;
+    /// When the question was asked that it answered.
+    instant asked{};
+};
+
 struct directory_client_settings {
     duration report_interval = std::chrono::milliseconds(120);
     /// True for nodes that the leader has to hear: each report goes to all directory nodes.
@@ -65,13 +75,14 @@
     [[nodiscard]] routing::configuration_version version() const { return version_; }
     /// When a directory node answered last.
     [[nodiscard]] instant heard() const { return heard_; }
+    [[nodiscard]] const configuration_proof& proof() const { return proof_; }
 
   private:
     void report();
     void add_address(const std::string& address);
-    void on_beat(const directory_beat& beat);
+    void on_beat(const node_name& from, const directory_beat& beat);
     /// Wakes those whose question has been answered.
-    void end_refreshes(std::uint64_t question);
+    void end_refreshes(const node_name& from, const directory_beat& beat);
 
     net::node_process& process_;
     directory_client_settings settings_;
@@ -92,8 +103,7 @@
     node_name leader_;
     consensus::term_number term_ = 0;
     std::uint64_t question_ = 0;
-    /// When a question was last asked whose answer has come.
-    instant fresh_as_of_{};
+    configuration_proof proof_;
     std::map<std::uint64_t, instant> asked_;
     /// Who waits, by the question whose answer is enough.
     std::multimap<std::uint64_t, std::shared_ptr<asio::steady_timer>> refreshes_;
--- a/src/tallyfold/directory/operator_desk_shell.cpp
+++ b/src/tallyfold/directory/operator_desk_shell.cpp
@@ -128,12 +128,16 @@
 }
 
 void operator_desk::log_change(routing::configuration_version version, answer_kind kind) const {
-    const char* outcome = kind == answer_kind::done         ? "taken"
+    const routing::configuration_version held =
+        core_ ? core_->state().configuration().version : routing::no_version;
+    // A version that doesn't exceed the one held is acknowledged and alters nothing.
+    const char* done = version == held ? "in_force" : "overtaken";
+    const char* outcome = kind == answer_kind::done         ? done
                           : kind == answer_kind::not_leader ? "not_leader"
                                                             : "unknown";
     logging::write_event(logging::event_id::configuration_changed,
-                         "version=" + std::to_string(version) + " outcome=" + outcome + " held=" +
-                             std::to_string(core_ ? core_->state().configuration().version : 0));
+                         "version=" + std::to_string(version) + " outcome=" + outcome +
+                             " held=" + std::to_string(held));
 }
 
 asio::awaitable<http::endpoint_response> operator_desk::describe(
--- a/src/tallyfold/forwarding/caller_admission_shell.cpp
+++ b/src/tallyfold/forwarding/caller_admission_shell.cpp
@@ -31,17 +31,31 @@
     return table_->find(host != nullptr ? *host : std::string{}, request_.head.path());
 }
 
+std::string request_relay::describe_proof(duration waited) const {
+    const directory::configuration_proof& proof = context_.directory.proof();
+    const duration age = http::steady_now() - proof.asked;
+    return "version=" + std::to_string(table_->version()) +
+           " waited_ms=" + std::to_string(to_milliseconds(waited)) +
+           " proof_node=" + (proof.node.empty() ? std::string("-") : proof.node) +
+           " proof_version=" + std::to_string(proof.version) +
+           " proof_age_ms=" + (proof.node.empty() ? "-" : std::to_string(to_milliseconds(age)));
+}
+
 asio::awaitable<bool> request_relay::find_route() {
     route_ = known_route();
     if (route_ != nullptr) {
         co_return true;
     }
+    const instant began = http::steady_now();
     const bool confirmed = co_await refresh_table();
     route_ = known_route();
     if (route_ != nullptr) {
         co_return true;
     }
     outcome_ = confirmed ? "no_route" : "refused";
+    logging::write_event(logging::event_id::route_unknown,
+                         "request=" + facts_.request + " status=" + (confirmed ? "404" : "503") +
+                             " " + describe_proof(http::steady_now() - began));
     if (confirmed) {
         co_await answer(404, "no route", come_again::never());
     } else {
@@ -119,13 +133,12 @@
 asio::awaitable<void> request_relay::refuse_caller(unsigned status, std::string reason,
                                                    come_again again, duration waited) {
     outcome_ = "refused";
-    logging::write_event(
-        logging::event_id::caller_refused,
-        "request=" + facts_.request + " status=" + std::to_string(status) + " reason=" + reason +
-            " key=" + tenants::loggable_key(facts_.credential) +
-            " tenant=" + (tenant_ != nullptr ? tenant_->name : std::string("-")) +
-            " route=" + route_->name + " version=" + std::to_string(table_->version()) +
-            " waited_ms=" + std::to_string(to_milliseconds(waited)));
+    logging::write_event(logging::event_id::caller_refused,
+                         "request=" + facts_.request + " status=" + std::to_string(status) +
+                             " reason=" + reason +
+                             " key=" + tenants::loggable_key(facts_.credential) +
+                             " tenant=" + (tenant_ != nullptr ? tenant_->name : std::string("-")) +
+                             " route=" + route_->name + " " + describe_proof(waited));
     co_await answer(status, std::move(reason), again);
 }
 
--- a/src/tallyfold/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/forwarding/request_relay_shell.hpp
@@ -57,6 +57,8 @@
     /// Asks the directory for a newer configuration and takes it over. @return false when the
     /// directory is silent: what this node doesn't know may exist all the same
     asio::awaitable<bool> refresh_table();
+    /// For log lines: by which configuration a call is decided, and what proves that it is new.
+    [[nodiscard]] std::string describe_proof(duration waited) const;
     /// The route by the configuration at hand; null for none.
     [[nodiscard]] const routing::route* known_route() const;
     asio::awaitable<void> refuse_caller(unsigned status, std::string reason, come_again again,
