--- a/apps/tallyfold_directory_bench.cpp
+++ b/apps/tallyfold_directory_bench.cpp
@@ -82,6 +82,22 @@
     std::size_t told = 0;
 };
 
+/// Gives a node that holds the first version all parts that it asks for. @return bytes sent
+std::size_t give_configuration(directory::directory_core& core) {
+    directory::configuration_request request;
+    request.held = 1;
+    std::size_t bytes = 0;
+    while (true) {
+        const directory::configuration_part part = core.receive(request);
+        bytes += messaging::encode_frame(part).size();
+        request.content = part.content;
+        request.offset = part.offset + part.bytes.size();
+        if (request.offset >= part.size) {
+            return bytes;
+        }
+    }
+}
+
 /// The change from `before` to `after` routes, at the leader.
 costs measure(std::size_t before, std::size_t after) {
     instant now{std::chrono::seconds(1)};
@@ -110,6 +126,7 @@
         report.node = "node-" + std::to_string(node);
         report.configuration = 1;
         spent.told += messaging::encode_frame(core.receive(report, now)).size();
+        spent.told += give_configuration(core);
     }
     spent.tell = telling.milliseconds();
     return spent;
--- /dev/null
+++ b/src/tallyfold/consensus/follower_reads.cpp
@@ -0,0 +1,79 @@
+#include "tallyfold/consensus/follower_reads.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::consensus {
+
+void follower_reads::add(std::uint64_t token, instant now) {
+    unasked_.push_back({token, now});
+}
+
+std::optional<std::uint64_t> follower_reads::next_question(instant now, duration repeat_after) {
+    if (!asked_.empty()) {
+        if (now - sent_ < repeat_after) {
+            return std::nullopt;
+        }
+        sent_ = now;
+        return question_;
+    }
+    if (unasked_.empty()) {
+        return std::nullopt;
+    }
+    std::swap(asked_, unasked_);
+    sent_ = now;
+    return ++question_;
+}
+
+void follower_reads::answered(std::uint64_t question, log_index commit_index) {
+    if (question != question_) {
+        return;
+    }
+    for (const read& each : asked_) {
+        answered_.emplace(commit_index, each);
+    }
+    asked_.clear();
+}
+
+std::vector<std::uint64_t> follower_reads::take_confirmed(log_index commit_index) {
+    std::vector<std::uint64_t> tokens;
+    const auto end = answered_.upper_bound(commit_index);
+    for (auto each = answered_.begin(); each != end; ++each) {
+        tokens.push_back(each->second.token);
+    }
+    answered_.erase(answered_.begin(), end);
+    return tokens;
+}
+
+std::vector<std::uint64_t> follower_reads::take_expired(instant now, duration limit) {
+    std::vector<std::uint64_t> tokens;
+    const auto expired = [&](const read& each) {
+        const bool late = now - each.since > limit;
+        if (late) {
+            tokens.push_back(each.token);
+        }
+        return late;
+    };
+    std::erase_if(unasked_, expired);
+    std::erase_if(asked_, expired);
+    std::erase_if(answered_, [&](const auto& entry) { return expired(entry.second); });
+    return tokens;
+}
+
+std::vector<std::uint64_t> follower_reads::take_all() {
+    std::vector<std::uint64_t> tokens;
+    for (const read& each : unasked_) {
+        tokens.push_back(each.token);
+    }
+    for (const read& each : asked_) {
+        tokens.push_back(each.token);
+    }
+    for (const auto& [position, each] : answered_) {
+        tokens.push_back(each.token);
+    }
+    unasked_.clear();
+    asked_.clear();
+    answered_.clear();
+    return tokens;
+}
+
+}  // namespace tallyfold::consensus
--- /dev/null
+++ b/src/tallyfold/consensus/follower_reads.hpp
@@ -0,0 +1,52 @@
+#pragma once
+/// @file
+/// Reads at a replica that doesn't lead (Raft's read index, asked of the leader): one question is
+/// under way at a time, for all reads that came before it was sent. A read is confirmed once the
+/// log is committed here up to the position that the leader answered.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/consensus/messages.hpp"
+
+namespace tallyfold::consensus {
+
+class follower_reads {
+  public:
+    /// @param first drawn anew in each life of the replica: an answer to a question of an earlier
+    /// life, which may still be under way, must not pass for one to a question of this life
+    explicit follower_reads(std::uint64_t first) : question_(first) {}
+
+    /// A read under the caller's number.
+    void add(std::uint64_t token, instant now);
+    /// The question that is to be sent to the leader now: a new one when none is under way and
+    /// reads wait, or the one under way again when it was sent `repeat_after` ago.
+    std::optional<std::uint64_t> next_question(instant now, duration repeat_after);
+    /// The leader's answer; one to another question is ignored.
+    void answered(std::uint64_t question, log_index commit_index);
+    /// Takes out the reads that the log, committed up to `commit_index`, confirms.
+    std::vector<std::uint64_t> take_confirmed(log_index commit_index);
+    /// Takes out the reads that have waited for longer than `limit`.
+    std::vector<std::uint64_t> take_expired(instant now, duration limit);
+    /// Takes out all: who answers for them isn't known any more.
+    std::vector<std::uint64_t> take_all();
+
+  private:
+    struct read {
+        std::uint64_t token = 0;
+        instant since{};
+    };
+
+    std::vector<read> unasked_;
+    /// Those that the question under way is for.
+    std::vector<read> asked_;
+    /// Those that wait for the log, by position.
+    std::multimap<log_index, read> answered_;
+    std::uint64_t question_;
+    instant sent_{};
+};
+
+}  // namespace tallyfold::consensus
--- a/src/tallyfold/consensus/messages.hpp
+++ b/src/tallyfold/consensus/messages.hpp
@@ -149,8 +149,29 @@
     }
 };
 
-using message_body =
-    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request>;
+/// A replica that doesn't lead asks the leader up to where the log is committed.
+struct read_index_request {
+    /// Comes back in the reply.
+    std::uint64_t question = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(question);
+    }
+};
+
+/// A quorum has confirmed, after the question came, that its receiver leads.
+struct read_index_reply {
+    std::uint64_t question = 0;
+    /// Whoever has applied the log up to here has all that was committed before the question.
+    log_index commit_index = 0;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(question, commit_index);
+    }
+};
+
+using message_body = std::variant<vote_request, vote_reply, append_request, append_reply,
+                                  snapshot_request, read_index_request, read_index_reply>;
 
 /// One message between two replicas of one group.
 struct replica_message {
--- a/src/tallyfold/consensus/replica_election.cpp
+++ b/src/tallyfold/consensus/replica_election.cpp
@@ -43,16 +43,19 @@
         state_ = {term, no_replica};
         ready_.new_state = state_;
     }
+    if (role_ == replica_role::leader || leader != leader_) {
+        fail_reads();
+    }
     role_ = replica_role::follower;
     leader_ = leader;
     votes_.clear();
     progress_.clear();
-    pending_reads_.clear();
 }
 
 void replica_fsm::start_pre_vote(instant now) {
     role_ = replica_role::pre_candidate;
     leader_ = no_replica;
+    fail_reads();
     votes_ = {settings_.self};
     reset_election_deadline(now);
     if (votes_.size() >= members().quorum()) {
@@ -88,7 +91,6 @@
     role_ = replica_role::leader;
     leader_ = settings_.self;
     progress_.clear();
-    pending_reads_.clear();
     for (const auto& [id, member] : members().members) {
         progress_[id] = replica_progress(log_.last_index() + 1, now);
     }
--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -33,7 +33,8 @@
       random_(settings.seed ^ settings.self),
       state_(recovered.state),
       log_(recovered.base.index, recovered.base.term, recovered.entries),
-      latest_snapshot_(std::move(recovered.base)) {
+      latest_snapshot_(std::move(recovered.base)),
+      follower_reads_(random_.next()) {
     memberships_.push_back({latest_snapshot_.index, latest_snapshot_.members});
     for (const log_entry& entry : recovered.entries) {
         if (entry.kind == entry_kind::membership) {
@@ -56,6 +57,7 @@
         }
         return;
     }
+    ask_leader_for_reads(now);
     if (now >= election_deadline_ && is_voter()) {
         start_pre_vote(now);
     }
@@ -116,8 +118,12 @@
                 on_append_request(message, body, now);
             } else if constexpr (std::is_same_v<body_type, append_reply>) {
                 on_append_reply(message, body, now);
-            } else {
+            } else if constexpr (std::is_same_v<body_type, snapshot_request>) {
                 on_snapshot_request(message, body, now);
+            } else if constexpr (std::is_same_v<body_type, read_index_request>) {
+                on_read_index_request(message, body, now);
+            } else {
+                on_read_index_reply(message, body);
             }
         },
         message.body);
@@ -191,6 +197,7 @@
     latest_snapshot_ = body.contents;
     ready_.received_snapshot = body.contents;
     ready_.committed.clear();
+    confirm_follower_reads();
     send(message.from, append_reply{true, body.contents.index, body.round}, true);
 }
 
@@ -302,12 +309,76 @@
     if (role_ != replica_role::leader) {
         return tl::unexpected(replica_error::not_leader);
     }
-    pending_reads_.push_back({token, round_ + 1});
+    await_round({token, round_ + 1}, now);
+    return {};
+}
+
+tl::expected<void, replica_error> replica_fsm::request_read_at_any_replica(std::uint64_t token,
+                                                                           instant now) {
+    if (role_ == replica_role::leader) {
+        return request_read(token, now);
+    }
+    if (leader_ == no_replica) {
+        return tl::unexpected(replica_error::not_leader);
+    }
+    follower_reads_.add(token, now);
+    ask_leader_for_reads(now);
+    return {};
+}
+
+void replica_fsm::await_round(pending_read read, instant now) {
+    pending_reads_.push_back(read);
     // Reads that arrive while a round is out wait for the next one together.
     if (confirmed_round() >= round_) {
         begin_round(now);
     }
-    return {};
+}
+
+void replica_fsm::ask_leader_for_reads(instant now) {
+    // A leader that doesn't answer for an election timeout may be none any more.
+    fail_reads(follower_reads_.take_expired(now, settings_.election_timeout));
+    if (leader_ == no_replica || role_ == replica_role::leader) {
+        return;
+    }
+    if (const auto question = follower_reads_.next_question(now, settings_.heartbeat_interval)) {
+        send(leader_, read_index_request{*question}, false);
+    }
+}
+
+void replica_fsm::on_read_index_request(const replica_message& message,
+                                        const read_index_request& body, instant now) {
+    if (role_ == replica_role::leader) {
+        await_round({body.question, round_ + 1, message.from}, now);
+    }
+}
+
+void replica_fsm::on_read_index_reply(const replica_message& message,
+                                      const read_index_reply& body) {
+    if (message.from != leader_) {
+        return;
+    }
+    follower_reads_.answered(body.question, body.commit_index);
+    confirm_follower_reads();
+}
+
+void replica_fsm::confirm_follower_reads() {
+    for (const std::uint64_t token : follower_reads_.take_confirmed(commit_index_)) {
+        ready_.confirmed_reads.push_back(token);
+    }
+}
+
+void replica_fsm::fail_reads(const std::vector<std::uint64_t>& tokens) {
+    ready_.failed_reads.insert(ready_.failed_reads.end(), tokens.begin(), tokens.end());
+}
+
+void replica_fsm::fail_reads() {
+    for (const pending_read& read : pending_reads_) {
+        if (read.asker == no_replica) {
+            ready_.failed_reads.push_back(read.token);
+        }
+    }
+    pending_reads_.clear();
+    fail_reads(follower_reads_.take_all());
 }
 
 std::uint64_t replica_fsm::confirmed_round() const {
@@ -334,8 +405,13 @@
     }
     const std::uint64_t confirmed = confirmed_round();
     while (!pending_reads_.empty() && pending_reads_.front().round <= confirmed) {
-        ready_.confirmed_reads.push_back(pending_reads_.front().token);
+        const pending_read read = pending_reads_.front();
         pending_reads_.pop_front();
+        if (read.asker == no_replica) {
+            ready_.confirmed_reads.push_back(read.token);
+        } else {
+            send(read.asker, read_index_reply{read.token, commit_index_}, false);
+        }
     }
     if (!pending_reads_.empty() && confirmed >= round_) {
         begin_round(now);
@@ -413,6 +489,7 @@
         ++commit_index_;
         ready_.committed.push_back(log_.at(commit_index_));
     }
+    confirm_follower_reads();
     const bool removed =
         role_ == replica_role::leader && !is_voter() && memberships_.back().index <= commit_index_;
     if (removed) {
@@ -444,7 +521,7 @@
 bool replica_fsm::has_ready() const {
     return unsaved_from_.has_value() || ready_.needs_sync() || !ready_.committed.empty() ||
            !ready_.messages_before_sync.empty() || !ready_.messages_after_sync.empty() ||
-           !ready_.confirmed_reads.empty();
+           !ready_.confirmed_reads.empty() || !ready_.failed_reads.empty();
 }
 
 ready replica_fsm::take_ready() {
--- a/src/tallyfold/consensus/replica_fsm.hpp
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -15,6 +15,7 @@
 
 #include "tallyfold/common/random.hpp"
 #include "tallyfold/common/time.hpp"
+#include "tallyfold/consensus/follower_reads.hpp"
 #include "tallyfold/consensus/messages.hpp"
 #include "tallyfold/consensus/replica_progress.hpp"
 #include "tallyfold/consensus/replicated_log.hpp"
@@ -61,6 +62,8 @@
     std::vector<replica_message> messages_after_sync;
     std::vector<log_entry> committed;
     std::vector<std::uint64_t> confirmed_reads;
+    /// Reads that nobody answers any more: they may be asked for again.
+    std::vector<std::uint64_t> failed_reads;
 
     [[nodiscard]] bool needs_sync() const {
         return new_state.has_value() || received_snapshot.has_value() || !new_entries.empty();
@@ -79,8 +82,12 @@
     /// Appends a membership that differs from the current one in a single replica.
     tl::expected<log_index, replica_error> propose_membership(const membership& next);
     /// Confirms leadership with a quorum in a round started after this call; the token then
-    /// comes out in ready::confirmed_reads.
+    /// comes out in ready::confirmed_reads, or in ready::failed_reads when the lead is lost.
     tl::expected<void, replica_error> request_read(std::uint64_t token, instant now);
+    /// The same at any replica: one that doesn't lead asks the leader, and confirms the read once
+    /// its log is committed up to the position that the leader answers. @return an error when no
+    /// leader is known
+    tl::expected<void, replica_error> request_read_at_any_replica(std::uint64_t token, instant now);
 
     /// The log up to `index`, whose entry there has `term`, is durable at this replica.
     void persisted(log_index index, term_number term);
@@ -116,6 +123,8 @@
     struct pending_read {
         std::uint64_t token;
         std::uint64_t round;
+        /// The replica that asked, under its question's number; none for a read of this replica.
+        replica_id asker = no_replica;
     };
 
     void become_follower(term_number term, replica_id leader);
@@ -131,6 +140,9 @@
     void on_append_reply(const replica_message& message, const append_reply& body, instant now);
     void on_snapshot_request(const replica_message& message, const snapshot_request& body,
                              instant now);
+    void on_read_index_request(const replica_message& message, const read_index_request& body,
+                               instant now);
+    void on_read_index_reply(const replica_message& message, const read_index_reply& body);
 
     void append_own(entry_kind kind, std::string payload);
     void store_entry(const log_entry& entry);
@@ -142,7 +154,13 @@
     void begin_round(instant now);
     void advance_commit();
     void commit_to(log_index index);
+    void await_round(pending_read read, instant now);
     void confirm_reads(instant now);
+    void ask_leader_for_reads(instant now);
+    void confirm_follower_reads();
+    /// Gives up all reads that wait: the leader that was to confirm them may have changed.
+    void fail_reads();
+    void fail_reads(const std::vector<std::uint64_t>& tokens);
     /// The newest round that a quorum of voters has acknowledged.
     [[nodiscard]] std::uint64_t confirmed_round() const;
     void step_down_if_cut_off(instant now);
@@ -172,6 +190,7 @@
     std::map<replica_id, replica_progress> progress_;
     std::uint64_t round_ = 0;
     std::deque<pending_read> pending_reads_;
+    follower_reads follower_reads_;
 
     ready ready_;
     std::optional<log_index> unsaved_from_;
--- /dev/null
+++ b/src/tallyfold/directory/configuration_fetch.cpp
@@ -0,0 +1,127 @@
+#include "tallyfold/directory/configuration_fetch.hpp"
+
+#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/protocol/compression.hpp"
+#include "tallyfold/routing/configuration_change.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// Without a part for this long, the next node that holds a newer version is asked to go on. A part
+/// takes some 15 ms; a directory node may be busy with a large change for 0.3 s.
+constexpr duration patience = std::chrono::milliseconds(400);
+/// A whole configuration of this size isn't believed; operators' calls may have 8 MB.
+constexpr std::size_t largest_content = 64U << 20U;
+
+/// What a fetched content makes of `base`.
+tl::expected<routing::configuration, std::string> unpack(const std::string& content,
+                                                         const routing::configuration& base) {
+    const auto bytes = protocol::decompress(content, largest_content);
+    if (!bytes) {
+        return tl::unexpected(bytes.error().reason);
+    }
+    const auto change = protocol::decode<routing::configuration_change>(*bytes);
+    if (!change) {
+        return tl::unexpected(change.error().reason);
+    }
+    const bool whole = change->base == routing::no_version;
+    auto made = routing::apply(*change, whole ? routing::configuration{} : base);
+    if (!made) {
+        const bool other = made.error() == routing::change_failure::other_base;
+        return tl::unexpected(std::string(other ? "it is made from another version"
+                                                : "its result isn't what was sent"));
+    }
+    return std::move(*made);
+}
+
+}  // namespace
+
+routing::configuration_version configuration_fetch::version() const {
+    return held_->version;
+}
+
+std::optional<duration> configuration_fetch::fetching_for(instant now) const {
+    return asked_.empty() ? std::nullopt : std::optional<duration>(now - began_);
+}
+
+configuration_request configuration_fetch::next_request() const {
+    configuration_request request;
+    request.held = held_->version;
+    request.whole = wants_whole_;
+    request.content = content_;
+    request.offset = bytes_.size();
+    return request;
+}
+
+std::optional<configuration_request> configuration_fetch::told(
+    const node_name& by, routing::configuration_version version, instant now) {
+    if (version <= held_->version) {
+        return std::nullopt;
+    }
+    const bool under_way = !asked_.empty() && now - asked_at_ < patience;
+    if (under_way) {
+        return std::nullopt;
+    }
+    if (asked_.empty()) {
+        began_ = now;
+    }
+    asked_ = by;
+    asked_at_ = now;
+    return next_request();
+}
+
+void configuration_fetch::lost(const node_name& node) {
+    if (asked_ == node) {
+        asked_.clear();
+    }
+}
+
+void configuration_fetch::forget_content() {
+    content_ = 0;
+    bytes_.clear();
+}
+
+configuration_fetch::progress configuration_fetch::receive(const node_name& from,
+                                                           const configuration_part& part,
+                                                           instant now) {
+    if (from != asked_) {
+        // From a node that had been given up meanwhile.
+        return {};
+    }
+    const bool goes_on = part.content == content_ && part.offset == bytes_.size();
+    const bool begins = part.offset == 0;
+    const bool usable = part.size <= largest_content && !part.bytes.empty() && (goes_on || begins);
+    if (part.version <= held_->version || !usable) {
+        asked_.clear();
+        forget_content();
+        return {};
+    }
+    if (!goes_on) {
+        forget_content();
+        content_ = part.content;
+    }
+    bytes_ += part.bytes;
+    if (bytes_.size() >= part.size) {
+        return finish();
+    }
+    asked_at_ = now;
+    return {next_request(), nullptr, {}};
+}
+
+configuration_fetch::progress configuration_fetch::finish() {
+    auto made = unpack(bytes_, *held_);
+    asked_.clear();
+    forget_content();
+    wants_whole_ = !made;
+    if (!made) {
+        return {std::nullopt, nullptr, made.error()};
+    }
+    if (made->version <= held_->version) {
+        return {};
+    }
+    held_ = std::make_shared<const routing::configuration>(std::move(*made));
+    return {std::nullopt, held_, {}};
+}
+
+}  // namespace tallyfold::directory
--- /dev/null
+++ b/src/tallyfold/directory/configuration_fetch.hpp
@@ -0,0 +1,56 @@
+#pragma once
+/// @file
+/// Fetches newer configurations from directory nodes: one at a time, part by part, from one node
+/// at a time, so that a node that is slow to get it doesn't have several copies made and sent.
+/// Pure.
+
+#include <optional>
+#include <string>
+
+#include "tallyfold/common/time.hpp"
+#include "tallyfold/directory/configuration_source.hpp"
+#include "tallyfold/directory/messages.hpp"
+
+namespace tallyfold::directory {
+
+class configuration_fetch {
+  public:
+    struct progress {
+        /// What to ask the same node next.
+        std::optional<configuration_request> next;
+        /// A newer configuration, now held.
+        configuration_pointer learned;
+        /// Why what was fetched is of no use; empty when nothing is wrong.
+        std::string problem;
+    };
+
+    /// A directory node has said which version it holds. @return what to ask it now: something when
+    /// it holds a newer one and none is being fetched, or when the node that gives it is silent
+    std::optional<configuration_request> told(const node_name& by,
+                                              routing::configuration_version version, instant now);
+    progress receive(const node_name& from, const configuration_part& part, instant now);
+    /// The connection to a node is gone, and with it what it was asked for.
+    void lost(const node_name& node);
+
+    [[nodiscard]] const configuration_pointer& held() const { return held_; }
+    [[nodiscard]] routing::configuration_version version() const;
+    /// Time since the fetch under way began; nothing when none is.
+    [[nodiscard]] std::optional<duration> fetching_for(instant now) const;
+
+  private:
+    [[nodiscard]] configuration_request next_request() const;
+    progress finish();
+    void forget_content();
+
+    configuration_pointer held_ = std::make_shared<const routing::configuration>();
+    /// The node that was asked and hasn't answered yet; empty for none.
+    node_name asked_;
+    instant asked_at_{};
+    instant began_{};
+    std::uint64_t content_ = 0;
+    std::string bytes_;
+    /// A difference didn't fit what is held: the whole configuration is asked for next.
+    bool wants_whole_ = false;
+};
+
+}  // namespace tallyfold::directory
--- /dev/null
+++ b/src/tallyfold/directory/configuration_proofs.cpp
@@ -0,0 +1,56 @@
+#include "tallyfold/directory/configuration_proofs.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// Questions whose time of asking is remembered: three seconds of them.
+constexpr std::size_t most_open_questions = 64;
+/// While versions come quickly, each may be proved before it is fetched.
+constexpr std::size_t most_proofs_ahead = 16;
+
+}  // namespace
+
+std::uint64_t configuration_proofs::ask(instant now) {
+    asked_[++question_] = now;
+    if (asked_.size() > most_open_questions) {
+        asked_.erase(asked_.begin());
+    }
+    return question_;
+}
+
+void configuration_proofs::answered(const node_name& by, std::uint64_t question,
+                                    routing::configuration_version version) {
+    const auto asked = asked_.find(question);
+    if (asked == asked_.end()) {
+        return;
+    }
+    const configuration_proof proof{by, version, asked->second};
+    asked_.erase(asked);
+    if (version <= held_) {
+        take(proof);
+        return;
+    }
+    ahead_.push_back(proof);
+    if (ahead_.size() > most_proofs_ahead) {
+        ahead_.pop_front();
+    }
+}
+
+void configuration_proofs::holds(routing::configuration_version version) {
+    held_ = version;
+    for (const configuration_proof& proof : ahead_) {
+        if (proof.version <= held_) {
+            take(proof);
+        }
+    }
+    std::erase_if(ahead_, [&](const configuration_proof& proof) { return proof.version <= held_; });
+}
+
+void configuration_proofs::take(const configuration_proof& proof) {
+    if (proof.asked > newest_.asked) {
+        newest_ = proof;
+    }
+}
+
+}  // namespace tallyfold::directory
--- /dev/null
+++ b/src/tallyfold/directory/configuration_source.cpp
@@ -0,0 +1,89 @@
+#include "tallyfold/directory/configuration_source.hpp"
+
+#include "tallyfold/common/hash.hpp"
+#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/protocol/compression.hpp"
+#include "tallyfold/routing/configuration_change.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// Versions from which differences are told: nodes rarely lag by more changes than come while one
+/// is fetched. Each holds some 2 MB at 6,000 routes.
+constexpr std::size_t kept_versions = 4;
+/// Contents that nodes may still be fetching while newer versions come.
+constexpr std::size_t kept_contents = 8;
+/// What one answer carries: 9 ms of a link with 30 Mbit/s, so that heartbeats don't wait behind it.
+constexpr std::size_t part_bytes = 32U << 10U;
+
+const routing::configuration& empty_configuration() {
+    static const routing::configuration empty;
+    return empty;
+}
+
+}  // namespace
+
+void configuration_source::show(const configuration_pointer& newest) {
+    if (newest->version <= (kept_.empty() ? routing::no_version : kept_.back()->version)) {
+        return;
+    }
+    kept_.push_back(newest);
+    if (kept_.size() > kept_versions) {
+        kept_.pop_front();
+    }
+}
+
+const routing::configuration& configuration_source::base_for(
+    routing::configuration_version version) const {
+    for (const configuration_pointer& each : kept_) {
+        if (each->version == version) {
+            return *each;
+        }
+    }
+    return empty_configuration();
+}
+
+const configuration_source::content& configuration_source::content_for(
+    const configuration_request& request) {
+    for (const content& each : contents_) {
+        if (each.id == request.content) {
+            return each;
+        }
+    }
+    const routing::configuration& newest = *kept_.back();
+    const routing::configuration& base =
+        request.whole ? empty_configuration() : base_for(request.held);
+    for (const content& each : contents_) {
+        if (each.base == base.version && each.version == newest.version) {
+            return each;
+        }
+    }
+    content made;
+    made.base = base.version;
+    made.version = newest.version;
+    made.bytes = protocol::compress(protocol::encode(routing::difference(base, newest)));
+    made.id = stable_hash(made.bytes);
+    contents_.push_back(std::move(made));
+    if (contents_.size() > kept_contents) {
+        contents_.pop_front();
+    }
+    return contents_.back();
+}
+
+configuration_part configuration_source::answer(const configuration_request& request) {
+    configuration_part part;
+    if (kept_.empty() || kept_.back()->version <= request.held) {
+        return part;
+    }
+    const content& given = content_for(request);
+    part.content = given.id;
+    part.version = given.version;
+    part.size = given.bytes.size();
+    const bool goes_on = request.content == given.id && request.offset < given.bytes.size();
+    part.offset = goes_on ? request.offset : 0;
+    part.bytes = given.bytes.substr(part.offset, part_bytes);
+    return part;
+}
+
+}  // namespace tallyfold::directory
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -13,10 +13,9 @@
 
 /// Silence of all directory nodes after which their loss is logged.
 constexpr duration lost_after = std::chrono::milliseconds(1500);
-/// Questions whose time of asking is remembered.
-constexpr std::size_t most_open_questions = 64;
 /// What was asked so short a time ago is fresh enough: callers with keys that nobody holds can't
-/// make a node ask more often.
+/// make a node ask more often. An answer without faults takes some 15 ms, so that within the time
+/// that a call waits for proof a second node is asked when the first one can't give it.
 constexpr duration fresh_enough = std::chrono::milliseconds(50);
 
 }  // namespace
@@ -57,35 +56,28 @@
         [this, address](const messaging::peer_message& message) {
             if (const auto* beat = std::get_if<directory_beat>(&message)) {
                 on_beat(address, *beat);
+            } else if (const auto* part = std::get_if<configuration_part>(&message)) {
+                on_part(address, *part);
             } else if (on_other_) {
                 on_other_(message);
             }
         },
         [this, address](bool up, const std::string& reason) {
-            if (up && version_ == routing::no_version) {
+            if (up && version() == routing::no_version) {
                 report();
             }
+            if (!up) {
+                fetch_.lost(address);
+            }
             messaging::log_link(address, "directory", up, reason);
         });
 }
 
-void directory_client::report() {
-    const instant now = http::steady_now();
-    if (!lost_ && now - heard_ > lost_after) {
-        lost_ = true;
-        logging::write_event(logging::event_id::directory_lost,
-                             "silent_ms=" + std::to_string(to_milliseconds(now - heard_)) +
-                                 " version=" + std::to_string(version_));
-    }
+node_report directory_client::make_report() const {
     node_report report;
     report.node = process_.settings().node;
-    report.question = ++question_;
-    asked_[question_] = now;
-    if (asked_.size() > most_open_questions) {
-        asked_.erase(asked_.begin());
-    }
-    report.configuration = version_;
     report.stores = stores_.epoch;
+    report.configuration = version();
     report.wants_configuration = settings_.wants_configuration;
     report.wants_list = list_ != nullptr;
     if (list_ != nullptr) {
@@ -96,13 +88,28 @@
     if (describe_store_) {
         report.store = describe_store_();
     }
+    return report;
+}
+
+void directory_client::report() {
+    const instant now = http::steady_now();
+    if (!lost_ && now - heard_ > lost_after) {
+        lost_ = true;
+        logging::write_event(logging::event_id::directory_lost,
+                             "silent_ms=" + std::to_string(to_milliseconds(now - heard_)) +
+                                 " version=" + std::to_string(version()));
+    }
+    const node_report report = make_report();
     if (settings_.reports_to_all) {
         for (const auto& [address, link] : links_) {
             link->send(report);
         }
-        return;
+    } else if (const messaging::link_pointer link = next_link()) {
+        link->send(report);
     }
-    // The next connected one in turn.
+}
+
+messaging::link_pointer directory_client::next_link() {
     auto position = links_.upper_bound(last_asked_);
     for (std::size_t step = 0; step < links_.size(); ++step) {
         if (position == links_.end()) {
@@ -110,11 +117,21 @@
         }
         if (position->second->connected()) {
             last_asked_ = position->first;
-            position->second->send(report);
-            return;
+            return position->second;
         }
         ++position;
     }
+    return nullptr;
+}
+
+void directory_client::ask_for_proof() {
+    const messaging::link_pointer link = next_link();
+    if (!link) {
+        return;
+    }
+    node_report report = make_report();
+    report.question = proofs_.ask(http::steady_now());
+    link->send(report);
 }
 
 void directory_client::on_beat(const node_name& from, const directory_beat& beat) {
@@ -138,16 +155,46 @@
             on_list_(list_->learn(sight, heard_));
         }
     }
-    for (const routing::configuration& configuration : beat.newer_configuration) {
-        if (configuration.version > version_) {
-            version_ = configuration.version;
-            on_configuration_(configuration);
-        }
+    if (settings_.wants_configuration) {
+        fetch(from, fetch_.told(from, beat.configuration, heard_));
     }
     if (on_breaks_ && !beat.breaks.empty()) {
         on_breaks_(beat.breaks);
     }
-    end_refreshes(from, beat);
+    if (beat.question != 0) {
+        proofs_.answered(from, beat.question, beat.configuration);
+        wake_waiting();
+    }
+}
+
+void directory_client::fetch(const node_name& from,
+                             const std::optional<configuration_request>& request) {
+    const auto link = links_.find(from);
+    if (request && link != links_.end()) {
+        link->second->send(*request);
+    }
+}
+
+void directory_client::on_part(const node_name& from, const configuration_part& part) {
+    const instant now = http::steady_now();
+    const duration taken = fetch_.fetching_for(now).value_or(duration::zero());
+    const configuration_fetch::progress progress = fetch_.receive(from, part, now);
+    fetch(from, progress.next);
+    if (!progress.problem.empty()) {
+        logging::write_event(logging::event_id::configuration_fetch_failed,
+                             "from=" + from + " version=" + std::to_string(part.version) +
+                                 " held=" + std::to_string(version()) + " reason=\"" +
+                                 progress.problem + "\"");
+    }
+    if (progress.learned) {
+        logging::write_event(logging::event_id::configuration_fetched,
+                             "from=" + from + " version=" + std::to_string(version()) +
+                                 " bytes=" + std::to_string(part.size) +
+                                 " took_ms=" + std::to_string(to_milliseconds(taken)));
+        proofs_.holds(version());
+        on_configuration_(progress.learned);
+        wake_waiting();
+    }
 }
 
 void directory_client::learn_leader(const node_name& leader, consensus::term_number term) {
@@ -164,40 +211,32 @@
     }
 }
 
-void directory_client::end_refreshes(const node_name& from, const directory_beat& beat) {
-    const auto asked = asked_.find(beat.question);
-    if (asked == asked_.end()) {
-        return;
-    }
-    if (asked->second > proof_.asked) {
-        proof_ = {from, beat.configuration, asked->second};
+void directory_client::wake_waiting() {
+    for (const auto& timer : waiting_) {
+        timer->cancel();
     }
-    asked_.erase(asked_.begin(), std::next(asked));
-    const auto end = refreshes_.upper_bound(beat.question);
-    for (auto waiting = refreshes_.begin(); waiting != end; ++waiting) {
-        waiting->second->cancel();
-    }
-    refreshes_.erase(refreshes_.begin(), end);
+}
+
+bool directory_client::proved_since(instant since) const {
+    // Who waits may share a question that was asked a moment before it came.
+    return proofs_.newest().asked + fresh_enough > since;
 }
 
 asio::awaitable<bool> directory_client::refresh(duration limit) {
     const instant began = http::steady_now();
-    if (began - proof_.asked < fresh_enough) {
-        co_return true;
-    }
-    // Who comes while others wait shares their question when it is young enough.
-    const auto newest = asked_.find(question_);
-    const bool shared = !refreshes_.empty() && newest != asked_.end() &&
-                        http::steady_now() - newest->second < fresh_enough;
-    if (!shared) {
-        report();
-    }
-    const auto timer = std::make_shared<asio::steady_timer>(process_.loop(), limit);
-    refreshes_.emplace(question_, timer);
-    co_await timer->async_wait(asio::experimental::as_tuple(asio::use_awaitable));
-    std::erase_if(refreshes_, [&](const auto& entry) { return entry.second == timer; });
-    // Whoever shared a question had it asked up to that long before.
-    co_return proof_.asked + fresh_enough > began;
+    const instant end = began + limit;
+    const auto timer = std::make_shared<asio::steady_timer>(process_.loop());
+    waiting_.insert(timer);
+    for (instant now = began; now < end && !proved_since(began); now = http::steady_now()) {
+        if (now >= next_question_) {
+            next_question_ = now + fresh_enough;
+            ask_for_proof();
+        }
+        timer->expires_after(std::min(end, next_question_) - now);
+        co_await timer->async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+    }
+    waiting_.erase(timer);
+    co_return proved_since(began);
 }
 
 void directory_client::send_to(const node_name& address, const messaging::peer_message& message) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -1,7 +1,8 @@
 #pragma once
 /// @file
 /// Keeps a node up to date with the directory: it asks one directory node after another for what
-/// is newer than what it holds, so no single node that is cut off or behind can keep it stale.
+/// is newer than what it holds, so no single node that is cut off or behind can keep it stale. The
+/// configuration, which may be large, is fetched apart, once.
 /// Belongs to the loop thread.
 
 #include <asio/awaitable.hpp>
@@ -12,22 +13,14 @@
 #include <set>
 #include <string>
 
+#include "tallyfold/directory/configuration_fetch.hpp"
+#include "tallyfold/directory/configuration_proofs.hpp"
 #include "tallyfold/directory/messages.hpp"
 #include "tallyfold/messaging/peer_link_shell.hpp"
 #include "tallyfold/net/node_process_shell.hpp"
 
 namespace tallyfold::directory {
 
-/// What a node last took for proof that it holds the newest configuration.
-struct configuration_proof {
-    /// Address of the directory node that gave it; empty for none.
-    node_name node;
-    /// The version that node held.
-    routing::configuration_version version = routing::no_version;
-    /// When the question was asked that it answered.
-    instant asked{};
-};
-
 struct directory_client_settings {
     duration report_interval = std::chrono::milliseconds(120);
     /// True for nodes that the leader has to hear: each report goes to all directory nodes.
@@ -39,7 +32,7 @@
   public:
     directory_client(net::node_process& process, directory_client_settings settings);
 
-    using configuration_handler = std::function<void(const routing::configuration&)>;
+    using configuration_handler = std::function<void(const configuration_pointer&)>;
     using stores_handler = std::function<void(const turns::store_table&)>;
     /// @param describe_store what a store says of itself; empty for other nodes
     void start(configuration_handler on_configuration, stores_handler on_stores,
@@ -48,9 +41,10 @@
     void share_list(listing::list_memory& list, std::function<void(bool changed)> on_list);
     /// Takes over a group's map that came from elsewhere.
     void learn_map(const turns::store_map& map);
-    /// Asks for what is newer, and waits until a node has answered a question asked from now on, or
-    /// until the limit. All who wait share one question; one that was answered just now is enough.
-    /// @return false when no answer came: this node may be behind
+    /// Waits until it is proved that this node holds the configuration that was the newest when
+    /// this was called, or until the limit. All who wait share the questions; one that was asked
+    /// and answered just now is enough.
+    /// @return false when there is no proof: this node may be behind
     asio::awaitable<bool> refresh(duration limit);
     /// Sends to a directory node; dropped while it isn't connected.
     void send_to(const node_name& address, const messaging::peer_message& message);
@@ -72,17 +66,23 @@
     void use_seeds(const std::vector<std::string>& peers);
 
     [[nodiscard]] const turns::store_table& stores() const { return stores_; }
-    [[nodiscard]] routing::configuration_version version() const { return version_; }
+    [[nodiscard]] routing::configuration_version version() const { return fetch_.version(); }
     /// When a directory node answered last.
     [[nodiscard]] instant heard() const { return heard_; }
-    [[nodiscard]] const configuration_proof& proof() const { return proof_; }
+    [[nodiscard]] const configuration_proof& proof() const { return proofs_.newest(); }
 
   private:
     void report();
+    [[nodiscard]] node_report make_report() const;
+    /// The next connected directory node in turn; null when none is connected.
+    messaging::link_pointer next_link();
+    void ask_for_proof();
+    void fetch(const node_name& from, const std::optional<configuration_request>& request);
+    void on_part(const node_name& from, const configuration_part& part);
+    void wake_waiting();
+    [[nodiscard]] bool proved_since(instant since) const;
     void add_address(const std::string& address);
     void on_beat(const node_name& from, const directory_beat& beat);
-    /// Wakes those whose question has been answered.
-    void end_refreshes(const node_name& from, const directory_beat& beat);
 
     net::node_process& process_;
     directory_client_settings settings_;
@@ -90,7 +90,8 @@
     std::string last_asked_;
     std::set<std::string> seeds_;
     turns::store_table stores_;
-    routing::configuration_version version_ = routing::no_version;
+    configuration_fetch fetch_;
+    configuration_proofs proofs_;
     instant heard_{};
     bool lost_ = false;
     configuration_handler on_configuration_;
@@ -102,11 +103,9 @@
     std::function<void(const std::vector<listing::told_break>&)> on_breaks_;
     node_name leader_;
     consensus::term_number term_ = 0;
-    std::uint64_t question_ = 0;
-    configuration_proof proof_;
-    std::map<std::uint64_t, instant> asked_;
-    /// Who waits, by the question whose answer is enough.
-    std::multimap<std::uint64_t, std::shared_ptr<asio::steady_timer>> refreshes_;
+    /// When the next question for proof may be asked.
+    instant next_question_{};
+    std::set<std::shared_ptr<asio::steady_timer>> waiting_;
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -132,24 +132,31 @@
     for (const store_report& store : report.store) {
         store_planner_.on_report(store, now);
     }
+    return beat_for(report);
+}
+
+configuration_part directory_core::receive(const configuration_request& request) {
+    source_.show(shown_configuration());
+    return source_.answer(request);
+}
+
+const configuration_pointer& directory_core::shown_configuration() const {
     const bool has_newest = state_.configuration().version >= earlier_.configuration().version;
-    const routing::configuration& shown =
-        has_newest ? state_.configuration() : earlier_.configuration();
+    return has_newest ? state_.shared_configuration() : earlier_.shared_configuration();
+}
+
+directory_beat directory_core::beat_for(const node_report& report) const {
     const bool has_newest_stores = state_.stores().epoch >= earlier_.stores().epoch;
     const turns::store_table& shown_stores =
         has_newest_stores ? state_.stores() : earlier_.stores();
     directory_beat beat;
-    beat.configuration = shown.version;
-    if (report.wants_configuration && beat.configuration > report.configuration) {
-        beat.newer_configuration.push_back(shown);
-    }
+    beat.configuration = shown_configuration()->version;
     if (shown_stores.epoch > report.stores) {
         beat.newer_stores.push_back(shown_stores);
     }
     for (const auto& [id, member] : replica_.members().members) {
         beat.directory_addresses.push_back(member.node);
     }
-    beat.question = report.question;
     beat.leader = leader_address();
     beat.term = replica_.term();
     return beat;
@@ -177,6 +184,25 @@
     reads_[read] = token;
 }
 
+void directory_core::prove(request_token token, instant now) {
+    const std::uint64_t read = next_read_++;
+    if (!replica_.request_read_at_any_replica(read, now)) {
+        work_.proofs.push_back({token, false});
+        return;
+    }
+    proofs_[read] = token;
+}
+
+void directory_core::end_read(std::uint64_t read, bool confirmed) {
+    if (const auto found = reads_.find(read); found != reads_.end()) {
+        answer(found->second, confirmed ? answer_kind::done : answer_kind::not_leader);
+        reads_.erase(found);
+    } else if (const auto proof = proofs_.find(read); proof != proofs_.end()) {
+        work_.proofs.push_back({proof->second, confirmed});
+        proofs_.erase(proof);
+    }
+}
+
 void directory_core::fail_pending() {
     for (const auto& [index, command] : commands_) {
         if (command.token != 0) {
@@ -184,10 +210,6 @@
         }
     }
     commands_.clear();
-    for (const auto& [read, token] : reads_) {
-        answer(token, answer_kind::not_leader);
-    }
-    reads_.clear();
 }
 
 void directory_core::note_leadership(instant now) {
@@ -311,11 +333,12 @@
     applied_bytes_ += entry.payload.size();
     if (entry.kind == consensus::entry_kind::command) {
         // An entry is written by this program and guarded by checksums.
-        if (const auto command = protocol::decode<directory_command>(entry.payload)) {
+        if (auto command = protocol::decode<directory_command>(entry.payload)) {
             const auto version = state_.configuration().version;
             const turns::map_epoch epoch = state_.stores().epoch;
-            state_.apply(*command);
+            state_.apply(std::move(*command));
             if (state_.configuration().version != version) {
+                source_.show(state_.shared_configuration());
                 event(logging::event_id::configuration_applied,
                       "version=" + std::to_string(state_.configuration().version) +
                           " index=" + std::to_string(entry.index));
@@ -366,7 +389,7 @@
     own.index = applied_;
     own.term = log.term_at(applied_).value_or(0);
     own.members = replica_.members_at(applied_);
-    own.state = state_.save();
+    own.state = state_.to_bytes();
     write.base = own;
     writing_snapshot_ = std::move(own);
 }
@@ -389,11 +412,10 @@
             apply(entry);
         }
         for (const std::uint64_t read : ready.confirmed_reads) {
-            const auto found = reads_.find(read);
-            if (found != reads_.end()) {
-                answer(found->second, answer_kind::done);
-                reads_.erase(found);
-            }
+            end_read(read, true);
+        }
+        for (const std::uint64_t read : ready.failed_reads) {
+            end_read(read, false);
         }
         for (consensus::replica_message& message : ready.messages_before_sync) {
             work_.before_sync.push_back(address(std::move(message)));
--- a/src/tallyfold/directory/directory_core.hpp
+++ b/src/tallyfold/directory/directory_core.hpp
@@ -11,6 +11,7 @@
 
 #include "tallyfold/consensus/persistence.hpp"
 #include "tallyfold/consensus/replica_fsm.hpp"
+#include "tallyfold/directory/configuration_source.hpp"
 #include "tallyfold/directory/directory_state.hpp"
 #include "tallyfold/directory/member_planner.hpp"
 #include "tallyfold/directory/messages.hpp"
@@ -58,23 +59,30 @@
     node_name leader;
 };
 
+/// Whether this node's state was the newest when it was asked to prove that.
+struct directory_proof {
+    request_token token = 0;
+    bool proved = false;
+};
+
 struct addressed_message {
     node_name to;
     std::variant<consensus::replica_message, join_request> body;
 };
 
 /// Work for the shell, in this order: send `before_sync`, make `write` durable and call
-/// persisted(), send `after_sync`, hand out `answers`, log `events`.
+/// persisted(), send `after_sync`, hand out `answers` and `proofs`, log `events`.
 struct directory_work {
     std::vector<addressed_message> before_sync;
     std::optional<consensus::group_write> write;
     std::vector<addressed_message> after_sync;
     std::vector<directory_answer> answers;
+    std::vector<directory_proof> proofs;
     std::vector<logging::event_record> events;
 
     [[nodiscard]] bool empty() const {
         return before_sync.empty() && !write && after_sync.empty() && answers.empty() &&
-               events.empty();
+               proofs.empty() && events.empty();
     }
 };
 
@@ -87,13 +95,20 @@
     /// @param from address that the message came from, for a replica no membership names yet
     void receive(const node_name& from, const consensus::replica_message& message, instant now);
     void receive(const join_request& request, instant now);
-    /// @return what the reporting node lacks
+    /// @return what the reporting node lacks; it proves nothing
     directory_beat receive(const node_report& report, instant now);
+    /// The part of a newer configuration that a node asks for.
+    configuration_part receive(const configuration_request& request);
+    /// What a reporting node lacks, as this node sees it now.
+    [[nodiscard]] directory_beat beat_for(const node_report& report) const;
 
     /// Appends a command; its answer comes out of take_work().
     void submit(request_token token, const directory_command& command);
-    /// Confirms that this node's state is the newest; the answer comes out of take_work().
+    /// Confirms that this leader's state is the newest; the answer comes out of take_work().
     void confirm(request_token token, instant now);
+    /// The same at any node, the leader or not; the proof comes out of take_work(). Tokens of
+    /// proofs and of answers are apart.
+    void prove(request_token token, instant now);
 
     directory_work take_work();
     /// The last work's write is durable.
@@ -126,7 +141,11 @@
     };
 
     void answer(request_token token, answer_kind kind);
+    void end_read(std::uint64_t read, bool confirmed);
     void fail_pending();
+    /// The newest configuration that this node knows to have been in force, now or in an earlier
+    /// life.
+    [[nodiscard]] const configuration_pointer& shown_configuration() const;
     void apply(const consensus::log_entry& entry);
     void note_leadership(instant now);
     void lead(instant now);
@@ -146,6 +165,7 @@
     consensus::replica_fsm replica_;
     directory_state state_;
     directory_state earlier_;
+    configuration_source source_;
     consensus::log_index applied_ = 0;
     /// Payload applied since the last snapshot was taken here.
     std::size_t applied_bytes_ = 0;
@@ -154,6 +174,7 @@
     std::map<consensus::replica_id, node_name> addresses_;
     std::map<consensus::log_index, pending_command> commands_;
     std::map<std::uint64_t, request_token> reads_;
+    std::map<std::uint64_t, request_token> proofs_;
     std::uint64_t next_read_ = 1;
     bool led_ = false;
     instant next_duty_{};
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -68,6 +68,8 @@
     void follow_keeping();
     void answer_permits(const messaging::channel_pointer& channel,
                         const tenants::permit_report& report);
+    void answer_report(const messaging::channel_pointer& channel, const node_report& report);
+    void end_proof(const directory_proof& proof);
     void learn_list(const directory_beat& beat);
     void ask_leader_for_list();
     [[nodiscard]] bool reads_list() const;
@@ -82,6 +84,13 @@
     std::map<std::string, messaging::link_pointer> links_;
     std::unique_ptr<storage::log_store> store_;
     std::unique_ptr<directory_core> core_;
+    /// A node that waits for proof that it holds the newest configuration.
+    struct waiting_question {
+        std::weak_ptr<messaging::frame_channel> channel;
+        node_report report;
+    };
+    std::map<request_token, waiting_question> questions_;
+    request_token next_question_ = 1;
     bool pumping_ = false;
     /// Version and epoch of the state that was noted last.
     std::pair<routing::configuration_version, turns::map_epoch> noted_{};
@@ -92,6 +101,9 @@
     /// Version of the limits that the keeper goes by; nothing while this node keeps no permits.
     std::optional<routing::configuration_version> keeping_;
     prometheus::Counter& writes_;
+    prometheus::Counter& parts_given_;
+    prometheus::Counter& part_bytes_;
+    prometheus::Counter& proofs_given_;
     prometheus::Gauge& version_gauge_;
 };
 
@@ -106,6 +118,16 @@
                process_.settings().quota_slack, process_.settings().quota_lease}),
       writes_(net::add_counter(process_.metrics(), "tallyfold_directory_writes_total",
                                "Synced writes of the directory's log")),
+      parts_given_(net::add_counter(process_.metrics(),
+                                    "tallyfold_directory_configuration_parts_total",
+                                    "Parts of configurations that were sent to nodes")),
+      part_bytes_(net::add_counter(process_.metrics(),
+                                   "tallyfold_directory_configuration_part_bytes_total",
+                                   "Bytes of those parts")),
+      proofs_given_(net::add_counter(process_.metrics(),
+                                     "tallyfold_directory_configuration_proofs_total",
+                                     "Questions answered with proof that nothing newer was in "
+                                     "force")),
       version_gauge_(net::add_gauge(process_.metrics(), "tallyfold_directory_configuration_version",
                                     "Version of the configuration that this node has applied")) {}
 
@@ -188,7 +210,7 @@
     }
     noted_ = now;
     const std::string path = process_.settings().data_folder + applied_files[next_note_];
-    if (storage::overwrite_file(path, storage::single_record(core_->state().save()))) {
+    if (storage::overwrite_file(path, storage::single_record(core_->state().to_bytes()))) {
         next_note_ = 1 - next_note_;
     }
 }
@@ -243,6 +265,37 @@
     channel->send(answer);
 }
 
+void directory_node::answer_report(const messaging::channel_pointer& channel,
+                                   const node_report& report) {
+    const instant now = http::steady_now();
+    directory_beat beat = core_->receive(report, now);
+    if (report.wants_list) {
+        beat.list = list_.tell(report.list, std::chrono::milliseconds(report.list_age_ms), now);
+    }
+    beat.breaks = breaks_.tell(now);
+    channel->send(beat);
+    if (report.question != 0) {
+        const request_token token = next_question_++;
+        questions_[token] = {channel, report};
+        core_->prove(token, now);
+    }
+}
+
+void directory_node::end_proof(const directory_proof& proof) {
+    const auto found = questions_.find(proof.token);
+    if (found == questions_.end()) {
+        return;
+    }
+    const messaging::channel_pointer channel = found->second.channel.lock();
+    if (proof.proved && channel) {
+        directory_beat beat = core_->beat_for(found->second.report);
+        beat.question = found->second.report.question;
+        channel->send(beat);
+        proofs_given_.Increment();
+    }
+    questions_.erase(found);
+}
+
 void directory_node::learn_list(const directory_beat& beat) {
     for (const listing::list_sight& sight : beat.list) {
         list_.learn(sight, http::steady_now());
@@ -299,6 +352,7 @@
     // can be read back.
     store_.reset();
     core_.reset();
+    questions_.clear();
     desk_.storage_lost();
     reopen_later();
     return false;
@@ -340,6 +394,9 @@
         for (const directory_answer& answer : work.answers) {
             desk_.answered(answer);
         }
+        for (const directory_proof& proof : work.proofs) {
+            end_proof(proof);
+        }
         note_state();
         version_gauge_.Set(static_cast<double>(core_->state().configuration().version));
     }
@@ -357,13 +414,12 @@
     } else if (const auto* join = std::get_if<join_request>(&message)) {
         core_->receive(*join, now);
     } else if (const auto* report = std::get_if<node_report>(&message)) {
-        directory_beat beat = core_->receive(*report, now);
-        if (report->wants_list) {
-            beat.list =
-                list_.tell(report->list, std::chrono::milliseconds(report->list_age_ms), now);
-        }
-        beat.breaks = breaks_.tell(now);
-        channel->send(beat);
+        answer_report(channel, *report);
+    } else if (const auto* request = std::get_if<configuration_request>(&message)) {
+        const configuration_part part = core_->receive(*request);
+        parts_given_.Increment();
+        part_bytes_.Increment(static_cast<double>(part.bytes.size()));
+        channel->send(part);
     } else if (const auto* broken = std::get_if<listing::break_report>(&message)) {
         breaks_.note(broken->backend, now);
     } else if (const auto* permits = std::get_if<tenants::permit_report>(&message)) {
--- a/src/tallyfold/directory/directory_state.cpp
+++ b/src/tallyfold/directory/directory_state.cpp
@@ -4,12 +4,13 @@
 
 namespace tallyfold::directory {
 
-void directory_state::apply(const directory_command& command) {
-    if (const auto* configuration = std::get_if<replace_configuration>(&command)) {
+void directory_state::apply(directory_command command) {
+    if (auto* change = std::get_if<replace_configuration>(&command)) {
         // The highest version prevails; an equal one alters nothing.
-        if (configuration->parsed.version > configuration_.version) {
-            configuration_ = configuration->parsed;
-            text_ = configuration->text;
+        if (change->parsed.version > configuration_->version) {
+            configuration_ =
+                std::make_shared<const routing::configuration>(std::move(change->parsed));
+            text_ = std::move(change->text);
         }
     } else if (const auto* change = std::get_if<change_store_groups>(&command)) {
         change_groups(*change);
@@ -42,7 +43,7 @@
     }
 }
 
-std::string directory_state::save() const {
+std::string directory_state::to_bytes() const {
     return protocol::encode(*this);
 }
 
--- a/src/tallyfold/directory/directory_state.hpp
+++ b/src/tallyfold/directory/directory_state.hpp
@@ -4,6 +4,7 @@
 /// and which stores are being emptied. A deterministic state machine.
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <variant>
@@ -49,33 +50,44 @@
     }
 };
 
+using routing::configuration_pointer;
+
 using directory_command = std::variant<replace_configuration, change_store_groups, retire_store>;
 
 class directory_state {
   public:
     /// Applies one committed command.
-    void apply(const directory_command& command);
+    void apply(directory_command command);
 
-    [[nodiscard]] const routing::configuration& configuration() const { return configuration_; }
+    [[nodiscard]] const routing::configuration& configuration() const { return *configuration_; }
+    [[nodiscard]] const configuration_pointer& shared_configuration() const {
+        return configuration_;
+    }
     /// The configuration's text, as its operator sent it.
     [[nodiscard]] const std::string& configuration_text() const { return text_; }
     [[nodiscard]] const turns::store_table& stores() const { return stores_; }
     /// Disks that are to be emptied or were.
     [[nodiscard]] const std::map<turns::store_id, node_name>& retired() const { return retired_; }
 
-    [[nodiscard]] std::string save() const;
+    [[nodiscard]] std::string to_bytes() const;
     void restore(const std::string& bytes);
 
     template <class Archive>
-    void serialize(Archive& archive) {
-        archive(configuration_, text_, stores_, retired_);
+    void save(Archive& archive) const {
+        archive(*configuration_, text_, stores_, retired_);
+    }
+    template <class Archive>
+    void load(Archive& archive) {
+        routing::configuration configuration;
+        archive(configuration, text_, stores_, retired_);
+        configuration_ = std::make_shared<const routing::configuration>(std::move(configuration));
     }
 
   private:
     void change_groups(const change_store_groups& change);
     void retire(const retire_store& order);
 
-    routing::configuration configuration_;
+    configuration_pointer configuration_ = std::make_shared<const routing::configuration>();
     std::string text_;
     turns::store_table stores_;
     std::map<turns::store_id, node_name> retired_;
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -42,7 +42,8 @@
     listing::list_fingerprint list = 0;
     /// Time since some node saw it, in milliseconds.
     std::uint32_t list_age_ms = 0;
-    /// Comes back in the answer; grows with each report of a node.
+    /// Above 0 when the node wants to know whether it holds the newest configuration: comes back
+    /// in an answer once the directory node has proof of that. Grows with each question of a node.
     std::uint64_t question = 0;
 
     template <class Archive>
@@ -54,16 +55,16 @@
 
 /// A directory node's answer. Everything in it is committed.
 struct directory_beat {
+    /// The version that this node holds; whoever holds an older one asks for it.
     routing::configuration_version configuration = routing::no_version;
-    /// One entry when the asker's is older.
-    std::vector<routing::configuration> newer_configuration;
     std::vector<turns::store_table> newer_stores;
     /// Addresses ("ip:port") of the directory's nodes.
     std::vector<std::string> directory_addresses;
     /// The list of back ends as this node saw it; at most one entry. It isn't part of the log: any
     /// node's own sight is as good as another's.
     std::vector<listing::list_sight> list;
-    /// The report that is answered.
+    /// The question that is answered; 0 when nothing proves that this node holds the newest
+    /// configuration. Otherwise nothing newer was in force when the question was asked.
     std::uint64_t question = 0;
     /// Address of the node that leads, as far as this one knows; empty for none.
     node_name leader;
@@ -73,8 +74,42 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(configuration, newer_configuration, newer_stores, directory_addresses, list,
-                question, leader, term, breaks);
+        archive(configuration, newer_stores, directory_addresses, list, question, leader, term,
+                breaks);
+    }
+};
+
+/// A node asks a directory node for a newer configuration, or for the next part of one.
+struct configuration_request {
+    /// The version that the node holds.
+    routing::configuration_version held = routing::no_version;
+    /// True when a difference from that version is of no use.
+    bool whole = false;
+    /// The content of which the node has the first `offset` bytes; 0 for none.
+    std::uint64_t content = 0;
+    std::uint64_t offset = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(held, whole, content, offset);
+    }
+};
+
+/// A part of what leads from an older configuration to a newer one: a compressed
+/// routing::configuration_change.
+struct configuration_part {
+    /// Tells contents apart: a digest of all its bytes.
+    std::uint64_t content = 0;
+    /// The version that it leads to; none when the directory node holds nothing newer.
+    routing::configuration_version version = routing::no_version;
+    /// Bytes of the whole content, and where this part begins.
+    std::uint64_t size = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(content, version, size, offset, bytes);
     }
 };
 
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -37,7 +37,7 @@
     asio::awaitable<bool> read_request(http::connection_pointer caller, caller_request& request);
     asio::awaitable<void> reject(http::connection_pointer caller, unsigned status,
                                  std::string reason);
-    void use_configuration(const routing::configuration& configuration);
+    void use_configuration(const directory::configuration_pointer& configuration);
     void use_list(bool changed);
     void learn_breaks(const std::vector<listing::told_break>& told);
     void read_policy();
@@ -96,13 +96,13 @@
     return context_.routes ? context_.routes->source().limits : routing::caller_limits{};
 }
 
-void forwarder_node::use_configuration(const routing::configuration& configuration) {
+void forwarder_node::use_configuration(const directory::configuration_pointer& configuration) {
     context_.routes = std::make_shared<routing::route_table>(configuration);
-    quotas_.use(configuration.tenants);
+    quotas_.use(configuration->tenants);
     logging::write_event(logging::event_id::configuration_applied,
-                         "version=" + std::to_string(configuration.version) +
-                             " routes=" + std::to_string(configuration.routes.size()) +
-                             " tenants=" + std::to_string(configuration.tenants.size()));
+                         "version=" + std::to_string(configuration->version) +
+                             " routes=" + std::to_string(configuration->routes.size()) +
+                             " tenants=" + std::to_string(configuration->tenants.size()));
 }
 
 void forwarder_node::use_list(bool changed) {
@@ -310,7 +310,9 @@
 
 int forwarder_node::run() {
     directory_.start(
-        [this](const routing::configuration& configuration) { use_configuration(configuration); },
+        [this](const directory::configuration_pointer& configuration) {
+            use_configuration(configuration);
+        },
         [this](const turns::store_table& stores) {
             logging::write_event(logging::event_id::store_map_changed,
                                  "epoch=" + std::to_string(stores.epoch) +
--- a/src/tallyfold/logging/event_catalogue.cpp
+++ b/src/tallyfold/logging/event_catalogue.cpp
@@ -42,6 +42,8 @@
          "configuration_lease_expired"},
         {event_id::policy_failed, event_level::error, "policy_failed"},
         {event_id::policy_applied, event_level::info, "policy_applied"},
+        {event_id::configuration_fetched, event_level::info, "configuration_fetched"},
+        {event_id::configuration_fetch_failed, event_level::warning, "configuration_fetch_failed"},
         {event_id::admin_request, event_level::info, "admin_request"},
         {event_id::admin_denied, event_level::warning, "admin_denied"},
         {event_id::call_refused, event_level::info, "call_refused"},
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -47,6 +47,8 @@
     configuration_lease_expired = 2303,
     policy_failed = 2304,
     policy_applied = 2305,
+    configuration_fetched = 2306,
+    configuration_fetch_failed = 2307,
     admin_request = 2401,
     admin_denied = 2402,
     call_refused = 3001,
--- a/src/tallyfold/routing/configuration.hpp
+++ b/src/tallyfold/routing/configuration.hpp
@@ -3,6 +3,7 @@
 /// What operators say about routes, services and tenants: one whole, versioned configuration.
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -169,4 +170,7 @@
     static constexpr std::uint64_t format_with_tenants = 0xFFFF'FFFF'FFFF'FF01U;
 };
 
+/// Shared, since a node holds a large one at several places and never changes it.
+using configuration_pointer = std::shared_ptr<const configuration>;
+
 }  // namespace tallyfold::routing
--- a/src/tallyfold/routing/route_table.cpp
+++ b/src/tallyfold/routing/route_table.cpp
@@ -5,11 +5,14 @@
 namespace tallyfold::routing {
 
 route_table::route_table(configuration source)
-    : source_(std::move(source)), keys_(source_.tenants) {
-    for (const route& entry : source_.routes) {
+    : route_table(std::make_shared<const configuration>(std::move(source))) {}
+
+route_table::route_table(configuration_pointer source)
+    : source_(std::move(source)), keys_(source_->tenants) {
+    for (const route& entry : source_->routes) {
         hosts_[entry.host][entry.prefix] = &entry;
     }
-    for (const service& entry : source_.services) {
+    for (const service& entry : source_->services) {
         services_[entry.name] = &entry;
     }
 }
@@ -42,7 +45,7 @@
 
 duration route_table::longest_timeout() const {
     duration longest{};
-    for (const route& entry : source_.routes) {
+    for (const route& entry : source_->routes) {
         longest = std::max<duration>(longest, std::chrono::milliseconds(entry.timeout_ms));
     }
     return longest;
--- a/src/tallyfold/routing/route_table.hpp
+++ b/src/tallyfold/routing/route_table.hpp
@@ -16,6 +16,7 @@
 /// the one they began with.
 class route_table {
   public:
+    explicit route_table(configuration_pointer source);
     explicit route_table(configuration source);
 
     /// The route of that host whose prefix begins the path and is longest; null when none does.
@@ -24,13 +25,13 @@
     [[nodiscard]] const service* find_service(const std::string& name) const;
     /// Whose keys are whose.
     [[nodiscard]] const tenants::key_index& keys() const { return keys_; }
-    [[nodiscard]] const configuration& source() const { return source_; }
-    [[nodiscard]] configuration_version version() const { return source_.version; }
+    [[nodiscard]] const configuration& source() const { return *source_; }
+    [[nodiscard]] configuration_version version() const { return source_->version; }
     /// The longest time that any route lets a request take.
     [[nodiscard]] duration longest_timeout() const;
 
   private:
-    configuration source_;
+    configuration_pointer source_;
     tenants::key_index keys_;
     /// Routes by host, and under it by prefix.
     std::map<std::string, std::map<std::string, const route*, std::less<>>, std::less<>> hosts_;
--- a/src/tallyfold/turns/turn_store_shell.cpp
+++ b/src/tallyfold/turns/turn_store_shell.cpp
@@ -336,7 +336,7 @@
         logging::write_event(logging::event_id::settings_refused, "reason=\"" + problem + "\"");
         return 1;
     }
-    directory_.start([](const routing::configuration&) {},
+    directory_.start([](const directory::configuration_pointer&) {},
                      [this](const store_table& stores) { use_stores(stores); },
                      [this] { return std::vector<directory::store_report>{describe()}; });
     if (store_->map().epoch > 0) {
--- /dev/null
+++ b/tests/consensus/follower_reads_test.cpp
@@ -0,0 +1,73 @@
+#include "tallyfold/consensus/follower_reads.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace consensus;
+
+class follower_reads_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(follower_reads_test);
+    CPPUNIT_TEST(reads_share_a_question_and_wait_for_the_log);
+    CPPUNIT_TEST(a_read_that_came_after_the_question_needs_the_next);
+    CPPUNIT_TEST(an_answer_to_an_earlier_life_confirms_nothing);
+    CPPUNIT_TEST(what_nobody_answers_expires);
+    CPPUNIT_TEST_SUITE_END();
+
+    using tokens = std::vector<std::uint64_t>;
+    static constexpr duration repeat = std::chrono::milliseconds(80);
+    instant now_{std::chrono::seconds(1)};
+
+    void reads_share_a_question_and_wait_for_the_log() {
+        follower_reads reads(100);
+        reads.add(1, now_);
+        reads.add(2, now_);
+        const auto question = reads.next_question(now_, repeat);
+        CPPUNIT_ASSERT(question.has_value());
+        CPPUNIT_ASSERT(!reads.next_question(now_, repeat).has_value());
+        CPPUNIT_ASSERT(question == reads.next_question(now_ + repeat, repeat));
+        reads.answered(*question, 9);
+        CPPUNIT_ASSERT(reads.take_confirmed(8).empty());
+        CPPUNIT_ASSERT(reads.take_confirmed(9) == tokens({1, 2}));
+        CPPUNIT_ASSERT(reads.take_confirmed(9).empty());
+    }
+
+    void a_read_that_came_after_the_question_needs_the_next() {
+        follower_reads reads(100);
+        reads.add(1, now_);
+        const auto first = reads.next_question(now_, repeat);
+        reads.add(2, now_);
+        reads.answered(*first, 9);
+        CPPUNIT_ASSERT(reads.take_confirmed(9) == tokens({1}));
+        const auto second = reads.next_question(now_, repeat);
+        CPPUNIT_ASSERT(second.has_value() && second != first);
+        // The same answer once more, late.
+        reads.answered(*first, 12);
+        CPPUNIT_ASSERT(reads.take_confirmed(12).empty());
+    }
+
+    void an_answer_to_an_earlier_life_confirms_nothing() {
+        follower_reads before(100);
+        before.add(1, now_);
+        const auto question = before.next_question(now_, repeat);
+        follower_reads after(7'000);
+        after.add(2, now_);
+        CPPUNIT_ASSERT(after.next_question(now_, repeat).has_value());
+        after.answered(*question, 9);
+        CPPUNIT_ASSERT(after.take_confirmed(9).empty());
+    }
+
+    void what_nobody_answers_expires() {
+        follower_reads reads(100);
+        reads.add(1, now_);
+        reads.next_question(now_, repeat);
+        reads.add(2, now_ + repeat);
+        CPPUNIT_ASSERT(reads.take_expired(now_ + repeat, repeat).empty());
+        CPPUNIT_ASSERT(reads.take_expired(now_ + repeat * 3 / 2, repeat) == tokens({1}));
+        CPPUNIT_ASSERT(reads.take_all() == tokens({2}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(follower_reads_test);
+
+}  // namespace tallyfold::tests
--- a/tests/consensus/replica_fsm_test.cpp
+++ b/tests/consensus/replica_fsm_test.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST_SUITE(replica_fsm_test);
     CPPUNIT_TEST(commits_survive_any_schedule);
     CPPUNIT_TEST(a_group_recovers_once_faults_end);
+    CPPUNIT_TEST(each_replica_confirms_reads_while_a_leader_is_there);
+    CPPUNIT_TEST(a_replica_without_a_leader_fails_its_reads);
     CPPUNIT_TEST(a_lagging_voter_elects_a_member_that_it_knows_as_learner);
     CPPUNIT_TEST(a_replica_without_membership_does_not_vote);
     CPPUNIT_TEST(a_second_membership_change_waits_for_the_first);
@@ -41,6 +43,44 @@
         });
     }
 
+    void each_replica_confirms_reads_while_a_leader_is_there() {
+        replica_group group(5, 11);
+        CPPUNIT_ASSERT(group.settle());
+        // One heartbeat tells every replica who leads.
+        for (int count = 0; count < 20; ++count) {
+            CPPUNIT_ASSERT(group.settle(1));
+        }
+        for (replica_id id = 1; id <= 5; ++id) {
+            group.propose("before the read at " + std::to_string(id));
+            group.read(id);
+            for (int count = 0; count < 20; ++count) {
+                CPPUNIT_ASSERT(group.settle(1));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(id), group.confirmed_reads());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), group.failed_reads());
+        CPPUNIT_ASSERT_EQUAL(std::string(), group.violation());
+    }
+
+    void a_replica_without_a_leader_fails_its_reads() {
+        replica_group group(3, 12);
+        CPPUNIT_ASSERT(group.settle());
+        for (int count = 0; count < 20; ++count) {
+            CPPUNIT_ASSERT(group.settle(1));
+        }
+        const replica_id leader = leader_of(group).leader();
+        const replica_id asked = leader == 1 ? 2 : 1;
+        for (replica_id id = 1; id <= 3; ++id) {
+            if (id != asked) {
+                group.crash(id);
+            }
+        }
+        group.read(asked);
+        group.run_alone(asked, std::chrono::seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), group.confirmed_reads());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), group.failed_reads());
+    }
+
     static replica_fsm voter_with(const membership& members, log_index last) {
         recovered_state state;
         state.state.term = 2;
--- /dev/null
+++ b/tests/directory/configuration_fetch_test.cpp
@@ -0,0 +1,265 @@
+#include "tallyfold/directory/configuration_fetch.hpp"
+
+#include "tallyfold/common/random.hpp"
+#include "tallyfold/directory/configuration_proofs.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace directory;
+
+class configuration_fetch_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(configuration_fetch_test);
+    CPPUNIT_TEST(a_node_without_any_fetches_the_whole);
+    CPPUNIT_TEST(a_node_with_an_older_one_fetches_the_difference);
+    CPPUNIT_TEST(one_copy_is_under_way_at_a_time);
+    CPPUNIT_TEST(a_silent_node_is_replaced_and_the_fetch_goes_on);
+    CPPUNIT_TEST(a_lost_connection_ends_the_wait);
+    CPPUNIT_TEST(a_newer_version_meanwhile_doesnt_begin_it_anew);
+    CPPUNIT_TEST(a_difference_that_doesnt_fit_is_followed_by_the_whole);
+    CPPUNIT_TEST(parts_that_make_no_sense_are_refused);
+    CPPUNIT_TEST(any_order_of_answers_ends_with_the_newest);
+    CPPUNIT_TEST(proof_counts_once_the_version_is_held);
+    CPPUNIT_TEST(an_answer_proves_only_what_was_asked);
+    CPPUNIT_TEST_SUITE_END();
+
+    instant now_{std::chrono::seconds(1)};
+    static constexpr duration patience = std::chrono::milliseconds(400);
+
+    /// Routes whose names don't compress away.
+    static configuration_pointer make(routing::configuration_version version, std::size_t routes) {
+        random_source random(5);
+        routing::configuration made;
+        made.version = version;
+        for (std::size_t number = 0; number < routes; ++number) {
+            routing::route route;
+            route.host = std::to_string(random.next()) + std::to_string(random.next());
+            route.prefix = "/" + std::to_string(random.next()) + "/";
+            made.routes.push_back(std::move(route));
+        }
+        return std::make_shared<const routing::configuration>(std::move(made));
+    }
+
+    /// Has `fetch` take all parts of what `source` gives. @return parts that it took
+    int take_all(configuration_fetch& fetch, const node_name& node, configuration_source& source,
+                 std::optional<configuration_request> request) {
+        int parts = 0;
+        while (request) {
+            ++parts;
+            request = fetch.receive(node, source.answer(*request), now_).next;
+        }
+        return parts;
+    }
+
+    void a_node_without_any_fetches_the_whole() {
+        configuration_source source;
+        source.show(make(3, 3'000));
+        configuration_fetch fetch;
+        const int parts = take_all(fetch, "a", source, fetch.told("a", 3, now_));
+        CPPUNIT_ASSERT(parts > 1);
+        CPPUNIT_ASSERT(*fetch.held() == *make(3, 3'000));
+        CPPUNIT_ASSERT(!fetch.told("b", 3, now_).has_value());
+    }
+
+    void a_node_with_an_older_one_fetches_the_difference() {
+        configuration_source source;
+        configuration_fetch fetch;
+        source.show(make(3, 3'000));
+        take_all(fetch, "a", source, fetch.told("a", 3, now_));
+        source.show(make(5, 3'001));
+        CPPUNIT_ASSERT_EQUAL(1, take_all(fetch, "b", source, fetch.told("b", 5, now_)));
+        CPPUNIT_ASSERT(*fetch.held() == *make(5, 3'001));
+        // A version from before what is kept: the whole.
+        for (routing::configuration_version version = 6; version < 12; ++version) {
+            source.show(make(version, 3'000));
+        }
+        CPPUNIT_ASSERT(take_all(fetch, "c", source, fetch.told("c", 11, now_)) > 1);
+        CPPUNIT_ASSERT(*fetch.held() == *make(11, 3'000));
+    }
+
+    void one_copy_is_under_way_at_a_time() {
+        configuration_fetch fetch;
+        CPPUNIT_ASSERT(fetch.told("a", 3, now_).has_value());
+        now_ += patience / 2;
+        CPPUNIT_ASSERT(!fetch.told("b", 3, now_).has_value());
+        CPPUNIT_ASSERT(!fetch.told("a", 4, now_).has_value());
+    }
+
+    void a_silent_node_is_replaced_and_the_fetch_goes_on() {
+        configuration_source one;
+        configuration_source other;
+        one.show(make(3, 3'000));
+        other.show(make(3, 3'000));
+        configuration_fetch fetch;
+        const auto first = fetch.told("a", 3, now_);
+        const auto second = fetch.receive("a", one.answer(*first), now_).next;
+        CPPUNIT_ASSERT(second->offset > 0);
+        now_ += patience;
+        const auto again = fetch.told("b", 3, now_);
+        CPPUNIT_ASSERT(again.has_value());
+        CPPUNIT_ASSERT_EQUAL(second->offset, again->offset);
+        // What the first node sends late is of no use any more.
+        CPPUNIT_ASSERT(!fetch.receive("a", one.answer(*second), now_).next.has_value());
+        take_all(fetch, "b", other, again);
+        CPPUNIT_ASSERT(*fetch.held() == *make(3, 3'000));
+    }
+
+    void a_lost_connection_ends_the_wait() {
+        configuration_fetch fetch;
+        fetch.told("a", 3, now_);
+        fetch.lost("b");
+        CPPUNIT_ASSERT(!fetch.told("b", 3, now_).has_value());
+        fetch.lost("a");
+        CPPUNIT_ASSERT(fetch.told("b", 3, now_).has_value());
+    }
+
+    void a_newer_version_meanwhile_doesnt_begin_it_anew() {
+        configuration_source source;
+        source.show(make(3, 3'000));
+        configuration_fetch fetch;
+        auto request = fetch.told("a", 3, now_);
+        routing::configuration_version version = 3;
+        while (request) {
+            // A change comes with each part.
+            source.show(make(++version, 3'000));
+            request = fetch.receive("a", source.answer(*request), now_).next;
+        }
+        CPPUNIT_ASSERT(fetch.version() >= 3);
+        CPPUNIT_ASSERT_EQUAL(1, take_all(fetch, "a", source, fetch.told("a", version, now_)));
+        CPPUNIT_ASSERT_EQUAL(version, fetch.version());
+    }
+
+    void a_difference_that_doesnt_fit_is_followed_by_the_whole() {
+        configuration_source one;
+        configuration_fetch fetch;
+        one.show(make(3, 10));
+        take_all(fetch, "a", one, fetch.told("a", 3, now_));
+        // Another content under the version that the node holds.
+        configuration_source other;
+        other.show(make(3, 11));
+        other.show(make(4, 12));
+        const auto request = fetch.told("b", 4, now_);
+        const auto progress = fetch.receive("b", other.answer(*request), now_);
+        CPPUNIT_ASSERT(!progress.problem.empty());
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{3}, fetch.version());
+        const auto whole = fetch.told("b", 4, now_);
+        CPPUNIT_ASSERT(whole->whole);
+        take_all(fetch, "b", other, whole);
+        CPPUNIT_ASSERT(*fetch.held() == *make(4, 12));
+    }
+
+    void parts_that_make_no_sense_are_refused() {
+        check_property("no part makes a node hold something else or wait for ever", [this] {
+            configuration_source source;
+            source.show(make(3, 500));
+            configuration_fetch fetch;
+            auto request = fetch.told("a", 3, now_);
+            for (int count = 0; count < 20; ++count) {
+                configuration_part part = source.answer(request.value_or(configuration_request{}));
+                switch (*rc::gen::inRange(0, 5)) {
+                    case 0:
+                        part.offset = *rc::gen::arbitrary<std::uint64_t>();
+                        break;
+                    case 1:
+                        part.size = *rc::gen::arbitrary<std::uint64_t>();
+                        break;
+                    case 2:
+                        part.bytes = *any_bytes();
+                        break;
+                    case 3:
+                        part.content = *rc::gen::arbitrary<std::uint64_t>();
+                        break;
+                    default:
+                        break;
+                }
+                request = fetch.receive("a", part, now_).next;
+                if (!request) {
+                    request = fetch.told("a", 3, now_);
+                }
+                RC_ASSERT(fetch.version() == 0 || *fetch.held() == *make(3, 500));
+            }
+            now_ += patience;
+            take_all(fetch, "b", source, fetch.told("b", 3, now_));
+            take_all(fetch, "b", source, fetch.told("b", 3, now_));
+            RC_ASSERT(*fetch.held() == *make(3, 500));
+        });
+    }
+
+    void any_order_of_answers_ends_with_the_newest() {
+        check_property("nodes that lag, are silent or lost: the newest is held in the end", [this] {
+            std::vector<configuration_source> sources(3);
+            std::vector<routing::configuration_version> shown(3, 0);
+            configuration_fetch fetch;
+            std::optional<configuration_request> request;
+            std::size_t asked = 0;
+            routing::configuration_version newest = 0;
+            for (int count = 0; count < 60; ++count) {
+                const auto node = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
+                const node_name name(1, static_cast<char>('a' + node));
+                now_ += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+                const routing::configuration_version before = fetch.version();
+                switch (*rc::gen::inRange(0, 4)) {
+                    case 0:
+                        shown[node] = std::max(shown[node], ++newest);
+                        sources[node].show(make(shown[node], 400 + newest % 7));
+                        break;
+                    case 1:
+                        if (auto next = fetch.told(name, shown[node], now_)) {
+                            request = next;
+                            asked = node;
+                        }
+                        break;
+                    case 2:
+                        fetch.lost(name);
+                        break;
+                    default:
+                        if (request) {
+                            const node_name from(1, static_cast<char>('a' + asked));
+                            request =
+                                fetch.receive(from, sources[asked].answer(*request), now_).next;
+                        }
+                        break;
+                }
+                RC_ASSERT(fetch.version() >= before);
+            }
+            sources[0].show(make(++newest, 400));
+            for (int count = 0; count < 3; ++count) {
+                now_ += patience;
+                take_all(fetch, "a", sources[0], fetch.told("a", newest, now_));
+            }
+            RC_ASSERT(fetch.version() == newest);
+        });
+    }
+
+    void proof_counts_once_the_version_is_held() {
+        configuration_proofs proofs;
+        proofs.holds(3);
+        const std::uint64_t first = proofs.ask(now_);
+        now_ += std::chrono::milliseconds(10);
+        const std::uint64_t second = proofs.ask(now_);
+        proofs.answered("a", second, 4);
+        CPPUNIT_ASSERT(proofs.newest().node.empty());
+        proofs.answered("b", first, 3);
+        CPPUNIT_ASSERT_EQUAL(node_name("b"), proofs.newest().node);
+        proofs.holds(4);
+        CPPUNIT_ASSERT_EQUAL(node_name("a"), proofs.newest().node);
+        CPPUNIT_ASSERT(proofs.newest().asked == now_);
+    }
+
+    void an_answer_proves_only_what_was_asked() {
+        configuration_proofs proofs;
+        proofs.holds(3);
+        proofs.answered("a", 1, 3);
+        proofs.answered("a", 0, 3);
+        CPPUNIT_ASSERT(proofs.newest().node.empty());
+        const std::uint64_t question = proofs.ask(now_);
+        CPPUNIT_ASSERT(question > 0);
+        proofs.answered("a", question, 3);
+        proofs.answered("b", question, 3);
+        CPPUNIT_ASSERT_EQUAL(node_name("a"), proofs.newest().node);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(configuration_fetch_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/protocol/compression_test.cpp
@@ -0,0 +1,44 @@
+#include "tallyfold/protocol/compression.hpp"
+
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+class compression_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(compression_test);
+    CPPUNIT_TEST(bytes_come_back);
+    CPPUNIT_TEST(other_bytes_give_an_error);
+    CPPUNIT_TEST(a_result_over_its_bound_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    void bytes_come_back() {
+        check_property("what was compressed comes back", [] {
+            const std::string bytes = *any_bytes();
+            const auto back = protocol::decompress(protocol::compress(bytes), bytes.size());
+            RC_ASSERT(back.has_value());
+            RC_ASSERT(*back == bytes);
+        });
+    }
+
+    void other_bytes_give_an_error() {
+        check_property("arbitrary, cut or altered bytes are refused or give other bytes", [] {
+            constexpr std::size_t most = 1U << 20U;
+            const std::string bytes = *any_bytes();
+            (void)protocol::decompress(bytes, most);
+            std::string packed = protocol::compress(bytes);
+            packed.pop_back();
+            RC_ASSERT(!protocol::decompress(packed, most).has_value());
+        });
+    }
+
+    void a_result_over_its_bound_is_refused() {
+        const std::string packed = protocol::compress(std::string(100'000, 'a'));
+        CPPUNIT_ASSERT(packed.size() < 1'000);
+        CPPUNIT_ASSERT(!protocol::decompress(packed, 99'999).has_value());
+        CPPUNIT_ASSERT(protocol::decompress(packed, 100'000).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(compression_test);
+
+}  // namespace tallyfold::tests
--- a/tests/support/replica_group.hpp
+++ b/tests/support/replica_group.hpp
@@ -44,6 +44,9 @@
         if (random_.chance(0.3)) {
             propose("v" + std::to_string(++proposals_));
         }
+        if (random_.chance(0.3)) {
+            read(1 + random_.below(first_.members.size()));
+        }
         pump();
         deliver_some();
     }
@@ -56,6 +59,19 @@
         }
     }
 
+    /// Asks a replica whether its state is the newest.
+    void read(consensus::replica_id id) {
+        const auto found = replicas_.find(id);
+        if (found == replicas_.end()) {
+            return;
+        }
+        const consensus::log_index newest = committed_.empty() ? 0 : committed_.rbegin()->first;
+        const std::uint64_t token = ++reads_asked_;
+        if (found->second.request_read_at_any_replica(token, now_)) {
+            reads_[token] = newest;
+        }
+    }
+
     /// Runs without faults until some replica leads and has committed, or the steps run out.
     bool settle(int steps = 2000) {
         for (const auto& [id, member] : first_.members) {
@@ -81,6 +97,16 @@
         return false;
     }
 
+    /// Lets time pass at one replica, whose messages reach nobody.
+    void run_alone(consensus::replica_id id, duration time) {
+        const instant end = now_ + time;
+        while (now_ < end) {
+            now_ += std::chrono::milliseconds(10);
+            replicas_.at(id).tick(now_);
+            pump();
+        }
+    }
+
     void crash(consensus::replica_id id) { replicas_.erase(id); }
     void start(consensus::replica_id id) {
         consensus::replica_settings settings;
@@ -92,6 +118,8 @@
     /// What went wrong so far; empty when every rule held.
     [[nodiscard]] const std::string& violation() const { return violation_; }
     [[nodiscard]] std::size_t committed() const { return committed_.size(); }
+    [[nodiscard]] std::size_t confirmed_reads() const { return confirmed_reads_; }
+    [[nodiscard]] std::size_t failed_reads() const { return failed_reads_; }
     [[nodiscard]] std::map<consensus::replica_id, consensus::replica_fsm>& replicas() {
         return replicas_;
     }
@@ -124,6 +152,10 @@
                 for (const consensus::log_entry& entry : work.committed) {
                     note_committed(entry);
                 }
+                for (const std::uint64_t token : work.confirmed_reads) {
+                    note_read(token, replica.commit_index());
+                }
+                failed_reads_ += work.failed_reads.size();
             }
         }
     }
@@ -145,6 +177,15 @@
         }
     }
 
+    /// A confirmed read has to see everything that was committed when it was asked for.
+    void note_read(std::uint64_t token, consensus::log_index seen) {
+        ++confirmed_reads_;
+        if (seen < reads_.at(token)) {
+            violation_ = "a read saw the log up to " + std::to_string(seen) + ", committed were " +
+                         std::to_string(reads_.at(token));
+        }
+    }
+
     void send(const std::vector<consensus::replica_message>& messages) {
         for (const consensus::replica_message& message : messages) {
             network_.push_back(message);
@@ -184,6 +225,11 @@
     std::vector<consensus::replica_message> network_;
     std::map<consensus::term_number, consensus::replica_id> leaders_;
     std::map<consensus::log_index, consensus::log_entry> committed_;
+    /// The newest committed position when each read was asked for.
+    std::map<std::uint64_t, consensus::log_index> reads_;
+    std::uint64_t reads_asked_ = 0;
+    std::size_t confirmed_reads_ = 0;
+    std::size_t failed_reads_ = 0;
     std::string violation_;
     std::uint64_t proposals_ = 0;
 };
