Keys are trusted by proof, not by any directory node's answer; proofs share rounds

Cause: with refuses_stale_keys a node that heard only a directory node that lags went on trusting keys that had been removed. Change: such a node renews its proof four times within the time for a key's removal and goes by the proof's age; the leader begins a round for readers every 20 ms at most.

--- a/src/tallyfold/consensus/replica_fsm.cpp
+++ b/src/tallyfold/consensus/replica_fsm.cpp
@@ -55,6 +55,7 @@
         if (now >= heartbeat_due_) {
             begin_round(now);
         }
+        begin_round_for_reads(now);
         return;
     }
     ask_leader_for_reads(now);
@@ -65,6 +66,7 @@
 
 void replica_fsm::begin_round(instant now) {
     ++round_;
+    round_began_ = now;
     heartbeat_due_ = now + settings_.heartbeat_interval;
     broadcast_append(true);
     confirm_reads(now);
@@ -328,8 +330,13 @@
 
 void replica_fsm::await_round(pending_read read, instant now) {
     pending_reads_.push_back(read);
-    // Reads that arrive while a round is out wait for the next one together.
-    if (confirmed_round() >= round_) {
+    begin_round_for_reads(now);
+}
+
+void replica_fsm::begin_round_for_reads(instant now) {
+    const bool waiting = !pending_reads_.empty() && pending_reads_.back().round > round_;
+    const bool none_out = confirmed_round() >= round_;
+    if (waiting && none_out && now - round_began_ >= settings_.read_round_gap) {
         begin_round(now);
     }
 }
@@ -413,9 +420,7 @@
             send(read.asker, read_index_reply{read.token, commit_index_}, false);
         }
     }
-    if (!pending_reads_.empty() && confirmed >= round_) {
-        begin_round(now);
-    }
+    begin_round_for_reads(now);
 }
 
 bool replica_fsm::has_committed_in_term() const {
--- a/src/tallyfold/consensus/replica_fsm.hpp
+++ b/src/tallyfold/consensus/replica_fsm.hpp
@@ -32,6 +32,9 @@
     /// up to twice, for a leader to show: a pre-vote disturbs none, and after a stop of the whole
     /// group nobody leads. Zero waits like any other time.
     duration first_election_timeout = duration::zero();
+    /// Rounds for reads begin this far apart at least, so that many readers don't fill the group's
+    /// connections; reads wait for the next one together.
+    duration read_round_gap = duration::zero();
     std::size_t max_entries_per_message = 256;
     /// Entries that one replica has not answered for, in bytes of payload; one entry goes out
     /// however large it is.
@@ -155,6 +158,8 @@
     void advance_commit();
     void commit_to(log_index index);
     void await_round(pending_read read, instant now);
+    /// Begins a round when reads wait for one, none is out, and the last began long enough ago.
+    void begin_round_for_reads(instant now);
     void confirm_reads(instant now);
     void ask_leader_for_reads(instant now);
     void confirm_follower_reads();
@@ -189,6 +194,7 @@
     std::set<replica_id> votes_;
     std::map<replica_id, replica_progress> progress_;
     std::uint64_t round_ = 0;
+    instant round_began_{};
     std::deque<pending_read> pending_reads_;
     follower_reads follower_reads_;
 
--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -99,6 +99,7 @@
                              "silent_ms=" + std::to_string(to_milliseconds(now - heard_)) +
                                  " version=" + std::to_string(version()));
     }
+    renew_proof(now);
     const node_report report = make_report();
     if (settings_.reports_to_all) {
         for (const auto& [address, link] : links_) {
@@ -124,6 +125,15 @@
     return nullptr;
 }
 
+void directory_client::renew_proof(instant now) {
+    const duration interval = settings_.proof_interval;
+    const bool due = now - proofs_.newest().asked >= interval && now >= next_question_;
+    if (interval > duration::zero() && due) {
+        next_question_ = now + fresh_enough;
+        ask_for_proof();
+    }
+}
+
 void directory_client::ask_for_proof() {
     const messaging::link_pointer link = next_link();
     if (!link) {
--- a/src/tallyfold/directory/directory_client_shell.hpp
+++ b/src/tallyfold/directory/directory_client_shell.hpp
@@ -26,6 +26,9 @@
     /// True for nodes that the leader has to hear: each report goes to all directory nodes.
     bool reports_to_all = false;
     bool wants_configuration = true;
+    /// Proof that the configuration is the newest is renewed this often, without anybody waiting
+    /// for it; never when zero.
+    duration proof_interval = duration::zero();
 };
 
 class directory_client {
@@ -67,8 +70,6 @@
 
     [[nodiscard]] const turns::store_table& stores() const { return stores_; }
     [[nodiscard]] routing::configuration_version version() const { return fetch_.version(); }
-    /// When a directory node answered last.
-    [[nodiscard]] instant heard() const { return heard_; }
     [[nodiscard]] const configuration_proof& proof() const { return proofs_.newest(); }
 
   private:
@@ -77,6 +78,7 @@
     /// The next connected directory node in turn; null when none is connected.
     messaging::link_pointer next_link();
     void ask_for_proof();
+    void renew_proof(instant now);
     void fetch(const node_name& from, const std::optional<configuration_request>& request);
     void on_part(const node_name& from, const configuration_part& part);
     void wake_waiting();
--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -19,6 +19,8 @@
 constexpr duration join_interval = std::chrono::milliseconds(300);
 /// A replica that no leader has spoken to for this long asks to be taken in again.
 constexpr duration orphaned_after = std::chrono::milliseconds(2500);
+/// Rounds in which the leader proves its lead for readers: 50 a second cost some 250 messages.
+constexpr duration read_round_gap = std::chrono::milliseconds(20);
 /// Position and term of the snapshot that forms the directory.
 constexpr consensus::log_index first_index = 1;
 constexpr consensus::term_number first_term = 1;
@@ -31,6 +33,7 @@
     chosen.election_timeout = settings.election_timeout;
     chosen.heartbeat_interval = settings.heartbeat_interval;
     chosen.first_election_timeout = settings.first_election_timeout;
+    chosen.read_round_gap = read_round_gap;
     chosen.seed = settings.seed;
     return chosen;
 }
--- a/src/tallyfold/forwarding/caller_admission_shell.cpp
+++ b/src/tallyfold/forwarding/caller_admission_shell.cpp
@@ -15,7 +15,8 @@
 /// is no such route or key. Far above a question's way between zones; far inside the time within
 /// which a configuration has to be in force.
 constexpr duration refresh_limit = std::chrono::milliseconds(100);
-/// Part of the time for a key's removal after which a node without news trusts no key any more.
+/// Part of the time for a key's removal after which a node without proof that it holds the newest
+/// configuration trusts no key any more.
 constexpr double stale_share = 0.8;
 
 }  // namespace
@@ -73,7 +74,7 @@
     const duration stale_after =
         std::chrono::duration_cast<duration>(settings.revocation * stale_share);
     if (settings.refuses_stale_keys &&
-        http::steady_now() - context_.directory.heard() > stale_after) {
+        http::steady_now() - context_.directory.proof().asked > stale_after) {
         co_await refuse_caller(503, "stale_keys", come_again::after_recovery(), duration::zero());
         co_return false;
     }
--- a/src/tallyfold/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/forwarding/forwarder_shell.cpp
@@ -24,6 +24,17 @@
 constexpr duration housekeeping_interval = std::chrono::milliseconds(500);
 constexpr duration stop_check_interval = std::chrono::milliseconds(50);
 constexpr duration write_limit = std::chrono::seconds(2);
+/// Nodes that refuse stale keys renew the proof that theirs are the newest so often within the time
+/// for a key's removal: three times before they would refuse.
+constexpr int proofs_in_revocation = 4;
+
+directory::directory_client_settings client_settings(const settings::node_settings& settings) {
+    directory::directory_client_settings chosen;
+    if (settings.refuses_stale_keys) {
+        chosen.proof_interval = settings.revocation / proofs_in_revocation;
+    }
+    return chosen;
+}
 
 class forwarder_node {
   public:
@@ -79,7 +90,7 @@
           settings.zone, stable_hash(settings.node),
           scheduling::parse_strategy(settings.placement).value_or(scheduling::strategy::policy),
           settings.off),
-      directory_(process_, {}),
+      directory_(process_, client_settings(settings)),
       quotas_(process_, directory_),
       turns_(process_, [this](const turns::store_map& map) { directory_.learn_map(map); }),
       poller_(process_, lists),
--- a/src/tallyfold/settings/node_settings.hpp
+++ b/src/tallyfold/settings/node_settings.hpp
@@ -60,8 +60,8 @@
     double quota_slack = 0;
     /// Time for which a node may spend permits that it was granted.
     duration quota_lease{};
-    /// True: a node that has not heard the directory for `revocation` refuses calls that need a
-    /// key, since theirs may have been taken away.
+    /// True: a node without proof, for most of `revocation`, that its configuration is the newest
+    /// refuses calls that need a key, since theirs may have been taken away.
     bool refuses_stale_keys = false;
     /// Time within which a key that is taken away has to be refused.
     duration revocation{};
