--- a/src/tallyfold/directory/directory_core.cpp
+++ b/src/tallyfold/directory/directory_core.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "tallyfold/common/hash.hpp"
-#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/protocol/compression.hpp"
 
 namespace tallyfold::directory {
 
@@ -170,7 +170,8 @@
 }
 
 void directory_core::submit(request_token token, const directory_command& command) {
-    const auto index = replica_.propose(protocol::encode(command));
+    // A follower reads an entry whole before it sees the heartbeats behind it.
+    const auto index = replica_.propose(protocol::encode_packed(command));
     if (!index) {
         answer(token, answer_kind::not_leader);
         return;
@@ -336,7 +337,7 @@
     applied_bytes_ += entry.payload.size();
     if (entry.kind == consensus::entry_kind::command) {
         // An entry is written by this program and guarded by checksums.
-        if (auto command = protocol::decode<directory_command>(entry.payload)) {
+        if (auto command = protocol::decode_packed<directory_command>(entry.payload)) {
             const auto version = state_.configuration().version;
             const turns::map_epoch epoch = state_.stores().epoch;
             state_.apply(std::move(*command));
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -38,6 +38,9 @@
 constexpr duration list_question_interval = std::chrono::milliseconds(200);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
+/// The applied state is noted this often at most: it only lets nodes learn more before a leader has
+/// confirmed the log, and a large one costs as much to write as a change to apply.
+constexpr duration note_interval = std::chrono::milliseconds(500);
 /// Hold the state applied last and the one before: written in turn, so that a lost power tears one
 /// of them at most.
 constexpr std::array<const char*, 2> applied_files{"/applied-state-0", "/applied-state-1"};
@@ -94,6 +97,7 @@
     bool pumping_ = false;
     /// Version and epoch of the state that was noted last.
     std::pair<routing::configuration_version, turns::map_epoch> noted_{};
+    instant noted_at_{};
     std::size_t next_note_ = 0;
     operator_desk desk_;
     break_board breaks_;
@@ -204,11 +208,13 @@
 }
 
 void directory_node::note_state() {
-    const std::pair now{core_->state().configuration().version, core_->state().stores().epoch};
-    if (now == noted_) {
+    const std::pair applied{core_->state().configuration().version, core_->state().stores().epoch};
+    const instant now = http::steady_now();
+    if (applied == noted_ || now - noted_at_ < note_interval) {
         return;
     }
-    noted_ = now;
+    noted_ = applied;
+    noted_at_ = now;
     const std::string path = process_.settings().data_folder + applied_files[next_note_];
     if (storage::overwrite_file(path, storage::single_record(core_->state().to_bytes()))) {
         next_note_ = 1 - next_note_;
@@ -397,7 +403,6 @@
         for (const directory_proof& proof : work.proofs) {
             end_proof(proof);
         }
-        note_state();
         version_gauge_.Set(static_cast<double>(core_->state().configuration().version));
     }
     pumping_ = false;
@@ -454,6 +459,9 @@
             core_->tick(http::steady_now());
             pump();
         }
+        if (core_) {
+            note_state();
+        }
         follow_keeping();
         keeper_.expire(http::steady_now());
     });
--- a/src/tallyfold/directory/directory_state.cpp
+++ b/src/tallyfold/directory/directory_state.cpp
@@ -1,6 +1,6 @@
 #include "tallyfold/directory/directory_state.hpp"
 
-#include "tallyfold/protocol/binary_codec.hpp"
+#include "tallyfold/protocol/compression.hpp"
 
 namespace tallyfold::directory {
 
@@ -44,7 +44,7 @@
 }
 
 std::string directory_state::to_bytes() const {
-    return protocol::encode(*this);
+    return protocol::encode_packed(*this);
 }
 
 void directory_state::restore(const std::string& bytes) {
@@ -53,7 +53,7 @@
         return;
     }
     // A snapshot is written by this program and guarded by checksums.
-    *this = protocol::decode<directory_state>(bytes).value_or(directory_state{});
+    *this = protocol::decode_packed<directory_state>(bytes).value_or(directory_state{});
 }
 
 }  // namespace tallyfold::directory
--- a/tests/directory/directory_core_test.cpp
+++ b/tests/directory/directory_core_test.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/directory/directory_core.hpp"
 
+#include "tallyfold/common/random.hpp"
+#include "tallyfold/protocol/compression.hpp"
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -9,6 +11,7 @@
 class directory_core_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(directory_core_test);
     CPPUNIT_TEST(large_changes_are_compacted_by_their_bytes);
+    CPPUNIT_TEST(what_was_stored_uncompressed_is_read);
     CPPUNIT_TEST_SUITE_END();
 
     /// A directory of one node, which elects itself.
@@ -34,6 +37,16 @@
         return snapshots;
     }
 
+    /// Bytes that stay as many in the log, which compresses them.
+    static std::string incompressible(std::size_t size, int seed) {
+        random_source random(static_cast<std::uint64_t>(seed));
+        std::string bytes;
+        while (bytes.size() < size) {
+            bytes += static_cast<char>(random.below(256));
+        }
+        return bytes;
+    }
+
     void large_changes_are_compacted_by_their_bytes() {
         instant now{std::chrono::seconds(1)};
         directory_core core = alone(now);
@@ -48,7 +61,7 @@
         for (int version = 1; version <= changes; ++version) {
             replace_configuration change;
             change.parsed.version = static_cast<routing::configuration_version>(version);
-            change.text = std::string(200'000, 'c');
+            change.text = incompressible(200'000, version);
             core.submit(static_cast<request_token>(version), change);
             snapshots += drain(core);
         }
@@ -58,6 +71,25 @@
         CPPUNIT_ASSERT(snapshots >= 3);
         CPPUNIT_ASSERT(snapshots <= changes / 3);
     }
+
+    void what_was_stored_uncompressed_is_read() {
+        replace_configuration change;
+        change.parsed.version = 7;
+        change.parsed.routes.resize(100);
+        change.text = std::string(5'000, 'c');
+        directory_state stored;
+        stored.apply(change);
+        directory_state read;
+        read.restore(protocol::encode(stored));
+        CPPUNIT_ASSERT(read.configuration() == stored.configuration());
+        read.restore(stored.to_bytes());
+        CPPUNIT_ASSERT(read.configuration() == stored.configuration());
+        CPPUNIT_ASSERT(stored.to_bytes().size() < protocol::encode(stored).size() / 2);
+        const directory_command command = change;
+        const auto plain = protocol::decode_packed<directory_command>(protocol::encode(command));
+        CPPUNIT_ASSERT(plain.has_value());
+        CPPUNIT_ASSERT(std::get<replace_configuration>(*plain).text == change.text);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(directory_core_test);
