A large change is read by a thread of its own

Cause: a directory leader with a small share of a core read a 2 MB text for longer than its followers wait for a heartbeat. Change: texts of 64 KB and more are read in a thread beside the loop's, one after the other.

--- a/src/tallyfold/directory/operator_desk_shell.cpp
+++ b/src/tallyfold/directory/operator_desk_shell.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/directory/operator_desk_shell.hpp"
 
+#include <asio/co_spawn.hpp>
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -14,8 +15,16 @@
 
 /// An operator's call waits this long for the log; its caller moves on after a second.
 constexpr duration answer_limit = std::chrono::milliseconds(900);
+/// A text of 2 MB takes 35 ms of a core to read, a second of a machine that has a twentieth of one:
+/// longer than its followers wait for a heartbeat. Shorter ones than this aren't worth a thread.
+constexpr std::size_t large_text = 64U << 10U;
 constexpr const char* unusable_folder = "the data folder can't be used now";
 
+asio::awaitable<operator_call> parse_elsewhere(const operator_dialect& dialect,
+                                               const http::endpoint_request& request) {
+    co_return dialect.parse(request);
+}
+
 }  // namespace
 
 /// One operator's call that waits for the log.
@@ -69,6 +78,14 @@
     co_return call->kind;
 }
 
+asio::awaitable<operator_call> operator_desk::read(const http::endpoint_request& request) {
+    if (request.body.size() < large_text) {
+        co_return dialect_.parse(request);
+    }
+    co_return co_await asio::co_spawn(reader_, parse_elsewhere(dialect_, request),
+                                      asio::use_awaitable);
+}
+
 asio::awaitable<answer_kind> operator_desk::submit(directory_command command) {
     const request_token token = next_token_++;
     core_->submit(token, command);
@@ -111,10 +128,13 @@
         kind = co_await wait(*open);
         co_return kind == answer_kind::done ? dialect_.accepted() : failed(request, kind);
     }
-    operator_call call = dialect_.parse(request);
+    operator_call call = co_await read(request);
     if (const auto* invalid = std::get_if<invalid_call>(&call)) {
         co_return refuse(request, *invalid);
     }
+    if (!core_ || !core_->leads()) {
+        co_return failed(request, answer_kind::not_leader);
+    }
     auto& change = std::get<replace_call>(call);
     const routing::configuration_version version = change.parsed.version;
     // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
--- a/src/tallyfold/directory/operator_desk_shell.hpp
+++ b/src/tallyfold/directory/operator_desk_shell.hpp
@@ -1,8 +1,10 @@
 #pragma once
 /// @file
-/// Carries out operators' calls on the directory's log. Belongs to the loop thread.
+/// Carries out operators' calls on the directory's log. Belongs to the loop thread; only the
+/// reading of large texts is done by a thread of its own.
 
 #include <asio/awaitable.hpp>
+#include <asio/thread_pool.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +37,8 @@
                                                     const std::string& node);
     asio::awaitable<http::endpoint_response> retire_state(const http::endpoint_request& request,
                                                           const std::string& node);
+    /// What a call says. A large text is read by another thread.
+    asio::awaitable<operator_call> read(const http::endpoint_request& request);
     asio::awaitable<answer_kind> submit(directory_command command);
     asio::awaitable<answer_kind> confirm();
     asio::awaitable<answer_kind> wait(request_token token);
@@ -47,6 +51,8 @@
     const operator_dialect& dialect_;
     const std::unique_ptr<directory_core>& core_;
     std::function<void()> pump_;
+    /// Reads large texts, one after the other.
+    asio::thread_pool reader_{1};
     open_changes changes_;
     std::multimap<request_token, std::shared_ptr<waiting_call>> waiting_;
     request_token next_token_ = 1;
