--- /dev/null
+++ b/src/tallyfold/directory/applied_state_notes.cpp
@@ -0,0 +1,55 @@
+#include "tallyfold/directory/applied_state_notes.hpp"
+
+#include <array>
+
+#include "tallyfold/storage/record_file.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// A state is noted this often at most: a large one costs as much to write as a change to apply.
+constexpr duration note_interval = std::chrono::milliseconds(500);
+/// Hold the state noted last and the one before: written in turn, so that a lost power tears one
+/// of them at most.
+constexpr std::array<const char*, 2> files{"/applied-state-0", "/applied-state-1"};
+
+std::pair<routing::configuration_version, turns::map_epoch> age_of(const directory_state& state) {
+    return {state.configuration().version, state.stores().epoch};
+}
+
+}  // namespace
+
+std::string applied_state_notes::path_of(std::size_t number) const {
+    return folder_ + files.at(number);
+}
+
+directory_state applied_state_notes::recall() {
+    directory_state newest;
+    for (std::size_t number = 0; number < files.size(); ++number) {
+        const auto payload = storage::read_single_record(path_of(number));
+        if (!payload) {
+            continue;
+        }
+        directory_state earlier;
+        earlier.restore(*payload);
+        if (age_of(earlier) > age_of(newest)) {
+            newest = std::move(earlier);
+            next_ = 1 - number;
+        }
+    }
+    return newest;
+}
+
+void applied_state_notes::note(const directory_state& applied, instant now) {
+    if (age_of(applied) == noted_ || now - noted_at_ < note_interval) {
+        return;
+    }
+    noted_ = age_of(applied);
+    noted_at_ = now;
+    if (storage::overwrite_file(path_of(next_), storage::single_record(applied.to_bytes()))) {
+        next_ = 1 - next_;
+    }
+}
+
+}  // namespace tallyfold::directory
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -1,6 +1,5 @@
 #include "tallyfold/directory/directory_shell.hpp"
 
-#include <array>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -8,6 +7,7 @@
 #include <random>
 
 #include "tallyfold/common/hash.hpp"
+#include "tallyfold/directory/applied_state_notes.hpp"
 #include "tallyfold/directory/break_board.hpp"
 #include "tallyfold/directory/directory_core.hpp"
 #include "tallyfold/directory/operator_desk_shell.hpp"
@@ -20,7 +20,6 @@
 #include "tallyfold/net/node_process_shell.hpp"
 #include "tallyfold/net/socket_address.hpp"
 #include "tallyfold/storage/log_store.hpp"
-#include "tallyfold/storage/record_file.hpp"
 #include "tallyfold/tenants/quota_keeper.hpp"
 
 namespace tallyfold::directory {
@@ -38,12 +37,6 @@
 constexpr duration list_question_interval = std::chrono::milliseconds(200);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
-/// The applied state is noted this often at most: it only lets nodes learn more before a leader has
-/// confirmed the log, and a large one costs as much to write as a change to apply.
-constexpr duration note_interval = std::chrono::milliseconds(500);
-/// Hold the state applied last and the one before: written in turn, so that a lost power tears one
-/// of them at most.
-constexpr std::array<const char*, 2> applied_files{"/applied-state-0", "/applied-state-1"};
 
 std::uint64_t draw_number() {
     std::random_device source;
@@ -63,8 +56,6 @@
     void renew_folder(const std::string& reason);
     void pump();
     bool make_durable(const consensus::group_write& write);
-    void recall_state();
-    void note_state();
     void send(addressed_message message);
     messaging::link_pointer link_to(const node_name& address);
     /// Begins or ends keeping permits as this node's lead does, and takes over changed limits.
@@ -87,6 +78,7 @@
     std::map<std::string, messaging::link_pointer> links_;
     std::unique_ptr<storage::log_store> store_;
     std::unique_ptr<directory_core> core_;
+    applied_state_notes notes_;
     /// A node that waits for proof that it holds the newest configuration.
     struct waiting_question {
         std::weak_ptr<messaging::frame_channel> channel;
@@ -95,10 +87,6 @@
     std::map<request_token, waiting_question> questions_;
     request_token next_question_ = 1;
     bool pumping_ = false;
-    /// Version and epoch of the state that was noted last.
-    std::pair<routing::configuration_version, turns::map_epoch> noted_{};
-    instant noted_at_{};
-    std::size_t next_note_ = 0;
     operator_desk desk_;
     break_board breaks_;
     tenants::quota_keeper keeper_;
@@ -117,6 +105,7 @@
       poller_(process_, lists),
       peers_(process_.loop(), settings.directory_listener()),
       operators_(process_.loop(), settings.operators_address, largest_body),
+      notes_(settings.data_folder),
       desk_(process_, dialect, core_, [this] { pump(); }),
       keeper_({process_.settings().quota_window, process_.settings().quota_overshoot,
                process_.settings().quota_slack, process_.settings().quota_lease}),
@@ -184,43 +173,10 @@
         chosen, recovered.identity,
         group == recovered.groups.end() ? consensus::recovered_state{} : group->second,
         http::steady_now());
-    recall_state();
+    core_->remember(notes_.recall());
     return true;
 }
 
-void directory_node::recall_state() {
-    directory_state newest;
-    for (std::size_t number = 0; number < applied_files.size(); ++number) {
-        const std::string path = process_.settings().data_folder + applied_files[number];
-        const auto payload = storage::read_single_record(path);
-        if (!payload) {
-            continue;
-        }
-        directory_state earlier;
-        earlier.restore(*payload);
-        const std::pair found{earlier.configuration().version, earlier.stores().epoch};
-        if (found > std::pair{newest.configuration().version, newest.stores().epoch}) {
-            newest = std::move(earlier);
-            next_note_ = 1 - number;
-        }
-    }
-    core_->remember(std::move(newest));
-}
-
-void directory_node::note_state() {
-    const std::pair applied{core_->state().configuration().version, core_->state().stores().epoch};
-    const instant now = http::steady_now();
-    if (applied == noted_ || now - noted_at_ < note_interval) {
-        return;
-    }
-    noted_ = applied;
-    noted_at_ = now;
-    const std::string path = process_.settings().data_folder + applied_files[next_note_];
-    if (storage::overwrite_file(path, storage::single_record(core_->state().to_bytes()))) {
-        next_note_ = 1 - next_note_;
-    }
-}
-
 messaging::link_pointer directory_node::link_to(const node_name& address) {
     messaging::link_pointer& link = links_[address];
     if (!link) {
@@ -460,7 +416,7 @@
             pump();
         }
         if (core_) {
-            note_state();
+            notes_.note(core_->state(), http::steady_now());
         }
         follow_keeping();
         keeper_.expire(http::steady_now());
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -11,6 +11,13 @@
 HOST = "soak.example"
 MOST_TOKENS = 8 * TOKENS_PER_EVENT
 RETENTION_SECONDS = 600.0
+#: Callers use an added route this long after the change that brought it was acknowledged, in
+#: seconds: a node may go by proof that it asked for 0.05 s before the call.
+ADDED_SETTLES = 0.1
+#: Calls of a route that was added just now, one after the other.
+PROBES = 6
+#: Routes that a change adds now and then beside its own, and the most of them, that nobody calls.
+FILLING_ROUTES, MOST_FILLING_ROUTES = 1000, 4000
 
 
 async def read_head(reader):
@@ -32,11 +39,15 @@
 class Caller:
     """Runs programs one after the other, each turn at any forwarder."""
 
-    def __init__(self, history, clock, forwarders, seed, tenant, keys):
+    def __init__(self, history, clock, forwarders, seed, tenant, keys, added):
         self.history = history
         self.clock = clock
         self.forwarders = forwarders
+        #: Paths of routes that changes have added, and when they were acknowledged.
+        self.added = added
         self.random = random.Random(seed)
+        #: Of its own, so that seeds draw what they drew before there were added routes.
+        self.random_of_added = random.Random(f"added-{seed}")
         self.tenant = tenant
         self.keys = keys
         #: Callers of other tenants, whose turns must stay unknown to this one.
@@ -143,11 +154,25 @@
             self.lines.append(line)
             await asyncio.gather(*(self.call_tool() for _ in range(self.random.randint(0, 2))))
 
+    def draw_tool(self):
+        settled = [path for path, at in self.added.items() if self.clock() - at >= ADDED_SETTLES]
+        if settled and self.random_of_added.random() < 0.3:
+            # The newest ones are those that a node may not know yet.
+            return "repeatable", self.random_of_added.choice(settled[-3:]) + "x"
+        return ("repeatable", "/look/x") if self.random.random() < 0.5 else ("once", "/claim/x")
+
     async def call_tool(self):
-        repeats = self.random.random() < 0.5
-        kind, path = ("repeatable", "/look/x") if repeats else ("once", "/claim/x")
+        kind, path = self.draw_tool()
         await self.exchange(Attempt(self.draw_id(), kind, "POST", path, b"tool", self.clock()), 1.5)
 
+    async def probe_added(self, path):
+        """Calls a route that was added just now, while some nodes may not know it yet."""
+        for _ in range(PROBES):
+            await asyncio.sleep(ADDED_SETTLES)
+            await self.exchange(
+                Attempt(self.draw_id(), "repeatable", "POST", path + "x", b"tool", self.clock()),
+                1.0)
+
     async def run(self):
         while not self.stopping:
             await self.run_program()
@@ -181,9 +206,22 @@
         self.nodes = nodes
         self.keys = keys
         self.random = random.Random(seed)
+        self.random_of_filling = random.Random(f"filling-{seed}")
         self.version = 1
+        #: Versions whose route every later one keeps.
+        self.kept = []
+        self.filling = 0
+        #: Paths of their routes, with the time of the acknowledgement.
+        self.added = {}
+        #: Callers without a limit, who call each as soon as it is added.
+        self.probers = []
         self.stopping = False
 
+    def draw_filling(self):
+        """Every now and then the configuration grows by many routes, or loses them all."""
+        if self.random_of_filling.random() < 0.2:
+            self.filling = (self.filling + FILLING_ROUTES) % (MOST_FILLING_ROUTES + FILLING_ROUTES)
+
     def configuration(self):
         def route(name, path, kind, service, attempts):
             return {"Name": name, "Hostname": HOST, "PathPrefix": path, "Type": kind,
@@ -192,6 +230,10 @@
                     "RetentionS": RETENTION_SECONDS, "SessionAffinity": False, "Resumable": False}
         spare = [route(f"spare-{number}", f"/spare/{number}/", "idempotent", "apps", 1)
                  for number in range(self.version % 5)]
+        spare += [route(f"added-{version}", f"/added/{version}/", "idempotent", "apps", 3)
+                  for version in (*self.kept, self.version)]
+        spare += [route(f"filling-{number}", f"/filling/{number}/", "idempotent", "apps", 1)
+                  for number in range(self.filling)]
         routes = [route("turns", "/turns/", "streaming", "engines", 1),
                   route("look", "/look/", "idempotent", "apps", 3),
                   route("claim", "/claim/", "non_idempotent", "apps", 1)]
@@ -230,11 +272,16 @@
 
     async def change(self):
         """Sends one change until it is acknowledged."""
+        self.draw_filling()
         body = json.dumps(self.configuration()).encode()
         while True:
             status, _ = await self.call("POST", "/v1/config/replace", body)
             if status == 200:
                 self.history.changes.append(ConfigurationChange(self.version, self.clock()))
+                self.added[f"/added/{self.version}/"] = self.clock()
+                self.kept.append(self.version)
+                for prober in self.probers:
+                    asyncio.ensure_future(prober.probe_added(f"/added/{self.version}/"))
                 self.keys.took()
                 self.version += self.random.randint(1, 3)
                 return
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -190,6 +190,13 @@
                          for attempt in proper if attempt.status == 401]
 
 
+def added_routes_are_known(history):
+    """A route that an acknowledged change added, and that is kept, is never called unknown."""
+    calls = [attempt for attempt in history.attempts if attempt.target.startswith("/added/")]
+    return len(calls), [f"{attempt.request} to {attempt.target} got 404 at {attempt.sent:.2f}"
+                        for attempt in calls if attempt.status == 404]
+
+
 def others_turns_are_unknown(history):
     """Nobody goes on from another tenant's turn."""
     runs = runs_by_request(history)
@@ -223,7 +230,7 @@
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
-          proper_keys_are_let_in, others_turns_are_unknown, limits_hold, service_returns]
+          proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns]
 
 
 def check_all(history):
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -57,6 +57,12 @@
         self.assertTrue(self.violations(checks.history_is_kept, continued=forgotten,
                                         disks_in_series=True))
 
+    def test_an_added_route_that_is_called_unknown_is_found(self):
+        unknown = attempt(kind="repeatable", target="/added/7/x", status=404, tenant="open")
+        self.assertTrue(self.violations(checks.added_routes_are_known, attempts=[unknown]))
+        refused = attempt(kind="repeatable", target="/added/7/x", status=503, tenant="open")
+        self.assertFalse(self.violations(checks.added_routes_are_known, attempts=[refused]))
+
     def test_a_second_run_is_found(self):
         self.assertTrue(self.violations(checks.at_most_once, runs=[run(), run()],
                                         attempts=[attempt()]))
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -28,6 +28,8 @@
 #: Lines of turns that are asked to go on at the end.
 CONTINUED = 60
 SETTLE_SECONDS = 6.0
+#: Callers that call each route as soon as it is added.
+PROBERS = 2
 
 
 async def soak(options, work):
@@ -67,8 +69,11 @@
     await asyncio.sleep(1.0)
     forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
     names = list(TENANTS)
-    callers = [Caller(history, clock, forwarders, draw.random(), names[number % len(names)], keys)
+    callers = [Caller(history, clock, forwarders, draw.random(), names[number % len(names)], keys,
+                      operator.added)
                for number in range(options.callers)]
+    operator.probers = [Caller(history, clock, forwarders, f"prober-{number}", "open", keys,
+                               operator.added) for number in range(PROBERS)]
     for caller in callers:
         caller.strangers = [other for other in callers if other.tenant != caller.tenant]
     faults = Faults(cluster, backends, clock, draw.random())
