Sight: how far a change of the configuration has come

Cause: no line or figure told operators when the last node held a change; in the incident it was inferred. Change: a directory node logs when all nodes that report to it hold the newest version (2308) and tells how many don't (directory_nodes_behind). A report's field that nobody reads any more is gone.

--- a/src/tallyfold/directory/directory_client_shell.cpp
+++ b/src/tallyfold/directory/directory_client_shell.cpp
@@ -78,7 +78,6 @@
     report.node = process_.settings().node;
     report.stores = stores_.epoch;
     report.configuration = version();
-    report.wants_configuration = settings_.wants_configuration;
     report.wants_list = list_ != nullptr;
     if (list_ != nullptr) {
         report.list = list_->fingerprint();
--- a/src/tallyfold/directory/directory_shell.cpp
+++ b/src/tallyfold/directory/directory_shell.cpp
@@ -11,6 +11,7 @@
 #include "tallyfold/directory/break_board.hpp"
 #include "tallyfold/directory/directory_core.hpp"
 #include "tallyfold/directory/operator_desk_shell.hpp"
+#include "tallyfold/directory/version_board.hpp"
 #include "tallyfold/listing/list_duty.hpp"
 #include "tallyfold/listing/list_poller_shell.hpp"
 #include "tallyfold/logging/event_log.hpp"
@@ -35,6 +36,8 @@
 constexpr std::size_t kept_lists = 8;
 /// A node that doesn't lead asks the leader for the list this often.
 constexpr duration list_question_interval = std::chrono::milliseconds(200);
+/// How far a configuration has come is looked at this often.
+constexpr duration spread_check_interval = std::chrono::milliseconds(200);
 constexpr std::size_t largest_body = 8U << 20U;
 constexpr std::uint64_t segment_bytes = 4U << 20U;
 
@@ -64,6 +67,8 @@
                         const tenants::permit_report& report);
     void answer_report(const messaging::channel_pointer& channel, const node_report& report);
     void end_proof(const directory_proof& proof);
+    /// Tells operators how far the newest configuration has come.
+    void follow_spread();
     void learn_list(const directory_beat& beat);
     void ask_leader_for_list();
     [[nodiscard]] bool reads_list() const;
@@ -89,6 +94,7 @@
     bool pumping_ = false;
     operator_desk desk_;
     break_board breaks_;
+    version_board versions_;
     tenants::quota_keeper keeper_;
     /// Version of the limits that the keeper goes by; nothing while this node keeps no permits.
     std::optional<routing::configuration_version> keeping_;
@@ -97,6 +103,7 @@
     prometheus::Counter& part_bytes_;
     prometheus::Counter& proofs_given_;
     prometheus::Gauge& version_gauge_;
+    prometheus::Gauge& behind_gauge_;
 };
 
 directory_node::directory_node(const settings::node_settings& settings,
@@ -122,7 +129,9 @@
                                      "Questions answered with proof that nothing newer was in "
                                      "force")),
       version_gauge_(net::add_gauge(process_.metrics(), "tallyfold_directory_configuration_version",
-                                    "Version of the configuration that this node has applied")) {}
+                                    "Version of the configuration that this node has applied")),
+      behind_gauge_(net::add_gauge(process_.metrics(), "tallyfold_directory_nodes_behind",
+                                   "Nodes that last reported an older configuration")) {}
 
 directory_settings directory_node::core_settings() const {
     const settings::node_settings& settings = process_.settings();
@@ -231,6 +240,9 @@
                                    const node_report& report) {
     const instant now = http::steady_now();
     directory_beat beat = core_->receive(report, now);
+    if (report.configuration != routing::no_version) {
+        versions_.reported(report.node, report.configuration, now);
+    }
     if (report.wants_list) {
         beat.list = list_.tell(report.list, std::chrono::milliseconds(report.list_age_ms), now);
     }
@@ -258,6 +270,20 @@
     questions_.erase(found);
 }
 
+void directory_node::follow_spread() {
+    const instant now = http::steady_now();
+    if (core_) {
+        versions_.holds(core_->state().configuration().version, now);
+    }
+    if (const auto spread = versions_.check(now)) {
+        logging::write_event(logging::event_id::configuration_spread,
+                             "version=" + std::to_string(spread->version) +
+                                 " nodes=" + std::to_string(spread->nodes) +
+                                 " took_ms=" + std::to_string(to_milliseconds(spread->took)));
+    }
+    behind_gauge_.Set(static_cast<double>(versions_.behind()));
+}
+
 void directory_node::learn_list(const directory_beat& beat) {
     for (const listing::list_sight& sight : beat.list) {
         list_.learn(sight, http::steady_now());
@@ -271,9 +297,7 @@
     node_report report;
     report.node = process_.settings().node;
     // What the log holds comes over the log.
-    report.configuration = core_->state().configuration().version;
     report.stores = core_->state().stores().epoch;
-    report.wants_configuration = false;
     report.list = list_.fingerprint();
     const duration age = http::steady_now() - list_.seen();
     report.list_age_ms = static_cast<std::uint32_t>(list_.known() ? to_milliseconds(age) : 0);
@@ -410,6 +434,7 @@
         },
         [this] { return reads_list(); });
     process_.every(list_question_interval, [this] { ask_leader_for_list(); });
+    process_.every(spread_check_interval, [this] { follow_spread(); });
     process_.every(tick_interval, [this] {
         if (core_) {
             core_->tick(http::steady_now());
--- a/src/tallyfold/directory/messages.hpp
+++ b/src/tallyfold/directory/messages.hpp
@@ -29,13 +29,12 @@
 /// Any node to a directory node: what it knows, so that the answer brings what is newer.
 struct node_report {
     node_name node;
+    /// The version that the node holds; none when it has no use for the configuration.
     routing::configuration_version configuration = routing::no_version;
     /// Of the table of store groups.
     turns::map_epoch stores = 0;
     /// One entry when the node is a store.
     std::vector<store_report> store;
-    /// False when the node has no use for the configuration.
-    bool wants_configuration = true;
     /// True when the node has a use for the list of back ends.
     bool wants_list = true;
     /// The list of back ends that the node holds.
@@ -48,8 +47,7 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(node, configuration, stores, store, wants_configuration, wants_list, list,
-                list_age_ms, question);
+        archive(node, configuration, stores, store, wants_list, list, list_age_ms, question);
     }
 };
 
--- a/src/tallyfold/logging/event_catalogue.cpp
+++ b/src/tallyfold/logging/event_catalogue.cpp
@@ -44,6 +44,7 @@
         {event_id::policy_applied, event_level::info, "policy_applied"},
         {event_id::configuration_fetched, event_level::info, "configuration_fetched"},
         {event_id::configuration_fetch_failed, event_level::warning, "configuration_fetch_failed"},
+        {event_id::configuration_spread, event_level::info, "configuration_spread"},
         {event_id::admin_request, event_level::info, "admin_request"},
         {event_id::admin_denied, event_level::warning, "admin_denied"},
         {event_id::call_refused, event_level::info, "call_refused"},
--- a/src/tallyfold/logging/event_catalogue.hpp
+++ b/src/tallyfold/logging/event_catalogue.hpp
@@ -49,6 +49,7 @@
     policy_applied = 2305,
     configuration_fetched = 2306,
     configuration_fetch_failed = 2307,
+    configuration_spread = 2308,
     admin_request = 2401,
     admin_denied = 2402,
     call_refused = 3001,
