--- a/src/tallyfold/net/transport.cpp
+++ b/src/tallyfold/net/transport.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <set>
 
+#include "tallyfold/net/peer_handshake.hpp"
 #include "tallyfold/protocol/binary_codec.hpp"
 
 namespace tallyfold::net {
@@ -15,50 +16,16 @@
 using asio::ip::tcp;
 using logging::event_id;
 
-constexpr std::uint32_t protocol_version = 1;
 constexpr std::uint32_t largest_frame = 64U << 20U;
 /// Before the handshake is done a peer may not make us read more than this.
 constexpr std::uint32_t largest_handshake_frame = 4096;
 constexpr std::size_t largest_backlog_bytes = 64U << 20U;
-constexpr std::size_t nonce_bytes = 32;
 constexpr auto ping_interval = std::chrono::milliseconds(200);
 constexpr auto silence_limit = std::chrono::milliseconds(1200);
 constexpr auto redial_interval = std::chrono::milliseconds(100);
 constexpr auto delivery_retry = std::chrono::milliseconds(2);
 constexpr std::size_t send_ring_capacity = 16384;
 
-/// First frame of the dialling side.
-struct hello {
-    std::uint32_t version = protocol_version;
-    node_name node;
-    std::string nonce;
-    template <class Archive>
-    void serialize(Archive& archive) {
-        archive(version, node, nonce);
-    }
-};
-
-/// Answer of the accepting side, with its proof of the cluster key.
-struct challenge {
-    node_name node;
-    std::string nonce;
-    std::string proof;
-    template <class Archive>
-    void serialize(Archive& archive) {
-        archive(node, nonce, proof);
-    }
-};
-
-std::string proof_text(std::string_view side, const node_name& dialler, const node_name& acceptor,
-                       const std::string& dialler_nonce, const std::string& acceptor_nonce) {
-    std::string text(side);
-    for (const std::string& part : {dialler, acceptor, dialler_nonce, acceptor_nonce}) {
-        text += '\0';
-        text += part;
-    }
-    return text;
-}
-
 std::string frame(std::string_view payload) {
     const auto length = static_cast<std::uint32_t>(payload.size());
     std::string bytes(sizeof(length), '\0');
@@ -122,11 +89,11 @@
 
 class transport::engine::connection : public std::enable_shared_from_this<connection> {
   public:
-    connection(engine& owner, tcp::socket socket, bool dialled, node_name expected)
+    /// @param expected the peer that was dialled; empty for one that was accepted
+    connection(engine& owner, tcp::socket socket, node_name expected)
         : owner_(owner),
           socket_(std::move(socket)),
-          dialled_(dialled),
-          node_(std::move(expected)),
+          handshake_(owner.keys_, owner.settings_.node, std::move(expected)),
           retry_timer_(owner.context_) {
         heard_ = sent_ = std::chrono::steady_clock::now();
     }
@@ -134,9 +101,8 @@
     void begin() {
         std::error_code ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
-        if (dialled_) {
-            nonce_ = random_bytes(nonce_bytes);
-            write(frame(protocol::encode(hello{protocol_version, owner_.settings_.node, nonce_})));
+        if (const auto first = handshake_.begin()) {
+            write(frame(*first));
         }
         read_length();
     }
@@ -176,7 +142,7 @@
         owner_.closed(shared_from_this());
     }
 
-    [[nodiscard]] const node_name& node() const { return node_; }
+    [[nodiscard]] const node_name& node() const { return handshake_.peer(); }
     [[nodiscard]] bool ready() const { return ready_; }
     [[nodiscard]] const std::string& reason() const { return reason_; }
 
@@ -242,75 +208,29 @@
     }
 
     void refuse_frame(const std::string& reason) {
-        owner_.event(event_id::frame_refused, "peer=" + node_ + " reason=\"" + reason + "\"");
+        owner_.event(event_id::frame_refused, "peer=" + node() + " reason=\"" + reason + "\"");
         close(reason);
     }
 
     void refuse_peer(const std::string& reason) {
-        owner_.event(event_id::peer_refused, "peer=" + node_ + " reason=\"" + reason + "\"");
+        owner_.event(event_id::peer_refused, "peer=" + node() + " reason=\"" + reason + "\"");
         close(reason);
     }
 
     void on_handshake() {
-        if (!dialled_ && nonce_.empty()) {
-            on_hello();
-        } else if (!dialled_) {
-            on_proof();
-        } else {
-            on_challenge();
-        }
-    }
-
-    void on_hello() {
-        const auto greeting = protocol::decode<hello>(body_);
-        if (!greeting || greeting->version != protocol_version ||
-            greeting->nonce.size() != nonce_bytes) {
-            refuse_peer("malformed hello");
-            return;
-        }
-        node_ = greeting->node;
-        peer_nonce_ = greeting->nonce;
-        nonce_ = random_bytes(nonce_bytes);
-        const auto proof = owner_.keys_.prove(
-            proof_text("acceptor", node_, owner_.settings_.node, peer_nonce_, nonce_));
-        if (!proof) {
-            refuse_peer(proof.error().detail);
-            return;
-        }
-        write(frame(protocol::encode(challenge{owner_.settings_.node, nonce_, *proof})));
-        read_length();
-    }
-
-    void on_proof() {
-        const std::string text =
-            proof_text("dialler", node_, owner_.settings_.node, peer_nonce_, nonce_);
-        if (!owner_.keys_.verify(text, body_)) {
-            refuse_peer("wrong key");
-            return;
-        }
-        become_ready();
-    }
-
-    void on_challenge() {
-        const auto answer = protocol::decode<challenge>(body_);
-        const node_name& self = owner_.settings_.node;
-        if (!answer || answer->nonce.size() != nonce_bytes || answer->node != node_) {
-            refuse_peer("malformed challenge, or another node at this address");
+        const peer_handshake::progress progress = handshake_.receive(body_);
+        if (!progress.refusal.empty()) {
+            refuse_peer(progress.refusal);
             return;
         }
-        if (!owner_.keys_.verify(proof_text("acceptor", self, node_, nonce_, answer->nonce),
-                                 answer->proof)) {
-            refuse_peer("wrong key");
-            return;
+        if (progress.send) {
+            write(frame(*progress.send));
         }
-        const auto proof =
-            owner_.keys_.prove(proof_text("dialler", self, node_, nonce_, answer->nonce));
-        if (!proof) {
-            refuse_peer(proof.error().detail);
-            return;
+        if (progress.ready) {
+            become_ready();
+        } else {
+            read_length();
         }
-        write(frame(*proof));
-        become_ready();
     }
 
     void become_ready() {
@@ -330,7 +250,7 @@
     }
 
     void deliver() {
-        if (owner_.handlers_.on_message(node_, incoming_)) {
+        if (owner_.handlers_.on_message(node(), incoming_)) {
             read_length();
             return;
         }
@@ -346,14 +266,11 @@
 
     engine& owner_;
     tcp::socket socket_;
-    bool dialled_;
-    node_name node_;
+    peer_handshake handshake_;
     asio::steady_timer retry_timer_;
     bool ready_ = false;
     bool closed_ = false;
     std::string reason_;
-    std::string nonce_;
-    std::string peer_nonce_;
     std::array<char, sizeof(std::uint32_t)> length_bytes_{};
     std::string body_;
     protocol::internal_message incoming_;
@@ -445,7 +362,7 @@
 void transport::engine::accept_next() {
     acceptor_.async_accept([this](std::error_code failure, tcp::socket socket) {
         if (!failure) {
-            auto link = std::make_shared<connection>(*this, std::move(socket), false, node_name{});
+            auto link = std::make_shared<connection>(*this, std::move(socket), node_name{});
             links_.insert(link);
             link->begin();
         }
@@ -469,7 +386,7 @@
         if (refused) {
             return;
         }
-        auto link = std::make_shared<connection>(*this, std::move(*socket), true, node);
+        auto link = std::make_shared<connection>(*this, std::move(*socket), node);
         dialled.current = link;
         links_.insert(link);
         link->begin();
