Sight: why a connection between nodes is closed, and which committed entry can't be read

Cause: during an upgrade the logs could tell neither: 1,943 connections ended with "End of file" at one side and without a line at the other, and a replica that skips an entry wrote nothing. Change: event 1104 names the peer and the reason where a node closes a connection because of what came over it; event 2111 names the entry that a directory node can't decode. The pinned list of events gains 2111. No decision changes.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -32,6 +32,7 @@
         {event_id::store_change_open, event_level::warning, "store_change_open"},
         {event_id::leader_uncommitted, event_level::warning, "leader_uncommitted"},
         {event_id::store_majority_lost, event_level::warning, "store_majority_lost"},
+        {event_id::entry_unreadable, event_level::error, "entry_unreadable"},
         {event_id::shard_assigned, event_level::info, "shard_assigned"},
         {event_id::shard_released, event_level::info, "shard_released"},
         {event_id::shard_loaded, event_level::info, "shard_loaded"},
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -38,6 +38,7 @@
     store_change_open = 2108,
     leader_uncommitted = 2109,
     store_majority_lost = 2110,
+    entry_unreadable = 2111,
     shard_assigned = 2201,
     shard_released = 2202,
     shard_loaded = 2203,
--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -257,9 +257,12 @@
 }
 
 void directory_core::apply_command(const consensus::log_entry& entry) {
-    // An entry is written by this program and guarded by checksums.
     auto command = protocol::decode_packed<directory_command>(entry.payload);
     if (!command) {
+        log(logging::event_id::entry_unreadable,
+            "index=" + std::to_string(entry.index) +
+                " bytes=" + std::to_string(entry.payload.size()) + " reason=\"" +
+                command.error().reason + "\"");
         return;
     }
     const routing::configuration_version version = state_.configuration().version;
--- a/src/tallyfold/plane/messaging/frame_channel_shell.cpp
+++ b/src/tallyfold/plane/messaging/frame_channel_shell.cpp
@@ -4,6 +4,9 @@
 #include <asio/write.hpp>
 #include <cstring>
 
+#include "tallyfold/base/logging/event_log.hpp"
+#include "tallyfold/base/net/socket_address.hpp"
+
 namespace tallyfold::messaging {
 
 frame_channel::frame_channel(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
@@ -35,7 +38,7 @@
         std::uint32_t length = 0;
         std::memcpy(&length, input_.data() + offset, sizeof(length));
         if (length > largest_frame) {
-            fail("a frame of " + std::to_string(length) + " bytes");
+            refuse("a frame of " + std::to_string(length) + " bytes");
             return false;
         }
         if (input_.size() - offset < frame_header_size + length) {
@@ -44,7 +47,7 @@
         const auto message =
             decode_payload(std::string_view(input_).substr(offset + frame_header_size, length));
         if (!message) {
-            fail("a frame that doesn't decode: " + message.error().reason);
+            refuse("a frame that doesn't decode: " + message.error().reason);
             return false;
         }
         offset += frame_header_size + length;
@@ -59,6 +62,17 @@
     return true;
 }
 
+void frame_channel::refuse(const std::string& reason) {
+    std::error_code unknown;
+    const auto peer = socket_.remote_endpoint(unknown);
+    const std::string address =
+        unknown ? unknown.message() : net::join_address(peer.address().to_string(), peer.port());
+    // The other side sees the connection end and can't tell why.
+    logging::write_event(logging::event_id::frame_refused,
+                         "peer=\"" + address + "\" reason=\"" + reason + "\"");
+    fail(reason);
+}
+
 void frame_channel::send(const peer_message& message) {
     if (!open()) {
         return;
--- a/src/tallyfold/plane/messaging/frame_channel_shell.hpp
+++ b/src/tallyfold/plane/messaging/frame_channel_shell.hpp
@@ -34,6 +34,8 @@
     void read_more();
     bool take_frames();
     void write_next();
+    /// Ends the connection, and logs why: what came over it can't be read.
+    void refuse(const std::string& reason);
     void fail(const std::string& reason);
 
     /// Bytes that may wait for one peer. Chosen, not measured: beyond it the peer has stopped
