--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -5,7 +5,7 @@
 import random
 
 from .backends import TOKENS_PER_EVENT
-from .history import Attempt, ConfigurationChange, ConfigurationRead
+from .history import Attempt, ConfigurationChange, ConfigurationRead, RouteProbe
 from .http_text import read_body, read_message_head
 
 HOST = "soak.example"
@@ -14,12 +14,19 @@
 #: Callers use an added route this long after the change that brought it was acknowledged, in
 #: seconds: a node may go by proof that it asked for 0.05 s before the call.
 ADDED_SETTLES = 0.1
+#: A change has to be in force everywhere this long after its acknowledgement, in seconds.
+IN_FORCE_SECONDS = 2.0
 #: Calls of a route that was added just now, one after the other.
 PROBES = 6
 #: Routes that a change adds now and then beside its own, and the most of them, that nobody calls.
 FILLING_ROUTES, MOST_FILLING_ROUTES = 1000, 4000
 
 
+def own_path(version):
+    """Path of a route that one version alone has."""
+    return f"/own/{version}/"
+
+
 async def read_head(reader):
     """Returns (status, headers) of an answer."""
     first, headers = await read_message_head(reader)
@@ -59,20 +66,28 @@
     def draw_id(self):
         return f"{self.random.getrandbits(64):016x}"
 
-    async def exchange(self, attempt, patience, fields=()):
-        """Sends one request on a new connection and notes what comes back."""
-        self.history.attempts.append(attempt)
+    def identify(self, attempt):
+        """Header fields that say who calls; now and then with a key that nobody holds."""
+        if not self.keys.in_use:
+            attempt.tenant = self.tenant
+            return []
         attempt.tenant = "" if self.random.random() < 0.03 else self.tenant
         key = self.keys.current(self.tenant) if attempt.tenant else self.keys.forged()
+        return [f"X-Credential: {key}", "X-Tenant-Id: open", "X-Hold: forged"]
+
+    async def exchange(self, attempt, patience, fields=(), forwarder=None):
+        """Sends one request on a new connection and notes what comes back."""
+        self.history.attempts.append(attempt)
+        identity = self.identify(attempt)
         writer = None
         try:
             async with asyncio.timeout(patience):
-                reader, writer = await asyncio.open_connection(
-                    *self.random.choice(self.forwarders))
+                address = forwarder or self.random.choice(self.forwarders)
+                attempt.forwarder = address[0]
+                reader, writer = await asyncio.open_connection(*address)
                 head = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {HOST}",
                         f"X-Request-Id: {attempt.request}",
-                        f"X-Deadline-Ms: {int(patience * 1000)}",
-                        f"X-Credential: {key}", "X-Tenant-Id: open", "X-Hold: forged",
+                        f"X-Deadline-Ms: {int(patience * 1000)}", *identity,
                         f"Content-Length: {len(attempt.body)}", *fields, "", ""]
                 writer.write("\r\n".join(head).encode() + attempt.body)
                 attempt.status, headers = await read_head(reader)
@@ -173,6 +188,16 @@
                 Attempt(self.draw_id(), "repeatable", "POST", path + "x", b"tool", self.clock()),
                 1.0)
 
+    async def probe_in_force(self, version, added, dropped):
+        """Calls, at every forwarder, what a change added and dropped once it has to be in force."""
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        for forwarder in self.forwarders:
+            for path in filter(None, (added, dropped)):
+                attempt = Attempt(self.draw_id(), "repeatable", "POST", path + "x", b"tool",
+                                  self.clock())
+                self.history.route_probes.append(RouteProbe(attempt, version, path == dropped))
+                await self.exchange(attempt, 1.0, forwarder=forwarder)
+
     async def run(self):
         while not self.stopping:
             await self.run_program()
@@ -215,6 +240,10 @@
         self.added = {}
         #: Callers without a limit, who call each as soon as it is added.
         self.probers = []
+        #: Calls what changes added and dropped, once they have to be in force; None for nobody.
+        self.in_force_prober = None
+        #: The version whose own route the next change drops.
+        self.own_route_of = None
         self.stopping = False
 
     def draw_filling(self):
@@ -232,6 +261,8 @@
                  for number in range(self.version % 5)]
         spare += [route(f"added-{version}", f"/added/{version}/", "idempotent", "apps", 3)
                   for version in (*self.kept, self.version)]
+        if self.in_force_prober is not None:
+            spare.append(route("own", own_path(self.version), "idempotent", "apps", 3))
         spare += [route(f"filling-{number}", f"/filling/{number}/", "idempotent", "apps", 1)
                   for number in range(self.filling)]
         routes = [route("turns", "/turns/", "streaming", "engines", 1),
@@ -242,8 +273,16 @@
         services = [{"Name": "engines", "HealthPath": "/health", "MaxConnections": 100,
                      "Engine": engine},
                     {"Name": "apps", "HealthPath": "/health", "MaxConnections": 100}]
+        tenants = self.keys.configuration()
         return {"Version": self.version, "Routes": routes + spare, "Services": services,
-                "Tenants": self.keys.configuration()}
+                **({} if tenants is None else {"Tenants": tenants})}
+
+    def probe_in_force(self):
+        """The change that was just acknowledged is to be in force everywhere soon."""
+        dropped = own_path(self.own_route_of) if self.own_route_of is not None else None
+        self.own_route_of = self.version
+        asyncio.ensure_future(self.in_force_prober.probe_in_force(
+            self.version, f"/added/{self.version}/", dropped))
 
     async def call(self, method, path, body=b""):
         """Returns (status, body) at any node; status 0 when nothing came."""
@@ -282,6 +321,8 @@
                 self.kept.append(self.version)
                 for prober in self.probers:
                     asyncio.ensure_future(prober.probe_added(f"/added/{self.version}/"))
+                if self.in_force_prober is not None:
+                    self.probe_in_force()
                 self.keys.took()
                 self.version += self.random.randint(1, 3)
                 return
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -9,6 +9,8 @@
 #: A read that was sent this long after an acknowledgement must show that version, in seconds.
 CONFIGURATION_BOUND = 2.0
 
+#: A process that was struck is in touch again this long after, in seconds.
+CONTACT_SECONDS = 3.0
 #: Service is back this long after the machines are, in seconds.
 RECOVERY_SECONDS = 12.0
 #: Of what is asked from then on, at least this share is served.
@@ -155,7 +157,7 @@
         asked = [attempt for attempt in history.attempts
                  if attempt.kind == kind and attempt.tenant and not attempt.foreign
                  and attempt.sent >= history.returned + RECOVERY_SECONDS
-                 and attempt.status not in (402, 429)
+                 and attempt.status not in (402, 429) and not attempt.target.startswith("/own/")
                  and not may_be_gone(history, attempt)]
         served = sum(attempt.status == 200 and attempt.whole for attempt in asked)
         checked += len(asked)
@@ -166,6 +168,8 @@
 
 def keys_stay_inside(history):
     """A back end is told the tenant that the key belongs to, and never the key."""
+    if not history.has_keys:
+        return 0, []
     sent = {attempt.request: attempt for attempt in history.attempts}
     wrong = [f"{run.request} ran with a key" for run in history.runs if run.key]
     wrong += [f"{run.request} of {sent[run.request].tenant} ran as {run.tenant}"
@@ -227,10 +231,57 @@
     return checked, wrong
 
 
+def was_calm(history, begin, end, processes):
+    """None of the processes was struck at any time between."""
+    return not any(strike.process in processes and strike.began <= end and strike.ended >= begin
+                   for strike in history.strikes)
+
+
+def in_touch(history, attempt):
+    """The forwarder of the call, and the directory, were well for the time that counts."""
+    processes = [history.forwarder_at.get(attempt.forwarder), *history.directory]
+    return was_calm(history, attempt.sent - CONTACT_SECONDS, attempt.ended, processes)
+
+
+def changes_are_in_force(history):
+    """Once a change has to be in force, what it dropped isn't served, and what it added is."""
+    runs = runs_by_request(history)
+    probes = [probe for probe in history.route_probes if in_touch(history, probe.attempt)]
+    dropped = [probe for probe in probes if probe.dropped]
+    added = [probe.attempt for probe in probes if not probe.dropped]
+    wrong = [f"{probe.attempt.request} at {probe.attempt.sent:.2f} through "
+             f"{probe.attempt.forwarder} ran on a route that version {probe.version} had dropped"
+             for probe in dropped if runs[probe.attempt.request]]
+    unserved = [attempt for attempt in added if attempt.status != 200]
+    if len(unserved) > (1 - SERVED_SHARE) * len(added):
+        wrong += [f"{attempt.request} at {attempt.sent:.2f} through {attempt.forwarder} got "
+                  f"{attempt.status} on {attempt.target}" for attempt in unserved]
+    return len(probes), wrong
+
+
+def planned_rolls_serve(history):
+    """While processes are replaced one after the other, the forwarders that are up serve."""
+    wrong = []
+    checked = 0
+    for begin, end in history.planned_rolls:
+        for kind in ("turn", "repeatable", "once"):
+            asked = [attempt for attempt in history.attempts
+                     if attempt.kind == kind and begin <= attempt.sent <= end
+                     and not attempt.target.startswith("/own/")
+                     and attempt.status not in (402, 429)
+                     and was_calm(history, attempt.sent, attempt.ended,
+                                  [history.forwarder_at.get(attempt.forwarder)])]
+            served = sum(attempt.status == 200 and attempt.whole for attempt in asked)
+            checked += len(asked)
+            if served < SERVED_SHARE * len(asked):
+                wrong.append(f"{kind}: {served} of {len(asked)} served from {begin:.1f} to {end:.1f}")
+    return checked, wrong
+
+
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
-          proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns]
+          proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve]
 
 
 def check_all(history):
--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -46,6 +46,8 @@
         self.own = cluster.addresses.own(last)
         self.relayed = cluster.addresses.relayed(last)
         self.folder = cluster.work / self.name
+        #: Folder of the programs that its next start runs.
+        self.build = cluster.build
         self.process = None
         self.asked = False
         self.starting = asyncio.Lock()
@@ -72,9 +74,13 @@
             f'readiness_address = "{self.own}:{READINESS_PORT}"\n'
             f'operators_address = "{self.own}:{OPERATORS_PORT}"\n'
             f'backend_list_address = "{self.cluster.addresses.own(99)}:{LIST_PORT}"\n'
-            f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n"
-            f"quota_window_seconds = {QUOTA_WINDOW}\nquota_overshoot = {QUOTA_OVERSHOOT}\n"
-            f"quota_slack = {QUOTA_SLACK}\n")
+            f"grace_seconds = {GRACE_SECONDS}\nacknowledge_ms = 4000\n")
+        if self.build == self.cluster.build:
+            # An earlier build refuses a file with settings that it doesn't know.
+            with path.open("a") as settings:
+                settings.write(f"quota_window_seconds = {QUOTA_WINDOW}\n"
+                               f"quota_overshoot = {QUOTA_OVERSHOOT}\n"
+                               f"quota_slack = {QUOTA_SLACK}\n")
         return path
 
     async def start(self):
@@ -90,7 +96,7 @@
         self.asked = False
         log = (self.cluster.work / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
-            str(self.cluster.build / f"tallyfold-{self.program}"), "--settings", str(settings),
+            str(self.build / f"tallyfold-{self.program}"), "--settings", str(settings),
             stdout=log, stderr=log)
         log.close()
         asyncio.ensure_future(self._watch(self.process))
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -7,6 +7,8 @@
 import signal
 from collections import Counter
 
+from .history import Strike
+
 #: A lost disk counts as lost until this many seconds after its machine's return.
 CATCH_UP_SECONDS = 4.4
 #: Programs with a disk, one of whose disks may be lost at a time.
@@ -66,10 +68,13 @@
         self.note_caught_up()
         count = sum(node.program in WITH_DISK for node in nodes)
         self.struck += count
+        began = self.clock()
         try:
             yield
         finally:
             self.struck -= count
+            self.cluster.history.strikes += [Strike(node.name, began, self.clock())
+                                             for node in nodes]
             if count:
                 self.well_since = self.clock()
             self.busy.difference_update(node.name for node in nodes)
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -46,6 +46,8 @@
     tenant: str = ""
     #: It goes on from another tenant's turn.
     foreign: bool = False
+    #: The forwarder that it was sent to.
+    forwarder: str = ""
     # Of turns.
     program: str = ""
     previous: str = ""
@@ -83,6 +85,24 @@
     asked: bool
 
 
+@dataclass
+class Strike:
+    """A time in which a process was down, stopped, slowed or cut off."""
+
+    process: str
+    began: float
+    ended: float
+
+
+@dataclass
+class RouteProbe:
+    """A call some time after a change, at one forwarder: of a route that it added or dropped."""
+
+    attempt: Attempt
+    version: int
+    dropped: bool
+
+
 @dataclass
 class History:
     """Everything of one soak."""
@@ -92,8 +112,18 @@
     reads: list = field(default_factory=list)
     changes: list = field(default_factory=list)
     endings: list = field(default_factory=list)
+    strikes: list = field(default_factory=list)
+    #: Calls of routes that a change added or dropped, once it has to be in force.
+    route_probes: list = field(default_factory=list)
+    #: Planned replacements of processes without faults beside them: (begin, end).
+    planned_rolls: list = field(default_factory=list)
+    #: Names of the forwarders by the addresses at which callers reach them, and of directory nodes.
+    forwarder_at: dict = field(default_factory=dict)
+    directory: list = field(default_factory=list)
     #: Turns that were asked to go on after all faults had ended: (turn, status of the last try).
     continued: list = field(default_factory=list)
+    #: The configuration has tenants, whose keys callers send.
+    has_keys: bool = True
     #: Disks were lost faster than copies can be made, so turns may be gone.
     disks_in_series: bool = False
     #: When all machines were back after the last fault; None when there was none.
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -22,7 +22,8 @@
 from .cluster import CALLERS_PORT, LIST_PORT, OPERATORS_PORT, Addresses, Cluster
 from .faults import Faults
 from .history import History
-from .tenants import TENANTS, KeyRing
+from .tenants import TENANTS, KeyRing, NoKeys
+from .upgrade import Upgrade, parse_plan
 
 ENGINES, APPS = 4, 4
 #: Lines of turns that are asked to go on at the end.
@@ -51,6 +52,10 @@
     for backend in backends:
         await backend.start()
     await BackendList(backends, (addresses.own(99), LIST_PORT)).start()
+    if options.upgrade_from:
+        history.has_keys = False
+        for node in cluster.nodes:
+            node.build = pathlib.Path(options.upgrade_from)
     await cluster.start()
     try:
         faults = await play(options, history, clock, draw, cluster, backends)
@@ -61,14 +66,19 @@
 
 async def play(options, history, clock, draw, cluster, backends):
     """Load, faults, the last fault, and the time in which service has to return."""
-    keys = KeyRing(clock, draw.random())
+    keys = NoKeys() if options.upgrade_from else KeyRing(clock, draw.random())
     operators = [(node.own, OPERATORS_PORT) for node in cluster.of("directory")]
     operator = Operator(history, clock, operators, draw.random(), keys,
                         cluster.addresses)
+    forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
+    history.forwarder_at = {node.own: node.name for node in cluster.of("forwarder")}
+    history.directory = [node.name for node in cluster.of("directory")]
+    if options.upgrade_from:
+        operator.in_force_prober = Caller(history, clock, forwarders, "in-force", "open", keys,
+                                          operator.added)
     await operator.change()
     await asyncio.sleep(1.0)
-    forwarders = [(node.own, CALLERS_PORT) for node in cluster.of("forwarder")]
-    names = list(TENANTS)
+    names = list(TENANTS) if keys.in_use else ["open"]
     callers = [Caller(history, clock, forwarders, draw.random(), names[number % len(names)], keys,
                       operator.added)
                for number in range(options.callers)]
@@ -81,12 +91,18 @@
     faults.disks_in_series = options.disks_in_series
     if options.kinds:
         faults.kinds = [getattr(faults, kind) for kind in options.kinds.split(",")]
+    strikes = options.upgrade_faults or not options.upgrade_from
     work_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     work_tasks.append(asyncio.ensure_future(operator.run()))
-    fault_task = asyncio.ensure_future(faults.run())
-    await asyncio.sleep(options.seconds)
-    await faults.close()
-    await fault_task
+    fault_task = asyncio.ensure_future(faults.run()) if strikes else None
+    if options.upgrade_from:
+        upgrade = Upgrade(cluster, options.upgrade_from, faults, f"upgrade-{options.seed}")
+        await upgrade.play(options.upgrade_plan, options.upgrade_faults)
+    else:
+        await asyncio.sleep(options.seconds)
+    if fault_task is not None:
+        await faults.close()
+        await fault_task
     history.returned = clock()
     await asyncio.sleep(checks.RECOVERY_SECONDS + SETTLE_SECONDS)
     for worker in (*callers, operator):
@@ -154,10 +170,20 @@
                         help="further disks may be lost before a copy could be made: turns may be "
                              "gone, service has to return all the same")
     parser.add_argument("--kinds", default="", help="kinds of faults, by comma; all when empty")
+    parser.add_argument("--upgrade-from", default="", metavar="FOLDER",
+                        help="the cluster begins with the programs in this folder; they are "
+                             "replaced by those of --build as --upgrade-plan says, and nothing "
+                             "else strikes; the configuration has no tenants")
+    parser.add_argument("--upgrade-plan", default="up,down",
+                        help="steps by comma: up or down, of all, or with :directory, "
+                             ":turn-store, :forwarder of one program, or :any of all in any order")
+    parser.add_argument("--upgrade-faults", action="store_true",
+                        help="faults strike beside the replacements")
     parser.add_argument("--network", type=int, default=0,
                         help="second number of the loopback addresses; runs at once need others")
     parser.add_argument("--keep", default="", help="folder for the logs, kept in any case")
     options = parser.parse_args()
+    parse_plan(options.upgrade_plan)
     work = pathlib.Path(tempfile.mkdtemp(prefix="tallyfold-soak-"))
 
     async def stoppable():
--- a/tests/platform/soak/tenants.py
+++ b/tests/platform/soak/tenants.py
@@ -15,6 +15,8 @@
 class KeyRing:
     """Two generations of keys are valid at any time; callers use the newest that is in force."""
 
+    in_use = True
+
     def __init__(self, clock, seed):
         self.clock = clock
         self.random = random.Random(seed)
@@ -49,6 +51,19 @@
         return self.random.choice(["", f"made-up-{self.random.randrange(99)}", "key-nobody-1"])
 
 
+class NoKeys:
+    """Stands in for a KeyRing where the configuration has no tenants: callers send no key."""
+
+    in_use = False
+
+    @staticmethod
+    def configuration():
+        return None
+
+    def took(self):
+        pass
+
+
 def limit_of(tenant):
     """Requests that may run within a window, with the allowance; None without a limit."""
     rate, burst = TENANTS[tenant]
