Tests of mixed builds: groups of directory nodes, connections, folders

Cause: no test let two builds meet. Change: directory_group passes the messages of chosen nodes through the bytes of the first form; tests of changes, tenants, reports and unreadable entries on it; openings and skipped frames on real connections; folders of a later build; each message and record of the production build is written again as it was. 20,000 drawn maps of the second form: none reads as the first.

--- /dev/null
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -0,0 +1,276 @@
+/// @file
+/// Directory nodes of two builds in one group: an entry that the older one couldn't read was
+/// committed by the newer ones, skipped by it without a line, and the forwarders that asked it went
+/// on by the version before. Now each entry has a form that all members read, what has none waits,
+/// and a node that can't read an entry stands still.
+
+#include "tallyfold/base/common/random.hpp"
+#include "tallyfold/base/protocol/stored_value.hpp"
+#include "tallyfold/plane/directory/format_survey.hpp"
+#include "tallyfold/plane/directory/stored_forms.hpp"
+#include "tests/support/directory_group.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace directory;
+using protocol::format_version;
+using std::chrono::seconds;
+
+class mixed_formats_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(mixed_formats_test);
+    CPPUNIT_TEST(a_change_reaches_members_of_both_builds);
+    CPPUNIT_TEST(tenants_wait_until_no_member_of_the_first_form_is_met);
+    CPPUNIT_TEST(tenants_wait_for_forwarders_too);
+    CPPUNIT_TEST(a_forwarder_of_the_first_form_gets_the_configuration_whole);
+    CPPUNIT_TEST(a_forwarder_of_the_first_form_is_never_told_a_configuration_with_tenants);
+    CPPUNIT_TEST(a_replica_that_cannot_read_an_entry_stands_still);
+    CPPUNIT_TEST(a_snapshot_of_a_later_form_is_not_taken_for_an_empty_state);
+    CPPUNIT_TEST(stored_values_go_back_to_the_first_form);
+    CPPUNIT_TEST(values_of_the_second_form_are_never_read_as_the_first);
+    CPPUNIT_TEST(a_later_form_is_told_apart_from_damage);
+    CPPUNIT_TEST_SUITE_END();
+
+    static routing::configuration configuration_of(routing::configuration_version version,
+                                                   std::size_t routes) {
+        routing::configuration made;
+        made.version = version;
+        for (std::size_t number = 0; number < routes; ++number) {
+            routing::route route;
+            route.name = "route-" + std::to_string(number);
+            route.host = "example";
+            route.prefix = "/" + std::to_string(number) + "/";
+            route.services = {{"service", 1}};
+            made.routes.push_back(std::move(route));
+        }
+        return made;
+    }
+
+    static routing::configuration with_tenants(routing::configuration_version version) {
+        routing::configuration made = configuration_of(version, 2);
+        made.tenants.push_back({"tenant", {"key"}, 0, 0, 0});
+        return made;
+    }
+
+    /// Large enough to be compressed between nodes of the second form.
+    static constexpr std::size_t many_routes = 200;
+
+    static routing::configuration_version version_at(directory_group& group,
+                                                     const node_name& address) {
+        return group.node(address).state().configuration().version;
+    }
+
+    void a_change_reaches_members_of_both_builds() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        const node_name earlier = group.followers().front();
+        group.set_first_form(earlier, true);
+        CPPUNIT_ASSERT(group.change(leader, configuration_of(46, many_routes)));
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46}, version_at(group, earlier));
+        // The same from a leader of the first form.
+        group.set_first_form(earlier, false);
+        group.set_first_form(leader, true);
+        CPPUNIT_ASSERT(group.change(leader, configuration_of(48, many_routes)));
+        for (const node_name& follower : group.followers()) {
+            CPPUNIT_ASSERT_EQUAL(routing::configuration_version{48}, version_at(group, follower));
+        }
+    }
+
+    void tenants_wait_until_no_member_of_the_first_form_is_met() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        const node_name earlier = group.followers().front();
+        group.set_first_form(earlier, true);
+        group.run(seconds(1));
+        CPPUNIT_ASSERT(!group.node(leader).may_bring_tenants(group.now()));
+        group.set_first_form(earlier, false);
+        group.run(seconds(1));
+        CPPUNIT_ASSERT(group.node(leader).may_bring_tenants(group.now()));
+        // A member that was heard to know the second form may be away.
+        group.cut(earlier);
+        group.run(seconds(20));
+        CPPUNIT_ASSERT(group.node(leader).may_bring_tenants(group.now()));
+        CPPUNIT_ASSERT(group.change(leader, with_tenants(50)));
+        CPPUNIT_ASSERT(group.node(leader).state().needs_second_form());
+    }
+
+    void tenants_wait_for_forwarders_too() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        directory_core& core = group.node(leader);
+        core.heard_format("forwarder-1", format_version::v1, group.now());
+        CPPUNIT_ASSERT(!core.may_bring_tenants(group.now()));
+        // It was replaced, or is silent for long.
+        core.heard_format("forwarder-1", format_version::v2, group.now());
+        CPPUNIT_ASSERT(core.may_bring_tenants(group.now()));
+        core.heard_format("forwarder-2", format_version::v1, group.now());
+        group.run(seconds(6));
+        CPPUNIT_ASSERT(core.may_bring_tenants(group.now()));
+    }
+
+    static node_report report_of_first_form(routing::configuration_version held) {
+        node_report report;
+        report.node = "forwarder-1";
+        report.configuration = held;
+        report.wants_configuration = true;
+        return report;
+    }
+
+    void a_forwarder_of_the_first_form_gets_the_configuration_whole() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        CPPUNIT_ASSERT(group.change(leader, configuration_of(48, many_routes)));
+        const auto report = through_first_form(report_of_first_form(46));
+        CPPUNIT_ASSERT(report.has_value());
+        for (const node_name& asked : {leader, group.followers().front()}) {
+            const auto answer = through_first_form(
+                group.node(asked).receive(*report, group.now(), format_version::v1));
+            CPPUNIT_ASSERT(answer.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer->newer_configuration.size());
+            CPPUNIT_ASSERT(*answer->newer_configuration.front() ==
+                           configuration_of(48, many_routes));
+        }
+        // Whoever asks for parts, or holds it, gets no copy.
+        CPPUNIT_ASSERT(
+            group.node(leader).receive(*report, group.now()).newer_configuration.empty());
+        CPPUNIT_ASSERT(group.node(leader)
+                           .receive(report_of_first_form(48), group.now(), format_version::v1)
+                           .newer_configuration.empty());
+    }
+
+    void a_forwarder_of_the_first_form_is_never_told_a_configuration_with_tenants() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        CPPUNIT_ASSERT(group.change(leader, with_tenants(50)));
+        const auto answer = through_first_form(
+            group.node(leader).receive(report_of_first_form(46), group.now(), format_version::v1));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT(answer->newer_configuration.empty());
+    }
+
+    /// An entry of a form that this build doesn't know, handed to a follower by its leader.
+    static consensus::replica_message with_later_entry(const directory_core& leader,
+                                                       const node_name& follower) {
+        const std::uint64_t mark = protocol::numbered_form_mark | 3U;
+        consensus::append_request append;
+        append.previous_index = leader.replica().log().last_index();
+        append.previous_term = leader.term();
+        append.commit_index = append.previous_index + 1;
+        append.round = 1'000'000;
+        append.entries.push_back(
+            {leader.term(), append.commit_index, consensus::entry_kind::command,
+             std::string(reinterpret_cast<const char*>(&mark), sizeof(mark)) + "whatever"});
+        consensus::replica_message message;
+        message.group = configuration_group;
+        message.from = first_identity(leader.leader_address());
+        message.to = first_identity(follower);
+        message.term = leader.term();
+        message.body = append;
+        return message;
+    }
+
+    void a_replica_that_cannot_read_an_entry_stands_still() {
+        directory_group group(3);
+        const node_name leader = group.run_until_led();
+        CPPUNIT_ASSERT(group.change(leader, configuration_of(46, 2)));
+        const node_name follower = group.followers().front();
+        directory_core& core = group.node(follower);
+        core.receive(leader, with_later_entry(group.node(leader), follower), group.now());
+        bool logged = false;
+        for (directory_work work = core.take_work(); !work.empty(); work = core.take_work()) {
+            for (const logging::event_record& event : work.events) {
+                logged = logged || event.id == logging::event_id::entry_unreadable;
+            }
+            CPPUNIT_ASSERT_MESSAGE("it acknowledges nothing", work.after_sync.empty());
+            core.persisted();
+        }
+        CPPUNIT_ASSERT(logged);
+        CPPUNIT_ASSERT(core.stands_still());
+        CPPUNIT_ASSERT(!core.leads());
+        // What it held is still shown, and proves nothing.
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46},
+                             core.state().configuration().version);
+        core.prove(7, group.now());
+        directory_work work = core.take_work();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, work.proofs.size());
+        CPPUNIT_ASSERT(!work.proofs.front().proved);
+        // The two others are a majority and go on.
+        CPPUNIT_ASSERT(group.change(leader, configuration_of(48, 2)));
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46},
+                             core.state().configuration().version);
+    }
+
+    void a_snapshot_of_a_later_form_is_not_taken_for_an_empty_state() {
+        const std::uint64_t mark = protocol::numbered_form_mark | 3U;
+        directory_state state;
+        state.apply(replace_configuration{configuration_of(46, 2), "text"});
+        const auto restored =
+            state.restore(std::string(reinterpret_cast<const char*>(&mark), sizeof(mark)));
+        CPPUNIT_ASSERT(!restored);
+        CPPUNIT_ASSERT(restored.error().is_later_format);
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46}, state.configuration().version);
+    }
+
+    void stored_values_go_back_to_the_first_form() {
+        directory_state state;
+        state.apply(replace_configuration{configuration_of(46, many_routes), "text"});
+        const std::string packed = state.to_bytes();
+        const std::string stored = state_on_disk(packed);
+        CPPUNIT_ASSERT(stored.size() > packed.size());
+        CPPUNIT_ASSERT(protocol::decode<directory_state>(stored, format_version::v1).has_value());
+        state.apply(replace_configuration{with_tenants(48), std::string(5'000, 't')});
+        CPPUNIT_ASSERT_EQUAL(state.to_bytes(), state_on_disk(state.to_bytes()));
+    }
+
+    static turns::store_map any_map(random_source& random, turns::group_number group) {
+        turns::store_map map;
+        map.epoch = 1 + random.below(1'000'000);
+        map.group = group;
+        for (std::uint64_t count = 1 + random.below(4); count > 0; --count) {
+            const std::string number = std::to_string(random.below(300));
+            map.current.push_back({random.next(), "store-" + number, "10.0.0.1:" + number, "z"});
+        }
+        if (random.chance(0.3)) {
+            map.next = map.current;
+        }
+        return map;
+    }
+
+    /// The two forms have no number: a value of the second one that a reader of the first one could
+    /// take for its own would be misread.
+    void values_of_the_second_form_are_never_read_as_the_first() {
+        random_source random(42);
+        for (int round = 0; round < 20'000; ++round) {
+            change_store_groups change;
+            for (std::uint64_t count = 1 + random.below(5); count > 0; --count) {
+                change.maps.push_back(
+                    any_map(random, static_cast<turns::group_number>(change.maps.size())));
+            }
+            turns::store_map& lost = change.maps[random.below(change.maps.size())];
+            lost.after_loss = random.chance(0.5);
+            if (!lost.after_loss || random.chance(0.5)) {
+                lost.absent = {lost.current.front()};
+            }
+            const directory_command command = change;
+            const std::string second = protocol::encode(command);
+            CPPUNIT_ASSERT(!protocol::decode<directory_command>(second, format_version::v1));
+            const auto read = protocol::decode_stored<directory_command>(second);
+            CPPUNIT_ASSERT(read.has_value());
+            CPPUNIT_ASSERT(std::get<change_store_groups>(*read).maps == change.maps);
+            CPPUNIT_ASSERT_EQUAL(second, protocol::encode_stored(command));
+        }
+    }
+
+    void a_later_form_is_told_apart_from_damage() {
+        const std::uint64_t mark = protocol::numbered_form_mark | 3U;
+        const std::string later = std::string(reinterpret_cast<const char*>(&mark), sizeof(mark));
+        const auto read = protocol::decode_stored<directory_command>(later + "whatever");
+        CPPUNIT_ASSERT(!read && read.error().is_later_format);
+        const auto damaged = protocol::decode_stored<directory_command>("whatever");
+        CPPUNIT_ASSERT(!damaged && !damaged.error().is_later_format);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(mixed_formats_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/plane/messaging/format_opening_test.cpp
@@ -0,0 +1,182 @@
+/// @file
+/// Two nodes agree on the form of their messages over a real connection, also when one of them is
+/// of the build that says nothing of forms and closes a connection over what it doesn't know.
+
+#include "tallyfold/plane/messaging/format_opening.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <cstring>
+
+#include "tallyfold/base/net/socket_address.hpp"
+#include "tallyfold/plane/messaging/peer_link_shell.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+using namespace messaging;
+using protocol::format_version;
+
+class format_opening_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(format_opening_test);
+    CPPUNIT_TEST(an_opening_travels_as_a_message_of_the_first_form);
+    CPPUNIT_TEST(replies_of_stores_are_no_openings);
+    CPPUNIT_TEST(two_that_know_the_second_form_use_it_both_ways);
+    CPPUNIT_TEST(a_later_build_is_met_in_the_newest_form_that_both_know);
+    CPPUNIT_TEST(a_link_and_a_server_agree);
+    CPPUNIT_TEST(whoever_says_nothing_is_sent_the_first_form_alone);
+    CPPUNIT_TEST(a_frame_that_cannot_be_read_is_passed_over);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* address = "127.0.99.7:17178";
+
+    void an_opening_travels_as_a_message_of_the_first_form() {
+        for (int known = 1; known < 256; ++known) {
+            const format_opening opening{static_cast<format_number>(known), 1};
+            const auto bytes = protocol::encode_as(to_message(opening), format_version::v1);
+            CPPUNIT_ASSERT(bytes.has_value());
+            const auto read = decode_payload(*bytes, format_version::v1);
+            CPPUNIT_ASSERT(read.has_value());
+            CPPUNIT_ASSERT(opening_in(*read) == opening);
+        }
+    }
+
+    void replies_of_stores_are_no_openings() {
+        check_property("an answered operation is no opening",
+                       [](std::uint64_t operation, std::uint64_t store) {
+                           turns::find_reply reply;
+                           reply.operation = operation | 1U;
+                           reply.store = store;
+                           RC_ASSERT(!opening_in(reply));
+                       });
+        CPPUNIT_ASSERT(!opening_in(turns::find_reply{}));
+        CPPUNIT_ASSERT(!opening_in(directory::node_report{}));
+    }
+
+    void two_that_know_the_second_form_use_it_both_ways() {
+        format_agreement caller;
+        format_agreement server;
+        const auto answer = server.receive(caller.first_opening());
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT(server.sends() == format_version::v2);
+        CPPUNIT_ASSERT(server.reads() == format_version::v1);
+        const auto last = caller.receive(*answer);
+        CPPUNIT_ASSERT(last.has_value());
+        CPPUNIT_ASSERT(!server.receive(*last).has_value());
+        for (const format_agreement* side : {&caller, &server}) {
+            CPPUNIT_ASSERT(side->sends() == format_version::v2);
+            CPPUNIT_ASSERT(side->reads() == format_version::v2);
+            CPPUNIT_ASSERT(side->common() == format_version::v2);
+        }
+    }
+
+    void a_later_build_is_met_in_the_newest_form_that_both_know() {
+        format_agreement server;
+        const auto answer = server.receive({9, 1});
+        CPPUNIT_ASSERT(answer == (format_opening{2, 2}));
+        CPPUNIT_ASSERT(server.common() == format_version::v2);
+        CPPUNIT_ASSERT(!server.receive({9, 2}).has_value());
+    }
+
+    /// Handles what is ready, until nothing comes any more.
+    static void run(asio::io_context& loop) {
+        // A loopback connection delivers within far less.
+        constexpr std::chrono::milliseconds quiet_time{100};
+        loop.restart();
+        while (loop.run_for(quiet_time) > 0) {
+            loop.restart();
+        }
+    }
+
+    void a_link_and_a_server_agree() {
+        asio::io_context loop;
+        peer_server server(loop, address);
+        int reports = 0;
+        CPPUNIT_ASSERT_EQUAL(std::string{}, server.start([&](const channel_pointer& channel,
+                                                             const peer_message& message) {
+            const auto& report = std::get<directory::node_report>(message);
+            reports += report.question == 7 ? 1 : 0;
+            CPPUNIT_ASSERT(channel->peer_format() == format_version::v2);
+            channel->send(directory::configuration_part{});
+        }));
+        int parts = 0;
+        const auto link = std::make_shared<peer_link>(loop, address);
+        link->start(
+            [&](const peer_message& message) {
+                parts += std::holds_alternative<directory::configuration_part>(message) ? 1 : 0;
+            },
+            nullptr);
+        run(loop);
+        CPPUNIT_ASSERT(link->peer_format() == format_version::v2);
+        directory::node_report report;
+        report.question = 7;
+        link->send(report);
+        run(loop);
+        CPPUNIT_ASSERT_EQUAL(1, reports);
+        CPPUNIT_ASSERT_EQUAL(1, parts);
+        link->stop();
+    }
+
+    /// All whole frames that have come, without their headers.
+    static std::vector<std::string> received(asio::ip::tcp::socket& socket) {
+        std::string bytes(socket.available(), '\0');
+        asio::read(socket, asio::buffer(bytes));
+        std::vector<std::string> payloads;
+        for (std::size_t at = 0; at < bytes.size();) {
+            std::uint32_t length = 0;
+            std::memcpy(&length, bytes.data() + at, sizeof(length));
+            payloads.push_back(bytes.substr(at + frame_header_size, length));
+            at += frame_header_size + length;
+        }
+        return payloads;
+    }
+
+    void whoever_says_nothing_is_sent_the_first_form_alone() {
+        asio::io_context loop;
+        peer_server server(loop, address);
+        CPPUNIT_ASSERT_EQUAL(std::string{},
+                             server.start([](const channel_pointer& channel, const peer_message&) {
+                                 CPPUNIT_ASSERT(channel->peer_format() == format_version::v1);
+                                 channel->send(directory::configuration_part{});
+                                 channel->send(tenants::permit_answer{});
+                                 directory::node_report_answer answer;
+                                 answer.configuration = 48;
+                                 answer.question = 7;
+                                 channel->send(answer);
+                             }));
+        asio::ip::tcp::socket node(loop);
+        node.connect(*net::parse_endpoint(address));
+        const auto frame = encode_frame(directory::node_report{}, format_version::v1);
+        asio::write(node, asio::buffer(*frame));
+        run(loop);
+        const std::vector<std::string> payloads = received(node);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, payloads.size());
+        const auto answer = decode_payload(payloads.front(), format_version::v1);
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{48},
+                             std::get<directory::node_report_answer>(*answer).configuration);
+    }
+
+    void a_frame_that_cannot_be_read_is_passed_over() {
+        asio::io_context loop;
+        peer_server server(loop, address);
+        int requests = 0;
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{}, server.start([&](const channel_pointer&, const peer_message& message) {
+                requests += std::holds_alternative<turns::history_request>(message) ? 1 : 0;
+            }));
+        asio::ip::tcp::socket node(loop);
+        node.connect(*net::parse_endpoint(address));
+        std::string unknown = encode_frame(turns::history_request{1, "turn"});
+        unknown[frame_header_size] = 99;
+        asio::write(node, asio::buffer(unknown));
+        asio::write(node, asio::buffer(encode_frame(turns::history_request{2, "turn"})));
+        run(loop);
+        CPPUNIT_ASSERT_EQUAL(1, requests);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(format_opening_test);
+
+}  // namespace tallyfold::tests
--- /dev/null
+++ b/tests/plane/turns/store_folder_test.cpp
@@ -0,0 +1,109 @@
+/// @file
+/// What a store makes of its folder at a start. A store took a record that it couldn't decode for
+/// damage and emptied the folder: right for one disk, and the end of a group's turns when all of
+/// its machines met a form of another build one after the other.
+
+#include <fstream>
+#include <iterator>
+
+#include "tallyfold/base/protocol/stored_value.hpp"
+#include "tallyfold/base/storage/record_file.hpp"
+#include "tallyfold/plane/turns/store_folder_shell.hpp"
+#include "tests/support/suite.hpp"
+#include "tests/support/temporary_path.hpp"
+
+namespace tallyfold::tests {
+
+using namespace turns;
+
+class store_folder_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(store_folder_test);
+    CPPUNIT_TEST(a_map_of_a_later_build_is_left_alone);
+    CPPUNIT_TEST(turns_of_a_later_build_are_left_alone);
+    CPPUNIT_TEST(a_damaged_log_begins_another_store);
+    CPPUNIT_TEST(a_map_is_written_in_the_oldest_form_that_holds_it);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string later_form() {
+        const std::uint64_t mark = protocol::numbered_form_mark | 3U;
+        return std::string(reinterpret_cast<const char*>(&mark), sizeof(mark)) + "whatever";
+    }
+
+    static std::string read(const std::filesystem::path& path) {
+        std::ifstream file(path, std::ios::binary);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    static void write(const std::filesystem::path& path, const std::string& bytes) {
+        std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+    }
+
+    static store_map map_of_one() {
+        store_map map;
+        map.epoch = 5;
+        map.current = {{1, "store-1", "10.0.0.1:7100", "zone"}};
+        return map;
+    }
+
+    /// A folder that a store has used. @return its identity
+    static store_id use(const temporary_path& folder) {
+        auto opened = open_store(folder.text());
+        CPPUNIT_ASSERT(opened.has_value());
+        CPPUNIT_ASSERT(opened->log.keep_map(map_of_one()).has_value());
+        CPPUNIT_ASSERT(
+            opened->log.append({turn_reservation{"program", "request", 1, 1'000}}).has_value());
+        return opened->log.identity();
+    }
+
+    void a_map_of_a_later_build_is_left_alone() {
+        const temporary_path folder("store-folder");
+        use(folder);
+        const std::string later = storage::single_record(later_form());
+        write(folder.path() / "store-map", later);
+        CPPUNIT_ASSERT(!open_store(folder.text()).has_value());
+        CPPUNIT_ASSERT_EQUAL(later, read(folder.path() / "store-map"));
+        CPPUNIT_ASSERT(std::filesystem::exists(folder.path() / "turns-1"));
+    }
+
+    void turns_of_a_later_build_are_left_alone() {
+        const temporary_path folder("store-folder");
+        const store_id identity = use(folder);
+        const std::string before = read(folder.path() / "turns-1");
+        const std::string after = before + storage::single_record(later_form());
+        write(folder.path() / "turns-1", after);
+        CPPUNIT_ASSERT(!open_store(folder.text()).has_value());
+        CPPUNIT_ASSERT_EQUAL(after, read(folder.path() / "turns-1"));
+        // The build that wrote it, or one without that record, finds all as it was.
+        write(folder.path() / "turns-1", before);
+        const auto opened = open_store(folder.text());
+        CPPUNIT_ASSERT(opened.has_value());
+        CPPUNIT_ASSERT_EQUAL(identity, opened->log.identity());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, opened->state.turns().program_count());
+    }
+
+    void a_damaged_log_begins_another_store() {
+        const temporary_path folder("store-folder");
+        const store_id identity = use(folder);
+        std::string bytes = read(folder.path() / "turns-1");
+        const std::string whole = bytes;
+        bytes[bytes.size() / 2] ^= 0x40;
+        write(folder.path() / "turns-1", bytes + whole);
+        const auto opened = open_store(folder.text());
+        CPPUNIT_ASSERT(opened.has_value());
+        CPPUNIT_ASSERT(identity != opened->log.identity());
+    }
+
+    void a_map_is_written_in_the_oldest_form_that_holds_it() {
+        using protocol::format_version;
+        store_map map = map_of_one();
+        CPPUNIT_ASSERT(protocol::encode_stored(map) ==
+                       protocol::encode_as(map, format_version::v1).value());
+        map.after_loss = true;
+        CPPUNIT_ASSERT(!protocol::encode_as(map, format_version::v1).has_value());
+        CPPUNIT_ASSERT(protocol::decode_stored<store_map>(protocol::encode_stored(map)) == map);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_folder_test);
+
+}  // namespace tallyfold::tests
--- a/tests/support/directory_group.hpp
+++ b/tests/support/directory_group.hpp
@@ -1,7 +1,8 @@
 #pragma once
 /// @file
 /// Directory nodes on a network with a delay, in virtual time. Nodes may be cut off from the
-/// others; whoever holds a core may still ask it, as a forwarder that reaches it would.
+/// others; whoever holds a core may still ask it, as a forwarder that reaches it would. Some may
+/// know the first form of messages alone, as those of the build before did.
 
 #include <deque>
 #include <map>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "tallyfold/plane/directory/directory_core.hpp"
+#include "tests/support/first_form.hpp"
 
 namespace tallyfold::tests {
 
@@ -41,6 +43,14 @@
     /// Messages from and to this node are lost from now on.
     void cut(const node_name& address) { cut_.insert(address); }
     void heal(const node_name& address) { cut_.erase(address); }
+    /// The node is one of the build that knows the first form alone, or no longer is.
+    void set_first_form(const node_name& address, bool first) {
+        if (first) {
+            first_form_.insert(address);
+        } else {
+            first_form_.erase(address);
+        }
+    }
 
     void run(duration time) {
         const instant end = now_ + time;
@@ -120,8 +130,16 @@
             if (cut_.contains(next.from) || cut_.contains(to) || !nodes_.contains(to)) {
                 continue;
             }
+            using protocol::format_version;
+            const bool first = first_form_.contains(next.from) || first_form_.contains(to);
+            node(to).heard_format(
+                next.from,
+                first_form_.contains(next.from) ? format_version::v1 : format_version::v2, now_);
             if (const auto* message = std::get_if<consensus::replica_message>(&next.message.body)) {
-                node(to).receive(next.from, *message, now_);
+                const auto read = first ? replica_message_through_first_form(*message) : *message;
+                if (read) {
+                    node(to).receive(next.from, *read, now_);
+                }
             } else {
                 node(to).receive(std::get<directory::join_request>(next.message.body), now_);
             }
@@ -136,6 +154,7 @@
     std::map<node_name, std::unique_ptr<directory::directory_core>> nodes_;
     std::deque<message_under_way> network_;
     std::set<node_name> cut_;
+    std::set<node_name> first_form_;
     directory::request_token token_ = 0;
 };
 
