--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -3,7 +3,8 @@
 import unittest
 
 from . import checks
-from .history import (Attempt, ConfigurationChange, ConfigurationRead, Ending, History, Run)
+from .history import (Attempt, ConfigurationChange, ConfigurationRead, Ending, History, RouteProbe,
+                      Run, Strike)
 
 
 def attempt(request="a", kind="turn", **fields):
@@ -162,6 +163,51 @@
             found = self.violations(checks.limits_hold, attempts=attempts, runs=runs)
             self.assertEqual(count > bound and gap < 0.05, bool(found))
 
+    def in_force(self, status, dropped, ran=False, strikes=()):
+        """One probe of a route that a change dropped or added, and what it got."""
+        probe = RouteProbe(attempt(kind="repeatable", sent=10.0, ended=10.1, status=status,
+                                   forwarder="f", target="/own/2/x" if dropped else "/added/3/x"),
+                           3, dropped)
+        return self.violations(checks.changes_are_in_force, route_probes=[probe],
+                               attempts=[probe.attempt], runs=[run()] if ran else [],
+                               forwarder_at={"f": "forwarder-0"}, directory=["directory-0"],
+                               strikes=list(strikes))
+
+    def test_a_change_that_is_not_in_force_is_found(self):
+        self.assertTrue(self.in_force(200, dropped=True, ran=True))
+        self.assertFalse(self.in_force(404, dropped=True))
+        self.assertTrue(self.in_force(404, dropped=False))
+        self.assertTrue(self.in_force(503, dropped=False))
+        self.assertFalse(self.in_force(200, dropped=False, ran=True))
+        for process in ("forwarder-0", "directory-0"):
+            struck = [Strike(process, 7.5, 8.0)]
+            self.assertFalse(self.in_force(200, dropped=True, ran=True, strikes=struck))
+        for strike in (Strike("forwarder-0", 2.0, 6.5), Strike("turn-store-0", 9.0, 11.0)):
+            self.assertTrue(self.in_force(200, dropped=True, ran=True, strikes=[strike]))
+
+    def test_a_roll_that_is_not_served_is_found(self):
+        def roll(statuses, strikes=()):
+            asked = [attempt(str(number), sent=5.0, ended=5.1, status=status, forwarder="f")
+                     for number, status in enumerate(statuses)]
+            return self.violations(checks.planned_rolls_serve, attempts=asked,
+                                   planned_rolls=[(4.0, 9.0)], strikes=list(strikes),
+                                   forwarder_at={"f": "forwarder-0"})
+        self.assertTrue(roll([200] * 5 + [503] * 5))
+        self.assertFalse(roll([200] * 10))
+        self.assertFalse(roll([200] * 5 + [0] * 5, [Strike("forwarder-0", 4.5, 6.0)]))
+
+    def test_the_earlier_build_may_not_know_an_added_route_until_it_is_in_force(self):
+        def called(sent, earlier, strikes=()):
+            call = attempt(kind="repeatable", target="/added/3/x", status=404, sent=sent,
+                           ended=sent, by_earlier_build=earlier, forwarder="f")
+            return self.violations(checks.added_routes_are_known, attempts=[call],
+                                   changes=[ConfigurationChange(3, 10.0)], strikes=list(strikes),
+                                   forwarder_at={"f": "forwarder-0"})
+        self.assertTrue(called(10.2, earlier=False))
+        self.assertFalse(called(10.2, earlier=True))
+        self.assertTrue(called(12.1, earlier=True))
+        self.assertFalse(called(12.1, True, [Strike("forwarder-0", 11.0, 12.5)]))
+
     def test_a_process_that_ends_by_itself_is_found(self):
         self.assertTrue(self.violations(checks.processes_stay_up,
                                         endings=[Ending("p", 1, 139, False)]))
