Reports and forms apart from the rest of directory_core; a refused change with tenants is an audit line

Change: directory_core_reports holds the answers to reports and what is known of forms. A settings file with the production template's keys is read (test).

--- a/src/tallyfold/plane/directory/admin_api_shell.cpp
+++ b/src/tallyfold/plane/directory/admin_api_shell.cpp
@@ -153,8 +153,8 @@
     // Named, since GCC 12 destroys aggregate temporaries of a co_await twice.
     replace_call replacement = std::get<replace_call>(std::move(call));
     if (!replacement.parsed.tenants.empty() && !core_->may_bring_tenants(http::steady_now())) {
-        log_change(replacement.parsed.version, answer_kind::not_leader);
-        co_return codec_.refused(503, "a node of an earlier build can't read tenants; ask again");
+        const invalid_call early{503, "a node of an earlier build can't read tenants; ask again"};
+        co_return refuse(request, early);
     }
     const answer_kind kind = co_await change(std::move(replacement), request.body);
     co_return kind == answer_kind::done ? codec_.accepted() : failed(request, kind);
--- a/src/tallyfold/plane/directory/applied_state_cache.cpp
+++ b/src/tallyfold/plane/directory/applied_state_cache.cpp
@@ -55,8 +55,7 @@
     }
     saved_ = age_of(applied);
     saved_at_ = now;
-    if (storage::overwrite_file(path_of(next_),
-                                storage::single_record(state_on_disk(applied)))) {
+    if (storage::overwrite_file(path_of(next_), storage::single_record(state_on_disk(applied)))) {
         next_ = 1 - next_;
     }
 }
--- /dev/null
+++ b/src/tallyfold/plane/directory/directory_core_reports.cpp
@@ -0,0 +1,100 @@
+/// @file
+/// What a directory node answers to reports, and what it knows of the forms that other nodes read.
+/// Members of directory_core.
+
+#include "tallyfold/plane/directory/directory_core.hpp"
+
+namespace tallyfold::directory {
+
+namespace {
+
+/// Pause between two lines about what waits for nodes that know the first form alone. Chosen, not
+/// measured: an upgrade takes minutes.
+constexpr duration awaited_log_interval = std::chrono::seconds(2);
+
+}  // namespace
+
+node_report_answer directory_core::receive(const node_report& report, instant now,
+                                           protocol::format_version format) {
+    for (const store_report& store : report.store) {
+        store_planner_.on_report(store, now);
+    }
+    node_report_answer answer = answer_to(report);
+    if (format < protocol::format_version::v2 && report.wants_configuration) {
+        add_whole_configuration(report, answer);
+        if (answer.configuration > report.configuration && answer.newer_configuration.empty()) {
+            log_awaited_format("configuration=" + std::to_string(answer.configuration), report.node,
+                               now);
+        }
+    }
+    return answer;
+}
+
+void directory_core::add_whole_configuration(const node_report& report,
+                                             node_report_answer& answer) {
+    const configuration_pointer& shown = shown_configuration();
+    // Without its tenants it would let in whoever has no key.
+    if (shown->version > report.configuration && shown->tenants.empty()) {
+        answer.newer_configuration.push_back(shown);
+    }
+}
+
+void directory_core::heard_format(const node_name& node, protocol::format_version format,
+                                  instant now) {
+    if (formats_.heard(node, format, now)) {
+        log(logging::event_id::node_format,
+            "peer=" + node + " format=" + protocol::to_string(format));
+    }
+}
+
+bool directory_core::may_bring_tenants(instant now) const {
+    if (state_.needs_second_form()) {
+        return true;
+    }
+    std::vector<node_name> others;
+    for (const auto& [id, member] : replica_.members().members) {
+        if (id != identity_) {
+            others.push_back(member.node);
+        }
+    }
+    return formats_.all_know(protocol::format_version::v2, others) &&
+           !formats_.lately_below(protocol::format_version::v2, now);
+}
+
+void directory_core::log_awaited_format(const std::string& what, const node_name& node,
+                                        instant now) {
+    if (now < next_awaited_log_) {
+        return;
+    }
+    next_awaited_log_ = now + awaited_log_interval;
+    log(logging::event_id::format_awaited, what + " peer=" + node);
+}
+
+configuration_part directory_core::receive(const configuration_request& request) {
+    source_.show(shown_configuration());
+    return source_.answer(request);
+}
+
+const configuration_pointer& directory_core::shown_configuration() const {
+    const bool has_newest = state_.configuration().version >= earlier_.configuration().version;
+    return has_newest ? state_.shared_configuration() : earlier_.shared_configuration();
+}
+
+node_report_answer directory_core::answer_to(const node_report& report) const {
+    const bool has_newest_stores = state_.stores().epoch >= earlier_.stores().epoch;
+    const turns::store_table& shown_stores =
+        has_newest_stores ? state_.stores() : earlier_.stores();
+    node_report_answer answer;
+    answer.configuration = shown_configuration()->version;
+    if (shown_stores.epoch > report.stores) {
+        answer.newer_stores.push_back(shown_stores);
+    }
+    for (const auto& [id, member] : replica_.members().members) {
+        answer.directory_addresses.push_back(member.node);
+    }
+    answer.leader = leader_address();
+    answer.term = replica_.term();
+    return answer;
+}
+
+}  // namespace tallyfold::directory
--- a/src/tallyfold/plane/directory/stored_forms.cpp
+++ b/src/tallyfold/plane/directory/stored_forms.cpp
@@ -67,7 +67,10 @@
 
 std::string state_on_disk(const std::string& packed) {
     std::string plain = protocol::unpacked(packed);
-    return is_first_form_of_state(plain) ? std::move(plain) : packed;
+    if (!is_first_form_of_state(plain)) {
+        return packed;
+    }
+    return plain;
 }
 
 consensus::group_write write_on_disk(consensus::group_write write) {
--- a/tests/plane/process/node_settings_test.cpp
+++ b/tests/plane/process/node_settings_test.cpp
@@ -10,6 +10,7 @@
 class node_settings_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(node_settings_test);
     CPPUNIT_TEST(what_is_left_out_has_its_default);
+    CPPUNIT_TEST(a_file_of_the_production_build_is_enough);
     CPPUNIT_TEST(a_node_behind_a_relay_listens_at_another_address);
     CPPUNIT_TEST(every_problem_is_named);
     CPPUNIT_TEST(mechanisms_are_switched_off_by_name);
@@ -29,6 +30,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2:71"), read->seed_directories().front());
     }
 
+    /// The keys of the template with which the build of the first form (docs/FORMATS.md) starts.
+    void a_file_of_the_production_build_is_enough() {
+        const auto read = read_node_settings(file_.write(
+            std::string(whole) +
+            "first_start = \"false\"\ndata_folder = \"/data\"\nlosses_borne = 1\n"
+            "callers_address = \"10.0.0.1:80\"\nreadiness_address = \"10.0.0.1:81\"\n"
+            "operators_address = \"\"\nmetrics_port = 9464\n"
+            "backend_list_address = \"10.0.0.9:82\"\npolicy_file = \"policies/platform.lua\"\n"
+            "grace_seconds = 8\nacknowledge_ms = 4000\n"));
+        CPPUNIT_ASSERT(read.has_value());
+        CPPUNIT_ASSERT(!read->refuses_stale_keys);
+    }
+
     void a_node_behind_a_relay_listens_at_another_address() {
         const auto read =
             read_node_settings(file_.write(std::string(whole) + "listen_ip = \"10.0.9.1\"\n"));
