The soak's faults: no second disk before the first could be copied; a soak whose work never ends says so

It noted the loss before the fault began, and beginning a fault clears what all machines outlived for 4.4 s. Change: the loss is noted once the fault has begun; a test plays it (2 disks lost before, 1 now). Callers and the operator have 30 s to end; whoever doesn't is a violation (work_ends), where the soak hung before.

--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -240,6 +240,11 @@
     return checked, wrong
 
 
+def work_ends(history):
+    """What callers and the operator have begun ends: an operator repeats a change until it is taken."""
+    return 1, [f"{history.unended} never ended"] if history.unended else []
+
+
 def was_calm(history, begin, end, processes):
     """None of the processes was struck at any time between."""
     return not any(strike.process in processes and strike.began <= end and strike.ended >= begin
@@ -290,7 +295,8 @@
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
-          proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve]
+          proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve,
+          work_ends]
 
 
 def check_all(history):
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -163,6 +163,9 @@
             found = self.violations(checks.limits_hold, attempts=attempts, runs=runs)
             self.assertEqual(count > bound and gap < 0.05, bool(found))
 
+    def test_work_that_never_ends_is_found(self):
+        self.assertTrue(self.violations(checks.work_ends, unended=1))
+
     def in_force(self, status, dropped, ran=False, strikes=()):
         """One probe of a route that a change dropped or added, and what it got."""
         probe = RouteProbe(attempt(kind="repeatable", sent=10.0, ended=10.1, status=status,
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -148,12 +148,14 @@
         if kind != "power" and not self.catching_up:
             program = kind if kind in self.losable() else "turn-store"
             lost = [self.random.choice(self.cluster.of(program))]
-            self.catching_up = True
-            self.wiped_back = float("inf")
         self.note("lose_all_power", " ".join(node.name for node in lost) or "no disk")
         free = [node for node in self.cluster.nodes if node.name not in self.busy]
         self.busy.update(node.name for node in free)
         with self.striking(*free):
+            if lost:
+                # From here on: the time that the machines were well before it doesn't count.
+                self.catching_up = True
+                self.wiped_back = float("inf")
             await self.cluster.lose_power(lost, self.random.uniform(0.3, 2.0), self.random)
         if lost:
             self.wiped_back = self.clock()
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -127,6 +127,8 @@
     continued: list = field(default_factory=list)
     #: The configuration has tenants, whose keys callers send.
     has_keys: bool = True
+    #: Callers and operators that hadn't ended their work long after they were to stop.
+    unended: int = 0
     #: Disks were lost faster than copies can be made, so turns may be gone.
     disks_in_series: bool = False
     #: When all machines were back after the last fault; None when there was none.
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -29,6 +29,8 @@
 #: Lines of turns that are asked to go on at the end.
 CONTINUED = 60
 SETTLE_SECONDS = 6.0
+#: Time in which callers and the operator end what they have begun, once they are to stop.
+END_SECONDS = 30.0
 #: Callers that call each route as soon as it is added.
 PROBERS = 2
 
@@ -108,7 +110,10 @@
     await asyncio.sleep(checks.RECOVERY_SECONDS + SETTLE_SECONDS)
     for worker in (*callers, operator):
         worker.stopping = True
-    await asyncio.gather(*work_tasks)
+    _, unended = await asyncio.wait(work_tasks, timeout=END_SECONDS)
+    history.unended = len(unended)
+    for task in unended:
+        task.cancel()
     lines = [(caller, line) for caller in callers for line in caller.lines]
     sample = draw.sample(lines, min(CONTINUED, len(lines)))
 
