--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -55,6 +55,8 @@
         self.link = Link(self.name, (self.relayed, port), (self.own, port))
         #: What to prepend to a log's name when it was kept.
         self.starts = 0
+        #: When the process started last.
+        self.started = 0.0
 
     @property
     def running(self):
@@ -93,6 +95,7 @@
     async def _start(self):
         settings = self.write_settings()
         self.starts += 1
+        self.started = self.cluster.clock()
         self.asked = False
         log = (self.cluster.work / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
--- a/tests/platform/soak/upgrade.py
+++ b/tests/platform/soak/upgrade.py
@@ -7,6 +7,8 @@
 #: Between two replacements, in seconds: long enough for a process to be in touch again, so that
 #: changes are judged while the builds are mixed.
 GAP = (3.5, 4.5)
+#: A process has begun this long after its start, in seconds; some 0.02 s on an idle machine.
+STARTED_SECONDS = 2.0
 #: An order that names all programs replaces the machines in this one.
 ORDER = ("turn-store", "directory", "forwarder")
 
@@ -47,8 +49,10 @@
                 self.cluster.history.planned_rolls.append((began, self.cluster.clock()))
 
     async def replace(self, node, newer):
-        """Waits for its turn where a fault has the machine."""
-        while node.name in self.faults.busy:
+        """Waits for its turn where a fault has the machine, and until a restarted process is up:
+        one that gets SIGTERM before it has begun ends by the signal."""
+        while (node.name in self.faults.busy
+               or self.cluster.clock() - node.started < STARTED_SECONDS):
             await asyncio.sleep(0.1)
         self.faults.busy.add(node.name)
         self.faults.note("upgrade" if newer else "downgrade", node.name)
