--- a/tests/plane/directory/store_planner_test.cpp
+++ b/tests/plane/directory/store_planner_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(a_change_ends_only_when_each_new_member_has_copied);
     CPPUNIT_TEST(a_member_that_stays_and_is_away_does_not_hold_a_change_up);
     CPPUNIT_TEST(a_group_goes_on_from_what_survives_a_lost_majority);
+    CPPUNIT_TEST(recovery_waits_while_a_node_could_not_read_its_map);
     CPPUNIT_TEST(silence_alone_is_no_lost_majority);
     CPPUNIT_TEST(a_group_without_any_disk_left_goes_on_with_new_ones);
     CPPUNIT_TEST(members_that_are_emptied_together_still_give_their_copies);
@@ -160,6 +161,19 @@
         CPPUNIT_ASSERT(map->suffices_of_current({2, 10, 30}));
     }
 
+    /// A store or forwarder of the build before would count a majority of what survives.
+    void recovery_waits_while_a_node_could_not_read_its_map() {
+        const std::vector<store_member> next{member(10, "1"), three()[1], three()[2]};
+        const directory_state state = with_map(three(), next);
+        store_planner planner({});
+        planner.allow_recovery(false);
+        CPPUNIT_ASSERT(!after_two_lost_disks(planner, state).has_value());
+        CPPUNIT_ASSERT(planner.wants_recovery(state, at(3000)));
+        planner.allow_recovery(true);
+        const auto map = planned(planner, state, at(3000));
+        CPPUNIT_ASSERT(map.has_value() && map->after_loss);
+    }
+
     void silence_alone_is_no_lost_majority() {
         store_planner planner({});
         planner.start(at(0));
