--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -55,13 +55,20 @@
         self.link = Link(self.name, (self.relayed, port), (self.own, port))
         #: What to prepend to a log's name when it was kept.
         self.starts = 0
-        #: When the process started last.
-        self.started = 0.0
+        #: Where in its log the lines of the process that was started last begin.
+        self.log_begins = 0
 
     @property
     def running(self):
         return self.process is not None and self.process.returncode is None
 
+    @property
+    def has_begun(self):
+        """True once the process that was started last has written that it accepts connections."""
+        with (self.cluster.work / f"{self.name}.log").open("rb") as log:
+            log.seek(self.log_begins)
+            return b"name=process_started" in log.read()
+
     def write_settings(self):
         seeds = ", ".join(f'"{node.relayed}:{OPERATORS_PORT}"'
                           for node in self.cluster.of("directory"))
@@ -95,9 +102,9 @@
     async def _start(self):
         settings = self.write_settings()
         self.starts += 1
-        self.started = self.cluster.clock()
         self.asked = False
         log = (self.cluster.work / f"{self.name}.log").open("ab")
+        self.log_begins = log.tell()
         self.process = await asyncio.create_subprocess_exec(
             str(self.build / f"tallyfold-{self.program}"), "--settings", str(settings),
             stdout=log, stderr=log)
--- a/tests/platform/soak/upgrade.py
+++ b/tests/platform/soak/upgrade.py
@@ -7,8 +7,9 @@
 #: Between two replacements, in seconds: long enough for a process to be in touch again, so that
 #: changes are judged while the builds are mixed.
 GAP = (3.5, 4.5)
-#: A process has begun this long after its start, in seconds; some 0.02 s on an idle machine.
-STARTED_SECONDS = 2.0
+#: A process that hasn't begun after this time, in seconds, was ended by a fault before it could;
+#: some 0.02 s on an idle machine.
+STARTED_SECONDS = 10.0
 #: An order that names all programs replaces the machines in this one.
 ORDER = ("turn-store", "directory", "forwarder")
 
@@ -51,9 +52,11 @@
     async def replace(self, node, newer):
         """Waits for its turn where a fault has the machine, and until a restarted process is up:
         one that gets SIGTERM before it has begun ends by the signal."""
+        waited = 0.0
         while (node.name in self.faults.busy
-               or self.cluster.clock() - node.started < STARTED_SECONDS):
+               or (not node.has_begun and waited < STARTED_SECONDS)):
             await asyncio.sleep(0.1)
+            waited += 0.1
         self.faults.busy.add(node.name)
         self.faults.note("upgrade" if newer else "downgrade", node.name)
         with self.faults.striking(node):
