Formats by the standard word in the code; why an entry isn't passed over

Cause: format_version beside first_form and second_form: two words for one thing. Change: first_format and second_format in names, also of the two new gauges; a comment where a committed entry can't be read.

--- a/src/tallyfold/consensus/messages.hpp
+++ b/src/tallyfold/consensus/messages.hpp
@@ -175,7 +175,7 @@
                                   snapshot_request, read_index_request, read_index_reply>;
 
 /// Kinds of the first form: without the read index.
-constexpr std::size_t kinds_in_first_form = 5;
+constexpr std::size_t kinds_in_first_format = 5;
 
 /// One message between two replicas of one group.
 struct replica_message {
@@ -189,7 +189,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
         if (archive.format() < protocol::format_version::v2 &&
-            body.index() >= kinds_in_first_form) {
+            body.index() >= kinds_in_first_format) {
             protocol::note_lacking(archive, "a read index");
         }
         archive(group, from, to, to_node, term, body);
--- a/src/tallyfold/plane/directory/directory_client_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.cpp
@@ -256,7 +256,7 @@
     }
 }
 
-bool directory_client::knows_first_form_alone() const {
+bool directory_client::knows_first_format_alone() const {
     const auto connected = [](const auto& entry) { return entry.second->connected(); };
     const auto has_later = [](const auto& entry) {
         return entry.second->peer_format() > protocol::oldest_format;
@@ -266,7 +266,7 @@
 }
 
 asio::awaitable<bool> directory_client::refresh(duration limit) {
-    if (knows_first_form_alone()) {
+    if (knows_first_format_alone()) {
         // Nobody is there who could prove anything: the caller needn't wait.
         co_return false;
     }
--- a/src/tallyfold/plane/directory/directory_client_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.hpp
@@ -82,7 +82,7 @@
     /// The next connected directory node in turn that knows `format`; null when there is none.
     messaging::link_pointer next_link(protocol::format_version format);
     /// True when no directory node that is connected knows more than the first form.
-    [[nodiscard]] bool knows_first_form_alone() const;
+    [[nodiscard]] bool knows_first_format_alone() const;
     void ask_for_proof();
     /// Asks for proof when nobody waits for it but the last one grows old (proof_interval).
     void renew_proof(instant now);
--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -261,6 +261,8 @@
 void directory_core::apply_command(const consensus::log_entry& entry) {
     auto command = protocol::decode_packed<directory_command>(entry.payload);
     if (!command) {
+        // Passed over, it would be acknowledged all the same, and whoever asks this node would go
+        // by an older configuration.
         stand_still("index=" + std::to_string(entry.index) +
                         " bytes=" + std::to_string(entry.payload.size()),
                     command.error().reason);
--- a/src/tallyfold/plane/directory/directory_core_reports.cpp
+++ b/src/tallyfold/plane/directory/directory_core_reports.cpp
@@ -48,7 +48,7 @@
 }
 
 bool directory_core::may_bring_tenants(instant now) const {
-    if (state_.needs_second_form()) {
+    if (state_.needs_second_format()) {
         return true;
     }
     std::vector<node_name> others;
--- a/src/tallyfold/plane/directory/directory_links_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_links_shell.hpp
@@ -27,7 +27,7 @@
 
   private:
     /// For a node that knows the first form alone. @return false when the message has no such form
-    bool give_first_form(const node_name& to, consensus::replica_message& message);
+    bool give_first_format(const node_name& to, consensus::replica_message& message);
     messaging::peer_link& link_to(const node_name& address);
 
     net::node_process& process_;
--- a/src/tallyfold/plane/directory/directory_metrics.hpp
+++ b/src/tallyfold/plane/directory/directory_metrics.hpp
@@ -25,11 +25,11 @@
                                  "Version of the configuration that this node has applied")),
           nodes_behind(net::add_gauge(registry, "tallyfold_directory_nodes_behind",
                                       "Nodes that last reported an older configuration")),
-          nodes_in_first_form(
-              net::add_gauge(registry, "tallyfold_directory_nodes_in_first_form",
+          nodes_in_first_format(
+              net::add_gauge(registry, "tallyfold_directory_nodes_in_first_format",
                              "Nodes heard of lately that know the first form of messages alone")),
-          nodes_in_second_form(
-              net::add_gauge(registry, "tallyfold_directory_nodes_in_second_form",
+          nodes_in_second_format(
+              net::add_gauge(registry, "tallyfold_directory_nodes_in_second_format",
                              "Nodes heard of lately that know the second form of messages")),
           stands_still(net::add_gauge(registry, "tallyfold_directory_stands_still",
                                       "1 while this node can't read what its group committed")) {}
@@ -37,8 +37,9 @@
     /// Takes over what the core says of itself now.
     void observe(const directory_core& core, instant now) {
         using protocol::format_version;
-        nodes_in_first_form.Set(static_cast<double>(core.formats().count(format_version::v1, now)));
-        nodes_in_second_form.Set(
+        nodes_in_first_format.Set(
+            static_cast<double>(core.formats().count(format_version::v1, now)));
+        nodes_in_second_format.Set(
             static_cast<double>(core.formats().count(format_version::v2, now)));
         stands_still.Set(core.stands_still() ? 1 : 0);
     }
@@ -49,8 +50,8 @@
     prometheus::Counter& proofs_given;
     prometheus::Gauge& version;
     prometheus::Gauge& nodes_behind;
-    prometheus::Gauge& nodes_in_first_form;
-    prometheus::Gauge& nodes_in_second_form;
+    prometheus::Gauge& nodes_in_first_format;
+    prometheus::Gauge& nodes_in_second_format;
     prometheus::Gauge& stands_still;
 };
 
--- a/src/tallyfold/plane/directory/directory_state.cpp
+++ b/src/tallyfold/plane/directory/directory_state.cpp
@@ -62,7 +62,7 @@
     return {};
 }
 
-bool directory_state::needs_second_form() const {
+bool directory_state::needs_second_format() const {
     const auto lost_majority = [](const turns::store_map& map) {
         return map.after_loss || !map.absent.empty();
     };
--- a/src/tallyfold/plane/directory/directory_state.hpp
+++ b/src/tallyfold/plane/directory/directory_state.hpp
@@ -76,7 +76,7 @@
     /// no bytes. When they can't be read it stays as it is.
     tl::expected<void, protocol::decode_error> restore(const std::string& bytes);
     /// True when it holds what builds that know no more than the first form can't read.
-    [[nodiscard]] bool needs_second_form() const;
+    [[nodiscard]] bool needs_second_format() const;
 
     template <class Archive>
     void save(Archive& archive) const {
--- a/src/tallyfold/plane/directory/stored_forms.cpp
+++ b/src/tallyfold/plane/directory/stored_forms.cpp
@@ -13,7 +13,7 @@
 
 /// True when builds that know the first form alone can read an uncompressed command. Large ones are
 /// told by their beginning, since reading one whole takes some ms of a core.
-bool is_first_form_of_command(std::string_view plain) {
+bool is_first_format_of_command(std::string_view plain) {
     std::uint32_t kind = 0;
     if (plain.size() < sizeof(kind)) {
         return false;
@@ -24,24 +24,24 @@
         std::is_same_v<std::variant_alternative_t<replaces_configuration, directory_command>,
                        replace_configuration>);
     if (kind == replaces_configuration) {
-        return !configuration::is_in_second_form(plain.substr(sizeof(kind)));
+        return !configuration::is_in_second_format(plain.substr(sizeof(kind)));
     }
     return protocol::decode<directory_command>(plain, protocol::oldest_format).has_value();
 }
 
 /// The same of a state, which begins with the configuration and is of one form throughout.
-bool is_first_form_of_state(std::string_view plain) {
-    return !configuration::is_in_second_form(plain);
+bool is_first_format_of_state(std::string_view plain) {
+    return !configuration::is_in_second_format(plain);
 }
 
-tl::expected<void, encode_error> commands_to_first_form(
+tl::expected<void, encode_error> commands_to_first_format(
     std::vector<consensus::log_entry>& entries) {
     for (consensus::log_entry& entry : entries) {
         if (entry.kind != consensus::entry_kind::command) {
             continue;
         }
         std::string plain = protocol::unpacked(entry.payload);
-        if (!is_first_form_of_command(plain)) {
+        if (!is_first_format_of_command(plain)) {
             return tl::unexpected(
                 encode_error{"the entry " + std::to_string(entry.index) + " of a later form"});
         }
@@ -50,9 +50,9 @@
     return {};
 }
 
-tl::expected<void, encode_error> state_to_first_form(std::string& packed) {
+tl::expected<void, encode_error> state_to_first_format(std::string& packed) {
     std::string plain = protocol::unpacked(packed);
-    if (!is_first_form_of_state(plain)) {
+    if (!is_first_format_of_state(plain)) {
         return tl::unexpected(encode_error{"a snapshot of a later form"});
     }
     packed = std::move(plain);
@@ -62,12 +62,12 @@
 }  // namespace
 
 std::string state_on_disk(const directory_state& state) {
-    return state.needs_second_form() ? state.to_bytes() : protocol::encode_stored(state);
+    return state.needs_second_format() ? state.to_bytes() : protocol::encode_stored(state);
 }
 
 std::string state_on_disk(const std::string& packed) {
     std::string plain = protocol::unpacked(packed);
-    if (!is_first_form_of_state(plain)) {
+    if (!is_first_format_of_state(plain)) {
         return packed;
     }
     return plain;
@@ -76,7 +76,7 @@
 consensus::group_write write_on_disk(consensus::group_write write) {
     for (consensus::log_entry& entry : write.entries) {
         std::string plain = protocol::unpacked(entry.payload);
-        if (entry.kind == consensus::entry_kind::command && is_first_form_of_command(plain)) {
+        if (entry.kind == consensus::entry_kind::command && is_first_format_of_command(plain)) {
             entry.payload = std::move(plain);
         }
     }
@@ -86,12 +86,12 @@
     return write;
 }
 
-tl::expected<void, encode_error> to_first_form(consensus::replica_message& message) {
+tl::expected<void, encode_error> to_first_format(consensus::replica_message& message) {
     if (auto* append = std::get_if<consensus::append_request>(&message.body)) {
-        return commands_to_first_form(append->entries);
+        return commands_to_first_format(append->entries);
     }
     if (auto* installed = std::get_if<consensus::snapshot_request>(&message.body)) {
-        return state_to_first_form(installed->contents.state);
+        return state_to_first_format(installed->contents.state);
     }
     return {};
 }
--- a/src/tallyfold/plane/directory/stored_forms.hpp
+++ b/src/tallyfold/plane/directory/stored_forms.hpp
@@ -24,6 +24,6 @@
 
 /// Gives the commands and the snapshot of a replica's message the first form. @return an error when
 /// they hold what that form can't
-tl::expected<void, protocol::encode_error> to_first_form(consensus::replica_message& message);
+tl::expected<void, protocol::encode_error> to_first_format(consensus::replica_message& message);
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/messaging/peer_message.cpp
+++ b/src/tallyfold/plane/messaging/peer_message.cpp
@@ -27,7 +27,7 @@
 tl::expected<std::string, protocol::encode_error> encode_frame(const peer_message& message,
                                                                protocol::format_version format) {
     const bool is_first = format == protocol::format_version::v1;
-    if (is_first && message.index() >= kinds_in_first_form) {
+    if (is_first && message.index() >= kinds_in_first_format) {
         return tl::unexpected(
             protocol::encode_error{"messages of kind " + std::to_string(message.index())});
     }
--- a/src/tallyfold/plane/messaging/peer_message.hpp
+++ b/src/tallyfold/plane/messaging/peer_message.hpp
@@ -43,7 +43,7 @@
 constexpr std::size_t frame_header_size = 4;
 
 /// Kinds of the first form; a build that knows no other can't read further ones.
-constexpr std::size_t kinds_in_first_form = 14;
+constexpr std::size_t kinds_in_first_format = 14;
 
 /// One message as a frame of the newest form.
 std::string encode_frame(const peer_message& message);
--- a/src/tallyfold/plane/routing/configuration.hpp
+++ b/src/tallyfold/plane/routing/configuration.hpp
@@ -174,7 +174,7 @@
     }
 
     /// True when the bytes of a configuration are of the second form.
-    [[nodiscard]] static bool is_in_second_form(std::string_view bytes) {
+    [[nodiscard]] static bool is_in_second_format(std::string_view bytes) {
         std::uint64_t first = 0;
         if (bytes.size() < sizeof(first)) {
             return false;
--- a/tests/plane/directory/mixed_formats_test.cpp
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -20,14 +20,14 @@
 class mixed_formats_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(mixed_formats_test);
     CPPUNIT_TEST(a_change_reaches_members_of_both_builds);
-    CPPUNIT_TEST(tenants_wait_until_no_member_of_the_first_form_is_met);
+    CPPUNIT_TEST(tenants_wait_until_no_member_of_the_first_format_is_met);
     CPPUNIT_TEST(tenants_wait_for_forwarders_too);
-    CPPUNIT_TEST(a_forwarder_of_the_first_form_gets_the_configuration_whole);
-    CPPUNIT_TEST(a_forwarder_of_the_first_form_is_never_told_a_configuration_with_tenants);
+    CPPUNIT_TEST(a_forwarder_of_the_first_format_gets_the_configuration_whole);
+    CPPUNIT_TEST(a_forwarder_of_the_first_format_is_never_told_a_configuration_with_tenants);
     CPPUNIT_TEST(a_replica_that_cannot_read_an_entry_stands_still);
     CPPUNIT_TEST(a_snapshot_of_a_later_form_is_not_taken_for_an_empty_state);
-    CPPUNIT_TEST(stored_values_go_back_to_the_first_form);
-    CPPUNIT_TEST(values_of_the_second_form_are_never_read_as_the_first);
+    CPPUNIT_TEST(stored_values_go_back_to_the_first_format);
+    CPPUNIT_TEST(values_of_the_second_format_are_never_read_as_the_first);
     CPPUNIT_TEST(a_later_form_is_told_apart_from_damage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -64,26 +64,26 @@
         directory_group group(3);
         const node_name leader = group.run_until_led();
         const node_name earlier = group.followers().front();
-        group.set_first_form(earlier, true);
+        group.set_first_format(earlier, true);
         CPPUNIT_ASSERT(group.change(leader, configuration_of(46, many_routes)));
         CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46}, version_at(group, earlier));
         // The same from a leader of the first form.
-        group.set_first_form(earlier, false);
-        group.set_first_form(leader, true);
+        group.set_first_format(earlier, false);
+        group.set_first_format(leader, true);
         CPPUNIT_ASSERT(group.change(leader, configuration_of(48, many_routes)));
         for (const node_name& follower : group.followers()) {
             CPPUNIT_ASSERT_EQUAL(routing::configuration_version{48}, version_at(group, follower));
         }
     }
 
-    void tenants_wait_until_no_member_of_the_first_form_is_met() {
+    void tenants_wait_until_no_member_of_the_first_format_is_met() {
         directory_group group(3);
         const node_name leader = group.run_until_led();
         const node_name earlier = group.followers().front();
-        group.set_first_form(earlier, true);
+        group.set_first_format(earlier, true);
         group.run(seconds(1));
         CPPUNIT_ASSERT(!group.node(leader).may_bring_tenants(group.now()));
-        group.set_first_form(earlier, false);
+        group.set_first_format(earlier, false);
         group.run(seconds(1));
         CPPUNIT_ASSERT(group.node(leader).may_bring_tenants(group.now()));
         // A member that was heard to know the second form may be away.
@@ -91,7 +91,7 @@
         group.run(seconds(20));
         CPPUNIT_ASSERT(group.node(leader).may_bring_tenants(group.now()));
         CPPUNIT_ASSERT(group.change(leader, with_tenants(50)));
-        CPPUNIT_ASSERT(group.node(leader).state().needs_second_form());
+        CPPUNIT_ASSERT(group.node(leader).state().needs_second_format());
     }
 
     void tenants_wait_for_forwarders_too() {
@@ -108,7 +108,7 @@
         CPPUNIT_ASSERT(core.may_bring_tenants(group.now()));
     }
 
-    static node_report report_of_first_form(routing::configuration_version held) {
+    static node_report report_of_first_format(routing::configuration_version held) {
         node_report report;
         report.node = "forwarder-1";
         report.configuration = held;
@@ -116,14 +116,14 @@
         return report;
     }
 
-    void a_forwarder_of_the_first_form_gets_the_configuration_whole() {
+    void a_forwarder_of_the_first_format_gets_the_configuration_whole() {
         directory_group group(3);
         const node_name leader = group.run_until_led();
         CPPUNIT_ASSERT(group.change(leader, configuration_of(48, many_routes)));
-        const auto report = through_first_form(report_of_first_form(46));
+        const auto report = through_first_format(report_of_first_format(46));
         CPPUNIT_ASSERT(report.has_value());
         for (const node_name& asked : {leader, group.followers().front()}) {
-            const auto answer = through_first_form(
+            const auto answer = through_first_format(
                 group.node(asked).receive(*report, group.now(), format_version::v1));
             CPPUNIT_ASSERT(answer.has_value());
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answer->newer_configuration.size());
@@ -134,16 +134,16 @@
         CPPUNIT_ASSERT(
             group.node(leader).receive(*report, group.now()).newer_configuration.empty());
         CPPUNIT_ASSERT(group.node(leader)
-                           .receive(report_of_first_form(48), group.now(), format_version::v1)
+                           .receive(report_of_first_format(48), group.now(), format_version::v1)
                            .newer_configuration.empty());
     }
 
-    void a_forwarder_of_the_first_form_is_never_told_a_configuration_with_tenants() {
+    void a_forwarder_of_the_first_format_is_never_told_a_configuration_with_tenants() {
         directory_group group(3);
         const node_name leader = group.run_until_led();
         CPPUNIT_ASSERT(group.change(leader, with_tenants(50)));
-        const auto answer = through_first_form(
-            group.node(leader).receive(report_of_first_form(46), group.now(), format_version::v1));
+        const auto answer = through_first_format(group.node(leader).receive(
+            report_of_first_format(46), group.now(), format_version::v1));
         CPPUNIT_ASSERT(answer.has_value());
         CPPUNIT_ASSERT(answer->newer_configuration.empty());
     }
@@ -211,7 +211,7 @@
         CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46}, state.configuration().version);
     }
 
-    void stored_values_go_back_to_the_first_form() {
+    void stored_values_go_back_to_the_first_format() {
         directory_state state;
         state.apply(replace_configuration{configuration_of(46, many_routes), "text"});
         const std::string packed = state.to_bytes();
@@ -238,7 +238,7 @@
 
     /// The two forms have no number: a value of the second one that a reader of the first one could
     /// take for its own would be misread.
-    void values_of_the_second_form_are_never_read_as_the_first() {
+    void values_of_the_second_format_are_never_read_as_the_first() {
         random_source random(42);
         for (int round = 0; round < 20'000; ++round) {
             change_store_groups change;
--- a/tests/plane/messaging/format_opening_test.cpp
+++ b/tests/plane/messaging/format_opening_test.cpp
@@ -20,18 +20,18 @@
 
 class format_opening_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(format_opening_test);
-    CPPUNIT_TEST(an_opening_travels_as_a_message_of_the_first_form);
+    CPPUNIT_TEST(an_opening_travels_as_a_message_of_the_first_format);
     CPPUNIT_TEST(replies_of_stores_are_no_openings);
-    CPPUNIT_TEST(two_that_know_the_second_form_use_it_both_ways);
+    CPPUNIT_TEST(two_that_know_the_second_format_use_it_both_ways);
     CPPUNIT_TEST(a_later_build_is_met_in_the_newest_form_that_both_know);
     CPPUNIT_TEST(a_link_and_a_server_agree);
-    CPPUNIT_TEST(whoever_says_nothing_is_sent_the_first_form_alone);
+    CPPUNIT_TEST(whoever_says_nothing_is_sent_the_first_format_alone);
     CPPUNIT_TEST(a_frame_that_cannot_be_read_is_passed_over);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr const char* address = "127.0.99.7:17178";
 
-    void an_opening_travels_as_a_message_of_the_first_form() {
+    void an_opening_travels_as_a_message_of_the_first_format() {
         for (int known = 1; known < 256; ++known) {
             const format_opening opening{static_cast<format_number>(known), 1};
             const auto bytes = protocol::encode_as(to_message(opening), format_version::v1);
@@ -54,7 +54,7 @@
         CPPUNIT_ASSERT(!opening_in(directory::node_report{}));
     }
 
-    void two_that_know_the_second_form_use_it_both_ways() {
+    void two_that_know_the_second_format_use_it_both_ways() {
         format_agreement caller;
         format_agreement server;
         const auto answer = server.receive(caller.first_opening());
@@ -132,7 +132,7 @@
         return payloads;
     }
 
-    void whoever_says_nothing_is_sent_the_first_form_alone() {
+    void whoever_says_nothing_is_sent_the_first_format_alone() {
         asio::io_context loop;
         peer_server server(loop, address);
         CPPUNIT_ASSERT_EQUAL(std::string{},
--- a/tests/support/directory_group.hpp
+++ b/tests/support/directory_group.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "tallyfold/plane/directory/directory_core.hpp"
-#include "tests/support/first_form.hpp"
+#include "tests/support/first_format.hpp"
 
 namespace tallyfold::tests {
 
@@ -44,11 +44,11 @@
     void cut(const node_name& address) { cut_.insert(address); }
     void heal(const node_name& address) { cut_.erase(address); }
     /// The node is one of the build that knows the first form alone, or no longer is.
-    void set_first_form(const node_name& address, bool first) {
+    void set_first_format(const node_name& address, bool first) {
         if (first) {
-            first_form_.insert(address);
+            first_format_.insert(address);
         } else {
-            first_form_.erase(address);
+            first_format_.erase(address);
         }
     }
 
@@ -131,12 +131,12 @@
                 continue;
             }
             using protocol::format_version;
-            const bool first = first_form_.contains(next.from) || first_form_.contains(to);
+            const bool first = first_format_.contains(next.from) || first_format_.contains(to);
             node(to).heard_format(
                 next.from,
-                first_form_.contains(next.from) ? format_version::v1 : format_version::v2, now_);
+                first_format_.contains(next.from) ? format_version::v1 : format_version::v2, now_);
             if (const auto* message = std::get_if<consensus::replica_message>(&next.message.body)) {
-                const auto read = first ? replica_message_through_first_form(*message) : *message;
+                const auto read = first ? replica_message_through_first_format(*message) : *message;
                 if (read) {
                     node(to).receive(next.from, *read, now_);
                 }
@@ -154,7 +154,7 @@
     std::map<node_name, std::unique_ptr<directory::directory_core>> nodes_;
     std::deque<message_under_way> network_;
     std::set<node_name> cut_;
-    std::set<node_name> first_form_;
+    std::set<node_name> first_format_;
     directory::request_token token_ = 0;
 };
 
--- a/tests/support/first_form.hpp
+++ b/tests/support/first_format.hpp
@@ -13,7 +13,7 @@
 
 /// The message as its receiver reads it; nothing when the first form can't hold it.
 template <class Message>
-std::optional<Message> through_first_form(const Message& message) {
+std::optional<Message> through_first_format(const Message& message) {
     const auto bytes = protocol::encode_as(message, protocol::format_version::v1);
     if (!bytes) {
         return std::nullopt;
@@ -23,12 +23,12 @@
 }
 
 /// The same of a replica's message, whose commands have forms of their own.
-inline std::optional<consensus::replica_message> replica_message_through_first_form(
+inline std::optional<consensus::replica_message> replica_message_through_first_format(
     consensus::replica_message message) {
-    if (!directory::to_first_form(message)) {
+    if (!directory::to_first_format(message)) {
         return std::nullopt;
     }
-    return through_first_form(message);
+    return through_first_format(message);
 }
 
 }  // namespace tallyfold::tests
