A permit given back comes out of the slot that it went into

Cause: spent_window took a permit that was given back out of the newest slot that held one, whenever it had been spent. A call that had just run went uncounted, and the lender lent its permit again. A permit that had left the window could be spent again too, though the lender counted it no longer.

Change: a permit's time goes back with it (permit_decision::taken) and it leaves its own slot; one that has left the window frees nothing.

Why it holds: each slot now holds just what was spent in it, so the node's count of any window is never below what it has run.

--- a/apps/tallyfold_admission_bench.cpp
+++ b/apps/tallyfold_admission_bench.cpp
@@ -80,7 +80,7 @@
         const std::string& name = limits[number % limits.size()].name;
         if (holder.take(name, beginning)) {
             ++taken;
-            holder.give_back(name, beginning);
+            holder.give_back(name, beginning, beginning);
         }
     });
     std::printf("permit spent and given back: %.0f ns (%zu of %zu taken)\n", each, taken, lookups);
--- a/src/tallyfold/plane/forwarding/caller_admission_shell.hpp
+++ b/src/tallyfold/plane/forwarding/caller_admission_shell.hpp
@@ -57,7 +57,8 @@
     std::shared_ptr<const routing::route_table> table_;
     const routing::route* route_ = nullptr;
     const routing::tenant* tenant_ = nullptr;
-    bool holds_permit_ = false;
+    /// When the request's permit was spent; nothing while it holds none.
+    std::optional<instant> permit_taken_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/tenants/permit_decision.hpp
+++ b/src/tallyfold/plane/tenants/permit_decision.hpp
@@ -25,6 +25,8 @@
     duration waited{};
     /// True when a question to the lender was needed.
     bool asked = false;
+    /// When the permit was spent, if it was granted.
+    instant taken{};
 };
 
 }  // namespace tallyfold::tenants
--- a/src/tallyfold/plane/tenants/permit_holder.cpp
+++ b/src/tallyfold/plane/tenants/permit_holder.cpp
@@ -46,13 +46,19 @@
     return true;
 }
 
-void permit_holder::give_back(const tenant_name& tenant, instant now) {
+bool permit_holder::give_back(const tenant_name& tenant, instant taken, instant now) {
     const auto found = tenants_.find(tenant);
-    if (found == tenants_.end() || found->second.spent == 0) {
-        return;
+    if (found == tenants_.end()) {
+        return false;
     }
-    --found->second.spent;
-    found->second.recent.take_back(now);
+    held_permits& held = found->second;
+    // A permit that has left the window is free at the lender already: spent again here, it would
+    // count nowhere until the next report.
+    if (!held.recent.take_back(taken, now)) {
+        return false;
+    }
+    --held.spent;
+    return true;
 }
 
 void permit_holder::begin_wait(const tenant_name& tenant, permit_need need) {
--- a/src/tallyfold/plane/tenants/permit_holder.hpp
+++ b/src/tallyfold/plane/tenants/permit_holder.hpp
@@ -55,8 +55,10 @@
     /// which it was last let, and one call more, so all such nodes together stay near what the
     /// lender had counted.
     bool take_without_lender(const tenant_name& tenant, instant now);
-    /// The call was not run.
-    void give_back(const tenant_name& tenant, instant now);
+    /// The call was not run: its permit may be spent again, unless it has left the window.
+    /// @param taken when the permit was spent
+    /// @return false when it has left the window
+    bool give_back(const tenant_name& tenant, instant taken, instant now);
     /// A call waits for a permit.
     void begin_wait(const tenant_name& tenant, permit_need need);
     void end_wait(const tenant_name& tenant, permit_need need);
--- a/src/tallyfold/plane/tenants/quota_client_shell.cpp
+++ b/src/tallyfold/plane/tenants/quota_client_shell.cpp
@@ -35,6 +35,13 @@
     return (high << 32U) ^ source();
 }
 
+permit_decision permit_granted(instant taken) {
+    permit_decision decision;
+    decision.state = permit_state::granted;
+    decision.taken = taken;
+    return decision;
+}
+
 quota_rules rules_of(const settings::node_settings& settings) {
     return {settings.quota_window, settings.quota_overshoot, settings.quota_slack,
             settings.quota_lease};
@@ -129,26 +136,25 @@
 }
 
 permit_decision quota_client::acquire_without_lender(const tenant_name& tenant) {
+    const instant now = http::steady_now();
+    if (holder_.take_without_lender(tenant, now)) {
+        return permit_granted(now);
+    }
     permit_decision decision;
     decision.retry_after = usual_room_after;
-    if (holder_.take_without_lender(tenant, http::steady_now())) {
-        decision.state = permit_state::granted;
-    }
     return decision;
 }
 
 asio::awaitable<permit_decision> quota_client::acquire(tenant_name tenant, permit_need need) {
     const instant began = http::steady_now();
-    permit_decision decision;
     if (holder_.take(tenant, began)) {
-        decision.state = permit_state::granted;
-        co_return decision;
+        co_return permit_granted(began);
     }
     if (lender_silent_ || directory_.leader().empty()) {
         co_return acquire_without_lender(tenant);
     }
     holder_.begin_wait(tenant, need);
-    decision = co_await wait_for_permit(tenant, need);
+    permit_decision decision = co_await wait_for_permit(tenant, need);
     holder_.end_wait(tenant, need);
     decision.asked = true;
     decision.waited = http::steady_now() - began;
@@ -195,9 +201,7 @@
         co_await wait_for_answer();
         const instant now = http::steady_now();
         if (holder_.take(tenant, now)) {
-            permit_decision decision;
-            decision.state = permit_state::granted;
-            co_return decision;
+            co_return permit_granted(now);
         }
         const bool answered = answered_ >= question;
         const bool lender_unsure = answered && holder_.lender_settles();
@@ -216,8 +220,8 @@
     }
 }
 
-void quota_client::give_back(const tenant_name& tenant) {
-    holder_.give_back(tenant, http::steady_now());
+bool quota_client::give_back(const tenant_name& tenant, instant taken) {
+    return holder_.give_back(tenant, taken, http::steady_now());
 }
 
 }  // namespace tallyfold::tenants
--- a/src/tallyfold/plane/tenants/quota_client_shell.hpp
+++ b/src/tallyfold/plane/tenants/quota_client_shell.hpp
@@ -32,7 +32,9 @@
     /// 400 ms for a call of a program under way where one is about to be free.
     asio::awaitable<permit_decision> acquire(tenant_name tenant, permit_need need);
     /// The call that a permit was acquired for was not run.
-    void give_back(const tenant_name& tenant);
+    /// @param taken as in the permit's decision
+    /// @return false when the permit has left the window, and can't be spent again
+    bool give_back(const tenant_name& tenant, instant taken);
 
   private:
     /// Notices a silent lender; reports what has changed, or what calls wait for.
--- a/src/tallyfold/plane/tenants/spent_window.hpp
+++ b/src/tallyfold/plane/tenants/spent_window.hpp
@@ -22,17 +22,19 @@
         ++slots_[newest_ % slot_count];
         ++sum_;
     }
-    /// One that was counted last is not spent after all.
-    void take_back(instant now) {
+    /// One that was counted at `added` is not spent after all. It comes out of the slot that it
+    /// went into: out of a newer one, it would leave a later permit uncounted until that slot ends.
+    /// @return false when it no longer counts, and nothing changes
+    bool take_back(instant added, instant now) {
         roll(now);
-        for (std::uint64_t age = 0; age < slot_count && age <= newest_; ++age) {
-            std::uint32_t& slot = slots_[(newest_ - age) % slot_count];
-            if (slot > 0) {
-                --slot;
-                --sum_;
-                return;
-            }
+        const std::uint64_t number = slot_number(added);
+        const bool counts = number <= newest_ && newest_ - number < slot_count;
+        if (!counts || slots_[number % slot_count] == 0) {
+            return false;
         }
+        --slots_[number % slot_count];
+        --sum_;
+        return true;
     }
     [[nodiscard]] std::uint32_t count(instant now) {
         roll(now);
@@ -46,8 +48,11 @@
   private:
     static constexpr std::uint64_t slot_count = 21;
 
+    [[nodiscard]] std::uint64_t slot_number(instant at) const {
+        return static_cast<std::uint64_t>(at.time_since_epoch() / slot_length_);
+    }
     void roll(instant now) {
-        const auto current = static_cast<std::uint64_t>(now.time_since_epoch() / slot_length_);
+        const std::uint64_t current = slot_number(now);
         if (newest_ == 0 || current >= newest_ + slot_count) {
             slots_.fill(0);
             sum_ = 0;
--- a/tests/plane/tenants/quota_test.cpp
+++ b/tests/plane/tenants/quota_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(far_below_the_limit_nothing_is_refused);
     CPPUNIT_TEST(far_above_the_limit_just_the_limit_is_let_in);
     CPPUNIT_TEST(the_bound_holds_under_faults);
+    CPPUNIT_TEST(the_bound_holds_when_permits_come_back_late);
     CPPUNIT_TEST(the_bound_holds_when_all_power_is_lost);
     CPPUNIT_TEST(the_bound_holds_while_nodes_restart_and_the_keeper_changes);
     CPPUNIT_TEST(a_keeper_that_is_new_alone_lends_the_whole_limit);
@@ -86,6 +87,29 @@
         }
     }
 
+    // Within five seconds 474 of a tenant's requests ran where 416 are allowed, in 47 of these 60
+    // seeds over the bound, without any fault. Half of the calls waited for up to three seconds and
+    // then didn't run, so that their permits went back. Cause: a permit given back was taken out of
+    // the newest slot of the node's window, whenever it had been spent. Calls that had run just now
+    // went uncounted, and the lender lent their permits once more. Shown by: with each permit taken
+    // out of the slot that it went into, 375 at most.
+    void the_bound_holds_when_permits_come_back_late() {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            quota_world played = world(seed, 60);
+            played.late_returns = 0.5;
+            played.run(std::chrono::seconds(6), 30);
+            std::mt19937_64 random(seed);
+            for (int round = 0; round < 8; ++round) {
+                const duration length = milliseconds(1'000 + random() % 3'000);
+                played.run(length, 60 * (0.5 + static_cast<double>(random() % 8)));
+            }
+            CPPUNIT_ASSERT_MESSAGE(
+                "seed " + std::to_string(seed) + ": " + std::to_string(played.max_in_window()),
+                static_cast<double>(played.max_in_window()) <= played.bound());
+            CPPUNIT_ASSERT(played.taken_back > 0);
+        }
+    }
+
     // Symptom: within five seconds 140 of a tenant's requests ran where 99 are allowed.
     // Sequence: all machines lost power while the tenant pressed against its limit, and came back
     // within two seconds.
--- a/tests/plane/tenants/quota_world.hpp
+++ b/tests/plane/tenants/quota_world.hpp
@@ -50,6 +50,10 @@
     std::uint64_t refused = 0;
     std::uint64_t taken_back = 0;
     double loss = 0;
+    /// Part of the calls, 0 to 1, that wait for up to `longest_hold` and then don't run: their
+    /// permits go back that late.
+    double late_returns = 0;
+    duration longest_hold = std::chrono::seconds(3);
     bool keeper_reachable = true;
 
     void change_keeper() {
@@ -89,11 +93,12 @@
                 run_node(number);
             }
         }
+        return_permits();
         arrivals_ += calls_a_second / 1'000;
         while (arrivals_ >= 1) {
             arrivals_ -= 1;
-            node& chosen = nodes_[random_() % nodes_.size()];
-            if (now >= chosen.frozen_until) {
+            const std::size_t chosen = random_() % nodes_.size();
+            if (now >= nodes_[chosen].frozen_until) {
                 call(chosen);
             }
         }
@@ -143,6 +148,7 @@
     };
     struct node {
         std::unique_ptr<permit_holder> holder;
+        std::uint64_t life = 0;
         std::optional<instant> asked;
         instant last_report{};
         instant frozen_until{};
@@ -150,6 +156,13 @@
         bool silent = false;
         std::vector<waiting_call> waiting;
     };
+    /// A call that holds a permit and is not going to run.
+    struct held_call {
+        std::size_t node = 0;
+        std::uint64_t life = 0;
+        instant taken{};
+        instant until{};
+    };
     struct message {
         instant at{};
         std::size_t node = 0;
@@ -161,8 +174,9 @@
 
     node make_node(std::size_t number) {
         node made;
+        made.life = ++lives_;
         made.holder =
-            std::make_unique<permit_holder>(rules_, "node-" + std::to_string(number), ++lives_);
+            std::make_unique<permit_holder>(rules_, "node-" + std::to_string(number), made.life);
         made.holder->use({tenant_});
         return made;
     }
@@ -259,12 +273,40 @@
         }
     }
 
-    void call(node& taker) {
+    /// @return true when the call that has just taken a permit is one of those that don't run
+    bool hold_for_a_while(std::size_t number) {
+        if (late_returns <= 0 || random_() % 1'000 >= late_returns * 1'000) {
+            return false;
+        }
+        const auto most = std::chrono::duration_cast<milliseconds>(longest_hold).count();
+        const duration held = milliseconds(random_() % static_cast<std::uint64_t>(most));
+        held_.push_back({number, nodes_[number].life, now, now + held});
+        return true;
+    }
+    void return_permits() {
+        std::erase_if(held_, [&](const held_call& call) {
+            if (call.until > now) {
+                return false;
+            }
+            node& holding = nodes_[call.node];
+            if (holding.life == call.life) {
+                holding.holder->give_back(tenant_.name, call.taken, now);
+                ++taken_back;
+            }
+            return true;
+        });
+    }
+
+    void call(std::size_t number) {
+        node& taker = nodes_[number];
         if (taker.holder->take(tenant_.name, now)) {
+            if (hold_for_a_while(number)) {
+                return;
+            }
             spent.push_back(now);
             if (random_() % 50 == 0) {
                 // It was not run after all.
-                taker.holder->give_back(tenant_.name, now);
+                taker.holder->give_back(tenant_.name, now, now);
                 spent.pop_back();
                 ++taken_back;
             }
@@ -286,6 +328,7 @@
     std::size_t lender_ = 0;
     std::vector<node> nodes_;
     std::vector<message> messages_;
+    std::vector<held_call> held_;
     std::deque<instant> silences_;
     double arrivals_ = 0;
     std::uint64_t lives_ = 0;
