Limits hold whatever a lender and the nodes have forgotten: a pace of spending

Cause: what a node has spent is known to itself and to the lender that it told. When both are gone, the next lender lent the difference to the limit at once, and often all of it had been spent in one moment just before.

Change: permit_rule lends by a pace beside the limit: in each span up to a window no more is spent and lent than a burst tolerance and what the rate allows. Tolerance and rate for a window are the bound. In its first window a lender lends at the rate, beside what nodes still hold from its predecessor. permit_lender notes when permits were spent (21 counters a tenant). A quarter of the tolerance is kept for calls that wait. Event 3407 tells what each life of a node told a new lender.

Why it holds: whatever was spent in the last part of a window before a new lender, the rate for the rest of it fits under the bound, for any number of changes in a row; so there is nothing to remember, no message or stored form changes, and a fleet mixed with earlier builds talks as before. A durable note in the directory's log was weighed: syncs on nodes with 0.1 cores, a form without a way back, two lenders during a cut.

without_the_bound_faults_are_noticed now restarts the nodes as well: a lender that forgets is told by living nodes what they have spent, and keeps the bound; the check must see one that nobody can tell.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -80,6 +80,7 @@
         {event_id::quota_keeper_regained, event_level::info, "quota_keeper_regained"},
         {event_id::route_unknown, event_level::info, "route_unknown"},
         {event_id::permit_given_back, event_level::info, "permit_given_back"},
+        {event_id::permit_node_heard, event_level::info, "permit_node_heard"},
     };
     return entries;
 }
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -85,6 +85,7 @@
     quota_keeper_regained = 3404,
     route_unknown = 3405,
     permit_given_back = 3406,
+    permit_node_heard = 3407,
 };
 
 struct event_entry {
--- a/src/tallyfold/plane/directory/permit_lending_shell.cpp
+++ b/src/tallyfold/plane/directory/permit_lending_shell.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/plane/directory/permit_lending_shell.hpp"
 
+#include <algorithm>
+
 #include "tallyfold/base/logging/event_log.hpp"
 
 namespace tallyfold::directory {
@@ -26,6 +28,7 @@
     }
     if (!lending_by_) {
         lender_.start(now);
+        lending_since_ = now;
         logging::write_event(logging::event_id::quota_keeper_started,
                              "version=" + std::to_string(in_force.version) +
                                  " tenants=" + std::to_string(in_force.tenants.size()));
@@ -34,10 +37,29 @@
     lending_by_ = in_force.version;
 }
 
+void permit_lending::log_heard(const tenants::permit_report& report, instant now) const {
+    std::uint64_t recent = 0;
+    std::uint64_t lent = 0;
+    for (const tenants::permit_use& use : report.uses) {
+        recent += use.recent;
+        lent += use.ceiling - std::min(use.ceiling, use.spent);
+    }
+    logging::write_event(
+        logging::event_id::permit_node_heard,
+        "peer=" + report.node + " life=" + std::to_string(report.life) +
+            " lending_ms=" + std::to_string(to_milliseconds(now - lending_since_)) +
+            " tenants=" + std::to_string(report.uses.size()) + " recent=" + std::to_string(recent) +
+            " lent=" + std::to_string(lent));
+}
+
 tenants::permit_answer permit_lending::answer(const tenants::permit_report& report, instant now) {
     tenants::permit_answer answer;
     if (lending_by_) {
+        const bool known = lender_.knows(report.node, report.life);
         answer = lender_.answer(report, now);
+        if (!known && lender_.knows(report.node, report.life)) {
+            log_heard(report, now);
+        }
     } else {
         answer.question = report.question;
         answer.outcome = tenants::permit_outcome::not_lender;
--- a/src/tallyfold/plane/directory/permit_lending_shell.hpp
+++ b/src/tallyfold/plane/directory/permit_lending_shell.hpp
@@ -25,12 +25,15 @@
     [[nodiscard]] tenants::permit_answer answer(const tenants::permit_report& report, instant now);
 
   private:
+    /// Logs what a node's life has told a lender that hadn't heard of it.
+    void log_heard(const tenants::permit_report& report, instant now) const;
     void follow_leadership(instant now);
 
     const std::unique_ptr<directory_core>& core_;
     tenants::permit_lender lender_;
     /// Version of the limits that are lent by; nothing while this node doesn't lend.
     std::optional<routing::configuration_version> lending_by_;
+    instant lending_since_{};
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/tenants/permit_lender.cpp
+++ b/src/tallyfold/plane/tenants/permit_lender.cpp
@@ -16,44 +16,93 @@
 void permit_lender::add(limit_use& held, const share& known) {
     held.counted += known.counted();
     held.spent += known.recent;
+    held.lent_since_start += known.lent_since_start();
 }
 
 void permit_lender::remove(limit_use& held, const share& known) {
     held.counted -= std::min(held.counted, known.counted());
     held.spent -= std::min<std::uint64_t>(held.spent, known.recent);
+    held.lent_since_start -= known.lent_since_start();
 }
 
 void permit_lender::start(instant now) {
     started_ = now;
     nodes_.clear();
     for (auto& [name, held] : tenants_) {
-        held.counted = 0;
-        held.spent = 0;
-        held.granted_while_settling = 0;
+        held.use.counted = 0;
+        held.use.spent = 0;
+        held.use.lent_since_start = 0;
+        held.spending = spent_window(rules_.window);
     }
 }
 
+permit_lender::account permit_lender::open_account(const tenant_name& tenant) const {
+    account opened{{}, spent_window(rules_.window)};
+    // Nodes may hold permits of a tenant that had left the configuration for a while.
+    for (const auto& [life, node] : nodes_) {
+        const auto known = node.shares.find(tenant);
+        if (known != node.shares.end()) {
+            add(opened.use, known->second);
+        }
+    }
+    return opened;
+}
+
 void permit_lender::use(const std::vector<routing::tenant>& tenants) {
-    std::unordered_map<tenant_name, limit_use> next;
+    std::unordered_map<tenant_name, account> next;
     for (const routing::tenant& tenant : tenants) {
-        limit_use held = tenants_[tenant.name];
-        held.rate_per_second = tenant.rate_per_second;
-        held.limit = tenant.rate_per_second * seconds(rules_.window) + tenant.burst;
-        held.bound = held.limit * (1 + rules_.overshoot) + rules_.slack;
+        const auto known = tenants_.find(tenant.name);
+        account held = known == tenants_.end() ? open_account(tenant.name) : known->second;
+        held.use.rate_per_second = tenant.rate_per_second;
+        held.use.limit = tenant.rate_per_second * seconds(rules_.window) + tenant.burst;
+        held.use.bound = held.use.limit * (1 + rules_.overshoot) + rules_.slack;
+        held.use.burst_tolerance = tolerated_burst(held.use, rules_, held.spending.slot_length());
         next.emplace(tenant.name, held);
     }
     tenants_ = std::move(next);
 }
 
-void permit_lender::take(known_node& node, const permit_use& use) {
+void permit_lender::take(known_node& node, const permit_use& use, instant now) {
     const auto tenant = tenants_.find(use.tenant);
     if (tenant == tenants_.end()) {
         return;
     }
-    share& known = node.shares[use.tenant];
-    remove(tenant->second, known);
-    known = {use.spent, use.ceiling, use.recent};
-    add(tenant->second, known);
+    account& held = tenant->second;
+    const auto [entry, is_new] = node.shares.try_emplace(use.tenant);
+    share& known = entry->second;
+    note_spending(held, is_new ? nullptr : &known, use, now);
+    remove(held.use, known);
+    const std::uint64_t inherited = is_new ? std::max(use.ceiling, use.spent) : known.inherited;
+    known = {use.spent, use.ceiling, use.recent, inherited};
+    add(held.use, known);
+}
+
+void permit_lender::note_spending(account& held, const share* known, const permit_use& use,
+                                  instant now) {
+    if (known == nullptr) {
+        // A new lender leaves what was spent before its start to the pace of its first window.
+        if (now - started_ >= rules_.window) {
+            held.spending.add(now, use.recent);
+        }
+        return;
+    }
+    if (use.spent >= known->spent) {
+        // What was spent since then and isn't recent any more lies before every span.
+        const std::uint64_t spent = std::min<std::uint64_t>(use.spent - known->spent, use.recent);
+        held.spending.add(now, static_cast<std::uint32_t>(spent));
+    } else {
+        held.spending.take_back_oldest(known->spent - use.spent, now);
+    }
+}
+
+double permit_lender::left_by_pace(account& held, instant now) {
+    const limit_use& use = held.use;
+    double left = std::numeric_limits<double>::infinity();
+    held.spending.visit_spans(now, [&](duration length, std::uint32_t spent) {
+        left = std::min(left, use.burst_tolerance + use.rate_per_second * seconds(length) - spent);
+    });
+    const std::uint64_t lent = use.counted - std::min(use.counted, use.spent);
+    return left - static_cast<double>(lent);
 }
 
 void permit_lender::name_waiting_times(permit_grant& granted, const permit_use& use,
@@ -76,16 +125,16 @@
         // No longer in the configuration here: nothing more is lent.
         return permit_grant{use.tenant, use.spent, 0, 0};
     }
-    limit_use& held = tenant->second;
+    limit_use& held = tenant->second.use;
     share& known = node.shares[use.tenant];
+    const double lent_since_start = held.lent_since_start;
     remove(held, known);
     known.ceiling = known.spent;
     add(held, known);
-    const duration running_for = now - started_;
-    const lendable lent = lendable_permits(use, held, running_for, rules_);
-    if (running_for < settling) {
-        held.granted_while_settling += lent.needed;
-    }
+    limit_use without_node = held;
+    without_node.lent_since_start = lent_since_start;
+    without_node.left_by_pace = left_by_pace(tenant->second, now);
+    const lendable lent = lendable_permits(use, without_node, now - started_, rules_);
     const double permits = lent.needed + lent.beginning + lent.spare;
     permit_grant granted{use.tenant, known.spent + static_cast<std::uint64_t>(permits), 0, 0};
     remove(held, known);
@@ -104,7 +153,7 @@
     for (const auto& [name, known] : node.shares) {
         const auto tenant = tenants_.find(name);
         if (tenant != tenants_.end()) {
-            remove(tenant->second, known);
+            remove(tenant->second.use, known);
         }
     }
     node.shares.clear();
@@ -119,7 +168,7 @@
         const auto tenant = tenants_.find(entry.first);
         const bool dropped = !named.contains(entry.first);
         if (dropped && tenant != tenants_.end()) {
-            remove(tenant->second, entry.second);
+            remove(tenant->second.use, entry.second);
         }
         return dropped;
     });
@@ -146,7 +195,7 @@
         drop_unnamed(node, report.uses);
     }
     for (const permit_use& use : report.uses) {
-        take(node, use);
+        take(node, use, now);
     }
     for (const permit_use& use : report.uses) {
         if (auto granted = grant(node, use, now)) {
@@ -169,7 +218,12 @@
 
 std::uint64_t permit_lender::in_use(const tenant_name& tenant) const {
     const auto found = tenants_.find(tenant);
-    return found == tenants_.end() ? 0 : found->second.counted;
+    return found == tenants_.end() ? 0 : found->second.use.counted;
+}
+
+bool permit_lender::knows(const node_name& node, std::uint64_t life) const {
+    const auto found = nodes_.find({node, life});
+    return found != nodes_.end() && found->second.question > 0;
 }
 
 std::size_t permit_lender::entries() const {
--- a/src/tallyfold/plane/tenants/permit_rule.cpp
+++ b/src/tallyfold/plane/tenants/permit_rule.cpp
@@ -20,16 +20,18 @@
     return std::max(0.0, std::floor(bound - static_cast<double>(counted)));
 }
 
+double held_by_node(const permit_use& use) {
+    return use.ceiling > use.spent ? static_cast<double>(use.ceiling - use.spent) : 0;
+}
+
 /// While the lender doesn't know yet what its predecessor lent.
 lendable lendable_while_settling(const permit_use& use, const limit_use& tenant,
                                  duration running_for, double within_limit) {
     const double by_rate = tenant.rate_per_second * seconds(running_for);
-    const double held_by_node =
-        use.ceiling > use.spent ? static_cast<double>(use.ceiling - use.spent) : 0;
     lendable lent;
     lent.needed = std::min({static_cast<double>(use.needed), within_limit,
-                            left(by_rate - tenant.granted_while_settling, 0)});
-    lent.spare = std::min(static_cast<double>(use.wanted), held_by_node);
+                            left(by_rate - tenant.lent_since_start, 0)});
+    lent.spare = std::min(static_cast<double>(use.wanted), held_by_node(use));
     return lent;
 }
 
@@ -44,8 +46,44 @@
     return lent;
 }
 
+/// Permits that the pace leaves.
+struct pace_room {
+    double for_all = 0;
+    /// For new programs and calls to come: less, so that these don't use up what calls of programs
+    /// under way need next.
+    double for_new = 0;
+};
+
+pace_room room_by_pace(const permit_use& use, const limit_use& tenant, duration running_for,
+                       const quota_rules& rules) {
+    pace_room room;
+    room.for_all = tenant.left_by_pace;
+    room.for_new = tenant.left_by_pace - reserved_share * tenant.burst_tolerance;
+    if (running_for < rules.window) {
+        const double by_rate = tenant.rate_per_second * seconds(running_for);
+        const double not_lent = std::max(0.0, by_rate - tenant.lent_since_start);
+        room.for_all = std::min(room.for_all, not_lent + held_by_node(use));
+        room.for_new = std::min(room.for_new, not_lent * (1 - reserved_share) + held_by_node(use));
+    }
+    return {left(room.for_all, 0), left(room.for_new, 0)};
+}
+
+/// Whole permits that the bound leaves for new programs and calls to come. In a lender's first
+/// window the limit is the bound, and permits that lie ready would use it up.
+double within_bound_for_new(const limit_use& tenant, double bound, duration running_for,
+                            const quota_rules& rules) {
+    const double reserved = running_for < rules.window ? bound * reserved_share : 0;
+    return left(bound - reserved, tenant.counted);
+}
+
 }  // namespace
 
+double tolerated_burst(const limit_use& tenant, const quota_rules& rules, duration resolution) {
+    const double beyond_rate = tenant.bound - tenant.rate_per_second * seconds(rules.window);
+    const double by_resolution = tenant.rate_per_second * seconds(resolution);
+    return std::max(beyond_rate - by_resolution, by_resolution + 1);
+}
+
 lendable lendable_permits(const permit_use& use, const limit_use& tenant, duration running_for,
                           const quota_rules& rules) {
     const double bound = running_for < rules.window ? tenant.limit : tenant.bound;
@@ -54,8 +92,13 @@
     lendable lent = running_for < settling
                         ? lendable_while_settling(use, tenant, running_for, within_limit)
                         : lendable_once_settled(use, tenant, within_limit);
-    lent.beginning = std::min(lent.beginning, within_bound - lent.needed);
-    lent.spare = std::min(lent.spare, within_bound - lent.needed - lent.beginning);
+    const pace_room room = room_by_pace(use, tenant, running_for, rules);
+    lent.needed = std::min(lent.needed, room.for_all);
+    const double for_new =
+        std::min(within_bound_for_new(tenant, bound, running_for, rules), room.for_new);
+    const double open_to_new = std::max(0.0, for_new - lent.needed);
+    lent.beginning = std::min(lent.beginning, open_to_new);
+    lent.spare = std::min(lent.spare, open_to_new - lent.beginning);
     return lent;
 }
 
--- a/src/tallyfold/plane/tenants/permit_rule.hpp
+++ b/src/tallyfold/plane/tenants/permit_rule.hpp
@@ -12,14 +12,23 @@
 /// - calls to come, kept at the node: the same, less the above. Most calls then need no message.
 ///
 /// All of them together stay within the bound, the limit with the operators' allowance, less what
-/// is spent and lent already. A lender that has just started doesn't know what its predecessor
-/// lent, so
-/// - up to `settling` after its start, calls under way get no more than the rate allows for that
-///   time, new programs none, and a node keeps what it had for calls to come;
-/// - up to a window after its start the limit is the bound: the allowance is left to nodes that
-///   can't report.
+/// is spent and lent already, and within the pace: in each span of time up to a window, no more is
+/// spent and lent than the burst tolerance and what the rate allows in that span.
+///
+/// The pace is for what nobody remembers. What was spent is known to the node that spent it and to
+/// the lender, and is forgotten when both are gone within a window, as in a loss of all power. For
+/// the whole window the pace allows as much as the bound, so if the next lender lends no faster
+/// than the rate for a window, the bound holds whatever was spent before and by whom.
+///
+/// A lender that has just started doesn't know what its predecessor lent, so
+/// - up to a window after its start it lends no more than the rate allows for that time, beside
+/// what
+///   the nodes have from its predecessor; the limit is the bound then, since the allowance is left
+///   to nodes that can't report;
+/// - up to `settling` new programs get none, and a node keeps what it had for calls to come.
 
 #include <cstdint>
+#include <limits>
 
 #include "tallyfold/base/common/time.hpp"
 #include "tallyfold/plane/tenants/messages.hpp"
@@ -48,10 +57,21 @@
     std::uint64_t counted = 0;
     /// Spent within the window.
     std::uint64_t spent = 0;
-    /// Granted to waiting calls since the lender started, while settling.
-    double granted_while_settling = 0;
+    /// Lent since the lender started, beyond what the nodes had from its predecessor, and less what
+    /// they returned; what the asking node holds is among it.
+    double lent_since_start = 0;
+    /// What the pace leaves, before anything is lent to the asking node.
+    double left_by_pace = std::numeric_limits<double>::infinity();
+    /// Permits that may be spent and lent at once, beyond the rate; see burst_tolerance().
+    double burst_tolerance = 0;
 };
 
+/// What a tenant may spend at once, so that this and the rate for a window are the bound: in
+/// permits, more than the rate gives in `resolution`. An allowance or a burst below that leaves
+/// nothing for what is forgotten, and the bound may be exceeded by it then.
+/// @param resolution the longest time by which a lender's spans are wrong
+double tolerated_burst(const limit_use& tenant, const quota_rules& rules, duration resolution);
+
 /// Permits that may be lent to one node; whole numbers.
 struct lendable {
     /// For calls that wait there, of programs under way and of new ones.
--- a/src/tallyfold/plane/tenants/spent_window.hpp
+++ b/src/tallyfold/plane/tenants/spent_window.hpp
@@ -5,6 +5,7 @@
 /// Of the oldest slot, which the span covers in part, that part is counted, rounded up: counting it
 /// whole would hold a tenant to a window longer than its limit's, by up to a 20th.
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 
@@ -17,10 +18,10 @@
     /// @param window split into slots
     explicit spent_window(duration window) : slot_length_(window / (slot_count - 1)) {}
 
-    void add(instant now) {
+    void add(instant now, std::uint32_t permits = 1) {
         roll(now);
-        ++slots_[newest_ % slot_count];
-        ++sum_;
+        slots_[newest_ % slot_count] += permits;
+        sum_ += permits;
     }
     /// One that was counted at `added` is not spent after all. It comes out of the slot that it
     /// went into: out of a newer one, it would leave a later permit uncounted until that slot ends.
@@ -36,6 +37,36 @@
         --sum_;
         return true;
     }
+    /// So many were not spent after all, and nobody knows which: the oldest go, so that no span up
+    /// to now counts less than was spent in it.
+    void take_back_oldest(std::uint64_t permits, instant now) {
+        roll(now);
+        for (std::uint64_t age = slot_count; age-- > 0 && permits > 0;) {
+            if (age > newest_) {
+                continue;
+            }
+            std::uint32_t& slot = slots_[(newest_ - age) % slot_count];
+            const auto taken = static_cast<std::uint32_t>(std::min<std::uint64_t>(slot, permits));
+            slot -= taken;
+            sum_ -= taken;
+            permits -= taken;
+        }
+    }
+    /// The count of each span that ends now and begins with a slot, the shortest first.
+    /// @param visit takes the span's length and what was spent in it
+    template <class Visitor>
+    void visit_spans(instant now, Visitor visit) {
+        roll(now);
+        duration length = now.time_since_epoch() % slot_length_;
+        std::uint32_t spent = 0;
+        for (std::uint64_t age = 0; age < slot_count && age <= newest_; ++age) {
+            spent += slots_[(newest_ - age) % slot_count];
+            visit(length, spent);
+            length += slot_length_;
+        }
+    }
+    /// The longest time by which a span of visit_spans may differ from any other one.
+    [[nodiscard]] duration slot_length() const { return slot_length_; }
     [[nodiscard]] std::uint32_t count(instant now) {
         roll(now);
         const std::uint32_t oldest = slots_[(newest_ + 1) % slot_count];
--- a/tests/plane/tenants/permit_lender_test.cpp
+++ b/tests/plane/tenants/permit_lender_test.cpp
@@ -9,6 +9,9 @@
     CPPUNIT_TEST_SUITE(permit_lender_test);
     CPPUNIT_TEST(new_programs_leave_the_last_permits_to_those_under_way);
     CPPUNIT_TEST(absurd_and_doubled_reports_do_no_harm);
+    CPPUNIT_TEST(what_was_spent_at_once_is_followed_at_the_rate);
+    CPPUNIT_TEST(permits_of_the_lender_before_are_not_its_own);
+    CPPUNIT_TEST(a_tenant_that_is_back_has_what_its_nodes_hold);
     CPPUNIT_TEST_SUITE_END();
 
     static permit_report first_report(std::uint64_t question, permit_use use) {
@@ -46,6 +49,47 @@
         CPPUNIT_ASSERT(refused.grants.front().retry_after_ms > 0);
     }
 
+    /// What a node that asks for so many gets, having spent all that it had.
+    static std::uint64_t granted(permit_lender& lender, std::uint64_t question, std::uint64_t spent,
+                                 std::uint32_t needed, instant now) {
+        const permit_use use{"t", spent, spent, static_cast<std::uint32_t>(spent), needed, 0, 0};
+        const permit_answer answer = lender.answer(first_report(question, use), now);
+        return answer.grants.empty() ? 0 : answer.grants.front().ceiling - spent;
+    }
+
+    void what_was_spent_at_once_is_followed_at_the_rate() {
+        permit_lender lender{quota_rules{}};
+        lender.use({limited_tenant("t", 10, 10)});
+        lender.start(beginning - std::chrono::seconds(10));
+        // The bound is 86, so 33 may go at once, and 10 a second after that.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{33}, granted(lender, 1, 0, 60, beginning));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, granted(lender, 2, 33, 60, beginning));
+        const instant later = beginning + std::chrono::seconds(1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, granted(lender, 3, 33, 60, later));
+    }
+
+    void permits_of_the_lender_before_are_not_its_own() {
+        permit_lender lender{quota_rules{}};
+        lender.use({limited_tenant("t", 10, 10)});
+        lender.start(beginning);
+        const instant later = beginning + std::chrono::seconds(1);
+        // Seven lie ready from the lender before; they come back, and are lent again beside the
+        // rate.
+        lender.answer(first_report(1, {"t", 20, 27, 20, 0, 0, 9}), later);
+        lender.answer(first_report(2, {"t", 20, 20, 20, 0, 0, 0}), later);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{17}, granted(lender, 3, 20, 60, later));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, granted(lender, 4, 37, 60, later));
+    }
+
+    void a_tenant_that_is_back_has_what_its_nodes_hold() {
+        permit_lender lender = settled_keeper();
+        lender.answer(first_report(1, {"t", 5, 9, 5, 0, 0, 0}), beginning);
+        lender.use({limited_tenant("another", 10, 10)});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, lender.in_use("t"));
+        lender.use({limited_tenant("t", 10, 10)});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, lender.in_use("t"));
+    }
+
     void absurd_and_doubled_reports_do_no_harm() {
         permit_lender lender = settled_keeper();
         const permit_use use{"t", 5, 9, 5, 0, 0, 0};
--- a/tests/plane/tenants/permit_rule_test.cpp
+++ b/tests/plane/tenants/permit_rule_test.cpp
@@ -14,6 +14,10 @@
     CPPUNIT_TEST(while_settling_the_rate_alone_is_lent);
     CPPUNIT_TEST(while_settling_a_node_keeps_what_it_had);
     CPPUNIT_TEST(within_a_window_of_its_start_a_lender_leaves_the_allowance);
+    CPPUNIT_TEST(within_a_window_of_its_start_a_lender_lends_at_the_rate);
+    CPPUNIT_TEST(in_that_window_a_node_keeps_what_it_had);
+    CPPUNIT_TEST(the_pace_binds_and_keeps_a_part_for_calls_that_wait);
+    CPPUNIT_TEST(the_tolerated_burst_and_the_rate_for_a_window_are_the_bound);
     CPPUNIT_TEST(waiting_times_follow_the_pace_of_the_limit);
     CPPUNIT_TEST(nothing_is_lent_beyond_the_bound);
     CPPUNIT_TEST_SUITE_END();
@@ -59,7 +63,7 @@
         CPPUNIT_ASSERT_EQUAL(3.0, lent(asking_for(9, 9, 0), tenant_with(0, 0), early).needed);
         CPPUNIT_ASSERT_EQUAL(0.0, lent(asking_for(9, 9, 0), tenant_with(0, 0), early).beginning);
         limit_use granted = tenant_with(0, 0);
-        granted.granted_while_settling = 2;
+        granted.lent_since_start = 2;
         CPPUNIT_ASSERT_EQUAL(1.0, lent(asking_for(9, 0, 0), granted, early).needed);
     }
 
@@ -76,6 +80,49 @@
         CPPUNIT_ASSERT_EQUAL(9.0, lent(use, tenant_with(60, 20), std::chrono::seconds(5)).needed);
     }
 
+    void within_a_window_of_its_start_a_lender_lends_at_the_rate() {
+        const duration early = std::chrono::seconds(2);
+        const permit_use use = asking_for(50, 0, 0);
+        CPPUNIT_ASSERT_EQUAL(20.0, lent(use, tenant_with(0, 0), early).needed);
+        limit_use tenant = tenant_with(0, 0);
+        tenant.lent_since_start = 17;
+        CPPUNIT_ASSERT_EQUAL(3.0, lent(use, tenant, early).needed);
+        CPPUNIT_ASSERT_EQUAL(50.0, lent(use, tenant, std::chrono::seconds(5)).needed);
+        // New programs get three quarters of what is left.
+        tenant.lent_since_start = 12;
+        CPPUNIT_ASSERT_EQUAL(6.0, lent(asking_for(0, 50, 0), tenant, early).beginning);
+    }
+
+    void in_that_window_a_node_keeps_what_it_had() {
+        permit_use use = asking_for(0, 0, 9);
+        use.spent = 10;
+        use.ceiling = 14;
+        limit_use tenant = tenant_with(0, 0);
+        tenant.lent_since_start = 99;
+        CPPUNIT_ASSERT_EQUAL(4.0, lent(use, tenant, std::chrono::seconds(1)).spare);
+    }
+
+    void the_pace_binds_and_keeps_a_part_for_calls_that_wait() {
+        limit_use tenant = tenant_with(0, 0);
+        tenant.burst_tolerance = 20;
+        tenant.left_by_pace = 12.5;
+        CPPUNIT_ASSERT_EQUAL(12.0, lent(asking_for(50, 9, 9), tenant).needed);
+        const lendable open = lent(asking_for(0, 4, 9), tenant);
+        CPPUNIT_ASSERT_EQUAL(4.0, open.beginning);
+        CPPUNIT_ASSERT_EQUAL(3.0, open.spare);
+        tenant.left_by_pace = -3;
+        CPPUNIT_ASSERT_EQUAL(0.0, lent(asking_for(9, 9, 9), tenant).needed);
+    }
+
+    void the_tolerated_burst_and_the_rate_for_a_window_are_the_bound() {
+        const duration slot = std::chrono::milliseconds(250);
+        // 86 - 50, less 2.5 for the slot.
+        CPPUNIT_ASSERT_EQUAL(33.5, tolerated_burst(tenant_with(0, 0), quota_rules{}, slot));
+        // Without allowance or burst something must be lent all the same.
+        const limit_use narrow{10, 50, 50, 0, 0, 0};
+        CPPUNIT_ASSERT_EQUAL(3.5, tolerated_burst(narrow, quota_rules{}, slot));
+    }
+
     void waiting_times_follow_the_pace_of_the_limit() {
         // 60 in five seconds are 12 a second.
         CPPUNIT_ASSERT_EQUAL(500U, time_to_free_ms(tenant_with(0, 0), 6, quota_rules{}));
--- a/tests/plane/tenants/quota_test.cpp
+++ b/tests/plane/tenants/quota_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(the_bound_holds_when_permits_come_back_late);
     CPPUNIT_TEST(the_bound_holds_when_all_power_is_lost);
     CPPUNIT_TEST(the_bound_holds_while_nodes_restart_and_the_keeper_changes);
+    CPPUNIT_TEST(the_bound_holds_under_all_faults_at_once);
+    CPPUNIT_TEST(permits_at_hand_elsewhere_refuse_nobody);
     CPPUNIT_TEST(a_keeper_that_is_new_alone_lends_the_whole_limit);
     CPPUNIT_TEST(without_the_bound_faults_are_noticed);
     CPPUNIT_TEST(permits_of_dead_and_frozen_nodes_come_back);
@@ -23,6 +25,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t node_count = 12;
+    /// So many that each has few of a tenant's calls, or none, within a window.
+    static constexpr std::size_t many_nodes = 69;
 
     static quota_world world(std::uint64_t seed, double rate) {
         return {seed, node_count, limited_tenant("t", rate, rate), quota_rules{}};
@@ -74,8 +78,8 @@
         }
     }
 
-    /// Restarted nodes and changed keepers are played apart: what a node has spent is known to
-    /// itself and to the keeper, and is forgotten where both go within a window.
+    /// Restarted nodes and changed keepers apart; the_bound_holds_under_all_faults_at_once has
+    /// both.
     void the_bound_holds_under_faults() {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             quota_world played = world(seed, 60);
@@ -110,13 +114,18 @@
         }
     }
 
-    // Symptom: within five seconds 140 of a tenant's requests ran where 99 are allowed.
-    // Sequence: all machines lost power while the tenant pressed against its limit, and came back
-    // within two seconds.
-    // Cause: a new keeper lent the whole limit at once. It knows what living nodes have spent, but
-    // the nodes were new too, so nobody knew what had been spent in the window before. Settled by:
-    // limits_hold in eight of twelve runs with real processes, each time in a window that holds the
-    // loss of power.
+    // Within five seconds 140 of a tenant's requests ran where 99 are allowed, in fleets of real
+    // processes; in this world 835 at most where 416 are allowed, over the bound in 59 of 60 seeds.
+    // All machines lost power while the tenant pressed against its limit, and came back within two
+    // seconds.
+    // Cause: a new lender lent the whole limit at once. It knows what living nodes have spent, but
+    // the nodes were new too, so nobody knew what had been spent in the window before. That much
+    // had often been spent in one moment, when a window before had ended, so no lender without that
+    // knowledge could have lent anything.
+    // Shown by: limits_hold in eight of twelve runs with real processes, each time in a window that
+    // holds the loss of power; here, all that was over came from the first second of a new lender.
+    // With a bound on what is spent in each shorter span, and a lender that lends at the rate in
+    // its first window: 372 at most.
     void the_bound_holds_when_all_power_is_lost() {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             quota_world played = world(seed, 60);
@@ -137,11 +146,16 @@
         }
     }
 
-    // 107 of a tenant's requests ran within five seconds where 106 are allowed. Nodes restarted one
-    // after the other, one each two seconds, and two directory machines lost power in that time.
-    // That the keeper changed is inferred from a replay, which kept the limit: there
-    // quota_keeper_started named another node. What a node has spent is known to itself and to the
-    // keeper that it told; when both are gone, the next keeper counts only what living nodes tell.
+    // 107 of a tenant's requests ran within five seconds where 106 are allowed, on a played day; in
+    // this world 511 at most where 416 are allowed, over the bound in all 60 seeds. Nodes restarted
+    // one after the other, and the lender changed.
+    // Cause: what a node has spent is known to itself and to the lender that it told. When both are
+    // gone, the next lender counts only what living nodes tell, and lent the difference to the
+    // limit once more. Shown by: the lender that changes knows all nodes that restarted before, the
+    // one after it none of their former lives; with a bound on what is spent in each shorter span,
+    // and a lender that lends at the rate in its first window: 317 at most. That the played day
+    // went this way is inferred from a replay, which kept the limit: there quota_keeper_started
+    // named another node.
     void the_bound_holds_while_nodes_restart_and_the_keeper_changes() {
         for (std::uint64_t seed = 1; seed <= 60; ++seed) {
             quota_world played = world(seed, 60);
@@ -161,6 +175,58 @@
         }
     }
 
+    /// A drawn sequence of lost power, restarts, changed lenders and frozen nodes, any of them
+    /// again before the last one's window has ended.
+    static void play_all_faults(quota_world& played, std::uint64_t seed, std::size_t nodes,
+                                double rate) {
+        std::mt19937_64 random(seed);
+        played.late_returns = seed % 2 == 0 ? 0 : 0.3;
+        for (int round = 0; round < 14; ++round) {
+            switch (random() % 5) {
+                case 0:
+                    played.change_keeper();
+                    break;
+                case 1:
+                    played.lose_power(milliseconds(100 + random() % 1'500));
+                    break;
+                case 2:
+                    played.restart(random() % nodes);
+                    break;
+                case 3:
+                    played.freeze(random() % nodes, milliseconds(random() % 7'000));
+                    break;
+                default:
+                    for (std::size_t number = 0; number < nodes; number += 2) {
+                        played.restart(number);
+                    }
+                    played.change_keeper();
+                    break;
+            }
+            const duration length = milliseconds(100 + random() % 1'500);
+            played.run(length, rate * (0.5 + static_cast<double>(random() % 10)));
+        }
+    }
+
+    void the_bound_holds_under_all_faults_at_once() {
+        for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+            quota_world played = world(seed, 60);
+            play_all_faults(played, seed, node_count, 60);
+            CPPUNIT_ASSERT_MESSAGE(
+                "seed " + std::to_string(seed) + ": " + std::to_string(played.max_in_window()),
+                static_cast<double>(played.max_in_window()) <= played.bound());
+        }
+    }
+
+    // 15 in 100 calls of a tenant that used 62 in 100 of its rate were refused at 69 nodes, without
+    // any fault. Each node was lent a permit for calls to come, until all of them together reached
+    // the bound, and a call at a node without one was refused though the tenant was far below its
+    // limit. A part of the burst tolerance is kept for calls that wait.
+    void permits_at_hand_elsewhere_refuse_nobody() {
+        quota_world calm{1, many_nodes, limited_tenant("t", 10, 9), quota_rules{}};
+        calm.run(std::chrono::seconds(17), 6.2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, calm.refused);
+    }
+
     void a_keeper_that_is_new_alone_lends_the_whole_limit() {
         quota_world played = world(8, 100);
         played.run(std::chrono::seconds(8), 60);
@@ -170,12 +236,16 @@
         CPPUNIT_ASSERT(played.refused - before <= 3);
     }
 
-    /// Shows that the check above sees a keeper that forgets what it lent.
+    /// Shows that the checks above see a keeper that forgets what it lent, and doesn't know that it
+    /// is new, where the nodes that could tell it have restarted too.
     void without_the_bound_faults_are_noticed() {
         quota_world played = world(3, 60);
         std::size_t most = 0;
         for (int round = 0; round < 20; ++round) {
             played.run(milliseconds(600), 600);
+            for (std::size_t number = 0; number < node_count; ++number) {
+                played.restart(number);
+            }
             played.keeper().start(played.now - std::chrono::seconds(10));
             most = std::max(most, played.max_in_window());
         }
