A node that was let nothing of late doesn't go past a lender that settles

What callers saw: nothing yet.

Cause: while a new lender settled, a node whose call it had refused went on without it, one call further than its pace. A node that has just started has no pace, but the one call each at many nodes exceeds the bound by itself.

Change: while the lender settles, only a node that was let some of late goes on at that pace. A lender that doesn't answer is no longer one that settles.

Why it holds: nodes without a pace now spend only what the lender lent, and that keeps the pace of spending.

--- a/src/tallyfold/plane/tenants/permit_holder.cpp
+++ b/src/tallyfold/plane/tenants/permit_holder.cpp
@@ -35,6 +35,11 @@
 bool permit_holder::take_without_lender(const tenant_name& tenant, instant now) {
     held_permits& held = of(tenant);
     held.last_call = now;
+    // A lender that settles has answered that there is no permit. A node that was let none of late
+    // has no pace of its own to go on at, and one call each at many nodes would exceed the bound.
+    if (lender_settles_ && held.proven == 0) {
+        return false;
+    }
     const double pace = held.proven * (1 + rules_.overshoot);
     if (held.recent.count(now) > pace) {
         return false;
--- a/src/tallyfold/plane/tenants/permit_holder.hpp
+++ b/src/tallyfold/plane/tenants/permit_holder.hpp
@@ -53,7 +53,7 @@
     bool take(const tenant_name& tenant, instant now);
     /// Spends one without the lender's word, while it is silent: a node may go on at the pace at
     /// which it was last let, and one call more, so all such nodes together stay near what the
-    /// lender had counted.
+    /// lender had counted. While a new lender settles, only nodes that have such a pace do.
     bool take_without_lender(const tenant_name& tenant, instant now);
     /// The call was not run: its permit may be spent again, unless it has left the window.
     /// @param taken when the permit was spent
@@ -70,7 +70,10 @@
     /// @return false when the answer is to another question, or refused: the next report is whole
     bool apply(const permit_answer& answer, instant now);
     /// No answer came to the last report.
-    void unanswered() { next_is_whole_ = true; }
+    void unanswered() {
+        next_is_whole_ = true;
+        lender_settles_ = false;
+    }
     /// True while the lender, new itself, refuses what it may not refuse later: a node goes on as
     /// without a lender.
     [[nodiscard]] bool lender_settles() const { return lender_settles_; }
--- a/tests/plane/tenants/quota_test.cpp
+++ b/tests/plane/tenants/quota_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(the_bound_holds_when_all_power_is_lost);
     CPPUNIT_TEST(the_bound_holds_while_nodes_restart_and_the_keeper_changes);
     CPPUNIT_TEST(the_bound_holds_under_all_faults_at_once);
+    CPPUNIT_TEST(the_bound_holds_at_many_nodes_under_all_faults_at_once);
     CPPUNIT_TEST(permits_at_hand_elsewhere_refuse_nobody);
     CPPUNIT_TEST(a_keeper_that_is_new_alone_lends_the_whole_limit);
     CPPUNIT_TEST(without_the_bound_faults_are_noticed);
@@ -217,6 +218,22 @@
         }
     }
 
+    // 113 of a tenant's requests ran where 86 are allowed, over the bound in 7 of these 20 seeds:
+    // at 69 nodes, after a loss of power or a change of the lender, with calls at most nodes at
+    // once. Cause: while a new lender settled, a node that it had refused let one call in all the
+    // same, though it had no pace of its own: it had been let nothing since its start. Of the
+    // lender's pace nothing was left over for 69 such calls. Shown by: the same seeds, where only
+    // nodes that were let some of late go on without the lender: 60 at most.
+    void the_bound_holds_at_many_nodes_under_all_faults_at_once() {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            quota_world played{seed, many_nodes, limited_tenant("t", 10, 10), quota_rules{}};
+            play_all_faults(played, seed, many_nodes, 10);
+            CPPUNIT_ASSERT_MESSAGE(
+                "seed " + std::to_string(seed) + ": " + std::to_string(played.max_in_window()),
+                static_cast<double>(played.max_in_window()) <= played.bound());
+        }
+    }
+
     // 15 in 100 calls of a tenant that used 62 in 100 of its rate were refused at 69 nodes, without
     // any fault. Each node was lent a permit for calls to come, until all of them together reached
     // the bound, and a call at a node without one was refused though the tenant was far below its
