Soak: a call without a proper key may be told that a dropped route isn't there

So 404 is allowed for probes of dropped routes alone; for any other call it stays a violation, and so does a run, as the checks' test shows.

--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -146,6 +146,17 @@
         self.assertFalse(self.violations(checks.strangers_never_run,
                                          attempts=[attempt(status=401)]))
 
+    def test_a_stranger_on_a_dropped_route_may_be_told_that_there_is_none(self):
+        for dropped, status, found in ((True, 404, False), (False, 404, True), (True, 200, True)):
+            asked = attempt(status=status)
+            probe = RouteProbe(asked, 2, dropped)
+            self.assertEqual(found, bool(self.violations(
+                checks.strangers_never_run, attempts=[asked], route_probes=[probe])))
+        asked = attempt(status=404)
+        self.assertTrue(self.violations(checks.strangers_never_run, runs=[run()],
+                                        attempts=[asked],
+                                        route_probes=[RouteProbe(asked, 2, True)]))
+
     def test_a_proper_key_that_is_called_unknown_is_found(self):
         self.assertTrue(self.violations(checks.proper_keys_are_let_in,
                                         attempts=[attempt(tenant="open", status=401)]))
