--- a/src/tallyfold/plane/tenants/permit_rule.cpp
+++ b/src/tallyfold/plane/tenants/permit_rule.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// The shortest time after which a refused call may come again, in milliseconds. Chosen, not
-/// measured: one tick of quota_client.
+/// The shortest time after which a refused call may come again, in milliseconds: one tick of
+/// quota_client.
 constexpr double min_room_after_ms = 50;
 
 double seconds(duration value) {
--- a/src/tallyfold/plane/tenants/permit_rule.hpp
+++ b/src/tallyfold/plane/tenants/permit_rule.hpp
@@ -22,9 +22,8 @@
 ///
 /// A lender that has just started doesn't know what its predecessor lent, so
 /// - up to a window after its start it lends no more than the rate allows for that time, beside
-/// what
-///   the nodes have from its predecessor; the limit is the bound then, since the allowance is left
-///   to nodes that can't report;
+///   what the nodes have from its predecessor; the limit is the bound then, since the allowance is
+///   left to nodes that can't report;
 /// - up to `settling` new programs get none, and a node keeps what it had for calls to come.
 
 #include <cstdint>
@@ -41,9 +40,8 @@
 constexpr duration settling = std::chrono::milliseconds(500);
 
 /// Part of the limit, 0 to 1, that new programs and calls to come don't get: a tenant's last
-/// permits are for programs under way. Measured (docs/design/shifted-work.md): a half 0.693 and
-/// 0.673 on quiet-1 and scale-1, a quarter 0.774 and 0.667 (seed 7001); a twentieth 0.767 and 0.711
-/// on quiet-1 (seeds 7001, 7002), a quarter 0.769 and 0.730.
+/// permits are for programs under way. Of what the pace leaves, the same part is kept for calls
+/// that wait.
 constexpr double reserved_share = 0.25;
 
 /// One tenant's limit and what of it is in use, in permits.
@@ -62,7 +60,7 @@
     double lent_since_start = 0;
     /// What the pace leaves, before anything is lent to the asking node.
     double left_by_pace = std::numeric_limits<double>::infinity();
-    /// Permits that may be spent and lent at once, beyond the rate; see burst_tolerance().
+    /// Permits that may be spent and lent at once, beyond the rate; see tolerated_burst().
     double burst_tolerance = 0;
 };
 
--- a/src/tallyfold/plane/tenants/quota_client_shell.cpp
+++ b/src/tallyfold/plane/tenants/quota_client_shell.cpp
@@ -11,22 +11,20 @@
 
 namespace {
 
-/// How often a waiting call's question and a silent lender are looked after. Chosen, not measured:
-/// below half of the time that an answer may take.
+/// How often a waiting call's question and a silent lender are looked after: below half of the time
+/// that an answer may take.
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 /// Changes are told this often while no call waits: an eighth of a lease, and half of a new
-/// lender's settling. Chosen, not measured.
+/// lender's settling.
 constexpr duration report_interval = std::chrono::milliseconds(250);
 /// A lender that hasn't answered for this long is taken for silent. Far above the way between zones
-/// (some ms) and a lender's own work, and far below what callers wait; chosen, not measured.
+/// (some ms) and a lender's own work, and far below what callers wait.
 constexpr duration answer_limit = std::chrono::milliseconds(120);
 /// A call of a program under way waits this long for a permit that is about to be free: refusing it
-/// may lose the whole program, and permits come back at the tenant's rate all the time. Measured
-/// against a refusal at once (docs/design/shifted-work.md, seed 7001): served 0.962 -> 0.976 on
-/// quiet-1; worth 0.743 -> 0.736 and, on trouble-3, 0.645 -> 0.632, within noise.
+/// may lose the whole program, and permits come back at the tenant's rate all the time.
 constexpr duration longest_permit_wait = std::chrono::milliseconds(400);
-/// A call over its limit may come again after this time when the lender names none. Chosen, not
-/// measured: a lender that is being elected needs 0.5 to 1 s, one that was slow a few ms.
+/// A call over its limit may come again after this time when the lender names none: one that is
+/// being elected needs 0.5 to 1 s, one that was slow a few ms.
 constexpr duration usual_room_after = std::chrono::milliseconds(200);
 
 std::uint64_t draw_life() {
