A planned stop answers requests that have arrived instead of closing on them

Cause: caller_listener::stop_accepting closed every connection that waited for a request. Change: the stop cancels the waits. One without a request ends and closes its connection; one whose bytes were read goes on, and its request is answered.

--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -31,9 +31,10 @@
     accepting_ = false;
     std::error_code ignored;
     acceptor_.close(ignored);
-    // A request sent on a connection left open could no longer be answered.
+    // A wait whose request has arrived goes on and is answered. Closing the connection here would
+    // lose that request: its bytes are read, so it would still be forwarded.
     for (const auto& caller : idle_) {
-        caller->close();
+        caller->cancel_wait();
     }
 }
 
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
@@ -24,8 +24,8 @@
     /// Starts accepting connections. @param address "ip:port"
     /// @return the error; empty on success
     std::string start(const std::string& address);
-    /// Closes the listening socket and all idle connections. Connections with an active request
-    /// close after its answer.
+    /// Closes the listening socket and all idle connections. Connections with an active request, or
+    /// with one that has arrived, close after its answer.
     void stop_accepting();
     /// Aborts all active requests without answering them.
     void abort_requests();
--- a/src/tallyfold/plane/http/connection_shell.cpp
+++ b/src/tallyfold/plane/http/connection_shell.cpp
@@ -156,6 +156,12 @@
     co_return tl::expected<void, io_failure>{};
 }
 
+void connection::cancel_wait() {
+    // Fails only on a closed socket, which has no pending operations.
+    std::error_code ignored;
+    socket_.cancel(ignored);
+}
+
 asio::awaitable<tl::expected<void, io_failure>> connection::read_head(instant deadline) {
     const auto self = shared_from_this();
     while (true) {
--- a/src/tallyfold/plane/http/connection_shell.hpp
+++ b/src/tallyfold/plane/http/connection_shell.hpp
@@ -51,6 +51,9 @@
     asio::awaitable<tl::expected<void, io_failure>> read_head(instant deadline);
     /// Waits for the first byte of the next message.
     asio::awaitable<tl::expected<void, io_failure>> wait_for_message(instant deadline);
+    /// Ends a wait_for_message() that has read nothing yet. One that has already read some bytes
+    /// still succeeds, and the connection stays open in either case.
+    void cancel_wait();
     /// Reads the next body bytes; an empty string once the message is complete.
     asio::awaitable<tl::expected<std::string, io_failure>> read_body_chunk(instant deadline);
     asio::awaitable<tl::expected<void, io_failure>> write(std::string bytes, instant deadline);
