An unusable entry of the platform's list costs only itself

Cause: read_list decoded a page in one try, so an entry with a missing field, a field of another type or unreadable bytes made the whole page, and with it the list, invalid; an unknown state counted as draining. Change: each entry is decoded by itself. When the page is not valid JSON, the borders of its entries are searched: an object counts that is valid by itself and is followed by a separator, so that a truncated entry cannot take the next ones for its members. Rejected entries are returned with the reason and, if readable, the name. Three tests of the page took entries for sound that lack documented fields (Zone, Slots, Version, State, ColdRemainingMs); the pages say that such an entry names no replica to be used, so they now have whole entries, and the absence of each field is asserted to reject the entry. Left: 'born' is not read, since no report of a replica is read today.

--- a/src/tallyfold/plane/discovery/types.hpp
+++ b/src/tallyfold/plane/discovery/types.hpp
@@ -24,9 +24,17 @@
     }
 };
 
+/// An entry of the list that names no usable back end.
+struct rejected_entry {
+    /// Empty when the entry does not say which back end it describes.
+    backend_name name;
+    std::string reason;
+};
+
 /// One page of the list.
 struct backend_page {
     std::vector<listed_backend> backends;
+    std::vector<rejected_entry> rejected;
     /// Empty on the last page.
     std::string next_token;
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -186,6 +186,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/instances?PageToken=p-50"), list.list_target("p-50"));
         const auto page = list.read_list(
             R"({"Instances":[{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":12,)"
+            R"("Version":"v1","ColdRemainingMs":0,)"
             R"("State":"draining","Id":"i-1"}],"NextPageToken":"p-50"})");
         CPPUNIT_ASSERT(page.has_value());
         CPPUNIT_ASSERT(page->backends.front().member.leaving);
