--- a/src/tallyfold/base/protocol/format_version.hpp
+++ b/src/tallyfold/base/protocol/format_version.hpp
@@ -16,10 +16,12 @@
     /// Adds partial configurations, tenants and permits, the read index, and groups that have lost
     /// their majority.
     v2 = 2,
+    /// Adds the list of back ends in parts, and evacuated zones.
+    v3 = 3,
 };
 
 constexpr format_version oldest_format = format_version::v1;
-constexpr format_version newest_format = format_version::v2;
+constexpr format_version newest_format = format_version::v3;
 
 inline std::string to_string(format_version version) {
     return std::to_string(static_cast<int>(version));
--- a/src/tallyfold/base/protocol/stored_value.hpp
+++ b/src/tallyfold/base/protocol/stored_value.hpp
@@ -36,24 +36,34 @@
 /// Encodes `value` in the oldest format that can represent all of it.
 template <class T>
 std::string encode_stored(const T& value) {
-    auto oldest = encode_as(value, oldest_format);
-    return oldest ? std::move(*oldest) : encode(value);
+    for (const format_version format : {format_version::v1, format_version::v2}) {
+        if (auto bytes = encode_as(value, format)) {
+            return std::move(*bytes);
+        }
+    }
+    const std::uint64_t marker =
+        format_version_marker | static_cast<std::uint64_t>(format_version::v3);
+    return encode(marker) + encode(value);
 }
 
 /// Decodes a value that was encoded by encode_stored() of this or an earlier build. Of the two
 /// formats without a version, the first whose decoding consumes exactly all bytes applies.
 template <class T>
 tl::expected<T, decode_error> decode_stored(std::string_view bytes) {
-    if (const auto number = leading_format_number(bytes)) {
+    const auto number = leading_format_number(bytes);
+    if (number == static_cast<std::uint8_t>(format_version::v3)) {
+        return decode<T>(bytes.substr(sizeof(format_version_marker)), format_version::v3);
+    }
+    if (number) {
         return tl::unexpected(decode_error{"its form has the number " + std::to_string(*number) +
                                                ", this build knows " + to_string(newest_format) +
                                                " and earlier ones",
                                            true});
     }
-    if (auto value = decode<T>(bytes, oldest_format)) {
+    if (auto value = decode<T>(bytes, format_version::v1)) {
         return value;
     }
-    return decode<T>(bytes);
+    return decode<T>(bytes, format_version::v2);
 }
 
 }  // namespace tallyfold::protocol
--- a/src/tallyfold/plane/decisions/backend_selection.cpp
+++ b/src/tallyfold/plane/decisions/backend_selection.cpp
@@ -21,17 +21,21 @@
 const backend_state& affinity_target_of(const std::string& object,
                                         const std::vector<const backend_state*>& options) {
     const std::uint64_t key = stable_hash(object);
-    const auto weight = [&](const backend_state* backend) {
-        return scheduling::rendezvous_weight(key, backend->member.name);
+    // Back ends without capacity come after all others.
+    const auto rank = [&](const backend_state* backend) {
+        const bool has_capacity = backend->own_outstanding < max_calls_at_affinity_target;
+        return std::pair(!has_capacity, scheduling::rendezvous_weight(key, backend->name_hash));
     };
-    std::vector<const backend_state*> order = options;
-    std::sort(order.begin(), order.end(),
-              [&](const auto* left, const auto* right) { return weight(left) < weight(right); });
-    const auto with_capacity =
-        std::find_if(order.begin(), order.end(), [](const backend_state* backend) {
-            return backend->own_outstanding < max_calls_at_affinity_target;
-        });
-    return with_capacity == order.end() ? *order.front() : **with_capacity;
+    const backend_state* first = options.front();
+    auto first_rank = rank(first);
+    for (const backend_state* backend : options) {
+        const auto backend_rank = rank(backend);
+        if (backend_rank < first_rank) {
+            first = backend;
+            first_rank = backend_rank;
+        }
+    }
+    return *first;
 }
 
 /// Less loaded of two random candidates (power of two choices). If each node selected the least
--- a/src/tallyfold/plane/decisions/backend_subset.cpp
+++ b/src/tallyfold/plane/decisions/backend_subset.cpp
@@ -1,8 +1,6 @@
 #include "tallyfold/plane/decisions/backend_subset.hpp"
 
-#include <algorithm>
-#include <utility>
-
+#include "tallyfold/base/common/hash.hpp"
 #include "tallyfold/scheduling/rendezvous.hpp"
 
 namespace tallyfold::forwarding {
@@ -11,24 +9,38 @@
 using scheduling::backend_state;
 
 void backend_subset::update(const std::vector<scheduling::backend_member>& members) {
-    std::vector<std::pair<std::uint64_t, backend_name>> weighted;
-    weighted.reserve(members.size());
+    order_.clear();
     for (const scheduling::backend_member& member : members) {
-        weighted.emplace_back(scheduling::rendezvous_weight(node_key_, member.name), member.name);
+        insert(member.name);
     }
-    std::sort(weighted.begin(), weighted.end());
-    order_.clear();
-    order_.reserve(weighted.size());
-    for (auto& [weight, name] : weighted) {
-        order_.push_back(std::move(name));
+}
+
+std::pair<std::uint64_t, backend_name> backend_subset::place_of(const backend_name& name) const {
+    return {scheduling::rendezvous_weight(node_key_, stable_hash(name)), name};
+}
+
+void backend_subset::insert(const backend_name& name) {
+    order_.insert(place_of(name));
+}
+
+void backend_subset::remove(const backend_name& name) {
+    order_.erase(place_of(name));
+}
+
+std::vector<backend_name> backend_subset::order() const {
+    std::vector<backend_name> names;
+    names.reserve(order_.size());
+    for (const auto& [weight, name] : order_) {
+        names.push_back(name);
     }
+    return names;
 }
 
 std::vector<const backend_state*> backend_subset::usable(
     const backend_pool& pool, const std::function<bool(const backend_state&)>& is_usable) const {
     std::vector<const backend_state*> chosen;
     bool all_busy = true;
-    for (const backend_name& name : order_) {
+    for (const auto& [weight, name] : order_) {
         const backend_state* backend = pool.find(name);
         if (backend == nullptr || !is_usable(*backend)) {
             continue;
--- a/src/tallyfold/plane/decisions/backend_subset.hpp
+++ b/src/tallyfold/plane/decisions/backend_subset.hpp
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "tallyfold/scheduling/backend_pool.hpp"
@@ -29,6 +31,8 @@
 
     /// Replaces the back ends of the service with those of the membership list.
     void update(const std::vector<scheduling::backend_member>& members);
+    void insert(const backend_name& name);
+    void remove(const backend_name& name);
 
     /// First `base_size` usable back ends of the order, and further groups of `base_size` for as
     /// long as all selected ones are busy.
@@ -36,11 +40,14 @@
         const scheduling::backend_pool& pool,
         const std::function<bool(const scheduling::backend_state&)>& is_usable) const;
 
-    [[nodiscard]] const std::vector<backend_name>& order() const { return order_; }
+    [[nodiscard]] std::vector<backend_name> order() const;
 
   private:
+    [[nodiscard]] std::pair<std::uint64_t, backend_name> place_of(const backend_name& name) const;
+
     std::uint64_t node_key_;
-    std::vector<backend_name> order_;
+    /// Back ends by their weight for this node.
+    std::set<std::pair<std::uint64_t, backend_name>> order_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/directory/admin_api_shell.cpp
+++ b/src/tallyfold/plane/directory/admin_api_shell.cpp
@@ -5,6 +5,7 @@
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
+#include <chrono>
 
 #include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/base/net/socket_address.hpp"
@@ -27,6 +28,12 @@
     co_return codec.parse(request);
 }
 
+std::uint64_t wall_clock_ms() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
 /// Name of a change's outcome in the log. A change is overtaken when its version does not exceed
 /// the one in force: it is acknowledged without effect.
 const char* outcome_name(answer_kind kind, bool is_in_force) {
@@ -151,7 +158,8 @@
     // A named variable, because GCC 12 destroys aggregate temporaries in a co_await expression
     // twice.
     replace_call replacement = std::get<replace_call>(std::move(call));
-    if (!replacement.parsed.tenants.empty() && !core_->may_apply_tenants(http::steady_now())) {
+    if (!replacement.parsed.tenants.empty() &&
+        !core_->may_use_format(protocol::format_version::v2, http::steady_now())) {
         const invalid_call unsupported{503,
                                        "a node of an earlier build can't read tenants; ask again"};
         co_return refuse(request, unsupported);
@@ -240,6 +248,33 @@
                                                 : retire_progress::succeeded);
 }
 
+asio::awaitable<http::endpoint_response> admin_api::evacuate(const http::endpoint_request& request,
+                                                             const evacuate_call& call) {
+    const answer_kind confirmed = co_await confirm();
+    if (confirmed != answer_kind::done || !core_) {
+        co_return failure_response(request, confirmed);
+    }
+    const zone_evacuations& evacuations = core_->state().evacuations();
+    if (evacuations.contains(call.zone) == call.evacuated) {
+        co_return codec_.accepted();
+    }
+    if (call.evacuated && !evacuations.accepts(call.zone)) {
+        const invalid_call too_many{409, "too many zones are evacuated"};
+        co_return refuse(request, too_many);
+    }
+    if (!core_->may_use_format(protocol::format_version::v3, http::steady_now())) {
+        const invalid_call unsupported{
+            503, "a node of an earlier build can't evacuate a zone; ask again"};
+        co_return refuse(request, unsupported);
+    }
+    directory_command command = evacuate_zone{call.zone, call.evacuated, wall_clock_ms()};
+    const answer_kind kind = co_await submit(std::move(command));
+    logging::write_event(logging::event_id::zone_evacuation_changed,
+                         "zone=" + call.zone + " evacuated=" + (call.evacuated ? "yes" : "no") +
+                             " outcome=" + outcome_name(kind, true));
+    co_return kind == answer_kind::done ? codec_.accepted() : failure_response(request, kind);
+}
+
 http::endpoint_response admin_api::refuse(const http::endpoint_request& request,
                                           const invalid_call& call) const {
     logging::write_event(logging::event_id::admin_denied,
@@ -266,6 +301,9 @@
     if (const auto* state = std::get_if<retire_state_call>(&call)) {
         co_return co_await retire_state(request, state->node);
     }
+    if (const auto* evacuation = std::get_if<evacuate_call>(&call)) {
+        co_return co_await evacuate(request, *evacuation);
+    }
     co_return co_await get_configuration(request);
 }
 
--- a/src/tallyfold/plane/directory/admin_api_shell.hpp
+++ b/src/tallyfold/plane/directory/admin_api_shell.hpp
@@ -43,6 +43,8 @@
                                                     const std::string& node);
     asio::awaitable<http::endpoint_response> retire_state(const http::endpoint_request& request,
                                                           const std::string& node);
+    asio::awaitable<http::endpoint_response> evacuate(const http::endpoint_request& request,
+                                                      const evacuate_call& call);
     /// Parses a call; large texts are parsed on the parser thread.
     asio::awaitable<operator_call> parse(const http::endpoint_request& request);
     asio::awaitable<answer_kind> submit(directory_command command);
--- a/src/tallyfold/plane/directory/admin_codec.hpp
+++ b/src/tallyfold/plane/directory/admin_codec.hpp
@@ -22,6 +22,11 @@
 struct retire_state_call {
     std::string node;
 };
+struct evacuate_call {
+    std::string zone;
+    /// True to begin the evacuation, false to end it.
+    bool evacuated = false;
+};
 /// A call that is unknown or cannot be parsed.
 struct invalid_call {
     unsigned status = 400;
@@ -29,7 +34,7 @@
 };
 
 using operator_call = std::variant<replace_call, get_configuration_call, retire_call,
-                                   retire_state_call, invalid_call>;
+                                   retire_state_call, evacuate_call, invalid_call>;
 
 enum class retire_progress : std::uint8_t { running, succeeded };
 
--- a/src/tallyfold/plane/directory/applied_state_cache.cpp
+++ b/src/tallyfold/plane/directory/applied_state_cache.cpp
@@ -15,13 +15,12 @@
 /// Written alternately, so that a power failure damages at most one of the last two saved states.
 constexpr std::array<const char*, 2> files{"/applied-state-0", "/applied-state-1"};
 
-std::pair<routing::configuration_version, turns::map_epoch> version_and_epoch_of(
-    const directory_state& state) {
-    return {state.configuration().version, state.stores().epoch};
-}
-
 }  // namespace
 
+applied_state_cache::state_revision applied_state_cache::revision_of(const directory_state& state) {
+    return {state.configuration().version, state.stores().epoch, state.evacuations().revision()};
+}
+
 std::string applied_state_cache::path_of(std::size_t number) const {
     return folder_ + files.at(number);
 }
@@ -40,7 +39,7 @@
                 "file=" + path_of(number) + " reason=\"" + restored.error().reason + "\"");
             continue;
         }
-        if (version_and_epoch_of(earlier) > version_and_epoch_of(newest)) {
+        if (revision_of(earlier) > revision_of(newest)) {
             newest = std::move(earlier);
             next_ = 1 - number;
         }
@@ -49,10 +48,10 @@
 }
 
 void applied_state_cache::save(const directory_state& applied, instant now) {
-    if (version_and_epoch_of(applied) == saved_ || now - saved_at_ < save_interval) {
+    if (revision_of(applied) == saved_ || now - saved_at_ < save_interval) {
         return;
     }
-    saved_ = version_and_epoch_of(applied);
+    saved_ = revision_of(applied);
     saved_at_ = now;
     if (storage::overwrite_file(path_of(next_), storage::single_record(state_on_disk(applied)))) {
         next_ = 1 - next_;
--- a/src/tallyfold/plane/directory/applied_state_cache.hpp
+++ b/src/tallyfold/plane/directory/applied_state_cache.hpp
@@ -4,8 +4,9 @@
 /// it until a leader confirms which log entries are committed. Not authoritative: commands are
 /// never applied to it. Owns two files in the node's data folder.
 
+#include <compare>
+#include <cstdint>
 #include <string>
-#include <utility>
 
 #include "tallyfold/base/common/time.hpp"
 #include "tallyfold/plane/directory/directory_state.hpp"
@@ -28,8 +29,18 @@
     [[nodiscard]] std::string path_of(std::size_t number) const;
 
     std::string folder_;
-    /// Version and epoch of the last saved state.
-    std::pair<routing::configuration_version, turns::map_epoch> saved_{};
+    /// Identifies a state; of two states on one node, the later has the higher revision.
+    struct state_revision {
+        routing::configuration_version configuration = routing::no_version;
+        turns::map_epoch stores = 0;
+        std::uint64_t evacuations = 0;
+
+        auto operator<=>(const state_revision&) const = default;
+    };
+    [[nodiscard]] static state_revision revision_of(const directory_state& state);
+
+    /// Revision of the last saved state.
+    state_revision saved_;
     instant saved_at_{};
     /// Index of the file to write next.
     std::size_t next_ = 0;
--- a/src/tallyfold/plane/directory/directory_client_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.cpp
@@ -29,10 +29,10 @@
     process_.run_every(settings_.report_interval, [this] { report(); });
 }
 
-void directory_client::share_list(discovery::backend_list_replica& list,
-                                  std::function<void(bool changed)> on_list) {
-    list_ = &list;
-    on_list_ = std::move(on_list);
+void directory_client::share_list(discovery::backend_list& list,
+                                  std::function<void(const discovery::list_changes&)> on_list) {
+    list_.emplace(list);
+    list_->on_list = std::move(on_list);
 }
 
 void directory_client::add_seeds(const std::vector<std::string>& peers) {
@@ -48,37 +48,93 @@
     auto link = std::make_shared<messaging::peer_link>(process_.loop(), address);
     links_[address] = link;
     link->start(
-        [this, address](const messaging::peer_message& message) {
-            if (const auto* answer = std::get_if<node_report_answer>(&message)) {
-                on_answer(address, *answer);
-            } else if (const auto* part = std::get_if<configuration_part>(&message)) {
-                on_part(address, *part);
-            } else if (on_other_message_) {
-                on_other_message_(message);
-            }
-        },
+        [this, address](const messaging::peer_message& message) { on_message(address, message); },
         [this, address](bool up, const std::string& reason) {
-            if (up && version() == routing::no_version) {
-                report();
-            }
-            if (!up) {
-                fetch_.on_disconnect(address);
-            }
-            messaging::log_link_state(address, "directory", up, reason);
+            on_link_state(address, up, reason);
         });
 }
 
-node_report directory_client::make_report() const {
+void directory_client::on_message(const node_name& from, const messaging::peer_message& message) {
+    if (const auto* answer = std::get_if<node_report_answer>(&message)) {
+        on_answer(from, *answer);
+    } else if (const auto* part = std::get_if<configuration_part>(&message)) {
+        on_part(from, *part);
+    } else if (const auto* status = std::get_if<discovery::list_status>(&message)) {
+        on_list_status(from, *status);
+    } else if (const auto* list_part = std::get_if<discovery::list_part>(&message)) {
+        on_list_part(from, *list_part);
+    } else if (const auto* evacuations = std::get_if<evacuation_status>(&message)) {
+        on_evacuations(*evacuations);
+    } else if (on_other_message_) {
+        on_other_message_(message);
+    }
+}
+
+void directory_client::on_evacuations(const evacuation_status& status) {
+    // A directory node that lags may still hold an older status.
+    if (status.revision > evacuation_revision_ && on_evacuated_zones_) {
+        evacuation_revision_ = status.revision;
+        on_evacuated_zones_(status.zones);
+    }
+}
+
+void directory_client::on_link_state(const node_name& address, bool up, const std::string& reason) {
+    if (up && version() == routing::no_version) {
+        report();
+    }
+    if (!up) {
+        fetch_.on_disconnect(address);
+    }
+    if (!up && list_) {
+        list_->fetch.on_disconnect(address);
+    }
+    messaging::log_link_state(address, "directory", up, reason);
+}
+
+void directory_client::on_list_status(const node_name& from, const discovery::list_status& status) {
+    active_nodes_ = status.active_nodes;
+    if (!list_) {
+        return;
+    }
+    const instant before = list_->list.last_polled_at();
+    const auto request = list_->fetch.on_status(from, status, http::steady_now());
+    if (request) {
+        send_to(from, *request);
+    } else if (list_->list.last_polled_at() != before) {
+        list_->on_list({});
+    }
+}
+
+void directory_client::on_list_part(const node_name& from, const discovery::list_part& part) {
+    if (!list_) {
+        return;
+    }
+    const discovery::list_fetch::progress progress =
+        list_->fetch.receive(from, part, http::steady_now());
+    if (progress.next) {
+        send_to(from, *progress.next);
+    }
+    if (!progress.problem.empty()) {
+        logging::write_event(logging::event_id::backend_list_fetch_failed,
+                             "from=" + from + " reason=\"" + progress.problem + "\"");
+    }
+    if (progress.changes) {
+        list_->on_list(*progress.changes);
+    }
+}
+
+node_report directory_client::make_report(protocol::format_version format) {
     node_report report;
     report.node = process_.settings().node;
     report.stores = stores_.epoch;
     report.configuration = version();
     report.wants_configuration = settings_.wants_configuration;
-    report.wants_list = list_ != nullptr;
-    if (list_ != nullptr) {
-        report.list = list_->fingerprint();
-        const duration age = http::steady_now() - list_->last_polled_at();
-        report.list_age_ms = static_cast<std::uint32_t>(list_->known() ? to_milliseconds(age) : 0);
+    report.wants_list = list_.has_value();
+    if (list_ && list_->list.known()) {
+        const bool is_earlier = format < protocol::format_version::v3;
+        report.list = is_earlier ? list_->earlier_format.fingerprint() : list_->list.fingerprint();
+        const duration age = http::steady_now() - list_->list.last_polled_at();
+        report.list_age_ms = static_cast<std::uint32_t>(to_milliseconds(age));
     }
     if (describe_store_) {
         report.store = describe_store_();
@@ -107,13 +163,12 @@
     const instant now = http::steady_now();
     log_loss(now);
     renew_proof(now);
-    const node_report report = make_report();
     if (settings_.reports_to_all) {
         for (const auto& [address, link] : links_) {
-            link->send(report);
+            link->send(make_report(link->peer_format()));
         }
     } else if (const messaging::link_pointer link = next_link(protocol::oldest_format)) {
-        link->send(report);
+        link->send(make_report(link->peer_format()));
     }
 }
 
@@ -147,7 +202,7 @@
     if (!link) {
         return;
     }
-    node_report report = make_report();
+    node_report report = make_report(link->peer_format());
     report.question = proofs_.start_question(http::steady_now());
     link->send(report);
 }
@@ -205,8 +260,8 @@
         }
     }
     for (const discovery::list_update& update : answer.list) {
-        if (list_ != nullptr) {
-            on_list_(list_->apply_update(update, last_answer_at_));
+        if (list_) {
+            list_->on_list(list_->earlier_format.receive(update, last_answer_at_));
         }
     }
 }
--- a/src/tallyfold/plane/directory/directory_client_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.hpp
@@ -16,6 +16,8 @@
 #include "tallyfold/plane/directory/configuration_fetch.hpp"
 #include "tallyfold/plane/directory/configuration_proofs.hpp"
 #include "tallyfold/plane/directory/messages.hpp"
+#include "tallyfold/plane/discovery/earlier_format_list.hpp"
+#include "tallyfold/plane/discovery/list_fetch.hpp"
 #include "tallyfold/plane/messaging/peer_link_shell.hpp"
 #include "tallyfold/plane/process/node_process_shell.hpp"
 
@@ -43,9 +45,13 @@
     void start(configuration_handler on_configuration, stores_handler on_stores,
                std::function<std::vector<store_report>()> describe_store);
     /// Keeps `list` up to date with the directory nodes' list of back ends.
-    /// @param on_list called after each answer that contains the list
-    void share_list(discovery::backend_list_replica& list,
-                    std::function<void(bool changed)> on_list);
+    /// @param list outlives this client
+    /// @param on_list called with what changed each time some node has polled the list, also when
+    /// nothing changed
+    void share_list(discovery::backend_list& list,
+                    std::function<void(const discovery::list_changes&)> on_list);
+    /// Number of active nodes that a directory node has named last; 0 when unknown.
+    [[nodiscard]] std::size_t active_nodes() const { return active_nodes_; }
     /// Merges a group's map that was received from another source.
     void merge_map(const turns::store_map& map);
     /// Waits until it is proved that this node holds the configuration that was the newest at the
@@ -68,6 +74,10 @@
         std::function<void(const std::vector<discovery::relayed_failure>&)> handler) {
         on_relayed_failures_ = std::move(handler);
     }
+    /// @param handler receives the zones whose back ends must get no new requests, when they change
+    void on_evacuated_zones(std::function<void(const std::vector<std::string>&)> handler) {
+        on_evacuated_zones_ = std::move(handler);
+    }
     /// Records the leader named by a directory node, unless its term is older than the known one.
     void update_leader(const node_name& leader, consensus::term_number term);
     /// Address of the leader in the newest known term; empty when unknown.
@@ -81,7 +91,8 @@
 
   private:
     void report();
-    [[nodiscard]] node_report make_report() const;
+    /// @param format newest format that the directory node supports
+    [[nodiscard]] node_report make_report(protocol::format_version format);
     /// Returns the next connected directory node, in round-robin order, that supports `format`;
     /// null when there is none.
     messaging::link_pointer next_link(protocol::format_version format);
@@ -102,8 +113,14 @@
     void wake_waiters();
     void add_address(const std::string& address);
     void on_answer(const node_name& from, const node_report_answer& answer);
-    /// Merges the store groups and the list of back ends in an answer.
+    /// Merges the store groups and, from nodes of earlier formats, the list in an answer.
     void merge_stores_and_list(const node_report_answer& answer);
+    void on_list_status(const node_name& from, const discovery::list_status& status);
+    void on_evacuations(const evacuation_status& status);
+    void on_list_part(const node_name& from, const discovery::list_part& part);
+    /// Dispatches a message of a directory node.
+    void on_message(const node_name& from, const messaging::peer_message& message);
+    void on_link_state(const node_name& address, bool up, const std::string& reason);
 
     net::node_process& process_;
     directory_client_settings settings_;
@@ -119,8 +136,21 @@
     configuration_handler on_configuration_;
     stores_handler on_stores_;
     std::function<std::vector<store_report>()> describe_store_;
-    discovery::backend_list_replica* list_ = nullptr;
-    std::function<void(bool changed)> on_list_;
+    /// The list of back ends with its transfer; empty for nodes that do not use it.
+    struct shared_list {
+        explicit shared_list(discovery::backend_list& target)
+            : list(target), fetch(target), earlier_format(target) {}
+        discovery::backend_list& list;
+        discovery::list_fetch fetch;
+        discovery::earlier_format_list earlier_format;
+        std::function<void(const discovery::list_changes&)> on_list;
+    };
+
+    std::optional<shared_list> list_;
+    std::size_t active_nodes_ = 0;
+    std::function<void(const std::vector<std::string>&)> on_evacuated_zones_;
+    /// Revision of the evacuated zones that this node holds.
+    std::uint64_t evacuation_revision_ = 0;
     std::function<void(const messaging::peer_message&)> on_other_message_;
     std::function<void(const std::vector<discovery::relayed_failure>&)> on_relayed_failures_;
     node_name leader_;
--- a/src/tallyfold/plane/directory/directory_core.hpp
+++ b/src/tallyfold/plane/directory/directory_core.hpp
@@ -51,9 +51,11 @@
     /// Records the format that a node supports.
     /// @param node its name, or the address of a directory node
     void record_peer_format(const node_name& node, protocol::format_version format, instant now);
-    /// False while some node may support only format v1, which cannot represent tenants. True once
-    /// the state requires format v2.
-    [[nodiscard]] bool may_apply_tenants(instant now) const;
+    /// False while some node may not support `format`, so that nothing may be committed that
+    /// requires it. True once the state requires it.
+    [[nodiscard]] bool may_use_format(protocol::format_version format, instant now) const;
+    /// The evacuated zones, for the nodes that report.
+    [[nodiscard]] evacuation_status evacuations() const;
     [[nodiscard]] const format_tracker& formats() const { return formats_; }
     /// True when this replica has halted because it cannot read what its group has committed.
     [[nodiscard]] bool is_halted() const { return halted_; }
--- a/src/tallyfold/plane/directory/directory_core_reports.cpp
+++ b/src/tallyfold/plane/directory/directory_core_reports.cpp
@@ -45,8 +45,8 @@
     }
 }
 
-bool directory_core::may_apply_tenants(instant now) const {
-    if (state_.needs_second_format()) {
+bool directory_core::may_use_format(protocol::format_version format, instant now) const {
+    if (state_.oldest_usable_format() >= format) {
         return true;
     }
     std::vector<node_name> others;
@@ -55,8 +55,14 @@
             others.push_back(member.node);
         }
     }
-    return formats_.all_support(protocol::format_version::v2, others) &&
-           !formats_.active_node_below(protocol::format_version::v2, now);
+    return formats_.all_support(format, others) && !formats_.active_node_below(format, now);
+}
+
+evacuation_status directory_core::evacuations() const {
+    const zone_evacuations& applied = state_.evacuations();
+    const zone_evacuations& previous = previous_state_.evacuations();
+    const zone_evacuations& newest = applied.revision() >= previous.revision() ? applied : previous;
+    return {newest.revision(), newest.zones()};
 }
 
 void directory_core::log_format_wait(const std::string& what, const node_name& node, instant now) {
--- a/src/tallyfold/plane/directory/directory_links_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_links_shell.cpp
@@ -8,23 +8,18 @@
 
 namespace tallyfold::directory {
 
-directory_links::directory_links(net::node_process& process,
-                                 std::function<void(const node_report_answer&)> on_report_answer)
-    : process_(process), on_report_answer_(std::move(on_report_answer)) {}
+directory_links::directory_links(net::node_process& process, message_handler on_message)
+    : process_(process), on_message_(std::move(on_message)) {}
 
 messaging::peer_link& directory_links::link_to(const node_name& address) {
     messaging::link_pointer& link = links_[address];
     if (!link) {
         link = std::make_shared<messaging::peer_link>(process_.loop(), address);
-        link->start(
-            [this](const messaging::peer_message& message) {
-                if (const auto* answer = std::get_if<node_report_answer>(&message)) {
-                    on_report_answer_(*answer);
-                }
-            },
-            [address](bool up, const std::string& reason) {
-                messaging::log_link_state(address, "directory", up, reason);
-            });
+        link->start([this, address](
+                        const messaging::peer_message& message) { on_message_(address, message); },
+                    [address](bool up, const std::string& reason) {
+                        messaging::log_link_state(address, "directory", up, reason);
+                    });
     }
     return *link;
 }
@@ -57,8 +52,13 @@
     return converted.has_value();
 }
 
-void directory_links::send(const node_name& address, const node_report& report) {
-    link_to(address).send(report);
+void directory_links::send(const node_name& address, const messaging::peer_message& message) {
+    link_to(address).send(message);
+}
+
+protocol::format_version directory_links::peer_format(const node_name& address) const {
+    const auto link = links_.find(address);
+    return link == links_.end() ? protocol::oldest_format : link->second->peer_format();
 }
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/directory/directory_links_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_links_shell.hpp
@@ -16,14 +16,18 @@
 
 class directory_links {
   public:
-    /// @param on_report_answer called with each answer to a report sent over a link
-    directory_links(net::node_process& process,
-                    std::function<void(const node_report_answer&)> on_report_answer);
+    /// Handles a message received over the link to the node `from`.
+    using message_handler =
+        std::function<void(const node_name& from, const messaging::peer_message& message)>;
+
+    directory_links(net::node_process& process, message_handler on_message);
 
     /// Sends a message of the core; drops messages to this node itself or without an address.
     void send(addressed_message message);
     /// Sends to the directory node at `address` ("ip:port").
-    void send(const node_name& address, const node_report& report);
+    void send(const node_name& address, const messaging::peer_message& message);
+    /// The newest format that the node at `address` is known to support.
+    [[nodiscard]] protocol::format_version peer_format(const node_name& address) const;
 
   private:
     /// Converts a message for a node that supports only format v1.
@@ -32,7 +36,7 @@
     messaging::peer_link& link_to(const node_name& address);
 
     net::node_process& process_;
-    std::function<void(const node_report_answer&)> on_report_answer_;
+    message_handler on_message_;
     std::map<node_name, messaging::link_pointer> links_;
     /// Number of messages not sent because their receiver could not have read them.
     std::uint64_t withheld_ = 0;
--- a/src/tallyfold/plane/directory/directory_metrics.hpp
+++ b/src/tallyfold/plane/directory/directory_metrics.hpp
@@ -18,6 +18,11 @@
           part_bytes_sent(net::add_counter(registry,
                                            "tallyfold_directory_configuration_part_bytes_total",
                                            "Bytes of those parts")),
+          list_parts_sent(net::add_counter(registry, "tallyfold_directory_backend_list_parts_total",
+                                           "Parts of the list of back ends that were sent")),
+          list_part_bytes_sent(net::add_counter(registry,
+                                                "tallyfold_directory_backend_list_part_bytes_total",
+                                                "Bytes of those parts")),
           proofs_given(
               net::add_counter(registry, "tallyfold_directory_configuration_proofs_total",
                                "Questions answered with proof that nothing newer was in force")),
@@ -31,6 +36,9 @@
           nodes_in_second_format(
               net::add_gauge(registry, "tallyfold_directory_nodes_in_second_format",
                              "Nodes heard of lately that know the second form of messages")),
+          nodes_in_third_format(
+              net::add_gauge(registry, "tallyfold_directory_nodes_in_third_format",
+                             "Nodes heard of lately that know the third form of messages")),
           is_halted(net::add_gauge(registry, "tallyfold_directory_stands_still",
                                    "1 while this node can't read what its group committed")) {}
 
@@ -41,17 +49,22 @@
             static_cast<double>(core.formats().count(format_version::v1, now)));
         nodes_in_second_format.Set(
             static_cast<double>(core.formats().count(format_version::v2, now)));
+        nodes_in_third_format.Set(
+            static_cast<double>(core.formats().count(format_version::v3, now)));
         is_halted.Set(core.is_halted() ? 1 : 0);
     }
 
     prometheus::Counter& writes;
     prometheus::Counter& parts_sent;
     prometheus::Counter& part_bytes_sent;
+    prometheus::Counter& list_parts_sent;
+    prometheus::Counter& list_part_bytes_sent;
     prometheus::Counter& proofs_given;
     prometheus::Gauge& version;
     prometheus::Gauge& nodes_behind;
     prometheus::Gauge& nodes_in_first_format;
     prometheus::Gauge& nodes_in_second_format;
+    prometheus::Gauge& nodes_in_third_format;
     prometheus::Gauge& is_halted;
 };
 
--- a/src/tallyfold/plane/directory/directory_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_shell.cpp
@@ -42,6 +42,8 @@
     void start_timers();
     void receive(const messaging::channel_pointer& channel, const messaging::peer_message& message);
     void on_storage_lost();
+    /// Handles a message received over a link to another directory node.
+    void receive_over_link(const node_name& from, const messaging::peer_message& message);
     void request_list_from_leader();
     void check_propagation();
     void tick();
@@ -66,7 +68,9 @@
       metrics_(process_.metrics()),
       replica_(process_, metrics_, make_replica_handlers()),
       links_(process_,
-             [this](const node_report_answer& answer) { list_.on_leader_answer(answer); }),
+             [this](const node_name& from, const messaging::peer_message& message) {
+                 receive_over_link(from, message);
+             }),
       list_(process_, lists, replica_.core()),
       propagation_(metrics_),
       reports_(metrics_, list_, propagation_),
@@ -109,6 +113,8 @@
         reports_.answer(core, channel, *report);
     } else if (const auto* request = std::get_if<configuration_request>(&message)) {
         reports_.answer(core, channel, *request);
+    } else if (const auto* request = std::get_if<discovery::list_request>(&message)) {
+        reports_.answer(channel, *request);
     } else if (const auto* failure = std::get_if<discovery::failure_report>(&message)) {
         reports_.record_failure(*failure);
     } else if (const auto* spent = std::get_if<tenants::permit_report>(&message)) {
@@ -117,9 +123,28 @@
     replica_.run_work();
 }
 
+void directory_node::receive_over_link(const node_name& from,
+                                       const messaging::peer_message& message) {
+    std::optional<discovery::list_request> next;
+    if (const auto* status = std::get_if<discovery::list_status>(&message)) {
+        next = list_.on_leader_status(from, *status);
+    } else if (const auto* part = std::get_if<discovery::list_part>(&message)) {
+        next = list_.on_leader_part(from, *part);
+    } else if (const auto* answer = std::get_if<node_report_answer>(&message)) {
+        list_.on_leader_answer(*answer);
+    }
+    if (next) {
+        links_.send(from, *next);
+    }
+}
+
 void directory_node::request_list_from_leader() {
-    if (const auto question = list_.list_request()) {
-        links_.send(replica_.core()->leader_address(), *question);
+    if (!replica_.core()) {
+        return;
+    }
+    const node_name leader = replica_.core()->leader_address();
+    if (const auto report = list_.leader_report(links_.peer_format(leader))) {
+        links_.send(leader, *report);
     }
 }
 
@@ -128,6 +153,7 @@
     if (replica_.core()) {
         propagation_.on_applied(replica_.core()->state().configuration().version, now);
         metrics_.observe(*replica_.core(), now);
+        reports_.set_active_nodes(replica_.core()->formats().active_count(now));
     }
     propagation_.check(now);
 }
--- a/src/tallyfold/plane/directory/directory_state.cpp
+++ b/src/tallyfold/plane/directory/directory_state.cpp
@@ -16,6 +16,8 @@
         }
     } else if (const auto* change = std::get_if<change_store_groups>(&command)) {
         change_groups(*change);
+    } else if (const auto* order = std::get_if<evacuate_zone>(&command)) {
+        evacuations_.apply(*order);
     } else {
         retire(std::get<retire_store>(command));
     }
@@ -62,12 +64,17 @@
     return {};
 }
 
-bool directory_state::needs_second_format() const {
+protocol::format_version directory_state::oldest_usable_format() const {
+    if (evacuations_.revision() != 0) {
+        return protocol::format_version::v3;
+    }
     const auto lost_majority = [](const turns::store_map& map) {
         return map.after_loss || !map.absent.empty();
     };
-    return !configuration_->tenants.empty() ||
-           std::any_of(stores_.groups.begin(), stores_.groups.end(), lost_majority);
+    const bool needs_second =
+        !configuration_->tenants.empty() ||
+        std::any_of(stores_.groups.begin(), stores_.groups.end(), lost_majority);
+    return needs_second ? protocol::format_version::v2 : protocol::format_version::v1;
 }
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/directory/directory_state.hpp
+++ b/src/tallyfold/plane/directory/directory_state.hpp
@@ -1,7 +1,7 @@
 #pragma once
 /// @file
-/// The replicated state of the directory: the configuration in force, the store groups, and the
-/// retired disks. A deterministic state machine.
+/// The replicated state of the directory: the configuration in force, the store groups, the
+/// retired disks, and the evacuated zones. A deterministic state machine.
 
 #include <map>
 #include <memory>
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tallyfold/base/protocol/binary_codec.hpp"
+#include "tallyfold/plane/directory/zone_evacuations.hpp"
 #include "tallyfold/plane/routing/configuration.hpp"
 #include "tallyfold/plane/turns/types.hpp"
 
@@ -53,7 +54,8 @@
 
 using routing::configuration_pointer;
 
-using directory_command = std::variant<replace_configuration, change_store_groups, retire_store>;
+using directory_command =
+    std::variant<replace_configuration, change_store_groups, retire_store, evacuate_zone>;
 
 class directory_state {
   public:
@@ -70,22 +72,32 @@
     /// Disks that are retired, by ID, with their node.
     [[nodiscard]] const std::map<turns::store_id, node_name>& retired() const { return retired_; }
 
+    [[nodiscard]] const zone_evacuations& evacuations() const { return evacuations_; }
+
     /// Serializes the state, compressed when it is large.
     [[nodiscard]] std::string to_bytes() const;
     /// Restores a state from to_bytes() of this build or an earlier one; no bytes restore an empty
     /// state. The state is unchanged on error.
     tl::expected<void, protocol::decode_error> restore(const std::string& bytes);
-    /// True when builds that support only format v1 cannot read the state.
-    [[nodiscard]] bool needs_second_format() const;
+    /// The oldest format that can represent the state.
+    [[nodiscard]] protocol::format_version oldest_usable_format() const;
 
     template <class Archive>
     void save(Archive& archive) const {
         archive(*configuration_, text_, stores_, retired_);
+        if (archive.format() >= protocol::format_version::v3) {
+            archive(evacuations_);
+        } else if (evacuations_.revision() != 0) {
+            protocol::report_unsupported(archive, "evacuated zones");
+        }
     }
     template <class Archive>
     void load(Archive& archive) {
         routing::configuration configuration;
         archive(configuration, text_, stores_, retired_);
+        if (archive.format() >= protocol::format_version::v3) {
+            archive(evacuations_);
+        }
         configuration_ = std::make_shared<const routing::configuration>(std::move(configuration));
     }
 
@@ -97,6 +109,7 @@
     std::string text_;
     turns::store_table stores_;
     std::map<turns::store_id, node_name> retired_;
+    zone_evacuations evacuations_;
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/directory/format_tracker.cpp
+++ b/src/tallyfold/plane/directory/format_tracker.cpp
@@ -41,6 +41,12 @@
     });
 }
 
+std::size_t format_tracker::active_count(instant now) const {
+    return static_cast<std::size_t>(std::count_if(
+        nodes_.begin(), nodes_.end(),
+        [&](const auto& entry) { return now - entry.second.last_seen <= active_window; }));
+}
+
 std::size_t format_tracker::count(protocol::format_version format, instant now) const {
     return static_cast<std::size_t>(
         std::count_if(nodes_.begin(), nodes_.end(), [&](const auto& entry) {
--- a/src/tallyfold/plane/directory/format_tracker.hpp
+++ b/src/tallyfold/plane/directory/format_tracker.hpp
@@ -27,6 +27,8 @@
     /// True when each of these nodes is known to support `format`, whether or not it is active.
     [[nodiscard]] bool all_support(protocol::format_version format,
                                    const std::vector<node_name>& nodes) const;
+    /// Number of active nodes of any format.
+    [[nodiscard]] std::size_t active_count(instant now) const;
     /// Number of active nodes whose newest format is `format`.
     [[nodiscard]] std::size_t count(protocol::format_version format, instant now) const;
 
--- a/src/tallyfold/plane/directory/messages.hpp
+++ b/src/tallyfold/plane/directory/messages.hpp
@@ -148,6 +148,19 @@
     }
 };
 
+/// Zones whose back ends must get no new requests; sent with each answer to a report once there has
+/// been an evacuation.
+struct evacuation_status {
+    /// The status with the highest revision applies.
+    std::uint64_t revision = 0;
+    std::vector<std::string> zones;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(revision, zones);
+    }
+};
+
 /// Request of a directory node that is not a member to become one.
 struct join_request {
     consensus::replica_id replica = consensus::no_replica;
--- a/src/tallyfold/plane/directory/report_service_shell.cpp
+++ b/src/tallyfold/plane/directory/report_service_shell.cpp
@@ -11,9 +11,16 @@
     const instant now = http::steady_now();
     node_report_answer answer = core.receive(report, now, channel->peer_format());
     propagation_.on_report(report, now);
-    answer.list = list_.changes_for(report, now);
     answer.backend_failures = failures_.recent(now);
+    const bool fetches_list = channel->peer_format() >= protocol::format_version::v3;
+    if (!fetches_list) {
+        answer.list = list_.changes_for(report, now);
+    }
     channel->send(answer);
+    if (fetches_list && report.wants_list) {
+        channel->send(list_.status(active_nodes_, now));
+        send_evacuations(core, channel);
+    }
     if (report.question != 0) {
         const request_token token = next_question_++;
         questions_[token] = {channel, report};
@@ -29,6 +36,22 @@
     channel->send(part);
 }
 
+void report_service::send_evacuations(const directory_core& core,
+                                      const messaging::channel_pointer& channel) {
+    const evacuation_status status = core.evacuations();
+    if (status.revision != 0) {
+        channel->send(status);
+    }
+}
+
+void report_service::answer(const messaging::channel_pointer& channel,
+                            const discovery::list_request& request) {
+    const discovery::list_part part = list_.answer(request, http::steady_now());
+    metrics_.list_parts_sent.Increment();
+    metrics_.list_part_bytes_sent.Increment(static_cast<double>(part.bytes.size()));
+    channel->send(part);
+}
+
 void report_service::record_failure(const discovery::failure_report& report) {
     failures_.add(report.backend, http::steady_now());
 }
--- a/src/tallyfold/plane/directory/report_service_shell.hpp
+++ b/src/tallyfold/plane/directory/report_service_shell.hpp
@@ -27,6 +27,9 @@
                 const node_report& report);
     void answer(directory_core& core, const messaging::channel_pointer& channel,
                 const configuration_request& request);
+    void answer(const messaging::channel_pointer& channel, const discovery::list_request& request);
+    /// Sets the number of active nodes, which is sent with the status of the list.
+    void set_active_nodes(std::size_t count) { active_nodes_ = count; }
     /// Records a back end's failure that a node reported.
     void record_failure(const discovery::failure_report& report);
     /// Answers the question for which the core has completed a proof. Without proof, the question
@@ -36,6 +39,10 @@
     void drop_questions() { questions_.clear(); }
 
   private:
+    /// Sends the evacuated zones, if there has been an evacuation.
+    static void send_evacuations(const directory_core& core,
+                                 const messaging::channel_pointer& channel);
+
     /// A question of a node that waits for a proof.
     struct pending_question {
         std::weak_ptr<messaging::frame_channel> channel;
@@ -48,6 +55,7 @@
     failure_relay failures_;
     std::map<request_token, pending_question> questions_;
     request_token next_question_ = 1;
+    std::size_t active_nodes_ = 0;
 };
 
 }  // namespace tallyfold::directory
--- a/src/tallyfold/plane/directory/stored_formats.cpp
+++ b/src/tallyfold/plane/directory/stored_formats.cpp
@@ -32,7 +32,7 @@
 /// True when builds that support only format v1 can read the uncompressed state. The configuration
 /// comes first, and the whole state has the same format.
 bool is_first_format_of_state(std::string_view plain) {
-    return !configuration::is_in_second_format(plain);
+    return !protocol::leading_format_number(plain) && !configuration::is_in_second_format(plain);
 }
 
 tl::expected<void, encode_error> commands_to_first_format(
@@ -63,7 +63,8 @@
 }  // namespace
 
 std::string state_on_disk(const directory_state& state) {
-    return state.needs_second_format() ? state.to_bytes() : protocol::encode_stored(state);
+    const bool is_first = state.oldest_usable_format() == protocol::oldest_format;
+    return is_first ? protocol::encode_stored(state) : state.to_bytes();
 }
 
 std::string state_on_disk(const std::string& packed) {
--- a/src/tallyfold/plane/forwarding/backend_registry.cpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/plane/forwarding/backend_registry.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace tallyfold::forwarding {
 
@@ -20,27 +21,84 @@
 }
 
 bool backend_registry::update(const std::vector<discovery::listed_backend>& backends, instant now) {
-    std::map<std::string, std::vector<backend_member>> listed;
+    std::set<backend_name> listed;
+    discovery::list_changes changes;
     for (const discovery::listed_backend& backend : backends) {
-        listed[backend.service].push_back(backend.member);
+        listed.insert(backend.member.name);
+        const backend_state* known = state_of(backend.service).pool.find(backend.member.name);
+        if (known == nullptr || !(known->member == backend.member)) {
+            changes.changed.push_back(backend);
+        }
     }
-    listed_at_ = now;
+    for (const auto& [service, state] : services_) {
+        for (const auto& [name, known] : state.pool.all()) {
+            if (!listed.contains(name)) {
+                changes.removed.push_back(name);
+            }
+        }
+    }
+    apply(changes, now);
+    return !changes.changed.empty() || !changes.removed.empty();
+}
+
+void backend_registry::apply(const discovery::list_changes& changes, instant polled_at) {
+    listed_at_ = polled_at;
     has_backend_list_ = true;
-    if (listed == listed_) {
-        return false;
+    for (const backend_name& name : changes.removed) {
+        remove(name);
     }
-    listed_ = std::move(listed);
-    for (const auto& [service, members] : listed_) {
-        state_of(service);
+    for (const discovery::listed_backend& backend : changes.changed) {
+        service_state& service = state_of(backend.service);
+        if (service.pool.find(backend.member.name) == nullptr) {
+            // The back end may have been listed for another service.
+            remove(backend.member.name);
+        }
+        service.pool.insert(backend.member);
+        service.pool.set_evacuated(backend.member.name,
+                                   evacuated_zones_.contains(backend.member.zone));
+        service.subset.insert(backend.member.name);
     }
+}
+
+void backend_registry::remove(const backend_name& name) {
     for (auto& [service, state] : services_) {
-        const auto members = listed_.find(service);
-        const bool listed_now = members != listed_.end();
-        const auto current = listed_now ? members->second : std::vector<backend_member>{};
-        state.pool.update(current);
-        state.subset.update(current);
+        state.pool.remove(name);
+        state.subset.remove(name);
     }
-    return true;
+}
+
+void backend_registry::set_evacuated_zones(std::set<std::string> zones) {
+    evacuated_zones_ = std::move(zones);
+    for (auto& [service, state] : services_) {
+        for (const auto& [name, backend] : state.pool.all()) {
+            const bool evacuated = evacuated_zones_.contains(backend.member.zone);
+            if (backend.evacuated != evacuated) {
+                state.pool.set_evacuated(name, evacuated);
+            }
+        }
+    }
+}
+
+bool backend_registry::is_evacuated(const std::string& service) const {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return false;
+    }
+    bool has_evacuated = false;
+    for (const auto& [name, backend] : found->second.pool.all()) {
+        if (!backend.leaving()) {
+            return false;
+        }
+        has_evacuated = has_evacuated || backend.evacuated;
+    }
+    return has_evacuated;
+}
+
+bool backend_registry::may_resume_at(const std::string& service, const backend_name& name) const {
+    const auto found = services_.find(service);
+    const backend_state* backend =
+        found == services_.end() ? nullptr : found->second.pool.find(name);
+    return backend != nullptr && !backend->evacuated;
 }
 
 std::optional<chosen_backend> backend_registry::choose(const selection_request& question,
--- a/src/tallyfold/plane/forwarding/backend_registry.hpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,18 @@
                      scheduling::strategy chosen = scheduling::strategy::policy,
                      settings::disabled_mechanisms disabled = {});
 
+    /// Applies what changed in the list of back ends. @param polled_at when the list was polled
+    void apply(const discovery::list_changes& changes, instant polled_at);
     /// Replaces the list of back ends. @return true when it differs from the previous one
     bool update(const std::vector<discovery::listed_backend>& backends, instant now);
+    /// Excludes the back ends of these zones from new calls, and admits those of all others.
+    void set_evacuated_zones(std::set<std::string> zones);
+    /// True when the service has back ends that are excluded only because their zones are
+    /// evacuated, and no others.
+    [[nodiscard]] bool is_evacuated(const std::string& service) const;
+    /// True unless the back end has left or its zone is evacuated; for a call that resumes where it
+    /// ran.
+    [[nodiscard]] bool may_resume_at(const std::string& service, const backend_name& name) const;
     /// Selects a back end for a call by the rules of backend_selection.
     /// @return nothing when no back end of the service is eligible
     std::optional<chosen_backend> choose(const selection_request& question, instant now);
@@ -94,6 +105,7 @@
     };
 
     service_state& state_of(const std::string& service);
+    void remove(const backend_name& name);
     [[nodiscard]] const scheduling::backend_state* find(const backend_name& name) const;
     [[nodiscard]] bool is_disabled(settings::mechanism asked) const {
         return disabled_.contains(asked);
@@ -104,9 +116,8 @@
     random_source random_;
     settings::disabled_mechanisms disabled_;
     backend_selector selector_;
-    /// Current list of back ends by service.
-    std::map<std::string, std::vector<scheduling::backend_member>> listed_;
     std::map<std::string, service_state> services_;
+    std::set<std::string> evacuated_zones_;
     /// Prompt prefixes cached by the engines of all services.
     scheduling::cache_map cache_{max_cached_prefixes};
     reported_failures reported_;
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/plane/forwarding/forwarder_shell.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 
 #include "tallyfold/base/common/hash.hpp"
@@ -53,8 +54,10 @@
     /// Starts listening for callers and readiness checks. @return the error; empty on success
     std::string listen();
     void apply_configuration(const directory::configuration_pointer& configuration);
-    /// Applies the current list of back ends. @param changed whether it differs from the last one
-    void apply_backend_list(bool changed);
+    /// Applies a newly polled list of back ends. @param changes its differences from the last one
+    void apply_backend_list(const discovery::list_changes& changes);
+    /// True when this node should poll the list of back ends itself.
+    [[nodiscard]] bool should_poll_list() const;
     /// Records back-end failures reported by other nodes.
     void apply_reported_failures(const std::vector<discovery::relayed_failure>& reported);
     /// Reads the policy file. When that fails, the previous policy stays in effect.
@@ -76,7 +79,9 @@
     tenants::quota_client quotas_;
     turns::turn_client turns_;
     discovery::list_poller poller_;
-    discovery::backend_list_replica list_;
+    discovery::backend_list list_;
+    /// When this process started.
+    instant started_at_;
     call_ranking ranking_;
     forwarder_context context_;
     caller_listener callers_;
@@ -98,6 +103,7 @@
       quotas_(process_, directory_),
       turns_(process_, [this](const turns::store_map& map) { directory_.merge_map(map); }),
       poller_(process_, lists),
+      started_at_(http::steady_now()),
       context_{process_, codec,    directory_, quotas_, turns_, backends_, connections_,
                metrics_, ranking_, {},         nullptr, {},     false},
       callers_(context_),
@@ -117,18 +123,35 @@
                              " tenants=" + std::to_string(configuration->tenants.size()));
 }
 
-void forwarder_node::apply_backend_list(bool changed) {
-    backends_.update(list_.backends(), list_.last_polled_at());
-    if (!changed) {
+void forwarder_node::apply_backend_list(const discovery::list_changes& changes) {
+    if (!list_.known()) {
         return;
     }
-    std::size_t leaving = 0;
-    for (const discovery::listed_backend& backend : list_.backends()) {
-        leaving += backend.member.leaving ? 1 : 0;
+    backends_.apply(changes, list_.last_polled_at());
+    if (changes.changed.empty() && changes.removed.empty()) {
+        return;
     }
     logging::write_event(logging::event_id::backend_list_changed,
-                         "backends=" + std::to_string(list_.backends().size()) +
-                             " leaving=" + std::to_string(leaving));
+                         "backends=" + std::to_string(list_.size()) +
+                             " leaving=" + std::to_string(list_.leaving_count()) +
+                             " changed=" + std::to_string(changes.changed.size()) +
+                             " removed=" + std::to_string(changes.removed.size()));
+}
+
+bool forwarder_node::should_poll_list() const {
+    if (directory_.version() == routing::no_version) {
+        // Without a configuration, no request can be forwarded.
+        return false;
+    }
+    discovery::forwarder_polling polling;
+    polling.seen = list_.last_polled_at();
+    polling.started = started_at_;
+    polling.last_poll = poller_.last_poll();
+    polling.nodes = directory_.active_nodes();
+    polling.pages = list_.pages();
+    polling.phase = static_cast<double>(stable_hash(process_.settings().node)) /
+                    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return polling.should_poll(http::steady_now());
 }
 
 void forwarder_node::apply_reported_failures(
@@ -240,6 +263,11 @@
         },
         {});
     quotas_.start();
+    directory_.on_evacuated_zones([this](const std::vector<std::string>& zones) {
+        backends_.set_evacuated_zones({zones.begin(), zones.end()});
+        logging::write_event(logging::event_id::zone_evacuation_changed,
+                             "zones=" + std::to_string(zones.size()));
+    });
     directory_.on_relayed_failures([this](const std::vector<discovery::relayed_failure>& reported) {
         apply_reported_failures(reported);
     });
@@ -248,15 +276,18 @@
 void forwarder_node::subscribe_to_backend_list() {
     // The directory distributes the list; this node polls the source itself only when no update has
     // arrived for some time.
-    directory_.share_list(list_, [this](bool changed) { apply_backend_list(changed); });
+    directory_.share_list(
+        list_, [this](const discovery::list_changes& changes) { apply_backend_list(changes); });
     poller_.start(
-        [this](const std::vector<discovery::listed_backend>& backends) {
-            apply_backend_list(list_.record_poll(backends, http::steady_now()));
+        [this](const discovery::polled_list& polled) {
+            const auto changes = list_.record_poll(polled, http::steady_now());
+            if (!changes) {
+                return text_of(changes.error());
+            }
+            apply_backend_list(*changes);
+            return std::string{};
         },
-        [this, started = http::steady_now()] {
-            return discovery::should_forwarder_poll(list_.last_polled_at(), started,
-                                                    http::steady_now());
-        });
+        [this] { return should_poll_list(); });
 }
 
 void forwarder_node::start_periodic_work() {
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -73,7 +73,9 @@
             resumed ? resumed : context_.backends.choose(question, http::steady_now());
         resumed.reset();
         if (!backend) {
-            if (!co_await back_off(question.call)) {
+            // Waiting is pointless while the zones of all back ends are evacuated.
+            const bool evacuated = context_.backends.is_evacuated(question.service);
+            if (evacuated || !co_await back_off(question.call)) {
                 break;
             }
             // retry_policy allows a pause only if no tried back end ran the request, so all of them
@@ -91,6 +93,9 @@
             break;
         }
         if (step == next_step::resume) {
+            if (!context_.backends.may_resume_at(question.service, backend->name)) {
+                break;
+            }
             ++statistics_.resumes;
             resumed = backend;
         }
--- a/src/tallyfold/plane/messaging/peer_message.cpp
+++ b/src/tallyfold/plane/messaging/peer_message.cpp
@@ -18,6 +18,18 @@
     return frame;
 }
 
+std::size_t kinds_in(protocol::format_version format) {
+    switch (format) {
+        case protocol::format_version::v1:
+            return kinds_in_first_format;
+        case protocol::format_version::v2:
+            return kinds_in_second_format;
+        case protocol::format_version::v3:
+            break;
+    }
+    return std::variant_size_v<peer_message>;
+}
+
 }  // namespace
 
 std::string encode_frame(const peer_message& message) {
@@ -26,8 +38,7 @@
 
 tl::expected<std::string, protocol::encode_error> encode_frame(const peer_message& message,
                                                                protocol::format_version format) {
-    const bool is_first = format == protocol::format_version::v1;
-    if (is_first && message.index() >= kinds_in_first_format) {
+    if (message.index() >= kinds_in(format)) {
         return tl::unexpected(
             protocol::encode_error{"messages of kind " + std::to_string(message.index())});
     }
--- a/src/tallyfold/scheduling/backend_pool.cpp
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tallyfold/base/common/hash.hpp"
+
 namespace tallyfold::scheduling {
 
 namespace {
@@ -48,20 +50,41 @@
 }
 
 void backend_pool::update(const std::vector<backend_member>& members) {
-    std::map<backend_name, backend_state> next;
+    std::set<backend_name> listed;
     for (const backend_member& member : members) {
-        const auto found = backends_.find(member.name);
-        // A changed address means a new process, to which no earlier state applies.
-        const bool same =
-            found != backends_.end() && found->second.member.address == member.address;
-        backend_state state = same ? found->second : backend_state{};
-        state.member = member;
-        next.emplace(member.name, std::move(state));
+        listed.insert(member.name);
+        insert(member);
     }
-    backends_ = std::move(next);
-    by_load_.clear();
+    std::vector<backend_name> missing;
     for (const auto& [name, state] : backends_) {
-        index(state);
+        if (!listed.contains(name)) {
+            missing.push_back(name);
+        }
+    }
+    for (const backend_name& name : missing) {
+        remove(name);
+    }
+}
+
+void backend_pool::insert(const backend_member& member) {
+    const auto [found, is_new] = backends_.try_emplace(member.name);
+    backend_state& backend = found->second;
+    if (!is_new) {
+        unindex(backend);
+    }
+    if (is_new || backend.member.address != member.address) {
+        backend = backend_state{};
+        backend.name_hash = stable_hash(member.name);
+    }
+    backend.member = member;
+    index(backend);
+}
+
+void backend_pool::remove(const backend_name& name) {
+    const auto found = backends_.find(name);
+    if (found != backends_.end()) {
+        unindex(found->second);
+        backends_.erase(found);
     }
 }
 
@@ -86,6 +109,10 @@
     change(name, [&](backend_state& backend) { backend.drained = drained; });
 }
 
+void backend_pool::set_evacuated(const backend_name& name, bool evacuated) {
+    change(name, [&](backend_state& backend) { backend.evacuated = evacuated; });
+}
+
 void backend_pool::started(const backend_name& name, token_count prefill_tokens) {
     change(name, [&](backend_state& backend) {
         ++backend.own_outstanding;
--- a/src/tallyfold/scheduling/backend_pool.hpp
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -50,6 +50,8 @@
 
 struct backend_state {
     backend_member member;
+    /// stable_hash() of the name, for rendezvous hashing over the whole pool.
+    std::uint64_t name_hash = 0;
     load_report reported;
     /// This node's calls there at the time of the report; the other calls in the report are of
     /// other nodes.
@@ -60,6 +62,8 @@
     /// Gets no new work until its address changes: drained by an operator, or its incarnation was
     /// replaced.
     bool drained = false;
+    /// Gets no new work while its zone is evacuated.
+    bool evacuated = false;
     /// Latest differences between the back end's clock and the local one, each too small by the
     /// delay of the answer.
     std::vector<duration> clock_samples;
@@ -68,7 +72,9 @@
     [[nodiscard]] std::optional<duration> clock_ahead() const;
     /// This node's calls plus those of others as last reported.
     [[nodiscard]] std::uint32_t outstanding() const;
-    [[nodiscard]] bool leaving() const { return member.leaving || reported.leaving || drained; }
+    [[nodiscard]] bool leaving() const {
+        return member.leaving || reported.leaving || drained || evacuated;
+    }
 };
 
 class backend_pool {
@@ -79,10 +85,15 @@
 
     /// Replaces the membership list; back ends missing from it are dropped.
     void update(const std::vector<backend_member>& members);
+    /// Adds a back end, or changes a known one. A changed address means a new process, to which no
+    /// earlier state applies.
+    void insert(const backend_member& member);
+    void remove(const backend_name& name);
     void report(const backend_name& name, const load_report& load);
     /// @param ahead the back end's reported clock less the local one at the arrival of the report
     void add_clock_sample(const backend_name& name, duration ahead);
     void set_drained(const backend_name& name, bool drained);
+    void set_evacuated(const backend_name& name, bool evacuated);
 
     void started(const backend_name& name, token_count prefill_tokens);
     /// Records the first part of an answer: the prompt has been prefilled.
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -68,8 +68,8 @@
     backend_name chosen;
     std::uint64_t best = 0;
     for (const auto& [name, backend] : pool.all()) {
-        const std::uint64_t weight = rendezvous_weight(key_hash, name);
-        if (pool.available(backend, now) && (chosen.empty() || weight > best)) {
+        const std::uint64_t weight = rendezvous_weight(key_hash, backend.name_hash);
+        if ((chosen.empty() || weight > best) && pool.available(backend, now)) {
             chosen = name;
             best = weight;
         }
--- a/src/tallyfold/scheduling/rendezvous.hpp
+++ b/src/tallyfold/scheduling/rendezvous.hpp
@@ -13,8 +13,9 @@
 /// Weight of a back end for a key; back ends are ordered by it. Must be equal on every node and in
 /// every version, since nodes of different versions run side by side.
 /// @param key_hash stable_hash() of the key
-inline std::uint64_t rendezvous_weight(std::uint64_t key_hash, const backend_name& name) {
-    return combine_hash(key_hash, stable_hash(name));
+/// @param name_hash stable_hash() of the back end's name
+inline std::uint64_t rendezvous_weight(std::uint64_t key_hash, std::uint64_t name_hash) {
+    return combine_hash(key_hash, name_hash);
 }
 
 }  // namespace tallyfold::scheduling
--- a/tests/plane/directory/directory_core_test.cpp
+++ b/tests/plane/directory/directory_core_test.cpp
@@ -81,7 +81,7 @@
         directory_state stored;
         stored.apply(change);
         directory_state read;
-        read.restore(protocol::encode(stored));
+        read.restore(protocol::encode_as(stored, protocol::format_version::v2).value());
         CPPUNIT_ASSERT(read.configuration() == stored.configuration());
         read.restore(stored.to_bytes());
         CPPUNIT_ASSERT(read.configuration() == stored.configuration());
--- a/tests/plane/directory/mixed_formats_test.cpp
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -81,16 +81,16 @@
         const node_name earlier = group.followers().front();
         group.set_first_format(earlier, true);
         group.run(seconds(1));
-        CPPUNIT_ASSERT(!group.node(leader).may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(!group.node(leader).may_use_format(format_version::v2, group.now()));
         group.set_first_format(earlier, false);
         group.run(seconds(1));
-        CPPUNIT_ASSERT(group.node(leader).may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(group.node(leader).may_use_format(format_version::v2, group.now()));
         // A member known to support format v2 may be unreachable.
         group.cut(earlier);
         group.run(seconds(20));
-        CPPUNIT_ASSERT(group.node(leader).may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(group.node(leader).may_use_format(format_version::v2, group.now()));
         CPPUNIT_ASSERT(group.change(leader, with_tenants(50)));
-        CPPUNIT_ASSERT(group.node(leader).state().needs_second_format());
+        CPPUNIT_ASSERT(group.node(leader).state().oldest_usable_format() == format_version::v2);
     }
 
     void tenants_are_deferred_for_first_format_forwarders() {
@@ -98,13 +98,13 @@
         const node_name leader = group.run_until_led();
         directory_core& core = group.node(leader);
         core.record_peer_format("forwarder-1", format_version::v1, group.now());
-        CPPUNIT_ASSERT(!core.may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(!core.may_use_format(format_version::v2, group.now()));
         // The forwarder was replaced; the next one becomes silent.
         core.record_peer_format("forwarder-1", format_version::v2, group.now());
-        CPPUNIT_ASSERT(core.may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(core.may_use_format(format_version::v2, group.now()));
         core.record_peer_format("forwarder-2", format_version::v1, group.now());
         group.run(seconds(6));
-        CPPUNIT_ASSERT(core.may_apply_tenants(group.now()));
+        CPPUNIT_ASSERT(core.may_use_format(format_version::v2, group.now()));
     }
 
     static node_report report_of_first_format(routing::configuration_version held) {
@@ -151,7 +151,7 @@
     /// support.
     static consensus::replica_message with_later_entry(const directory_core& leader,
                                                        const node_name& follower) {
-        const std::uint64_t mark = protocol::format_version_marker | 3U;
+        const std::uint64_t mark = protocol::format_version_marker | 4U;
         consensus::append_request append;
         append.previous_index = leader.replica().log().last_index();
         append.previous_term = leader.term();
@@ -202,7 +202,7 @@
     }
 
     void snapshot_in_later_format_is_rejected() {
-        const std::uint64_t mark = protocol::format_version_marker | 3U;
+        const std::uint64_t mark = protocol::format_version_marker | 4U;
         directory_state state;
         state.apply(replace_configuration{configuration_of(46, 2), "text"});
         const auto restored =
@@ -263,7 +263,7 @@
     }
 
     void later_format_is_distinguished_from_damage() {
-        const std::uint64_t mark = protocol::format_version_marker | 3U;
+        const std::uint64_t mark = protocol::format_version_marker | 4U;
         const std::string later = std::string(reinterpret_cast<const char*>(&mark), sizeof(mark));
         const auto read = protocol::decode_stored<directory_command>(later + "whatever");
         CPPUNIT_ASSERT(!read && read.error().is_newer_format);
--- a/tests/plane/forwarding/backend_registry_test.cpp
+++ b/tests/plane/forwarding/backend_registry_test.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(all_nodes_choose_the_same_home_of_an_object);
     CPPUNIT_TEST(broken_connections_are_recorded_once_and_expire);
     CPPUNIT_TEST(relisted_service_keeps_node_specific_subset);
+    CPPUNIT_TEST(evacuated_zone_gets_no_calls);
+    CPPUNIT_TEST(service_without_zone_left_is_evacuated);
+    CPPUNIT_TEST(changes_result_in_the_same_choices_as_the_full_list);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<discovery::listed_backend> engines(std::size_t count) {
@@ -352,6 +355,86 @@
         CPPUNIT_ASSERT_EQUAL(shared_tokens + 1000,
                              registry.choose(begin_parameters(prompt), at(100))->cached_tokens);
     }
+
+    static std::vector<discovery::listed_backend> engines_in_zones(std::size_t count) {
+        std::vector<discovery::listed_backend> listed = engines(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            listed[index].member.zone = index % 2 == 0 ? "a" : "b";
+        }
+        return listed;
+    }
+
+    /// Names of the back ends that get calls of every kind: retries, calls for an object, calls of
+    /// a program with a cached prompt.
+    static std::set<std::string> chosen_for_all_kinds(backend_registry& registry, instant now) {
+        std::set<std::string> chosen;
+        for (int number = 0; number < 200; ++number) {
+            selection_request question;
+            question.service = "s";
+            question.is_engine = number % 2 == 0;
+            question.repeatable = number % 3 == 0;
+            question.program = "program-" + std::to_string(number);
+            question.object = number % 5 == 0 ? "object-" + std::to_string(number) : "";
+            if (number % 7 == 0) {
+                question.tried.insert("b1");
+            }
+            if (const auto backend = registry.choose(question, now)) {
+                chosen.insert(backend->name);
+            }
+        }
+        return chosen;
+    }
+
+    void evacuated_zone_gets_no_calls() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry registry("a", 1);
+        registry.update(engines_in_zones(8), now);
+        registry.set_evacuated_zones({"a"});
+        const std::set<std::string> odd{"b1", "b3", "b5", "b7"};
+        for (const std::string& name : chosen_for_all_kinds(registry, now)) {
+            CPPUNIT_ASSERT_MESSAGE(name, odd.contains(name));
+        }
+        CPPUNIT_ASSERT(!registry.may_resume_at("s", "b0"));
+        CPPUNIT_ASSERT(registry.may_resume_at("s", "b1"));
+        // A back end that joins the zone is excluded too.
+        registry.update(engines_in_zones(12), now);
+        CPPUNIT_ASSERT(!chosen_for_all_kinds(registry, now).contains("b10"));
+        registry.set_evacuated_zones({});
+        CPPUNIT_ASSERT(chosen_for_all_kinds(registry, now).contains("b0"));
+    }
+
+    void service_without_zone_left_is_evacuated() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry registry("a", 1);
+        registry.update(engines_in_zones(8), now);
+        CPPUNIT_ASSERT(!registry.is_evacuated("s"));
+        registry.set_evacuated_zones({"a"});
+        CPPUNIT_ASSERT(!registry.is_evacuated("s"));
+        registry.set_evacuated_zones({"a", "b"});
+        CPPUNIT_ASSERT(registry.is_evacuated("s"));
+        CPPUNIT_ASSERT(chosen_for_all_kinds(registry, now).empty());
+        CPPUNIT_ASSERT(!registry.is_evacuated("unknown"));
+    }
+
+    void changes_result_in_the_same_choices_as_the_full_list() {
+        const instant now(std::chrono::seconds(50));
+        backend_registry by_changes("zone", 1);
+        by_changes.update(engines(20), now);
+        std::vector<discovery::listed_backend> later = engines(25);
+        later.erase(later.begin() + 3);
+        later[7].member.leaving = true;
+        later[9].member.address = "10.0.0.9:1";
+        discovery::list_changes changes;
+        changes.removed = {"b3"};
+        changes.changed.assign(later.begin() + 19, later.end());
+        changes.changed.push_back(later[7]);
+        changes.changed.push_back(later[9]);
+        by_changes.apply(changes, now);
+        backend_registry by_list("zone", 1);
+        by_list.update(later, now);
+        CPPUNIT_ASSERT(!by_changes.update(later, now));
+        CPPUNIT_ASSERT(chosen_for_all_kinds(by_changes, now) == chosen_for_all_kinds(by_list, now));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(backend_registry_test);
--- a/tests/plane/messaging/format_negotiation_test.cpp
+++ b/tests/plane/messaging/format_negotiation_test.cpp
@@ -59,24 +59,26 @@
         format_negotiation server;
         const auto answer = server.receive(caller.initial_offer());
         CPPUNIT_ASSERT(answer.has_value());
-        CPPUNIT_ASSERT(server.send_format() == format_version::v2);
+        CPPUNIT_ASSERT(server.send_format() == protocol::newest_format);
         CPPUNIT_ASSERT(server.receive_format() == format_version::v1);
         const auto last = caller.receive(*answer);
         CPPUNIT_ASSERT(last.has_value());
         CPPUNIT_ASSERT(!server.receive(*last).has_value());
         for (const format_negotiation* side : {&caller, &server}) {
-            CPPUNIT_ASSERT(side->send_format() == format_version::v2);
-            CPPUNIT_ASSERT(side->receive_format() == format_version::v2);
-            CPPUNIT_ASSERT(side->common_format() == format_version::v2);
+            CPPUNIT_ASSERT(side->send_format() == protocol::newest_format);
+            CPPUNIT_ASSERT(side->receive_format() == protocol::newest_format);
+            CPPUNIT_ASSERT(side->common_format() == protocol::newest_format);
         }
     }
 
+    static constexpr auto newest_number = static_cast<format_number>(protocol::newest_format);
+
     void newer_peer_uses_newest_common_format() {
         format_negotiation server;
         const auto answer = server.receive({9, 1});
-        CPPUNIT_ASSERT(answer == (format_offer{2, 2}));
-        CPPUNIT_ASSERT(server.common_format() == format_version::v2);
-        CPPUNIT_ASSERT(!server.receive({9, 2}).has_value());
+        CPPUNIT_ASSERT(answer == (format_offer{newest_number, newest_number}));
+        CPPUNIT_ASSERT(server.common_format() == protocol::newest_format);
+        CPPUNIT_ASSERT(!server.receive({9, newest_number}).has_value());
     }
 
     /// Runs the loop until no event occurs for `idle_time`.
@@ -97,7 +99,7 @@
                                                              const peer_message& message) {
             const auto& report = std::get<directory::node_report>(message);
             reports += report.question == 7 ? 1 : 0;
-            CPPUNIT_ASSERT(channel->peer_format() == format_version::v2);
+            CPPUNIT_ASSERT(channel->peer_format() == protocol::newest_format);
             channel->send(directory::configuration_part{});
         }));
         int parts = 0;
@@ -108,7 +110,7 @@
             },
             nullptr);
         run(loop);
-        CPPUNIT_ASSERT(link->peer_format() == format_version::v2);
+        CPPUNIT_ASSERT(link->peer_format() == protocol::newest_format);
         directory::node_report report;
         report.question = 7;
         link->send(report);
--- a/tests/support/directory_group.hpp
+++ b/tests/support/directory_group.hpp
@@ -135,10 +135,11 @@
             using protocol::format_version;
             const bool first =
                 first_format_nodes_.contains(next.from) || first_format_nodes_.contains(to);
-            node(to).record_peer_format(
-                next.from,
-                first_format_nodes_.contains(next.from) ? format_version::v1 : format_version::v2,
-                now_);
+            node(to).record_peer_format(next.from,
+                                        first_format_nodes_.contains(next.from)
+                                            ? format_version::v1
+                                            : protocol::newest_format,
+                                        now_);
             if (const auto* message = std::get_if<consensus::replica_message>(&next.message.body)) {
                 const auto read = first ? reencode_replica_message(*message) : *message;
                 if (read) {
