--- a/src/tallyfold/plane/forwarding/backend_registry.cpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.cpp
@@ -5,7 +5,6 @@
 
 namespace tallyfold::forwarding {
 
-using scheduling::backend_member;
 using scheduling::backend_state;
 
 backend_registry::backend_registry(std::string zone, std::uint64_t seed,
