A directory node that polled the list itself gets the leader's list by one transfer

Change: a full list encoded earlier goes only to nodes that hold none. Test: list_of_another_poller_is_replaced_by_one_transfer, which fails without the change.

--- a/src/tallyfold/plane/discovery/list_source.cpp
+++ b/src/tallyfold/plane/discovery/list_source.cpp
@@ -46,7 +46,8 @@
     const list_fingerprint base = has_difference ? request.held : 0;
     found = find([&](const content& each) {
         const bool is_newest = each.result == list.fingerprint();
-        const bool precedes_difference = base == 0 && list.has_journal_since(each.result);
+        // A node that holds a list of its own may have polled it later than an earlier full list.
+        const bool precedes_difference = request.held == 0 && list.has_journal_since(each.result);
         return each.base == base && (is_newest || precedes_difference);
     });
     return found != contents_.end() ? *found : create(base, list);
--- a/tests/plane/discovery/list_transfer_test.cpp
+++ b/tests/plane/discovery/list_transfer_test.cpp
@@ -240,6 +240,7 @@
     CPPUNIT_TEST_SUITE(list_transfer_test);
     CPPUNIT_TEST(start_of_all_nodes_sends_the_list_once);
     CPPUNIT_TEST(full_list_is_encoded_once_while_it_changes);
+    CPPUNIT_TEST(list_of_another_poller_is_replaced_by_one_transfer);
     CPPUNIT_TEST(change_is_sent_as_a_difference);
     CPPUNIT_TEST(unusable_content_is_requested_in_full);
     CPPUNIT_TEST(status_of_older_list_is_ignored);
@@ -277,6 +278,19 @@
         }
     }
 
+    /// Transfers what the status asks for. @return number of contents that were transferred
+    static int transfer(list_fetch& fetch, list_source& source, const backend_list& list,
+                        instant now) {
+        list_status status;
+        status.list = list.fingerprint();
+        auto next = fetch.on_status("d", status, now);
+        const int started = next ? 1 : 0;
+        while (next) {
+            next = fetch.receive("d", source.answer(*next, list, now), now).next;
+        }
+        return started;
+    }
+
     void full_list_is_encoded_once_while_it_changes() {
         backend_list list(journal_entries);
         list_source source;
@@ -288,20 +302,34 @@
             backend_list node;
             list_fetch fetch(node);
             // One whole list, then the difference to the newest.
-            for (int transfer = 0; transfer < 2; ++transfer) {
-                list_status status;
-                status.list = list.fingerprint();
-                auto next = fetch.on_status("d", status, now);
-                while (next) {
-                    next = fetch.receive("d", source.answer(*next, list, now), now).next;
-                }
-            }
+            transfer(fetch, source, list, now);
+            transfer(fetch, source, list, now);
             CPPUNIT_ASSERT(node.fingerprint() == list.fingerprint());
         }
         // Each round encodes one difference at most, besides the one whole list.
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, source.encoded_count());
     }
 
+    void list_of_another_poller_is_replaced_by_one_transfer() {
+        const auto at = [](int seconds) { return instant(std::chrono::seconds(seconds)); };
+        polled_list polled = list_of(1'000);
+        backend_list list(journal_entries);
+        list_source source;
+        list.record_poll(polled, at(1));
+        backend_list empty;
+        list_fetch empty_fetch(empty);
+        transfer(empty_fetch, source, list, at(1));
+        // Later than the full list that the source has encoded, earlier than the newest.
+        backend_list own;
+        own.record_poll(list_of(900), at(2));
+        list_fetch fetch(own);
+        polled.backends.front().member.leaving = true;
+        list.record_poll(polled, at(3));
+        CPPUNIT_ASSERT_EQUAL(1, transfer(fetch, source, list, at(4)));
+        CPPUNIT_ASSERT(own.fingerprint() == list.fingerprint());
+        CPPUNIT_ASSERT_EQUAL(0, transfer(fetch, source, list, at(5)));
+    }
+
     void change_is_sent_as_a_difference() {
         transfer_simulation simulation(200);
         polled_list polled = list_of(2'000);
