--- a/src/tallyfold/plane/discovery/backend_list.cpp
+++ b/src/tallyfold/plane/discovery/backend_list.cpp
@@ -148,7 +148,8 @@
         if (known.poll == poll_) {
             continue;
         }
-        if (!has_unnamed && !rejected_names.contains(name)) {
+        const bool may_be_unnamed = has_unnamed && poll_ - known.poll <= max_missing_polls;
+        if (!may_be_unnamed && !rejected_names.contains(name)) {
             changes.removed.push_back(name);
         } else if (!known.backend.member.leaving) {
             changes.changed.push_back(known.backend);
--- a/src/tallyfold/plane/discovery/backend_list.hpp
+++ b/src/tallyfold/plane/discovery/backend_list.hpp
@@ -56,13 +56,18 @@
 
 class backend_list {
   public:
+    /// Number of polls for which a missing back end may be the one of an unnamed rejected entry. An
+    /// entry that stays unreadable would otherwise keep all back ends that leave.
+    static constexpr std::uint64_t max_missing_polls = 60;
+
     /// @param max_journal_entries number of changed entries up to which earlier lists are kept as
     /// differences; 0 for nodes that send the list to nobody
     explicit backend_list(std::size_t max_journal_entries = 0)
         : max_journal_entries_(max_journal_entries) {}
 
-    /// Records a list that this node has polled. A known back end whose entry is rejected, or that
-    /// is missing while some rejected entry does not name its back end, stays known as leaving.
+    /// Records a list that this node has polled. A known back end whose entry is rejected stays
+    /// known as leaving; so does one that is missing while some rejected entry does not name its
+    /// back end, for max_missing_polls.
     /// @return what changed
     tl::expected<list_changes, list_failure> record_poll(const polled_list& polled, instant now);
     /// Applies a content from another node.
--- a/tests/plane/discovery/backend_list_test.cpp
+++ b/tests/plane/discovery/backend_list_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(poll_without_back_ends_keeps_the_list);
     CPPUNIT_TEST(rejected_back_end_stays_known_as_leaving);
     CPPUNIT_TEST(missing_back_end_may_be_the_unnamed_rejected_one);
+    CPPUNIT_TEST(unreadable_entry_does_not_keep_back_ends_for_good);
     CPPUNIT_TEST(first_of_repeated_entries_applies);
     CPPUNIT_TEST(content_with_other_result_leaves_the_list);
     CPPUNIT_TEST(difference_from_other_list_is_rejected);
@@ -91,6 +92,16 @@
         CPPUNIT_ASSERT(list.find("b0") == nullptr);
     }
 
+    void unreadable_entry_does_not_keep_back_ends_for_good() {
+        backend_list list;
+        for (std::size_t first = 0; first < 500; ++first) {
+            polled_list polled = numbered(first, first + 3);
+            polled.rejected.push_back({{}, "the entry is no JSON"});
+            list.record_poll(polled, at(0));
+            CPPUNIT_ASSERT(list.size() <= 2 * backend_list::max_missing_polls + 6);
+        }
+    }
+
     void first_of_repeated_entries_applies() {
         backend_list list;
         polled_list polled = numbered(0, 2);
