--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -137,7 +137,7 @@
     def current_members(self):
         return [{"Id": backend.instance, "Service": backend.service,
                  "Address": f"{backend.address[0]}:{backend.address[1]}", "Zone": "zone-a",
-                 "Slots": 12, "State": backend.state, "ColdRemainingMs": 0}
+                 "Slots": 12, "Version": "v1", "State": backend.state, "ColdRemainingMs": 0}
                 for backend in self.backends if backend.state != "gone"]
 
     async def start(self):
