A data folder is synced when it is opened

What callers saw: turns and configurations that had been acknowledged were gone after a loss of power, or a store served an older map again after it had refused it. Found by reading; not traced to an incident.

Cause: a file is replaced by a rename and a sync of its folder. A process that is killed between the two leaves a rename that isn't durable. The next process read the renamed segment or map, took it for durable, appended to it, removed the older segment and acknowledged; nothing synced the folder again. A loss of power then undid the rename, and with it all that had been acknowledged since.

Evidence: unsynced_folder, a folder in tests whose renames and removals last only once it is synced.

Why it works: open_folder, which turn_log and log_store share, syncs the folder before anything is read from it, so that what is read is durable before it is relied on or replaces something older. The contents need nothing: every file is synced before it is renamed, and append_file::open_at syncs the newest segment. A folder that open_folder creates is synced into its parent first; one that exists already isn't, so a kill between the two steps of the very first start remains possible there.

--- a/src/tallyfold/base/storage/file.cpp
+++ b/src/tallyfold/base/storage/file.cpp
@@ -23,6 +23,11 @@
             path + ": " + std::string(step) + ": " + std::strerror(errno)};
 }
 
+/// Folder that holds the entry of `path`.
+std::filesystem::path parent_of(const std::filesystem::path& path) {
+    return path.has_parent_path() ? path.parent_path() : std::filesystem::path(".");
+}
+
 }  // namespace
 
 append_file::append_file(std::string path, int descriptor, std::uint64_t size)
@@ -166,7 +171,7 @@
     if (::rename(replacement_path(path).c_str(), path.c_str()) != 0) {
         return tl::unexpected(system_error(path, "rename"));
     }
-    return sync_folder(std::filesystem::path(path).parent_path().string());
+    return sync_folder(parent_of(path).string());
 }
 
 tl::expected<void, storage_error> replace_file(const std::string& path, std::string_view bytes) {
@@ -197,6 +202,28 @@
     return file->sync();
 }
 
+tl::expected<void, storage_error> open_folder(const std::string& path) {
+    std::vector<std::filesystem::path> missing;
+    std::error_code failure;
+    for (std::filesystem::path folder = path; !std::filesystem::is_directory(folder, failure);
+         folder = parent_of(folder)) {
+        missing.push_back(folder);
+    }
+    while (!missing.empty()) {
+        const std::filesystem::path& folder = missing.back();
+        std::filesystem::create_directory(folder, failure);
+        if (failure) {
+            return tl::unexpected(storage_error{storage_failure::input_output,
+                                                folder.string() + ": " + failure.message()});
+        }
+        if (auto synced = sync_folder(parent_of(folder).string()); !synced) {
+            return synced;
+        }
+        missing.pop_back();
+    }
+    return sync_folder(path);
+}
+
 void remove_folder_contents(const std::string& path) {
     // An entry that can't be removed is detected and reported when the folder is opened next.
     std::error_code ignored;
--- a/src/tallyfold/base/storage/file.hpp
+++ b/src/tallyfold/base/storage/file.hpp
@@ -72,6 +72,11 @@
 /// and the new contents. For pairs of files that are written alternately.
 tl::expected<void, storage_error> overwrite_file(const std::string& path, std::string_view bytes);
 
+/// Creates the folder if it is missing, and makes its entries durable. A process that was killed
+/// may have renamed files without syncing the folder: what is read from them, and all that is
+/// appended to them, would be lost with the power.
+tl::expected<void, storage_error> open_folder(const std::string& path);
+
 /// Removes the contents of a folder; errors are ignored.
 void remove_folder_contents(const std::string& path);
 
--- a/src/tallyfold/consensus/log_store.cpp
+++ b/src/tallyfold/consensus/log_store.cpp
@@ -1,7 +1,6 @@
 #include "tallyfold/consensus/log_store.hpp"
 
 #include <filesystem>
-#include <system_error>
 
 #include "tallyfold/base/protocol/binary_codec.hpp"
 #include "tallyfold/base/storage/record_file.hpp"
@@ -56,11 +55,8 @@
                                                        consensus::replica_id initial_identity,
                                                        std::uint64_t segment_bytes,
                                                        tail_policy tail) {
-    std::error_code failure;
-    fs::create_directories(folder, failure);
-    if (failure) {
-        return tl::unexpected(
-            storage_error{storage_failure::input_output, folder + ": " + failure.message()});
+    if (auto opened = open_folder(folder); !opened) {
+        return tl::unexpected(opened.error());
     }
     log_store store(folder, segment_bytes, tail);
     if (auto loaded = store.load_identity(initial_identity); !loaded) {
--- a/src/tallyfold/plane/turns/turn_log.cpp
+++ b/src/tallyfold/plane/turns/turn_log.cpp
@@ -1,7 +1,6 @@
 #include "tallyfold/plane/turns/turn_log.hpp"
 
 #include <filesystem>
-#include <system_error>
 
 #include "tallyfold/base/protocol/stored_value.hpp"
 #include "tallyfold/base/storage/record_file.hpp"
@@ -27,11 +26,8 @@
 tl::expected<turn_log, storage_error> turn_log::open(
     const std::string& folder, store_id new_identity,
     const std::function<void(const turn_change&)>& on_change, std::uint64_t segment_bytes) {
-    std::error_code failure;
-    fs::create_directories(folder, failure);
-    if (failure) {
-        return tl::unexpected(
-            storage_error{storage_failure::input_output, folder + ": " + failure.message()});
+    if (auto opened = storage::open_folder(folder); !opened) {
+        return tl::unexpected(opened.error());
     }
     turn_log log(folder, segment_bytes);
     if (auto loaded = log.load_identity(new_identity); !loaded) {
--- a/tests/base/storage/segmented_log_test.cpp
+++ b/tests/base/storage/segmented_log_test.cpp
@@ -6,6 +6,7 @@
 
 #include "tests/support/suite.hpp"
 #include "tests/support/temporary_path.hpp"
+#include "tests/support/unsynced_folder.hpp"
 
 namespace tallyfold::tests {
 
@@ -14,6 +15,7 @@
 class segmented_log_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(segmented_log_test);
     CPPUNIT_TEST(a_failed_rewrite_loses_no_appended_records);
+    CPPUNIT_TEST(a_new_folder_is_durable_in_its_parent);
     CPPUNIT_TEST_SUITE_END();
 
     /// Prevents opening files during its lifetime.
@@ -71,6 +73,16 @@
             added ? std::vector<std::string>{"first", "second"} : std::vector<std::string>{"first"};
         CPPUNIT_ASSERT(kept == expected);
     }
+
+    // Guards against a data folder that is gone with all its files after a loss of power.
+    void a_new_folder_is_durable_in_its_parent() {
+        const unsynced_folder parent("tallyfold-data-parent");
+        const std::string folder = parent.text() + "/outer/data";
+        CPPUNIT_ASSERT(open_folder(folder).has_value());
+        CPPUNIT_ASSERT(std::filesystem::is_directory(folder));
+        const std::set<std::string> expected{parent.text(), parent.text() + "/outer", folder};
+        CPPUNIT_ASSERT(parent.synced_folders() == expected);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(segmented_log_test);
--- a/tests/consensus/log_store_test.cpp
+++ b/tests/consensus/log_store_test.cpp
@@ -7,6 +7,7 @@
 #include "tallyfold/base/storage/record_format.hpp"
 #include "tests/support/suite.hpp"
 #include "tests/support/temporary_path.hpp"
+#include "tests/support/unsynced_folder.hpp"
 
 namespace tallyfold::tests {
 
@@ -22,6 +23,7 @@
     CPPUNIT_TEST(rotation_keeps_the_live_state);
     CPPUNIT_TEST(a_live_state_over_the_segment_size_is_not_written_with_each_entry);
     CPPUNIT_TEST(arbitrary_bytes_after_a_record_are_truncated_or_refused);
+    CPPUNIT_TEST(entries_after_an_interrupted_rotation_survive_a_loss_of_power);
     CPPUNIT_TEST_SUITE_END();
 
     static std::vector<consensus::group_write> entries(consensus::log_index from,
@@ -149,6 +151,37 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{80}, group.entries.size());
     }
 
+    /// Guards against acknowledged entries that are lost with the power, because the process before
+    /// was killed between the rename of the segment and the sync of the folder.
+    void entries_after_an_interrupted_rotation_survive_a_loss_of_power() {
+        constexpr std::uint64_t segment_bytes = 512;
+        const auto open_in = [](const unsynced_folder& folder) {
+            auto opened = log_store::open(folder.text(), 77, segment_bytes);
+            CPPUNIT_ASSERT_MESSAGE(opened ? "" : opened.error().detail, opened.has_value());
+            return std::move(*opened);
+        };
+        unsynced_folder folder("store");
+        consensus::log_index last = 0;
+        {
+            log_store store = open_in(folder);
+            folder.refuse_syncs(true);
+            while (store.write(entries(last + 1, last + 1))) {
+                ++last;
+            }
+            folder.refuse_syncs(false);
+        }
+        {
+            log_store store = open_in(folder);
+            last = store.recovered().groups.at(1).entries.back().index + 1;
+            CPPUNIT_ASSERT(store.write(entries(last, last)).has_value());
+        }
+        folder.lose_power();
+        const log_store reopened = open_in(folder);
+        const auto group = reopened.recovered().groups.find(1);
+        CPPUNIT_ASSERT(group != reopened.recovered().groups.end());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{last}, group->second.entries.size());
+    }
+
     void arbitrary_bytes_after_a_record_are_truncated_or_refused() {
         check_property("a scan never reads beyond the end", [] {
             const std::string noise = *any_bytes();
--- a/tests/plane/turns/turn_log_test.cpp
+++ b/tests/plane/turns/turn_log_test.cpp
@@ -4,6 +4,7 @@
 
 #include "tests/support/suite.hpp"
 #include "tests/support/temporary_path.hpp"
+#include "tests/support/unsynced_folder.hpp"
 
 namespace tallyfold::tests {
 
@@ -14,6 +15,8 @@
     CPPUNIT_TEST_SUITE(turn_log_test);
     CPPUNIT_TEST(rotation_writes_each_page_before_it_reads_the_next);
     CPPUNIT_TEST(rotation_preserves_the_contents_of_the_table);
+    CPPUNIT_TEST(turns_after_an_interrupted_rotation_survive_a_loss_of_power);
+    CPPUNIT_TEST(a_map_read_after_an_interrupted_save_survives_a_loss_of_power);
     CPPUNIT_TEST_SUITE_END();
 
     static turn_settlement turn(const std::string& request, std::size_t bytes) {
@@ -21,9 +24,11 @@
                 turn_record{request, "", std::string(bytes, 'i'), std::string(bytes, 'o')}};
     }
 
-    turn_log open(turn_table& table) const {
+    turn_log open(turn_table& table) const { return open(table, folder_.text()); }
+
+    static turn_log open(turn_table& table, const std::string& folder) {
         auto opened = turn_log::open(
-            folder_.text(), 7, [&table](const turn_change& change) { table.apply(change, {}); });
+            folder, 7, [&table](const turn_change& change) { table.apply(change, {}); });
         CPPUNIT_ASSERT(opened.has_value());
         return std::move(*opened);
     }
@@ -80,6 +85,58 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, log.truncated_bytes());
     }
 
+    /// Guards against acknowledged turns that are lost with the power, because the process before
+    /// was killed between the rename of the segment and the sync of the folder.
+    void turns_after_an_interrupted_rotation_survive_a_loss_of_power() {
+        unsynced_folder folder("turns");
+        {
+            turn_table table;
+            turn_log log = open(table, folder.text());
+            CPPUNIT_ASSERT(log.append({turn("first", 10)}).has_value());
+            table.apply(turn("first", 10), {});
+            folder.refuse_syncs(true);
+            CPPUNIT_ASSERT(!log.rotate([&table](const std::string& after) {
+                                   return table.page_after(after, {}, 2'000);
+                               })
+                                .has_value());
+            folder.refuse_syncs(false);
+        }
+        {
+            turn_table table;
+            turn_log log = open(table, folder.text());
+            CPPUNIT_ASSERT(table.holds_turn("first"));
+            CPPUNIT_ASSERT(log.append({turn("second", 10)}).has_value());
+        }
+        folder.lose_power();
+        turn_table read_back;
+        open(read_back, folder.text());
+        CPPUNIT_ASSERT(read_back.holds_turn("first"));
+        CPPUNIT_ASSERT(read_back.holds_turn("second"));
+    }
+
+    static store_map map_with_epoch(map_epoch epoch) {
+        store_map map;
+        map.epoch = epoch;
+        return map;
+    }
+
+    /// Guards against a store that serves an older map again after it has refused it.
+    void a_map_read_after_an_interrupted_save_survives_a_loss_of_power() {
+        unsynced_folder folder("turns");
+        turn_table table;
+        {
+            turn_log log = open(table, folder.text());
+            CPPUNIT_ASSERT(log.save_map(map_with_epoch(4)).has_value());
+            folder.refuse_syncs(true);
+            CPPUNIT_ASSERT(!log.save_map(map_with_epoch(5)).has_value());
+            folder.refuse_syncs(false);
+        }
+        const map_epoch read = open(table, folder.text()).load_map().value().epoch;
+        CPPUNIT_ASSERT_EQUAL(map_epoch{5}, read);
+        folder.lose_power();
+        CPPUNIT_ASSERT_EQUAL(read, open(table, folder.text()).load_map().value().epoch);
+    }
+
     const temporary_path folder_{"turns"};
 };
 
