A damaged folder loses its identity first when it is emptied

What callers saw: nothing yet; found by reading for the same cause as the sync at open. A store or a directory node could go on under its identity without what it had acknowledged under it, so that a quorum that counts it is no quorum.

Cause: remove_folder_contents removed a damaged folder's files in any order and synced nothing. A loss of power right after it keeps or undoes each removal independently: the identity may be back while the segments are gone. turn_log then opened an empty log under that identity, and log_store an empty replica that may vote a second time in a term. turn_log also took a folder with segments and no identity for a new one.

Evidence: an_identity_never_outlives_the_turns_of_a_cleared_folder draws which removals last.

Why it works: the identity's removal is durable before any other file is removed, and a folder that has files but no identity is damaged, for turn_log as for log_store, so that an interrupted removal is continued. A failure to remove the identity is logged, and the folder isn't opened.

--- a/src/tallyfold/base/storage/file.cpp
+++ b/src/tallyfold/base/storage/file.cpp
@@ -224,7 +224,15 @@
     return sync_folder(path);
 }
 
-void remove_folder_contents(const std::string& path) {
+tl::expected<void, storage_error> remove_folder_contents(const std::string& path,
+                                                         const std::string& marker) {
+    const std::string marker_path = path + "/" + marker;
+    if (::unlink(marker_path.c_str()) != 0 && errno != ENOENT) {
+        return tl::unexpected(system_error(marker_path, "remove"));
+    }
+    if (auto synced = sync_folder(path); !synced) {
+        return synced;
+    }
     // An entry that can't be removed is detected and reported when the folder is opened next.
     std::error_code ignored;
     std::vector<std::filesystem::path> entries;
@@ -234,6 +242,7 @@
     for (const std::filesystem::path& entry : entries) {
         std::filesystem::remove_all(entry, ignored);
     }
+    return {};
 }
 
 tl::expected<void, storage_error> sync_folder(const std::string& path) {
--- a/src/tallyfold/base/storage/file.hpp
+++ b/src/tallyfold/base/storage/file.hpp
@@ -77,8 +77,12 @@
 /// appended to them, would be lost with the power.
 tl::expected<void, storage_error> open_folder(const std::string& path);
 
-/// Removes the contents of a folder; errors are ignored.
-void remove_folder_contents(const std::string& path);
+/// Removes the contents of a folder.
+/// @param marker file that is removed, durably, before all others. Without it, a folder that lost
+/// only some of its files to an interrupted removal could pass for a complete one.
+/// @return an error when the marker can't be removed; nothing else is removed then
+tl::expected<void, storage_error> remove_folder_contents(const std::string& path,
+                                                         const std::string& marker);
 
 /// Syncs the directory entries of the folder.
 tl::expected<void, storage_error> sync_folder(const std::string& path);
--- a/src/tallyfold/consensus/log_store.cpp
+++ b/src/tallyfold/consensus/log_store.cpp
@@ -72,6 +72,10 @@
     return store;
 }
 
+tl::expected<void, storage_error> log_store::clear(const std::string& folder) {
+    return remove_folder_contents(folder, std::string(identity_name));
+}
+
 tl::expected<void, storage_error> log_store::load_identity(consensus::replica_id initial_identity) {
     const std::string path = folder_ + "/" + std::string(identity_name);
     if (fs::exists(path)) {
--- a/src/tallyfold/consensus/log_store.hpp
+++ b/src/tallyfold/consensus/log_store.hpp
@@ -30,6 +30,9 @@
         std::uint64_t segment_bytes = default_segment_bytes,
         tail_policy tail = tail_policy::refuse);
 
+    /// Empties a damaged folder, so that open() initializes it anew.
+    static tl::expected<void, storage_error> clear(const std::string& folder);
+
     tl::expected<void, storage_error> write(
         const std::vector<consensus::group_write>& batch) override;
 
--- a/src/tallyfold/plane/directory/directory_replica_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_replica_shell.cpp
@@ -65,11 +65,15 @@
     process_.run_after(reopen_interval, [this] { start(); });
 }
 
-void directory_replica::clear_damaged_folder(const std::string& reason) {
+bool directory_replica::clear_damaged_folder(const std::string& reason) {
     // The folder's contents are not reliable: this node starts as a new replica and obtains the
     // state from its peers.
     logging::write_event(logging::event_id::identity_renewed, "reason=\"" + reason + "\"");
-    storage::remove_folder_contents(process_.settings().data_folder);
+    const auto cleared = storage::log_store::clear(process_.settings().data_folder);
+    if (!cleared) {
+        log_storage_failure(cleared.error().detail);
+    }
+    return cleared.has_value();
 }
 
 bool directory_replica::open() {
@@ -82,7 +86,9 @@
     auto opened = open_as(new_identity(settings));
     // Data in another build's format is intact, so the folder is kept for a build that can read it.
     if (!opened && opened.error().failure == storage::storage_failure::damaged) {
-        clear_damaged_folder(opened.error().detail);
+        if (!clear_damaged_folder(opened.error().detail)) {
+            return false;
+        }
         opened = open_as(random_nonzero());
     }
     if (!opened) {
--- a/src/tallyfold/plane/directory/directory_replica_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_replica_shell.hpp
@@ -45,7 +45,8 @@
     /// @return false when the folder cannot be read or written; the reason is logged
     bool open();
     void schedule_reopen();
-    void clear_damaged_folder(const std::string& reason);
+    /// @return false when the folder can't be emptied yet
+    bool clear_damaged_folder(const std::string& reason);
     /// @return false when the write failed; the core is then destroyed
     bool make_durable(const consensus::group_write& write);
     /// @return false when the core was destroyed
--- a/src/tallyfold/plane/turns/store_folder_shell.cpp
+++ b/src/tallyfold/plane/turns/store_folder_shell.cpp
@@ -54,7 +54,10 @@
         // The other stores hold the lost data, which this store copies under a new identity.
         logging::write_event(logging::event_id::identity_renewed,
                              "reason=\"" + opened.error().detail + "\"");
-        storage::remove_folder_contents(folder);
+        if (const auto cleared = turn_log::clear(folder); !cleared) {
+            log_failure(cleared.error());
+            return std::nullopt;
+        }
         recovered = turn_table{};
         opened = read_folder(folder, recovered);
     }
--- a/src/tallyfold/plane/turns/turn_log.cpp
+++ b/src/tallyfold/plane/turns/turn_log.cpp
@@ -39,9 +39,20 @@
     return log;
 }
 
+tl::expected<void, storage_error> turn_log::clear(const std::string& folder) {
+    return storage::remove_folder_contents(folder, std::string(identity_file_name));
+}
+
 tl::expected<void, storage_error> turn_log::load_identity(store_id new_identity) {
     const std::string path = folder_ + "/" + std::string(identity_file_name);
     if (!fs::exists(path)) {
+        for (const auto& entry : fs::directory_iterator(folder_)) {
+            const std::string name = entry.path().filename().string();
+            if (name.starts_with(segment_prefix) || name == map_file_name) {
+                return tl::unexpected(storage_error{
+                    storage_failure::damaged, path + ": missing, while the folder has " + name});
+            }
+        }
         identity_ = new_identity;
         return storage::replace_file(path, storage::single_record(protocol::encode(new_identity)));
     }
--- a/src/tallyfold/plane/turns/turn_log.hpp
+++ b/src/tallyfold/plane/turns/turn_log.hpp
@@ -32,6 +32,9 @@
         const std::function<void(const turn_change&)>& on_change,
         std::uint64_t segment_bytes = default_segment_bytes);
 
+    /// Empties a damaged folder, so that open() stores a new identity.
+    static tl::expected<void, storage::storage_error> clear(const std::string& folder);
+
     /// Appends and syncs the changes. After an error the log is unusable until rotate() succeeds.
     tl::expected<void, storage::storage_error> append(const std::vector<turn_change>& changes);
     /// Writes a new segment from the pages of `read_page`, and removes the older ones.
--- a/tests/plane/turns/turn_log_test.cpp
+++ b/tests/plane/turns/turn_log_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(rotation_preserves_the_contents_of_the_table);
     CPPUNIT_TEST(turns_after_an_interrupted_rotation_survive_a_loss_of_power);
     CPPUNIT_TEST(a_map_read_after_an_interrupted_save_survives_a_loss_of_power);
+    CPPUNIT_TEST(an_identity_never_outlives_the_turns_of_a_cleared_folder);
     CPPUNIT_TEST_SUITE_END();
 
     static turn_settlement turn(const std::string& request, std::size_t bytes) {
@@ -137,6 +138,25 @@
         CPPUNIT_ASSERT_EQUAL(read, open(table, folder.text()).load_map().value().epoch);
     }
 
+    /// Guards against a store that answers under its identity without the turns that it has
+    /// acknowledged.
+    void an_identity_never_outlives_the_turns_of_a_cleared_folder() {
+        check_property("an identity has its turns", [](std::uint64_t seed) {
+            random_source random(seed);
+            unsynced_folder folder("turns");
+            turn_table none;
+            CPPUNIT_ASSERT(open(none, folder.text()).append({turn("first", 10)}).has_value());
+            (void)turn_log::clear(folder.text());
+            folder.lose_power(random);
+            turn_table read_back;
+            const auto opened = turn_log::open(
+                folder.text(), 8,
+                [&read_back](const turn_change& change) { read_back.apply(change, {}); });
+            const bool keeps_identity = opened && opened->identity() == 7;
+            RC_ASSERT(!keeps_identity || read_back.holds_turn("first"));
+        });
+    }
+
     const temporary_path folder_{"turns"};
 };
 
