A follower passes join requests on to the leader

What callers saw: no leader of the directory for good, and an acknowledged configuration gone, after disks had been lost one pair after the other, never more at a time than are tolerated.

Cause: a node with an empty disk knows no members and asks only the seeds to let it join. A seed that follows recorded the request in its own planner, which plans nothing, and nobody told the leader. As long as no seed led, the lost voters stayed in the membership and their successors stayed out, for any length of time. Two lost disks left three voters of five, with no further loss tolerated, although both machines had long been back; the next lost disk ended the quorum, for good.

Why it works: every member knows the leader, and each of a joining node's requests, one in 300 ms, is passed on. A request is passed on once in 150 ms at most, so two nodes that take each other for the leader can't exchange one endlessly. Nodes of an earlier format aren't forwarded, since the leader takes the format of a request's sender for that of the joining node.

--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -15,6 +15,9 @@
 constexpr duration retention_margin = std::chrono::seconds(15);
 /// Interval between join requests; a fraction of the time for which the leader accepts one.
 constexpr duration join_interval = std::chrono::milliseconds(300);
+/// Minimum interval between forwarded join requests of a replica. Two nodes that take each other
+/// for the leader thus don't exchange one endlessly.
+constexpr duration join_forward_interval = join_interval / 2;
 /// Time without a message from a leader after which a replica asks to join again. Longer than an
 /// election.
 constexpr duration orphan_timeout = std::chrono::milliseconds(2500);
@@ -101,6 +104,23 @@
 void directory_core::receive(const join_request& request, instant now) {
     addresses_[request.replica] = request.address;
     member_planner_.on_join(request, now);
+    forward_to_leader(request, now);
+}
+
+void directory_core::forward_to_leader(const join_request& request, instant now) {
+    const node_name leader = leader_address();
+    // The leader takes the format of the sender for the joining node's.
+    const bool has_newest_format = formats_.all_support(protocol::newest_format, {request.address});
+    if (halted_ || leads() || leader.empty() || leader == settings_.address ||
+        leader == request.address || !has_newest_format) {
+        return;
+    }
+    std::erase_if(forwarded_joins_, [&](const auto& forwarded) {
+        return now - forwarded.second >= join_forward_interval;
+    });
+    if (forwarded_joins_.try_emplace(request.replica, now).second) {
+        work_.before_sync.push_back({leader, request});
+    }
 }
 
 void directory_core::halt(const std::string& what, const std::string& reason) {
--- a/src/tallyfold/plane/directory/directory_core.hpp
+++ b/src/tallyfold/plane/directory/directory_core.hpp
@@ -111,6 +111,9 @@
     void plan_stores(instant now);
     /// Sends join requests when this node is not a member or receives no messages from a leader.
     void request_to_join(instant now);
+    /// Passes a join request on to the leader. A replica with an empty disk knows only the seeds,
+    /// and the leader need not be one of them.
+    void forward_to_leader(const join_request& request, instant now);
     [[nodiscard]] bool is_member() const;
 
     /// Moves the replica's output into work_ and `write`.
@@ -149,6 +152,8 @@
     pending_requests pending_;
     /// Address of each replica's last message, for replicas that are not in the membership.
     std::map<consensus::replica_id, node_name> addresses_;
+    /// When a join request of each replica was last forwarded to the leader.
+    std::map<consensus::replica_id, instant> forwarded_joins_;
     format_tracker formats_;
     bool halted_ = false;
     instant next_format_log_{};
