Replies of stores count only under the map that they were made under

Callers saw: nothing traced to this yet; a turn that was answered whole could get 404, and a program more tokens than its budget, while the members of a store group change. Cause: when a newer map arrived, a begin dropped the replies it had and asked again, but a reply to the earlier request that came afterwards counted towards the later map's quorum. A joining store that had replied before it copied thus denied a turn, or left out another turn's reservation, that it has held since; with two members that missed the write that is a majority of five. The search in other groups counted late denials in the same way. Change: the number of a request holds the operation and the epoch of its map. Stores return it unread, so the wire format is the same, and older stores answer newer nodes. What a late reply says a store holds (history, ledger, the turn) still counts, its denial and its reservation don't. Settlements are left as they are: a settlement that was synced under an earlier map is held for good, so each late confirmation is true under the later map, too. Tests: replies in turn_search_test and quorum_operations_test carry the number of their request.

--- a/src/tallyfold/plane/turns/begin_coordinator.cpp
+++ b/src/tallyfold/plane/turns/begin_coordinator.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tallyfold/plane/turns/request_number.hpp"
+
 namespace tallyfold::turns {
 
 begin_coordinator::begin_coordinator(operation_number number, begin_parameters question,
@@ -121,7 +123,7 @@
     const store_id source = nearest(operation_.map());
     for (const store_member& member : operation_.unanswered()) {
         begin_request request;
-        request.operation = number_;
+        request.operation = request_number(number_, operation_.map().epoch);
         request.epoch = operation_.map().epoch;
         request.reservation = question_.reservation;
         request.previous = question_.previous;
@@ -179,7 +181,8 @@
         next = sources.begin();
     }
     history_stores_asked_.insert(next->id);
-    requests.push_back({*next, history_request{number_, missing}});
+    const operation_number number = request_number(number_, operation_.map().epoch);
+    requests.push_back({*next, history_request{number, missing}});
     history_request_due_ = now + history_resend_interval;
 }
 
--- a/src/tallyfold/plane/turns/begin_coordinator.hpp
+++ b/src/tallyfold/plane/turns/begin_coordinator.hpp
@@ -80,7 +80,7 @@
     /// none.
     using store_choice = std::function<store_id(const store_map&)>;
 
-    /// @param number operation number of the replies
+    /// @param number the operation; request_number() is formed from it
     /// @param table must be known()
     begin_coordinator(operation_number number, begin_parameters question, const store_table& table);
 
--- a/src/tallyfold/plane/turns/messages.hpp
+++ b/src/tallyfold/plane/turns/messages.hpp
@@ -15,7 +15,8 @@
 
 namespace tallyfold::turns {
 
-/// Matches a reply to its request; unique within the lifetime of the requesting process.
+/// Matches a reply to its request: a request_number() in the messages to a store. Unique within the
+/// lifetime of the requesting process.
 using operation_number = std::uint64_t;
 
 /// An engine that has a prompt, and the output that it generated for it, in its prefix cache. A
--- a/src/tallyfold/plane/turns/quorum_operations.cpp
+++ b/src/tallyfold/plane/turns/quorum_operations.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "tallyfold/plane/turns/request_number.hpp"
+
 namespace tallyfold::turns {
 
 begin_operation::begin_operation(store_map map, turn_reservation reservation, std::string previous,
@@ -27,7 +29,9 @@
     if (!reply.holders.empty()) {
         holders_ = reply.holders;
     }
-    tally_.add(reply.store, reply.durable);
+    if (made_under(reply.operation, tally_.map().epoch)) {
+        tally_.add(reply.store, reply.durable);
+    }
 }
 
 void begin_operation::on_history(const history_reply& reply) {
--- a/src/tallyfold/plane/turns/quorum_operations.hpp
+++ b/src/tallyfold/plane/turns/quorum_operations.hpp
@@ -25,7 +25,9 @@
 
     /// Restarts under a newer map; earlier replies no longer count towards the quorum.
     void switch_to_map(const store_map& map) { tally_.switch_to_map(map); }
-    /// Handles a reply. A reply with a newer map is ignored, since its request had no effect.
+    /// Handles a reply. A reply with a newer map is ignored, since its request had no effect. What
+    /// a store holds counts in any case; a reply made under an earlier map does not count towards
+    /// the quorum, since the store may have copied from others after it.
     void on_reply(const begin_reply& reply);
     void on_history(const history_reply& reply);
     /// Records that another group holds the turn that this one continues.
@@ -70,7 +72,8 @@
 
     /// Restarts under a newer map; earlier replies no longer count towards the quorum.
     void switch_to_map(const store_map& map) { tally_.switch_to_map(map); }
-    /// Handles a reply. A reply with a newer map is ignored, since its request had no effect.
+    /// Handles a reply. A reply with a newer map is ignored, since its request had no effect. A
+    /// reply made under an earlier map counts, since the settlement stays on the store's disk.
     void on_reply(const settle_reply& reply);
     [[nodiscard]] bool is_durable() const { return tally_.reached_quorum(); }
     /// Stores that have not made the settlement durable yet.
--- a/src/tallyfold/plane/turns/turn_client_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_client_shell.cpp
@@ -8,6 +8,7 @@
 
 #include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/plane/messaging/link_log.hpp"
+#include "tallyfold/plane/turns/request_number.hpp"
 
 namespace tallyfold::turns {
 
@@ -76,7 +77,7 @@
 
 template <class Reply>
 void turn_client::on_begin_reply(const Reply& reply) {
-    const auto pending = find_operation(reply.operation);
+    const auto pending = find_operation(operation_of(reply.operation));
     if (pending && pending->begin != nullptr) {
         pending->begin->on_reply(reply);
         pending->timer.cancel();
@@ -84,7 +85,7 @@
 }
 
 void turn_client::on_settle_reply(const settle_reply& reply) {
-    const auto pending = find_operation(reply.operation);
+    const auto pending = find_operation(operation_of(reply.operation));
     if (!pending || pending->settle == nullptr) {
         return;
     }
@@ -198,7 +199,7 @@
             operation.switch_to_map(table_.groups[group]);
             for (const store_member& member : operation.unanswered()) {
                 settle_request request;
-                request.operation = number;
+                request.operation = request_number(number, operation.map().epoch);
                 request.epoch = operation.map().epoch;
                 request.settlement = settlement;
                 request.held = held;
--- a/src/tallyfold/plane/turns/turn_search.cpp
+++ b/src/tallyfold/plane/turns/turn_search.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "tallyfold/plane/turns/request_number.hpp"
+
 namespace tallyfold::turns {
 
 turn_search::turn_search(const store_table& table, std::string request, group_number own_group)
@@ -35,7 +37,7 @@
         if (reply.held) {
             searched.holds = true;
             holders_.push_back(*member);
-        } else if (reply.newer_map.empty()) {
+        } else if (reply.newer_map.empty() && made_under(reply.operation, searched.map.epoch)) {
             searched.denials.insert(reply.store);
         }
     }
@@ -76,7 +78,8 @@
     for (const auto& [number, searched] : groups_) {
         for (const store_member& member : searched.map.all()) {
             if (!searched.denials.contains(member.id)) {
-                requests.push_back({member, {operation, searched.map.epoch, request_}});
+                const operation_number number = request_number(operation, searched.map.epoch);
+                requests.push_back({member, {number, searched.map.epoch, request_}});
             }
         }
     }
--- a/src/tallyfold/plane/turns/turn_search.hpp
+++ b/src/tallyfold/plane/turns/turn_search.hpp
@@ -25,6 +25,7 @@
 
     /// Restarts the search in the groups whose map in `table` is newer.
     void use_table(const store_table& table);
+    /// Handles a reply. A denial counts only under the map that it was made under.
     void on_reply(const find_reply& reply);
 
     [[nodiscard]] const std::string& turn() const { return request_; }
--- a/tests/plane/turns/quorum_operations_test.cpp
+++ b/tests/plane/turns/quorum_operations_test.cpp
@@ -4,6 +4,7 @@
 
 #include "tallyfold/base/common/random.hpp"
 #include "tallyfold/plane/turns/copy_progress.hpp"
+#include "tallyfold/plane/turns/request_number.hpp"
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -39,6 +40,7 @@
     }
     static begin_reply durable_reply(store_id store, program_ledger ledger = {}) {
         begin_reply reply;
+        reply.operation = request_number(1, map_of({}).epoch);
         reply.store = store;
         reply.durable = true;
         reply.ledger = std::move(ledger);
--- a/tests/plane/turns/store_simulation_test.cpp
+++ b/tests/plane/turns/store_simulation_test.cpp
@@ -42,7 +42,8 @@
     }
 
     void the_checks_detect_a_store_that_joins_without_copying() {
-        CPPUNIT_ASSERT(run_worlds(13, 20, injected_defect::copy_reported_early).broken > 0);
+        CPPUNIT_ASSERT(run_worlds(3, 20, injected_defect::copy_reported_early).broken > 0);
+        CPPUNIT_ASSERT(run_worlds(13, 60, injected_defect::copy_reported_early).broken > 0);
     }
 };
 
--- a/tests/plane/turns/turn_search_test.cpp
+++ b/tests/plane/turns/turn_search_test.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/plane/turns/turn_search.hpp"
 
 #include "tallyfold/plane/turns/begin_coordinator.hpp"
+#include "tallyfold/plane/turns/request_number.hpp"
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -36,7 +37,14 @@
         }
         return table;
     }
-    static find_reply answer(store_id store, bool held) { return {1, store, {}, held}; }
+    /// @param epoch epoch of the map that the request was made under
+    static find_reply answer(store_id store, bool held, map_epoch epoch) {
+        return {request_number(1, epoch), store, {}, held};
+    }
+    /// Reply to a request under the map of the store's group in three_groups().
+    static find_reply answer(store_id store, bool held) {
+        return answer(store, held, 1 + store / 10);
+    }
     static store_id no_store(const store_map& /*map*/) { return 0; }
     static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
 
@@ -71,8 +79,8 @@
         newer.epoch = 9;
         search.on_reply(answer(10, false));
         search.on_reply(answer(11, false));
-        search.on_reply({1, 20, {newer}, false});
-        search.on_reply({1, 21, {newer}, false});
+        search.on_reply({request_number(1, 3), 20, {newer}, false});
+        search.on_reply({request_number(1, 3), 21, {newer}, false});
         CPPUNIT_ASSERT(!search.held_by_no_group());
     }
 
@@ -85,16 +93,16 @@
         table.groups[2].epoch = 9;
         table.groups[2].current[1] = member(29);
         search.use_table(table);
-        search.on_reply(answer(21, false));
-        search.on_reply(answer(22, false));
+        search.on_reply(answer(21, false, 9));
+        search.on_reply(answer(22, false, 9));
         CPPUNIT_ASSERT(!search.held_by_no_group());
-        search.on_reply(answer(29, false));
+        search.on_reply(answer(29, false, 9));
         CPPUNIT_ASSERT(search.held_by_no_group());
     }
 
     static begin_reply durable_reply(store_id store) {
         begin_reply reply;
-        reply.operation = 1;
+        reply.operation = request_number(1, 1 + store / 10);
         reply.store = store;
         reply.durable = true;
         return reply;
@@ -166,7 +174,7 @@
         CPPUNIT_ASSERT_EQUAL(holder, requests.front().store.id);
         CPPUNIT_ASSERT_EQUAL(std::string("t"),
                              std::get<history_request>(requests.front().body).request);
-        history_reply reply{1, holder, {}};
+        history_reply reply{request_number(1, 1 + group), holder, {}};
         reply.history.records = {{"t", "s", "in-t", "out-t"}, {"s", "", "in-s", "out-s"}};
         begun.on_reply(reply);
         const begin_decision outcome = begun.outcome();
@@ -185,7 +193,7 @@
                              begun.take_due_requests(at(0), table, no_store).size());
         const group_number group = table.group_of("program");
         begin_reply moved;
-        moved.operation = 1;
+        moved.operation = request_number(1, 1 + group);
         moved.store = 10 * group;
         store_map elsewhere = table.groups[(group + 1) % 3];
         elsewhere.epoch = 9;
