Shutdown: log the requests that the cut-off interrupts

Requests that are pending when a planned stop reaches its cut-off are reset, and left no line in the log: an operator could not tell a lost request from one that never came. requests_cut_off (3203) counts them and the settlements of turns that are not confirmed; request_cut_off (3204) gives the age, the attempts and the progress of the answer of each, at most 64 of them.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -73,6 +73,8 @@
         {event_id::backend_list_fetch_failed, event_level::warning, "backend_list_fetch_failed"},
         {event_id::request_finished, event_level::info, "request_finished"},
         {event_id::attempt_failed, event_level::warning, "attempt_failed"},
+        {event_id::requests_cut_off, event_level::warning, "requests_cut_off"},
+        {event_id::request_cut_off, event_level::warning, "request_cut_off"},
         {event_id::turn_admitted, event_level::info, "turn_admitted"},
         {event_id::turn_refused, event_level::warning, "turn_refused"},
         {event_id::turn_settled, event_level::info, "turn_settled"},
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -79,6 +79,8 @@
     backend_list_fetch_failed = 3112,
     request_finished = 3201,
     attempt_failed = 3202,
+    requests_cut_off = 3203,
+    request_cut_off = 3204,
     turn_admitted = 3301,
     turn_refused = 3302,
     turn_settled = 3303,
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -13,6 +13,8 @@
 
 /// Time limit for writing a refusal or an interim answer, which are short.
 constexpr duration write_timeout = std::chrono::seconds(2);
+/// Bounds the log of one shutdown.
+constexpr std::size_t max_logged_cut_offs = 64;
 
 }  // namespace
 
@@ -39,7 +41,13 @@
 }
 
 void caller_listener::abort_requests() {
+    std::size_t logged = 0;
     for (const auto& relay : active_requests_) {
+        if (logged < max_logged_cut_offs) {
+            ++logged;
+            logging::write_event(logging::event_id::request_cut_off,
+                                 render_cut_off_request(relay->describe_pending()));
+        }
         relay->abort_request();
     }
 }
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -69,6 +69,7 @@
     void eject_silent_backends();
     void stop();
     void continue_stop();
+    static void log_cut_off(const remaining_work& cut_off);
     [[nodiscard]] bool ready() const;
 
     net::node_process process_;
@@ -241,6 +242,9 @@
             callers_.stop_accepting();
             break;
         case shutdown_step::finish:
+            if (!remaining.empty()) {
+                log_cut_off(remaining);
+            }
             callers_.abort_requests();
             process_.run_after(stop_check_interval, [this] { process_.finish(); });
             return;
@@ -250,6 +254,12 @@
     process_.run_after(stop_check_interval, [this] { continue_stop(); });
 }
 
+void forwarder_node::log_cut_off(const remaining_work& cut_off) {
+    logging::write_event(logging::event_id::requests_cut_off,
+                         "requests=" + std::to_string(cut_off.requests) +
+                             " settlements=" + std::to_string(cut_off.settlements));
+}
+
 void forwarder_node::subscribe_to_directory() {
     directory_.start(
         [this](const directory::configuration_pointer& configuration) {
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -32,6 +32,18 @@
     caller_.abort();
 }
 
+cut_off_request request_relay::describe_pending() const {
+    cut_off_request pending;
+    pending.request = facts_.request;
+    pending.age = http::steady_now() - request_.received;
+    pending.answer_started = answer_ && answer_->progress() != answer_progress::none;
+    if (send_loop_) {
+        pending.sends = send_loop_->statistics().sends;
+        pending.attempt_open = send_loop_->has_open_attempt();
+    }
+    return pending;
+}
+
 asio::awaitable<bool> request_relay::serve() {
     const auto self = shared_from_this();
     co_await wait_until_ready();
--- a/src/tallyfold/plane/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.hpp
@@ -15,6 +15,7 @@
 #include "tallyfold/plane/forwarding/answer_rendering.hpp"
 #include "tallyfold/plane/forwarding/caller_admission_shell.hpp"
 #include "tallyfold/plane/forwarding/caller_channel_shell.hpp"
+#include "tallyfold/plane/forwarding/cut_off_request.hpp"
 #include "tallyfold/plane/forwarding/forwarded_request.hpp"
 #include "tallyfold/plane/forwarding/send_loop_shell.hpp"
 #include "tallyfold/plane/forwarding/turn_session_shell.hpp"
@@ -40,6 +41,8 @@
     asio::awaitable<bool> serve();
     /// Aborts the request at the end of a shutdown, without an answer.
     void abort_request();
+    /// State for the log of a request that is pending at the end of a shutdown.
+    [[nodiscard]] cut_off_request describe_pending() const;
 
   private:
     /// True once the node has a configuration, a list of back ends and a store table.
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -30,6 +30,7 @@
     void leave_admission();
 
     [[nodiscard]] bool may_have_run() const { return policy_.may_have_run(); }
+    [[nodiscard]] bool has_open_attempt() const { return attempt_.has_value(); }
     [[nodiscard]] const send_statistics& statistics() const { return statistics_; }
 
   private:
