Shutdown: a request that was cut off is not sent to another back end

Callers saw: at the cut-off of a planned stop their connection was reset, and a request that may run more than once then reached a second back end all the same. Other nodes heard that its first back end had broken off, and avoided it. Cause: the cut-off aborted the attempt without marking the caller as gone, so the aborted attempt counted as a failure of the back end and was retried. The mark is the one that a disconnected client sets: it ends the send loop and keeps the attempt out of the failure statistics.

--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -26,9 +26,9 @@
       admission_(context, request_.head, facts_) {}
 
 void request_relay::abort_request() {
-    if (send_loop_) {
-        send_loop_->abort_attempt();
-    }
+    // Without the mark, the aborted attempt would count as a failure of its back end, and the request
+    // would be sent to the next one.
+    on_client_disconnected();
     caller_.abort();
 }
 
--- /dev/null
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -0,0 +1,244 @@
+#pragma once
+/// @file
+/// The request path of one forwarder in a test: a caller_listener with its context, back ends and
+/// callers on loopback sockets, all on one loop. Nothing runs outside run_until() and run_turns().
+
+#include <array>
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/replica_calls.hpp"
+#include "tallyfold/plane/forwarding/caller_listener_shell.hpp"
+#include "tallyfold/plane/forwarding/forwarder_context.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+inline settings::node_settings forwarder_settings() {
+    settings::node_settings settings;
+    settings.node = "forwarder";
+    settings.zone = "zone";
+    settings.grace = std::chrono::seconds(8);
+    return settings;
+}
+
+/// How a back end treats each request.
+enum class backend_behavior : std::uint8_t { silent, rejects, answers };
+
+/// A back end that counts the requests which reach it.
+class counting_backend {
+  public:
+    counting_backend(asio::io_context& loop, backend_behavior behavior)
+        : loop_(loop),
+          acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          behavior_(behavior) {
+        accept();
+    }
+
+    [[nodiscard]] std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    /// Identifiers of the requests read so far.
+    [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
+
+  private:
+    void accept() {
+        acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            auto peer = std::make_shared<http::connection>(std::move(socket),
+                                                           http::message_kind::request, 64'000);
+            asio::co_spawn(loop_, serve(std::move(peer)), asio::detached);
+            accept();
+        });
+    }
+
+    asio::awaitable<void> serve(http::connection_pointer peer) {
+        while (true) {
+            const instant limit = http::steady_now() + std::chrono::seconds(60);
+            const auto head = co_await peer->read_head(limit);
+            if (!head) {
+                co_return;
+            }
+            const std::string id = *peer->head().headers.find("X-Request-Id");
+            requests_.push_back(id);
+            std::string answer = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n";
+            if (behavior_ == backend_behavior::rejects) {
+                answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
+            }
+            answer += "X-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+            if (behavior_ != backend_behavior::silent) {
+                co_await peer->write(std::move(answer), limit);
+            }
+            peer->next_message();
+        }
+    }
+
+    asio::io_context& loop_;
+    asio::ip::tcp::acceptor acceptor_;
+    backend_behavior behavior_;
+    std::vector<std::string> requests_;
+};
+
+/// A caller's connection; collects everything that it receives.
+class raw_caller {
+  public:
+    raw_caller(asio::io_context& loop, const asio::ip::tcp::endpoint& forwarder) : socket_(loop) {
+        socket_.connect(forwarder);
+        socket_.non_blocking(true);
+    }
+
+    void send(const std::string& bytes) {
+        std::error_code error;
+        asio::write(socket_, asio::buffer(bytes), error);
+    }
+    void close() { socket_.close(); }
+    /// Reads what has arrived. @return all bytes received so far
+    const std::string& received() {
+        std::array<char, 4'096> buffer{};
+        while (!ended_) {
+            std::error_code error;
+            const std::size_t count = socket_.read_some(asio::buffer(buffer), error);
+            if (error == asio::error::would_block) {
+                break;
+            }
+            received_.append(buffer.data(), count);
+            ended_ = static_cast<bool>(error);
+            was_reset_ = error == asio::error::connection_reset;
+        }
+        return received_;
+    }
+    [[nodiscard]] bool ended() {
+        received();
+        return ended_;
+    }
+    [[nodiscard]] bool was_reset() {
+        received();
+        return was_reset_;
+    }
+    [[nodiscard]] bool received_text(const std::string& text) {
+        return received().find(text) != std::string::npos;
+    }
+
+  private:
+    asio::ip::tcp::socket socket_;
+    std::string received_;
+    bool ended_ = false;
+    bool was_reset_ = false;
+};
+
+class forwarder_world {
+  public:
+    explicit forwarder_world(settings::node_settings settings = forwarder_settings())
+        : process(std::move(settings)),
+          metrics(process.metrics()),
+          backends("zone", 1),
+          directory(process, {}),
+          quotas(process, directory),
+          turns(process, [](const turns::store_map&) {}),
+          context{process, codec,   directory, quotas,  turns, backends, connections,
+                  metrics, ranking, {},        nullptr, {},    false},
+          callers(context) {
+        listen();
+    }
+
+    /// Puts a configuration with one repeatable and one at-most-once route into force.
+    void apply_configuration(std::uint32_t timeout_ms = 20'000) {
+        routing::configuration configuration;
+        configuration.version = ++version_;
+        configuration.services.push_back({"service", "/health", 9});
+        routing::route repeatable;
+        repeatable.name = "repeatable";
+        repeatable.host = "host";
+        repeatable.prefix = "/repeatable/";
+        repeatable.services.push_back({"service"});
+        repeatable.repeats = routing::repeatability::repeatable;
+        repeatable.timeout_ms = timeout_ms;
+        repeatable.max_attempts = 3;
+        routing::route once = repeatable;
+        once.name = "once";
+        once.prefix = "/once/";
+        once.repeats = routing::repeatability::at_most_once;
+        routing::route turn = once;
+        turn.name = "turn";
+        turn.prefix = "/turn/";
+        turn.streaming = true;
+        turn.keeps_history = true;
+        configuration.routes = {repeatable, once, turn};
+        context.routes = std::make_shared<routing::route_table>(std::move(configuration));
+    }
+
+    counting_backend& add_backend(backend_behavior behavior) {
+        running_backends_.push_back(std::make_unique<counting_backend>(process.loop(), behavior));
+        discovery::listed_backend listed;
+        listed.service = "service";
+        listed.member.name = "backend-" + std::to_string(listed_.size());
+        listed.member.address = running_backends_.back()->address();
+        listed.member.zone = "zone";
+        listed.member.listed_only = true;
+        listed_.push_back(listed);
+        backends.update(listed_, http::steady_now());
+        return *running_backends_.back();
+    }
+
+    std::unique_ptr<raw_caller> connect() {
+        return std::make_unique<raw_caller>(process.loop(), endpoint_);
+    }
+
+    static std::string request(const std::string& route, const std::string& id,
+                               const std::string& headers = {}) {
+        return "GET /" + route + "/ HTTP/1.1\r\nHost: host\r\nX-Request-Id: " + id + "\r\n" +
+               headers + "\r\n";
+    }
+
+    /// Runs the loop until the condition holds. @return false when it didn't within the limit
+    bool run_until(const std::function<bool()>& reached,
+                   duration limit = std::chrono::seconds(20)) {
+        const instant end = http::steady_now() + limit;
+        while (!reached() && http::steady_now() < end) {
+            process.loop().restart();
+            process.loop().run_one_for(std::chrono::milliseconds(5));
+        }
+        return reached();
+    }
+    void run_for(duration time) {
+        run_until([] { return false; }, time);
+    }
+
+    net::node_process process;
+    platform::replica_calls codec;
+    forwarding::forwarder_metrics metrics;
+    forwarding::backend_registry backends;
+    forwarding::connection_pool connections;
+    directory::directory_client directory;
+    tenants::quota_client quotas;
+    turns::turn_client turns;
+    forwarding::call_ranking ranking;
+    forwarding::forwarder_context context;
+    forwarding::caller_listener callers;
+
+  private:
+    void listen() {
+        asio::ip::tcp::acceptor free_port(
+            process.loop(), asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        endpoint_ = free_port.local_endpoint();
+        free_port.close();
+        const std::string problem = callers.start("127.0.0.1:" + std::to_string(endpoint_.port()));
+        CPPUNIT_ASSERT_EQUAL(std::string{}, problem);
+    }
+
+    asio::ip::tcp::endpoint endpoint_;
+    routing::configuration_version version_ = 0;
+    std::vector<discovery::listed_backend> listed_;
+    std::vector<std::unique_ptr<counting_backend>> running_backends_;
+};
+
+}  // namespace tallyfold::tests
