Shutdown: answer the requests that the cut-off ends

Callers saw: a request that still waited at the cut-off of a planned stop (for readiness, the stores, a permit, admission, or in a back-off) was reset without an answer, 50 ms before the process ended, although it had never been sent; one that was being read at that time was still sent on. Cause: the cut-off aborted all connections alike. Now decisions/request_cut_off tells them apart: a request that was never sent is answered 503 with Retry-After, and its coroutine can no longer send it; one that may have run is answered 502, which promises nothing; one whose answer has begun is reset; one whose whole answer is known goes on to be written or confirmed. shutdown_sequence has a step for this, and exits once nothing is left, at most 450 ms later, instead of 50 ms after the abort: that time was reserved for the ends of turns and was not used. A wait that has its bytes but has not resumed counts as work, too.

--- a/src/tallyfold/plane/decisions/attempt_failure.cpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.cpp
@@ -37,6 +37,8 @@
             return "other_incarnation";
         case failure_kind::not_executed:
             return "not_executed";
+        case failure_kind::shutdown:
+            return "shutdown";
         case failure_kind::none:
             break;
     }
--- a/src/tallyfold/plane/decisions/attempt_failure.hpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.hpp
@@ -40,6 +40,8 @@
     other_incarnation,
     /// The back end proved that it did not run the request.
     not_executed,
+    /// The node reached the cut-off of its shutdown.
+    shutdown,
 };
 
 struct attempt_failure {
--- a/src/tallyfold/plane/decisions/shutdown_sequence.cpp
+++ b/src/tallyfold/plane/decisions/shutdown_sequence.cpp
@@ -5,7 +5,8 @@
 namespace tallyfold::forwarding {
 
 shutdown_sequence::shutdown_sequence(instant requested_at, duration grace, duration longest_request)
-    : cut_off_at_(requested_at + grace - reserve_before_kill) {
+    : cut_off_at_(requested_at + grace - reserve_before_kill),
+      finish_at_(requested_at + grace - reserve_for_exit) {
     // The last accepted request must be able to end before the cut-off.
     const duration spare = grace - reserve_before_kill - longest_request;
     accept_until_ = requested_at + std::clamp(spare, min_accept_time, max_accept_time);
@@ -19,7 +20,15 @@
         accepting_ = false;
         return shutdown_step::stop_accepting;
     }
-    if (accepting_ || (!left.empty() && now < cut_off_at_)) {
+    if (accepting_) {
+        return shutdown_step::wait;
+    }
+    if (!left.empty() && !cut_off_ && now >= cut_off_at_) {
+        cut_off_ = true;
+        return shutdown_step::cut_off;
+    }
+    const bool time_is_over = cut_off_ && now >= finish_at_;
+    if (!left.empty() && !time_is_over) {
         return shutdown_step::wait;
     }
     finished_ = true;
--- a/src/tallyfold/plane/decisions/shutdown_sequence.hpp
+++ b/src/tallyfold/plane/decisions/shutdown_sequence.hpp
@@ -23,7 +23,9 @@
     wait,
     /// Close the listener and all connections without a pending request.
     stop_accepting,
-    /// No work is pending, or the time is over.
+    /// The time is over: end the requests that are pending.
+    cut_off,
+    /// No work is pending, or the process must exit before it is killed.
     finish,
 };
 
@@ -32,6 +34,8 @@
     /// Time before the kill at which pending work is cut off, so that ends of turns can be written
     /// and connections closed.
     static constexpr duration reserve_before_kill = std::chrono::milliseconds(600);
+    /// Time before the kill at which the process exits even if some work is left.
+    static constexpr duration reserve_for_exit = std::chrono::milliseconds(150);
     /// The platform probes readiness once per second and acts on the second failed probe, so
     /// requests are accepted for at least two periods and a margin. A longer time only helps
     /// callers that the platform redirects slowly.
@@ -50,7 +54,9 @@
   private:
     instant accept_until_;
     instant cut_off_at_;
+    instant finish_at_;
     bool accepting_ = true;
+    bool cut_off_ = false;
     bool finished_ = false;
 };
 
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -106,6 +106,7 @@
         }
         body += *piece;
     } while (!connection->message_complete());
+    received_ = true;
     if (caller_.disconnected()) {
         co_return answered();
     }
@@ -125,6 +126,7 @@
     std::string outgoing = begin_stream(head);
     const bool resumable_stream = success && chunked_ && request_.route.resumable;
     bool complete = false;
+    received_ = false;
     while (!complete) {
         auto piece = co_await connection->read_body_chunk(request_.budget.deadline());
         if (!piece) {
@@ -133,6 +135,7 @@
             co_return result;
         }
         complete = connection->message_complete();
+        received_ = complete;
         if (resumable_stream && !retain_complete_events(*piece, complete)) {
             co_return relay_failure(failure_kind::event_missing);
         }
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -37,6 +37,9 @@
     void record_pace(instant sent, instant now);
 
     [[nodiscard]] answer_progress progress() const;
+    /// True when the whole answer was received, so that only its write or the confirmation of its
+    /// turn is pending.
+    [[nodiscard]] bool is_received() const { return received_; }
     /// True when the caller received only a part of an answer.
     [[nodiscard]] bool is_truncated() const { return started_ && !fully_relayed_; }
     /// Status of the last relayed answer; 0 without one.
@@ -79,6 +82,7 @@
     /// Complete events of a resumable stream that were relayed to the caller.
     http::event_boundary_filter relayed_events_;
     stream_pace pace_;
+    bool received_ = false;
     bool started_ = false;
     bool fully_relayed_ = false;
     /// True when the caller's answer is chunked; determined by the first relayed head.
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -97,6 +97,7 @@
     const instant until = request_.budget.attempt_deadline(now, parameters_.reserves_retry_time);
     // From here on the back end may have received the request.
     result.end = attempt_end::may_have_run;
+    may_have_run_ = true;
     const auto written = co_await connection_->write(std::move(bytes), until);
     if (!written) {
         result.failure = {failure_kind::write, http::name_of(written.error())};
@@ -156,6 +157,7 @@
 asio::awaitable<attempt_result> backend_attempt::handle_rejection(answer_metadata facts) {
     attempt_result result;
     result.end = attempt_end::not_run;
+    may_have_run_ = false;
     if (facts.wrong_incarnation) {
         result.failure.kind = failure_kind::other_incarnation;
         context_.backends.incarnation_replaced(request_.service.name, parameters_.backend.name);
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
@@ -33,6 +33,9 @@
     asio::awaitable<attempt_result> run();
     /// Cancels a running attempt by aborting its connection.
     void abort();
+    /// True once bytes of the request may have reached the back end, unless it has proved that it
+    /// did not run the request.
+    [[nodiscard]] bool may_have_run() const { return may_have_run_; }
 
   private:
     /// Takes an idle connection from the pool or opens a new one.
@@ -68,6 +71,7 @@
     attempt_parameters parameters_;
     http::connection_pointer connection_;
     backend_call call_;
+    bool may_have_run_ = false;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -40,14 +40,23 @@
     }
 }
 
+void caller_listener::cut_off_requests() {
+    cut_off_ = true;
+    for (const auto& relay : active_requests_) {
+        cut_off(*relay);
+    }
+}
+
+void caller_listener::cut_off(request_relay& relay) {
+    const cut_off_request ended = relay.cut_off();
+    if (logged_cut_offs_ < max_logged_cut_offs) {
+        ++logged_cut_offs_;
+        logging::write_event(logging::event_id::request_cut_off, render_cut_off_request(ended));
+    }
+}
+
 void caller_listener::abort_requests() {
-    std::size_t logged = 0;
     for (const auto& relay : active_requests_) {
-        if (logged < max_logged_cut_offs) {
-            ++logged;
-            logging::write_event(logging::event_id::request_cut_off,
-                                 render_cut_off_request(relay->describe_pending()));
-        }
         relay->abort_request();
     }
 }
@@ -99,6 +108,9 @@
     }
     auto relay = std::make_shared<request_relay>(context_, caller, std::move(request));
     active_requests_.insert(relay);
+    if (cut_off_) {
+        cut_off(*relay);
+    }
     const bool keep_connection = co_await relay->serve();
     active_requests_.erase(relay);
     co_return keep_connection;
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
@@ -27,11 +27,16 @@
     /// Closes the listening socket and all idle connections. Connections with an active request, or
     /// with one that has arrived, close after its answer.
     void stop_accepting();
+    /// Ends the active requests, and those that are still being read once they are complete
+    /// (request_relay::cut_off).
+    void cut_off_requests();
     /// Aborts all active requests without answering them.
     void abort_requests();
-    /// Number of requests being read or served.
+    /// Number of requests being read or served. After stop_accepting() it includes connections on
+    /// which a request may have arrived.
     [[nodiscard]] std::size_t active_request_count() const {
-        return active_requests_.size() + requests_being_read_;
+        const std::size_t arriving = accepting_ ? 0 : idle_.size();
+        return active_requests_.size() + requests_being_read_ + arriving;
     }
 
   private:
@@ -49,6 +54,8 @@
                                     const routing::caller_limits& bounds, caller_request& request);
     asio::awaitable<void> reject(http::connection_pointer caller, unsigned status,
                                  std::string reason);
+    /// Ends one request at the cut-off of a shutdown, and logs it within the bound of log lines.
+    void cut_off(request_relay& relay);
     [[nodiscard]] routing::caller_limits limits() const;
 
     forwarder_context& context_;
@@ -58,6 +65,8 @@
     std::set<http::connection_pointer> idle_;
     std::size_t requests_being_read_ = 0;
     bool accepting_ = true;
+    bool cut_off_ = false;
+    std::size_t logged_cut_offs_ = 0;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/cut_off_request.hpp
+++ b/src/tallyfold/plane/forwarding/cut_off_request.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "tallyfold/base/common/time.hpp"
+#include "tallyfold/plane/decisions/request_cut_off.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -20,6 +21,7 @@
     bool attempt_open = false;
     /// A part of an answer was written to the caller.
     bool answer_started = false;
+    cut_off_decision decision;
 };
 
 /// Renders the event's fields, without its number and name.
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -241,10 +241,11 @@
         case shutdown_step::stop_accepting:
             callers_.stop_accepting();
             break;
+        case shutdown_step::cut_off:
+            log_cut_off(remaining);
+            callers_.cut_off_requests();
+            break;
         case shutdown_step::finish:
-            if (!remaining.empty()) {
-                log_cut_off(remaining);
-            }
             callers_.abort_requests();
             process_.run_after(stop_check_interval, [this] { process_.finish(); });
             return;
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/plane/forwarding/request_relay_shell.hpp"
 
+#include <asio/co_spawn.hpp>
+#include <asio/detached.hpp>
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -23,35 +25,76 @@
       request_(std::move(request)),
       facts_(context.codec.read_request(request_.head)),
       caller_(context, std::move(caller), request_.head.keep_alive),
-      admission_(context, request_.head, facts_) {}
+      admission_(context, request_.head, facts_),
+      cut_off_answer_written_(context.process.loop()) {}
 
 void request_relay::abort_request() {
-    // Without the mark, the aborted attempt would count as a failure of its back end, and the request
-    // would be sent to the next one.
+    // Without the mark, the aborted attempt would count as a failure of its back end, and the
+    // request would be sent to the next one.
     on_client_disconnected();
     caller_.abort();
 }
 
-cut_off_request request_relay::describe_pending() const {
+pending_request_state request_relay::pending_state() const {
+    pending_request_state pending;
+    pending.may_have_run = send_loop_ && send_loop_->may_have_run();
+    pending.client_disconnected = caller_.disconnected();
+    pending.answer_started = caller_.answer_started();
+    pending.answer_complete = caller_.local_answer_started() || (answer_ && answer_->is_received());
+    return pending;
+}
+
+cut_off_request request_relay::cut_off() {
     cut_off_request pending;
     pending.request = facts_.request;
     pending.age = http::steady_now() - request_.received;
-    pending.answer_started = answer_ && answer_->progress() != answer_progress::none;
+    pending.answer_started = caller_.answer_started();
+    pending.decision = decide_cut_off(pending_state());
     if (send_loop_) {
         pending.sends = send_loop_->statistics().sends;
         pending.attempt_open = send_loop_->has_open_attempt();
     }
+    if (pending.decision.action == cut_off_action::await_end) {
+        return pending;
+    }
+    cut_off_ = true;
+    end_ = pending.decision.result;
+    on_client_disconnected();
+    release_reservations();
+    log_finish();
+    if (pending.decision.action == cut_off_action::answer) {
+        writes_cut_off_answer_ = true;
+        asio::co_spawn(context_.process.loop(), write_cut_off_answer(*end_.answer), asio::detached);
+    } else {
+        caller_.abort();
+    }
     return pending;
 }
 
+asio::awaitable<void> request_relay::write_cut_off_answer(local_answer answer) {
+    const auto self = shared_from_this();
+    co_await caller_.write_last_answer(answer);
+    writes_cut_off_answer_ = false;
+    cut_off_answer_written_.cancel();
+}
+
+asio::awaitable<void> request_relay::wait_for_cut_off_answer() {
+    while (writes_cut_off_answer_) {
+        cut_off_answer_written_.expires_at(asio::steady_timer::time_point::max());
+        co_await cut_off_answer_written_.async_wait(
+            asio::experimental::as_tuple(asio::use_awaitable));
+    }
+}
+
 asio::awaitable<bool> request_relay::serve() {
     const auto self = shared_from_this();
-    co_await wait_until_ready();
-    const std::optional<local_answer> refused = co_await admission_.identify();
-    if (refused) {
-        co_await refuse(*refused);
-    } else {
-        co_await serve_admitted();
+    if (!cut_off_) {
+        co_await run_stages();
+    }
+    if (cut_off_) {
+        // The connection must not be closed while the answer is being written.
+        co_await wait_for_cut_off_answer();
+        co_return false;
     }
     log_finish();
     if (answer_ && answer_->is_truncated()) {
@@ -61,6 +104,19 @@
     co_return caller_.keeps_connection();
 }
 
+asio::awaitable<void> request_relay::run_stages() {
+    co_await wait_until_ready();
+    const std::optional<local_answer> refused = co_await admission_.identify();
+    if (cut_off_) {
+        co_return;
+    }
+    if (refused) {
+        co_await refuse(*refused);
+    } else {
+        co_await serve_admitted();
+    }
+}
+
 bool request_relay::is_ready() const {
     return context_.routes && context_.backends.has_backend_list() &&
            context_.turns.has_store_table();
--- a/src/tallyfold/plane/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.hpp
@@ -6,6 +6,7 @@
 /// loop thread only.
 
 #include <asio/awaitable.hpp>
+#include <asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,12 +40,19 @@
     /// Must be called at most once.
     /// @return true when the caller's connection may serve another request
     asio::awaitable<bool> serve();
+    /// Ends the request at the cut-off of a shutdown as decisions/request_cut_off decides. A
+    /// request that is not awaited is never sent to a back end afterwards.
+    /// @return state and decision for the log
+    cut_off_request cut_off();
     /// Aborts the request at the end of a shutdown, without an answer.
     void abort_request();
-    /// State for the log of a request that is pending at the end of a shutdown.
-    [[nodiscard]] cut_off_request describe_pending() const;
 
   private:
+    /// Runs the stages of the request.
+    asio::awaitable<void> run_stages();
+    [[nodiscard]] pending_request_state pending_state() const;
+    asio::awaitable<void> write_cut_off_answer(local_answer answer);
+    asio::awaitable<void> wait_for_cut_off_answer();
     /// True once the node has a configuration, a list of back ends and a store table.
     [[nodiscard]] bool is_ready() const;
     /// Waits for is_ready(), at most time_budget::startup_wait.
@@ -76,6 +84,10 @@
     std::optional<answer_relay> answer_;
     std::optional<send_loop> send_loop_;
     request_result end_;
+    /// The request was ended by cut_off(), and logged.
+    bool cut_off_ = false;
+    bool writes_cut_off_answer_ = false;
+    asio::steady_timer cut_off_answer_written_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -29,7 +29,10 @@
     /// Releases the admission slot, if held, so that the next waiting call can be sent.
     void leave_admission();
 
-    [[nodiscard]] bool may_have_run() const { return policy_.may_have_run(); }
+    /// True if an attempt, ended or in progress, may have run the request.
+    [[nodiscard]] bool may_have_run() const {
+        return policy_.may_have_run() || (attempt_ && attempt_->may_have_run());
+    }
     [[nodiscard]] bool has_open_attempt() const { return attempt_.has_value(); }
     [[nodiscard]] const send_statistics& statistics() const { return statistics_; }
 
--- a/tests/plane/decisions/request_texts_test.cpp
+++ b/tests/plane/decisions/request_texts_test.cpp
@@ -46,7 +46,8 @@
             {failure_kind::turn_end_unconfirmed, "unsettled"},
             {failure_kind::client_disconnected, "caller_left"},
             {failure_kind::other_incarnation, "other_incarnation"},
-            {failure_kind::not_executed, "not_executed"}};
+            {failure_kind::not_executed, "not_executed"},
+            {failure_kind::shutdown, "shutdown"}};
         for (const auto& [kind, text] : texts) {
             CPPUNIT_ASSERT_EQUAL(text, text_of(attempt_failure{kind}));
         }
--- a/tests/plane/decisions/shutdown_sequence_test.cpp
+++ b/tests/plane/decisions/shutdown_sequence_test.cpp
@@ -12,6 +12,9 @@
     CPPUNIT_TEST(the_last_accepted_request_can_end_before_the_cut_off);
     CPPUNIT_TEST(it_finishes_as_soon_as_no_work_is_pending);
     CPPUNIT_TEST(unfinished_work_is_cut_off_before_the_kill);
+    CPPUNIT_TEST(work_that_the_cut_off_leaves_ends_before_the_exit);
+    CPPUNIT_TEST(the_process_exits_before_the_kill);
+    CPPUNIT_TEST(pending_work_is_cut_off_even_if_the_loop_was_late);
     CPPUNIT_TEST(the_listener_closes_before_the_sequence_finishes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -59,7 +62,41 @@
         shutdown_sequence stop(requested_at, grace, longest_request);
         stop.next(requested_at + shutdown_sequence::max_accept_time, pending_work);
         const instant kill = requested_at + grace;
+        CPPUNIT_ASSERT(stop.next(kill - shutdown_sequence::reserve_before_kill - tick,
+                                 pending_work) == shutdown_step::wait);
         CPPUNIT_ASSERT(stop.next(kill - shutdown_sequence::reserve_before_kill, pending_work) ==
+                       shutdown_step::cut_off);
+    }
+
+    void work_that_the_cut_off_leaves_ends_before_the_exit() {
+        shutdown_sequence stop(requested_at, grace, longest_request);
+        stop.next(requested_at + shutdown_sequence::max_accept_time, pending_work);
+        const instant kill = requested_at + grace;
+        const instant cut_off_at = kill - shutdown_sequence::reserve_before_kill;
+        CPPUNIT_ASSERT(stop.next(cut_off_at, pending_work) == shutdown_step::cut_off);
+        // Answers that are still being written, and ends of turns.
+        CPPUNIT_ASSERT(stop.next(cut_off_at + tick, {1, 0}) == shutdown_step::wait);
+        CPPUNIT_ASSERT(stop.next(cut_off_at + 2 * tick, {0, 1}) == shutdown_step::wait);
+        CPPUNIT_ASSERT(stop.next(cut_off_at + 3 * tick, {}) == shutdown_step::finish);
+    }
+
+    void the_process_exits_before_the_kill() {
+        shutdown_sequence stop(requested_at, grace, longest_request);
+        stop.next(requested_at + shutdown_sequence::max_accept_time, pending_work);
+        const instant kill = requested_at + grace;
+        CPPUNIT_ASSERT(stop.next(kill - shutdown_sequence::reserve_before_kill, pending_work) ==
+                       shutdown_step::cut_off);
+        CPPUNIT_ASSERT(stop.next(kill - shutdown_sequence::reserve_for_exit - tick, pending_work) ==
+                       shutdown_step::wait);
+        CPPUNIT_ASSERT(stop.next(kill - shutdown_sequence::reserve_for_exit, pending_work) ==
+                       shutdown_step::finish);
+    }
+
+    void pending_work_is_cut_off_even_if_the_loop_was_late() {
+        shutdown_sequence stop(requested_at, grace, longest_request);
+        stop.next(requested_at + shutdown_sequence::max_accept_time, pending_work);
+        CPPUNIT_ASSERT(stop.next(requested_at + grace, pending_work) == shutdown_step::cut_off);
+        CPPUNIT_ASSERT(stop.next(requested_at + grace + tick, pending_work) ==
                        shutdown_step::finish);
     }
 
--- a/tests/plane/forwarding/cut_off_request_test.cpp
+++ b/tests/plane/forwarding/cut_off_request_test.cpp
@@ -17,8 +17,10 @@
         cut_off_request pending;
         pending.request = "r1";
         pending.age = std::chrono::microseconds(40'999);
-        CPPUNIT_ASSERT_EQUAL(std::string("request=r1 age_ms=40 sends=0 attempt=none answer=none"),
-                             render_cut_off_request(pending));
+        pending.decision = decide_cut_off({});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("request=r1 age_ms=40 sends=0 attempt=none answer=none end=503"),
+            render_cut_off_request(pending));
     }
 
     void sent_request_tells_its_attempt_and_answer() {
@@ -28,8 +30,12 @@
         pending.sends = 2;
         pending.attempt_open = true;
         pending.answer_started = true;
+        pending_request_state state;
+        state.may_have_run = true;
+        state.answer_started = true;
+        pending.decision = decide_cut_off(state);
         CPPUNIT_ASSERT_EQUAL(
-            std::string("request=r2 age_ms=3000 sends=2 attempt=open answer=started"),
+            std::string("request=r2 age_ms=3000 sends=2 attempt=open answer=started end=reset"),
             render_cut_off_request(pending));
     }
 };
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -30,7 +30,14 @@
 }
 
 /// How a back end treats each request.
-enum class backend_behavior : std::uint8_t { silent, rejects, answers };
+enum class backend_behavior : std::uint8_t {
+    silent,
+    /// Answers that it did not run the request.
+    rejects,
+    answers,
+    /// Sends the beginning of a chunked answer, and no more.
+    starts_answer,
+};
 
 /// A back end that counts the requests which reach it.
 class counting_backend {
@@ -74,7 +81,10 @@
             if (behavior_ == backend_behavior::rejects) {
                 answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
             }
-            answer += "X-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+            answer += "X-Request-Id: " + id + "\r\n";
+            answer += behavior_ == backend_behavior::starts_answer
+                          ? "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                          : "Content-Length: 2\r\n\r\nok";
             if (behavior_ != backend_behavior::silent) {
                 co_await peer->write(std::move(answer), limit);
             }
@@ -189,6 +199,12 @@
         return *running_backends_.back();
     }
 
+    /// Empties the list of back ends; those that run go on.
+    void remove_backends() {
+        listed_.clear();
+        backends.update(listed_, http::steady_now());
+    }
+
     std::unique_ptr<raw_caller> connect() {
         return std::make_unique<raw_caller>(process.loop(), endpoint_);
     }
@@ -199,6 +215,21 @@
                headers + "\r\n";
     }
 
+    /// Makes the stores of turns known, none of which can be reached.
+    void add_unreachable_stores() {
+        turns::store_table stores;
+        stores.epoch = 1;
+        stores.groups.push_back({1, {{1, "store", "127.0.0.1:1", "zone"}}, {}, 0});
+        turns.update_stores(stores);
+    }
+
+    /// What a forwarder does at the cut-off of a shutdown.
+    void cut_off() {
+        context.stopping = true;
+        callers.stop_accepting();
+        callers.cut_off_requests();
+    }
+
     /// Runs the loop until the condition holds. @return false when it didn't within the limit
     bool run_until(const std::function<bool()>& reached,
                    duration limit = std::chrono::seconds(20)) {
@@ -211,6 +242,7 @@
     }
     void run_for(duration time) {
         run_until([] { return false; }, time);
+        process.loop().poll();
     }
 
     net::node_process process;
