Shutdown: a configuration applied during the stop sets the accept time

Callers saw: a configuration that lengthens a route's timeout during a planned stop left requests that were accepted last less time than that timeout before the cut-off, which then ended them. Cause: the longest timeout was read once, when the stop began. Evidence: shutdown_sequence_test, which failed while the sequence kept the first value.

--- a/src/tallyfold/plane/decisions/shutdown_sequence.cpp
+++ b/src/tallyfold/plane/decisions/shutdown_sequence.cpp
@@ -5,11 +5,17 @@
 namespace tallyfold::forwarding {
 
 shutdown_sequence::shutdown_sequence(instant requested_at, duration grace, duration longest_request)
-    : cut_off_at_(requested_at + grace - reserve_before_kill),
+    : requested_at_(requested_at),
+      grace_(grace),
+      cut_off_at_(requested_at + grace - reserve_before_kill),
       finish_at_(requested_at + grace - reserve_for_exit) {
+    set_longest_request(longest_request);
+}
+
+void shutdown_sequence::set_longest_request(duration longest_request) {
     // The last accepted request must be able to end before the cut-off.
-    const duration spare = grace - reserve_before_kill - longest_request;
-    accept_until_ = requested_at + std::clamp(spare, min_accept_time, max_accept_time);
+    const duration spare = grace_ - reserve_before_kill - longest_request;
+    accept_until_ = requested_at_ + std::clamp(spare, min_accept_time, max_accept_time);
 }
 
 shutdown_step shutdown_sequence::next(instant now, const remaining_work& left) {
--- a/src/tallyfold/plane/decisions/shutdown_sequence.hpp
+++ b/src/tallyfold/plane/decisions/shutdown_sequence.hpp
@@ -46,12 +46,16 @@
     /// @param longest_request maximum duration of a request in the active configuration
     shutdown_sequence(instant requested_at, duration grace, duration longest_request);
 
+    /// Adapts to a configuration that is applied during the shutdown.
+    void set_longest_request(duration longest_request);
     /// To be called periodically; returns each step except `wait` once.
     shutdown_step next(instant now, const remaining_work& left);
     /// False once no further request may be read.
     [[nodiscard]] bool accepts_requests() const { return accepting_; }
 
   private:
+    instant requested_at_;
+    duration grace_;
     instant accept_until_;
     instant cut_off_at_;
     instant finish_at_;
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -118,6 +118,9 @@
 void forwarder_node::apply_configuration(const directory::configuration_pointer& configuration) {
     context_.routes = std::make_shared<routing::route_table>(configuration);
     quotas_.use(configuration->tenants);
+    if (stop_) {
+        stop_->set_longest_request(context_.routes->longest_timeout());
+    }
     logging::write_event(logging::event_id::configuration_applied,
                          "version=" + std::to_string(configuration->version) +
                              " routes=" + std::to_string(configuration->routes.size()) +
--- a/tests/plane/decisions/shutdown_sequence_test.cpp
+++ b/tests/plane/decisions/shutdown_sequence_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(shutdown_sequence_test);
     CPPUNIT_TEST(requests_are_accepted_until_the_platform_has_seen_the_stop);
     CPPUNIT_TEST(the_last_accepted_request_can_end_before_the_cut_off);
+    CPPUNIT_TEST(a_configuration_applied_during_the_stop_counts);
     CPPUNIT_TEST(it_finishes_as_soon_as_no_work_is_pending);
     CPPUNIT_TEST(unfinished_work_is_cut_off_before_the_kill);
     CPPUNIT_TEST(work_that_the_cut_off_leaves_ends_before_the_exit);
@@ -47,6 +48,21 @@
                        shutdown_step::wait);
     }
 
+    void a_configuration_applied_during_the_stop_counts() {
+        constexpr duration short_request = std::chrono::seconds(1);
+        const instant before_end = requested_at + shutdown_sequence::max_accept_time - tick;
+        shutdown_sequence longer(requested_at, grace, short_request);
+        longer.set_longest_request(std::chrono::seconds(6));
+        CPPUNIT_ASSERT(longer.next(requested_at + shutdown_sequence::min_accept_time - tick, {}) ==
+                       shutdown_step::wait);
+        CPPUNIT_ASSERT(longer.next(requested_at + shutdown_sequence::min_accept_time, {}) ==
+                       shutdown_step::stop_accepting);
+        shutdown_sequence shorter(requested_at, grace, std::chrono::seconds(6));
+        shorter.set_longest_request(short_request);
+        CPPUNIT_ASSERT(shorter.next(before_end, {}) == shutdown_step::wait);
+        CPPUNIT_ASSERT(shorter.next(before_end + tick, {}) == shutdown_step::stop_accepting);
+    }
+
     void it_finishes_as_soon_as_no_work_is_pending() {
         shutdown_sequence stop(requested_at, grace, longest_request);
         stop.next(requested_at + shutdown_sequence::max_accept_time, pending_work);
