Listener: a stop or a lack of descriptors does not make the accept loop spin

Callers saw: during a planned stop, or while the process had no descriptors left, a forwarder could use its whole share of the processor for failing accepts, so that pending requests were slow or cut off. Cause: an accept that had completed in the turn in which the listener closed was followed by another one on the closed socket, which fails at once with another error than operation_aborted, without end; so does one without descriptors. The second connection of a burst is accepted at once and its handler queued, which makes the first case likely on a busy loop. A failed accept is logged (3205) and retried after 100 ms.

--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -81,6 +81,7 @@
     attempt_failed = 3202,
     requests_cut_off = 3203,
     request_cut_off = 3204,
+    accept_failed = 3205,
     turn_admitted = 3301,
     turn_refused = 3302,
     turn_settled = 3303,
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -13,6 +13,9 @@
 
 /// Time limit for writing a refusal or an interim answer, which are short.
 constexpr duration write_timeout = std::chrono::seconds(2);
+/// Delay after a failed accept, which usually means that the descriptors of the process are used
+/// up: an immediate retry would fail again at once and keep the loop busy.
+constexpr duration accept_retry_delay = std::chrono::milliseconds(100);
 /// Bounds the log of one shutdown.
 constexpr std::size_t max_logged_cut_offs = 64;
 
@@ -67,19 +70,30 @@
 
 void caller_listener::accept() {
     acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
+        // An accept that had completed when the listener closed reports success.
+        if (!acceptor_.is_open()) {
             return;
         }
-        if (!error) {
-            auto caller = std::make_shared<http::connection>(
-                std::move(socket), http::message_kind::request, limits().header_bytes);
-            asio::co_spawn(context_.process.loop(), serve_caller(std::move(caller)),
-                           asio::detached);
+        if (error) {
+            retry_accept(error);
+            return;
         }
+        auto caller = std::make_shared<http::connection>(
+            std::move(socket), http::message_kind::request, limits().header_bytes);
+        asio::co_spawn(context_.process.loop(), serve_caller(std::move(caller)), asio::detached);
         accept();
     });
 }
 
+void caller_listener::retry_accept(const std::error_code& error) {
+    logging::write_event(logging::event_id::accept_failed, "reason=\"" + error.message() + "\"");
+    context_.process.run_after(accept_retry_delay, [this] {
+        if (acceptor_.is_open()) {
+            accept();
+        }
+    });
+}
+
 asio::awaitable<void> caller_listener::serve_caller(http::connection_pointer caller) {
     while (caller->open() && accepting_) {
         const bool keep_connection = co_await serve_next_request(caller);
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
@@ -41,6 +41,7 @@
 
   private:
     void accept();
+    void retry_accept(const std::error_code& error);
     asio::awaitable<void> serve_caller(http::connection_pointer caller);
     /// Waits for the next request on the connection, reads it and serves it.
     /// @return false when the connection must be closed
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
+#include <asio/experimental/as_tuple.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/use_awaitable.hpp>
 #include <asio/write.hpp>
 #include <chrono>
 #include <functional>
@@ -26,6 +29,8 @@
     settings.node = "forwarder";
     settings.zone = "zone";
     settings.grace = std::chrono::seconds(8);
+    // Without a store table each request would wait.
+    settings.disabled.add("early_wait");
     return settings;
 }
 
@@ -37,6 +42,8 @@
     answers,
     /// Sends the beginning of a chunked answer, and no more.
     starts_answer,
+    /// Answers once released.
+    holds,
 };
 
 /// A back end that counts the requests which reach it.
@@ -45,13 +52,21 @@
     counting_backend(asio::io_context& loop, backend_behavior behavior)
         : loop_(loop),
           acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          behavior_(behavior) {
+          behavior_(behavior),
+          released_(loop, asio::steady_timer::time_point::max()) {
         accept();
     }
 
     [[nodiscard]] std::string address() const {
         return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
     }
+    /// Answers the requests that are held.
+    void release() { released_.cancel(); }
+    /// Answers all requests from here on.
+    void answer_all() {
+        behavior_ = backend_behavior::answers;
+        release();
+    }
     /// Identifiers of the requests read so far.
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
 
@@ -77,6 +92,9 @@
             }
             const std::string id = *peer->head().headers.find("X-Request-Id");
             requests_.push_back(id);
+            if (behavior_ == backend_behavior::holds) {
+                co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+            }
             std::string answer = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n";
             if (behavior_ == backend_behavior::rejects) {
                 answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
@@ -95,6 +113,7 @@
     asio::io_context& loop_;
     asio::ip::tcp::acceptor acceptor_;
     backend_behavior behavior_;
+    asio::steady_timer released_;
     std::vector<std::string> requests_;
 };
 
@@ -161,8 +180,9 @@
     }
 
     /// Puts a configuration with one repeatable and one at-most-once route into force.
-    void apply_configuration(std::uint32_t timeout_ms = 20'000) {
+    void apply_configuration(std::uint32_t timeout_ms = 20'000, std::uint32_t idle_ms = 15'000) {
         routing::configuration configuration;
+        configuration.limits.idle_timeout_ms = idle_ms;
         configuration.version = ++version_;
         configuration.services.push_back({"service", "/health", 9});
         routing::route repeatable;
--- a/tests/plane/forwarding/shutdown_cut_off_test.cpp
+++ b/tests/plane/forwarding/shutdown_cut_off_test.cpp
@@ -78,7 +78,9 @@
     }
 
     void request_that_waits_for_readiness_is_rejected() {
-        forwarder_world world;
+        settings::node_settings settings = forwarder_settings();
+        settings.disabled = {};
+        forwarder_world world(settings);
         world.apply_configuration();
         counting_backend& backend = world.add_backend(backend_behavior::answers);
         const auto caller = world.connect();
