--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -69,6 +69,7 @@
     void eject_silent_backends();
     void stop();
     void continue_stop();
+    static void log_cut_off(const remaining_work& cut_off);
     [[nodiscard]] bool ready() const;
 
     net::node_process process_;
@@ -117,6 +118,9 @@
 void forwarder_node::apply_configuration(const directory::configuration_pointer& configuration) {
     context_.routes = std::make_shared<routing::route_table>(configuration);
     quotas_.use(configuration->tenants);
+    if (stop_) {
+        stop_->set_longest_request(context_.routes->longest_timeout());
+    }
     logging::write_event(logging::event_id::configuration_applied,
                          "version=" + std::to_string(configuration->version) +
                              " routes=" + std::to_string(configuration->routes.size()) +
@@ -240,6 +244,10 @@
         case shutdown_step::stop_accepting:
             callers_.stop_accepting();
             break;
+        case shutdown_step::cut_off:
+            log_cut_off(remaining);
+            callers_.cut_off_requests();
+            break;
         case shutdown_step::finish:
             callers_.abort_requests();
             process_.run_after(stop_check_interval, [this] { process_.finish(); });
@@ -250,6 +258,12 @@
     process_.run_after(stop_check_interval, [this] { continue_stop(); });
 }
 
+void forwarder_node::log_cut_off(const remaining_work& cut_off) {
+    logging::write_event(logging::event_id::requests_cut_off,
+                         "requests=" + std::to_string(cut_off.requests) +
+                             " settlements=" + std::to_string(cut_off.settlements));
+}
+
 void forwarder_node::subscribe_to_directory() {
     directory_.start(
         [this](const directory::configuration_pointer& configuration) {
