--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -3,6 +3,7 @@
 import argparse
 import random
 
+from .backends import SLOTS
 from .cluster import Sizes
 from .upgrade import parse_plan
 
@@ -24,6 +25,12 @@
                         help="planned work only: stops, reloads and configuration changes")
     parser.add_argument("--steady-callers", type=int, default=4,
                         help="callers that use a connection until the forwarder closes it")
+    parser.add_argument("--long-share", type=float, default=0.25,
+                        help="share of their requests for which a back end works up to seconds")
+    parser.add_argument("--slots", type=int, default=SLOTS,
+                        help="number of requests that a back end works on at a time")
+    parser.add_argument("--forwarder-share", type=float, default=1.0,
+                        help="share of the time for which each forwarder runs, as on a slow machine")
     parser.add_argument("--final-disk-loss", action="store_true",
                         help="at the end, lose as many disks as may be lost, and all power")
     parser.add_argument("--network", type=int, default=0,
