--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -127,6 +127,14 @@
     planned: bool = False
 
 
+@dataclass
+class Stall:
+    """An interval in which the soak itself did not run, and with it all back ends and relays."""
+
+    began: float
+    ended: float
+
+
 @dataclass
 class PlannedStop:
     """A SIGTERM of a process; of several before its end, the first."""
@@ -172,6 +180,7 @@
     changes: list = field(default_factory=list)
     process_exits: list = field(default_factory=list)
     fault_intervals: list = field(default_factory=list)
+    stalls: list = field(default_factory=list)
     planned_stops: list = field(default_factory=list)
     settings_reloads: list = field(default_factory=list)
     #: Timeouts of the routes, by configuration, in the order in which they were sent.
