--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -298,6 +298,8 @@
         self.assertTrue(self.violations(self.request(ended=22.9), runs))
         lowered = [RouteTimeout(0.0, 8.0, 0.5), RouteTimeout(17.0, 2.0, 17.1)]
         self.assertFalse(self.violations(self.request(ended=22.1), runs, route_timeouts=lowered))
+        slowly = self.request(sent=19.0, last_byte_sent=20.0, ended=21.9, deadline=9.0)
+        self.assertTrue(self.violations(slowly, runs, route_timeouts=lowered))
         raised = [RouteTimeout(0.0, 2.0, 0.5), RouteTimeout(15.0, 8.0, 15.1)]
         self.assertTrue(self.violations(self.request(ended=22.1), runs, route_timeouts=raised))
 
--- a/tests/platform/soak/connections.py
+++ b/tests/platform/soak/connections.py
@@ -74,13 +74,15 @@
                 and (self.idle_until is None or now < self.idle_until))
 
     async def exchange(self, attempt, text, clock):
-        """Sends a request and reads its answer, both recorded in `attempt`."""
+        """Sends a request and reads its answer, both recorded in `attempt`.
+
+        With `sending_pause`, the second half of the request follows the first after that time.
+        """
         attempt.connection = self.number
         attempt.on_kept_connection = self.requests > 0
         self.requests += 1
         try:
-            self.writer.write(text)
-            await self.writer.drain()
+            await self._send(text, attempt.sending_pause)
             attempt.last_byte_sent = clock()
             await self._read_answer(attempt, clock)
             attempt.complete = True
@@ -90,6 +92,15 @@
         except (ValueError, IndexError, asyncio.LimitOverrunError):
             attempt.ending = Ending.MALFORMED
 
+    async def _send(self, text, pause):
+        half = len(text) // 2 if pause else 0
+        if half:
+            self.writer.write(text[:half])
+            await self.writer.drain()
+            await asyncio.sleep(pause)
+        self.writer.write(text[half:])
+        await self.writer.drain()
+
     def _broken_ending(self, attempt):
         if attempt.status:
             return Ending.CUT
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -74,6 +74,8 @@
     connection: int = 0
     #: Whether earlier requests had used the connection.
     on_kept_connection: bool = False
+    #: Pause in the middle of sending it, in seconds.
+    sending_pause: float = 0.0
     #: Time at which the last byte was handed to the connection; None when it never was.
     last_byte_sent: float | None = None
     ending: Ending = Ending.NOT_CONNECTED
--- a/tests/platform/soak/loss_checks.py
+++ b/tests/platform/soak/loss_checks.py
@@ -64,6 +64,13 @@
     return min((limit for limit in limits if limit is not None), default=float("inf"))
 
 
+def reached_time_limit(history, attempt):
+    """True when the caller's deadline, or the route's timeout once the request was sent, was over."""
+    timeout = shortest_route_timeout(history, attempt.sent, attempt.ended)
+    return ((attempt.deadline is not None and attempt.ended - attempt.sent >= attempt.deadline)
+            or (timeout is not None and attempt.ended - attempt.last_byte_sent >= timeout))
+
+
 def worked_until_the_end(stop, attempt, runs):
     """True when the stop could not wait for the back end."""
     return (attempt.sent <= stop.at + LONG_WORK_SENT_SECONDS
@@ -91,7 +98,7 @@
         return attempt.ending.value
     if attempt.last_byte_sent is None:
         return "not sent whole"
-    if attempt.ended - attempt.sent >= time_limit(history, attempt):
+    if reached_time_limit(history, attempt):
         return "time limit"
     runs = runs_of[attempt.request]
     if runs:
--- a/tests/platform/soak/steady_callers.py
+++ b/tests/platform/soak/steady_callers.py
@@ -14,6 +14,8 @@
 RECONNECT_SECONDS = 0.05
 #: Pause between the requests of a caller that doesn't send back to back, in seconds.
 PAUSES = (0.0, 0.25)
+#: Share of the requests that are sent with a pause in the middle, and its range in seconds.
+SLOWLY_SENT_SHARE, SENDING_PAUSES = 0.1, (0.0, 1.0)
 #: Time that callers wait for other requests, in seconds.
 SHORT_DEADLINE_SECONDS = 3.0
 
@@ -47,13 +49,20 @@
     async def send_next(self, forwarder):
         work, deadline = self.draw_work()
         kind = self.random.choice(["turn", "repeatable", "once"])
+        attempt = self.create_attempt(kind, work)
+        if self.random.random() < SLOWLY_SENT_SHARE:
+            attempt.sending_pause = self.random.uniform(*SENDING_PAUSES)
+        if kind == "turn":
+            return await self.send_turn(attempt, deadline, forwarder)
+        return await self.exchange(attempt, deadline, forwarder=forwarder)
+
+    def create_attempt(self, kind, work):
         if kind == "turn":
             attempt = self.turn(self.draw_id(), None, 0)
             attempt.target = f"/turns/{work}"
-            return await self.send_turn(attempt, deadline, forwarder)
+            return attempt
         path = "/look/" if kind == "repeatable" else "/claim/"
-        attempt = Attempt(self.draw_id(), kind, "POST", path + work, b"tool", self.clock())
-        return await self.exchange(attempt, deadline, forwarder=forwarder)
+        return Attempt(self.draw_id(), kind, "POST", path + work, b"tool", self.clock())
 
     def draw_work(self):
         """Returns the end of the target and the deadline in seconds."""
