--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -71,6 +71,8 @@
         self.build = cluster.build
         self.process = None
         self.stop_requested = False
+        #: Whether the process got SIGKILL since it still ran at the end of its grace.
+        self.grace_over = False
         self.starting = asyncio.Lock()
         port = DIRECTORY_PORT if program == "directory" else STORE_PORT
         self.link = Link(self.name, (self.relayed, port), (self.own, port))
@@ -131,7 +133,7 @@
     async def _start(self):
         settings = self.write_settings()
         self.starts += 1
-        self.stop_requested = False
+        self.stop_requested = self.grace_over = False
         log = (self.cluster.work / f"{self.name}.log").open("ab")
         self.log_offset = log.tell()
         self.process = await asyncio.create_subprocess_exec(
@@ -142,13 +144,21 @@
 
     async def _watch(self, process, log_offset):
         code = await process.wait()
-        # A process that is stopped before it handles signals ends with that signal.
-        expected = ((0, -signal.SIGKILL) if self.started_after(log_offset)
-                    else (0, -signal.SIGKILL, -signal.SIGTERM))
+        expected = self._expected_codes(log_offset)
         self.cluster.history.process_exits.append(
             ProcessExit(self.name, self.cluster.clock(), code,
                         self.stop_requested and code in expected))
 
+    def _expected_codes(self, log_offset):
+        """Returns the exit codes of a process that was asked to stop."""
+        if self.grace_over:
+            # It may have ended in time while the soak didn't run; otherwise SIGKILL ended it.
+            return (0,)
+        if self.started_after(log_offset):
+            return (0, -signal.SIGKILL)
+        # A process that is stopped before it handles signals ends with that signal.
+        return (0, -signal.SIGKILL, -signal.SIGTERM)
+
     def send(self, number):
         if self.running:
             with contextlib.suppress(ProcessLookupError):
@@ -181,7 +191,7 @@
         try:
             await asyncio.wait_for(self.process.wait(), GRACE_SECONDS)
         except TimeoutError:
-            self.stop_requested = False
+            self.grace_over = True
             self.send(signal.SIGKILL)
             await self.process.wait()
 
