--- a/tests/platform/soak/connections.py
+++ b/tests/platform/soak/connections.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from .history import Ending
-from .http_text import read_body, read_message_head
+from .http_text import read_answer_head, read_body
 
 #: Buffered bytes above which a write waits: with 0 it returns once all bytes were handed over.
 WRITE_BUFFER_BYTES = 0
@@ -107,8 +107,7 @@
         return Ending.RESET if self.reader.was_reset else Ending.CLOSED
 
     async def _read_answer(self, attempt, clock):
-        first, headers = await read_message_head(self.reader)
-        attempt.status = int(first.split(" ")[1])
+        attempt.status, headers = await read_answer_head(self.reader)
         attempt.signature = headers.get("x-response-signature", "")
         attempt.answered_id = headers.get("x-request-id", "")
         attempt.retry_after = headers.get("retry-after", "")
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -119,6 +119,14 @@
                 if node.name not in self.busy and node.running]
         return self.random.sample(free, min(len(free), self.random.randint(1, most)))
 
+    def draw_removable_store(self):
+        """Returns a free store, when enough others stand by to take its place; else None."""
+        stores = self.cluster.nodes_of("turn-store")
+        enough = len(stores) > 2 * self.cluster.sizes.losses_borne + 1
+        if self.sparing_disks or self.machines_to_lose() <= 0 or not enough:
+            return None
+        return self.draw_node(("turn-store",))
+
     async def pause_between(self, least, most):
         await asyncio.sleep(self.random.uniform(least, most))
 
--- a/tests/platform/soak/http_text.py
+++ b/tests/platform/soak/http_text.py
@@ -13,6 +13,12 @@
     return first, headers
 
 
+async def read_answer_head(reader):
+    """Returns (status, headers) of an answer."""
+    first, headers = await read_message_head(reader)
+    return int(first.split(" ")[1]), headers
+
+
 async def read_body(reader, headers):
     """Returns the body of a message with a Content-Length header; empty without one."""
     return await reader.readexactly(int(headers.get("content-length", 0)))
--- a/tests/platform/soak/planned_faults.py
+++ b/tests/platform/soak/planned_faults.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from .callers import ROUTE_TIMEOUTS
 from .cluster import GRACE_SECONDS
+from .operator_calls import ROUTE_TIMEOUTS
 
 #: Pause between the end of a planned stop and the start of the process, in seconds.
 DOWN_SECONDS = (0.0, 0.4)
@@ -27,7 +27,8 @@
         self.random = faults.random
         self.kinds = [self.stop_forwarder, self.stop_twice, self.reload, self.reload_during_stop,
                       self.stop_during_start, self.roll_without_pause, self.overlapping_stops,
-                      self.stop_disk_machines, self.change_configuration, self.change_during_stop]
+                      self.stop_disk_machines, self.change_configuration, self.change_during_stop,
+                      self.retire_store]
 
     async def on_forwarder(self, kind, work):
         node = self.faults.draw_node(("forwarder",))
@@ -135,6 +136,21 @@
             await asyncio.gather(*(self.stop_and_start(node) for node in nodes))
         await self.on_nodes(nodes, work())
 
+    async def retire_store(self):
+        """Empties a store, removes it with its disk, and adds a new one in its place."""
+        node = self.faults.draw_removable_store()
+        if node is None:
+            return
+        self.faults.note("retire_store", node.name)
+
+        async def work():
+            if await self.operator.retire(node.name):
+                await node.kill()
+                node.wipe()
+                await self.faults.pause_between(*DOWN_SECONDS)
+                await node.start()
+        await self.on_nodes([node], work())
+
     async def change_configuration(self):
         """Changes the routes' timeouts."""
         seconds = self.random.choice(ROUTE_TIMEOUTS)
--- a/tests/platform/soak/record_forms.py
+++ b/tests/platform/soak/record_forms.py
@@ -18,9 +18,10 @@
 import time
 
 from .backends import Backend, BackendList
-from .callers import Caller, Operator
+from .callers import Caller
 from .cluster import CALLERS_PORT, LIST_PORT, OPERATORS_PORT, Addresses, Cluster
 from .history import History
+from .operator_calls import Operator
 from .tenants import NoKeys
 
 #: Number of changes after the first one, and seconds for which callers run programs.
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -17,11 +17,12 @@
 
 from . import checks
 from .backends import Backend, BackendList
-from .callers import Caller, Operator
+from .callers import Caller
 from .cluster import CALLERS_PORT, LIST_PORT, OPERATORS_PORT, Addresses, Cluster
 from .faults import Faults
 from .history import History
 from .loss_checks import describe_cut_requests, describe_endings
+from .operator_calls import Operator
 from .options import parse_options
 from .planned_faults import PlannedFaults
 from .slow_machines import slow_forwarders
