--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -5,7 +5,7 @@
 import random
 import re
 
-from .history import Run
+from .history import Receipt, Run
 from .http_text import read_body, read_message_head
 
 TOKENS_PER_EVENT = 9
@@ -41,7 +41,7 @@
         self.service = service
         self.address = address
         self.engine = engine
-        #: Number of requests that it works on at a time; it rejects more.
+        #: Number of requests that it works on at a time; as many again wait, it rejects more.
         self.slots = slots
         self.random = random.Random(seed)
         self.incarnation = 0
@@ -52,6 +52,8 @@
         self.connections = set()
         #: Requests that it works on.
         self.current = []
+        #: Requests that wait for a slot, in order.
+        self.waiting = []
 
     @property
     def instance(self):
@@ -65,8 +67,8 @@
     async def crash(self):
         self.server.close()
         self.state = "gone"
-        for run in self.current:
-            run.broke_off = True
+        for received in (*self.current, *self.waiting):
+            received.broke_off = True
         for writer in list(self.connections):
             writer.transport.abort()
 
@@ -86,6 +88,20 @@
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields)
         return f"HTTP/1.1 {status} Word\r\n{lines}\r\n".encode()
 
+    async def _wait_for_slot(self, receipt, deadline, reader):
+        """Returns whether there is a slot before the deadline. ConnectionResetError on a close."""
+        if len(self.waiting) >= self.slots:
+            return False
+        self.waiting.append(receipt)
+        try:
+            while self.waiting[0] is not receipt or len(self.current) >= self.slots:
+                if self.clock() >= deadline:
+                    return False
+                await self._work(CLOSE_CHECK_SECONDS, reader)
+            return True
+        finally:
+            self.waiting.remove(receipt)
+
     async def _work(self, seconds, reader):
         """Works for some seconds; ConnectionResetError once the connection is closed."""
         until = self.clock() + seconds
@@ -103,8 +119,11 @@
                                                   ("Content-Length", "0")]))
             await writer.drain()
             return True
+        receipt = Receipt(request, instance, self.clock())
+        self.history.receipts.append(receipt)
         failure = self.failure_mode if self.random.random() < 0.3 else ""
-        if failure == "refuse" or len(self.current) >= self.slots:
+        deadline = self.clock() + float(headers.get("x-deadline-ms", "60000")) / 1000
+        if failure == "refuse" or not await self._wait_for_slot(receipt, deadline, reader):
             writer.write(self._head(503, common_headers + [("X-Not-Executed", "1"),
                                                   ("Content-Length", "0")]))
             await writer.drain()
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -4,7 +4,7 @@
 
 from . import checks
 from .history import (Attempt, ConfigurationChange, ConfigurationRead, Ending, FaultInterval,
-                      History, PlannedStop, ProcessExit, RouteProbe, RouteTimeout, Run,
+                      History, PlannedStop, ProcessExit, Receipt, RouteProbe, RouteTimeout, Run,
                       SettingsReload, Stall)
 
 
@@ -282,6 +282,18 @@
         earlier = self.request(ended=20.2, **{**later, "last_byte_sent": 19.9})
         self.assertFalse(self.violations([waiting, earlier]))
 
+    def test_a_request_that_waited_at_a_back_end_is_found(self):
+        crossing = self.request(ended=20.15)
+        waited = Receipt("a", "i-app-0-1", 20.05)
+        self.assertTrue(self.violations(crossing, receipts=[waited]))
+        self.assertFalse(self.violations(crossing, receipts=[
+            Receipt("a", "i-app-0-1", 20.05, broke_off=True)]))
+        retried = [self.run_at_backend(broke_off=True)]
+        self.assertTrue(self.violations(self.request(), retried,
+                                        receipts=[Receipt("a", "i-app-1-1", 20.3)]))
+        self.assertFalse(self.violations(crossing, receipts=[waited], fault_intervals=[
+            FaultInterval("app-0", 19.0, 19.5)]))
+
     def test_a_request_that_was_not_sent_whole_is_allowed(self):
         self.assertFalse(self.violations(self.request(last_byte_sent=None)))
         self.assertFalse(self.violations(self.request(ending=Ending.NOT_CONNECTED)))
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -45,6 +45,17 @@
     key: str = ""
 
 
+@dataclass
+class Receipt:
+    """A request that a back end received, whether it started to process it or not."""
+
+    request: str
+    backend: str
+    at: float
+    #: Whether the back end crashed while the request waited for a slot.
+    broke_off: bool = False
+
+
 @dataclass
 class Attempt:
     """A request of a caller and its answer."""
@@ -177,6 +188,7 @@
     """All records of a soak."""
 
     runs: list = field(default_factory=list)
+    receipts: list = field(default_factory=list)
     attempts: list = field(default_factory=list)
     reads: list = field(default_factory=list)
     changes: list = field(default_factory=list)
--- a/tests/platform/soak/loss_checks.py
+++ b/tests/platform/soak/loss_checks.py
@@ -3,8 +3,8 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass
 
-from .history import Ending
-from .queries import (CONFIGURATION_BOUND, CONTACT_SECONDS, had_no_failure, runs_by_request,
+from .history import Ending, Run
+from .queries import (CONFIGURATION_BOUND, CONTACT_SECONDS, by_request, had_no_failure,
                       shortest_route_timeout)
 
 #: Time from SIGTERM to SIGKILL, in seconds.
@@ -51,10 +51,31 @@
                for entry in history.route_timeouts)
 
 
-def is_without_failure(history, attempt, runs):
+@dataclass
+class BackendView:
+    """What the back ends saw, by request."""
+
+    runs: dict
+    receipts: dict
+
+    @classmethod
+    def of(cls, history):
+        return cls(by_request(history.runs), by_request(history.receipts))
+
+    def last_receiver(self, request):
+        """Returns the run or the receipt of a back end that had it last; None when none had it."""
+        received = self.receipts[request] + self.runs[request]
+        return max(received, key=lambda one: (one.at, isinstance(one, Run)), default=None)
+
+    def names(self, request):
+        """Returns the names of the back ends that had it."""
+        return {backend_name(one.backend) for one in self.receipts[request] + self.runs[request]}
+
+
+def is_without_failure(history, attempt, seen):
     """True when nothing failed that the request depends on, from CONTACT_SECONDS before it."""
     processes = {history.forwarder_at.get(attempt.forwarder), *history.stores, *history.directory,
-                 *(backend_name(run.backend) for run in runs)}
+                 *seen.names(attempt.request)}
     return had_no_failure(history, attempt.sent - CONTACT_SECONDS, attempt.ended, processes)
 
 
@@ -79,7 +100,7 @@
                     for run in runs))
 
 
-def later_request_was_read(history, attempt, runs_of):
+def later_request_was_read(history, attempt, seen):
     """True when the forwarder had read a request that was sent after this one before this one ended.
 
     A request that no back end received may wait in the forwarder's queue of new connections, which is
@@ -88,11 +109,12 @@
     return any(other.forwarder == attempt.forwarder and other.last_byte_sent is not None
                and other.last_byte_sent > attempt.last_byte_sent
                and ((other.ending == Ending.WHOLE and other.ended < attempt.ended)
-                    or any(run.at < attempt.ended for run in runs_of[other.request]))
+                    or any(one.at < attempt.ended for one in seen.receipts[other.request])
+                    or any(run.at < attempt.ended for run in seen.runs[other.request]))
                for other in history.attempts)
 
 
-def allowed_reason(history, attempt, runs_of):
+def allowed_reason(history, attempt, seen):
     """Returns why the request may have ended as it did, stops aside; "" when it was lost."""
     if attempt.ending in (Ending.WHOLE, Ending.DEADLINE, Ending.NOT_CONNECTED):
         return attempt.ending.value
@@ -100,31 +122,33 @@
         return "not sent whole"
     if reached_time_limit(history, attempt):
         return "time limit"
-    runs = runs_of[attempt.request]
-    if runs:
-        return "the back end broke off" if runs[-1].broke_off else ""
+    last = seen.last_receiver(attempt.request)
+    if last is not None:
+        return "the back end broke off" if last.broke_off else ""
     if attempt.ended - attempt.last_byte_sent <= LOSS_SLACK_SECONDS:
         return "crossed the close"
-    return "" if later_request_was_read(history, attempt, runs_of) else "not read"
+    return "" if later_request_was_read(history, attempt, seen) else "not read"
 
 
-def describe(attempt, runs, work):
+def describe(attempt, seen, work):
     after = attempt.ended - attempt.last_byte_sent
     kept = "kept" if attempt.on_kept_connection else "new"
-    where = ", ".join(f"{run.backend} at {run.at:.3f}" for run in runs) or "no back end"
+    where = ", ".join(f"ran at {run.backend} at {run.at:.3f}" for run in seen.runs[attempt.request])
+    last = seen.last_receiver(attempt.request)
+    where = where or (f"waited at {last.backend} at {last.at:.3f}" if last else "no back end")
     return (f"{attempt.request} ({attempt.kind} {attempt.target}, {kept} connection, "
             f"{attempt.forwarder}) sent at {attempt.sent:.3f} ended at {attempt.ended:.3f}, "
             f"{after:.3f} s after its last byte: {attempt.ending.value}; {where}; {work}")
 
 
-def lost_around_stops(history, attempt, runs):
+def lost_around_stops(history, attempt, seen):
     """Returns the description of a request that was lost around a stop or a reload; else None."""
     stops = stops_around(history, attempt)
-    if any(worked_until_the_end(stop, attempt, runs) for stop in stops):
+    if any(worked_until_the_end(stop, attempt, seen.runs[attempt.request]) for stop in stops):
         return None
     if stops:
-        return describe(attempt, runs, f"SIGTERM at {stops[-1].at:.3f}")
-    return describe(attempt, runs, "around SIGHUP")
+        return describe(attempt, seen, f"SIGTERM at {stops[-1].at:.3f}")
+    return describe(attempt, seen, "around SIGHUP")
 
 
 @dataclass
@@ -146,7 +170,7 @@
         self.otherwise = defaultdict(CutCount)
         self.described = defaultdict(list)
 
-    def count(self, history, attempt, runs, lost):
+    def count(self, history, attempt, seen, lost):
         around = is_around_change(history, attempt)
         count = (self.around if around else self.otherwise)[attempt.forwarder]
         count.requests += 1
@@ -155,7 +179,7 @@
                    >= MOST_OF_ITS_TIME * time_limit(history, attempt))
         if around and lost and not used_up:
             self.described[attempt.forwarder].append(
-                describe(attempt, runs, "around a configuration change"))
+                describe(attempt, seen, "around a configuration change"))
         return around
 
     def violations(self):
@@ -166,20 +190,19 @@
 
 def describe_cut_requests(history):
     """Returns a line for each request that was sent and not answered whole, with the reason."""
-    runs = runs_by_request(history)
+    seen = BackendView.of(history)
     lines = []
     for attempt in history.attempts:
-        own_runs = runs[attempt.request]
         if attempt.last_byte_sent is None or attempt.ending == Ending.WHOLE:
             continue
-        reason = allowed_reason(history, attempt, runs) or "lost"
+        reason = allowed_reason(history, attempt, seen) or "lost"
         stops = stops_around(history, attempt)
-        if any(worked_until_the_end(stop, attempt, own_runs) for stop in stops):
+        if any(worked_until_the_end(stop, attempt, seen.runs[attempt.request]) for stop in stops):
             reason += ", worked until the end of a stop"
-        if not is_without_failure(history, attempt, own_runs):
-            reason += ", around a failure"
+        if not is_without_failure(history, attempt, seen):
+            reason += ", around a failure or a stall"
         work = ", ".join(f"SIGTERM at {stop.at:.3f}" for stop in stops) or "no stop"
-        lines.append(f"{reason}: {describe(attempt, own_runs, work)}")
+        lines.append(f"{reason}: {describe(attempt, seen, work)}")
     return lines
 
 
@@ -196,19 +219,18 @@
 
 def read_requests_are_answered(history):
     """Around planned work, a request that a forwarder has read gets a whole answer."""
-    runs = runs_by_request(history)
+    seen = BackendView.of(history)
     changes = ChangeCuts()
     checked = 0
     wrong = []
     for attempt in history.attempts:
-        own_runs = runs[attempt.request]
-        if not is_without_failure(history, attempt, own_runs):
+        if not is_without_failure(history, attempt, seen):
             continue
-        lost = not allowed_reason(history, attempt, runs)
+        lost = not allowed_reason(history, attempt, seen)
         if stops_around(history, attempt) or is_around_reload(history, attempt):
             checked += 1
-            found = lost_around_stops(history, attempt, own_runs) if lost else None
+            found = lost_around_stops(history, attempt, seen) if lost else None
             wrong += [found] if found else []
         else:
-            checked += changes.count(history, attempt, own_runs, lost)
+            checked += changes.count(history, attempt, seen, lost)
     return checked, wrong + changes.violations()
--- a/tests/platform/soak/operator_calls.py
+++ b/tests/platform/soak/operator_calls.py
@@ -11,6 +11,9 @@
 
 #: Timeouts that the routes may have, in seconds; the first one at the start.
 ROUTE_TIMEOUTS = (3.0, 5.0, 8.0)
+#: Latency objectives of the routes by their timeout, in seconds: with a long one, requests wait for
+#: room at a back end.
+TARGET_LATENCIES = {3.0: 0.25, 5.0: 1.5, 8.0: 6.0}
 #: Time in which a store is emptied, in seconds.
 RETIRE_SECONDS = 10
 #: Number of unused routes that some changes add, and their maximum in a configuration.
@@ -61,8 +64,10 @@
     def configuration(self):
         def route(name, path, kind, service, attempts):
             return {"Name": name, "Hostname": HOST, "PathPrefix": path, "Type": kind,
-                    "TimeoutMs": int(self.route_timeout * 1000), "TargetLatencyMs": 250, "Priority": 0, "Service": service,
-                    "MaxAttempts": attempts, "KeepsHistory": name == "turns",
+                    "TimeoutMs": int(self.route_timeout * 1000),
+                    "TargetLatencyMs": int(TARGET_LATENCIES[self.route_timeout] * 1000),
+                    "Priority": 0, "Service": service, "MaxAttempts": attempts,
+                    "KeepsHistory": name == "turns",
                     "RetentionS": RETENTION_SECONDS, "SessionAffinity": False, "Resumable": False}
         spare = [route(f"spare-{number}", f"/spare/{number}/", "idempotent", "apps", 1)
                  for number in range(self.version % 5)]
--- a/tests/platform/soak/queries.py
+++ b/tests/platform/soak/queries.py
@@ -8,12 +8,17 @@
 CONTACT_SECONDS = 3.0
 
 
+def by_request(records):
+    """Returns the records of each request, in order."""
+    found = defaultdict(list)
+    for record in records:
+        found[record.request].append(record)
+    return found
+
+
 def runs_by_request(history):
     """Returns the runs of each request, in order."""
-    runs = defaultdict(list)
-    for run in history.runs:
-        runs[run.request].append(run)
-    return runs
+    return by_request(history.runs)
 
 
 def had_no_fault(history, begin, end, processes):
