--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -1,12 +1,11 @@
-"""Callers that run programs of several turns, and an operator that changes the configuration."""
+"""Callers that run programs of several turns."""
 
 import asyncio
-import json
 import random
 
 from .backends import TOKENS_PER_EVENT
-from .history import Attempt, ConfigurationChange, ConfigurationRead, RouteProbe
-from .http_text import read_body, read_message_head
+from .connections import ConnectionPool
+from .history import Attempt, Ending, RouteProbe
 
 HOST = "soak.example"
 MAX_TOKENS = 8 * TOKENS_PER_EVENT
@@ -22,35 +21,13 @@
 CONTINUATION_ATTEMPTS, CONTINUATION_SECONDS = 12, 60.0
 #: Number of consecutive calls to a newly added route.
 PROBES = 6
-#: Number of unused routes that some changes add, and their maximum in a configuration.
-UNUSED_ROUTES, MAX_UNUSED_ROUTES = 1000, 4000
-
-
-def own_path(version):
-    """Returns the path of the route that only this version contains."""
-    return f"/own/{version}/"
-
-
-async def read_head(reader):
-    """Returns (status, headers) of an answer."""
-    first, headers = await read_message_head(reader)
-    return int(first.split(" ")[1]), headers
-
-
-async def read_chunks(reader):
-    """Yields the bytes of each chunk; returns after the terminating one."""
-    while True:
-        length = int((await reader.readline()).strip() or b"x", 16)
-        data = await reader.readexactly(length + 2)
-        if length == 0:
-            return
-        yield data[:-2]
 
 
 class Caller:
     """Runs programs one after the other, sending each turn to a random forwarder."""
 
-    def __init__(self, history, clock, forwarders, seed, tenant, keys, added):
+    def __init__(self, history, clock, forwarders, seed, tenant, keys, added,
+                 keeps_connections=False):
         self.history = history
         self.clock = clock
         self.forwarders = forwarders
@@ -63,6 +40,7 @@
         self.keys = keys
         #: Callers of other tenants, whose turns this one must not be able to continue.
         self.other_tenant_callers = []
+        self.connections = ConnectionPool(clock, keeps_connections)
         self.stopping = False
         #: Completely answered turns to continue: (request, body of the whole conversation).
         self.conversations = []
@@ -79,50 +57,37 @@
         key = self.keys.current(self.tenant) if attempt.tenant else self.keys.forged()
         return [f"X-Credential: {key}", "X-Tenant-Id: open", "X-Hold: forged"]
 
+    def request_text(self, attempt, fields):
+        head = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {HOST}",
+                f"X-Request-Id: {attempt.request}",
+                f"X-Deadline-Ms: {int(attempt.deadline * 1000)}",
+                *self.credential_headers(attempt),
+                f"Content-Length: {len(attempt.body)}", *fields, "", ""]
+        return "\r\n".join(head).encode() + attempt.body
+
     async def exchange(self, attempt, timeout_seconds, fields=(), forwarder=None):
-        """Sends one request on a new connection and records the answer in `attempt`."""
+        """Sends one request on a new or a kept connection and records its end in `attempt`."""
         self.history.attempts.append(attempt)
-        identity = self.credential_headers(attempt)
-        writer = None
+        attempt.deadline = timeout_seconds
+        text = self.request_text(attempt, fields)
+        connection = None
         try:
             async with asyncio.timeout(timeout_seconds):
                 address = forwarder or self.random.choice(self.forwarders)
                 attempt.forwarder = address[0]
                 attempt.by_earlier_build = address[0] in self.history.earlier_forwarders
-                reader, writer = await asyncio.open_connection(*address)
-                head = [f"{attempt.method} {attempt.target} HTTP/1.1", f"Host: {HOST}",
-                        f"X-Request-Id: {attempt.request}",
-                        f"X-Deadline-Ms: {int(timeout_seconds * 1000)}", *identity,
-                        f"Content-Length: {len(attempt.body)}", *fields, "", ""]
-                writer.write("\r\n".join(head).encode() + attempt.body)
-                attempt.status, headers = await read_head(reader)
-                attempt.signature = headers.get("x-response-signature", "")
-                attempt.answered_id = headers.get("x-request-id", "")
-                attempt.retry_after = headers.get("retry-after", "")
-                await self._read_answer(attempt, headers, reader)
-                attempt.complete = True
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-            pass
+                connection = await self.connections.acquire(address)
+                await connection.exchange(attempt, text, self.clock)
+        except TimeoutError:
+            attempt.ending = Ending.DEADLINE
+        except OSError:
+            attempt.ending = Ending.NOT_CONNECTED
         finally:
             attempt.ended = self.clock()
-            if writer is not None:
-                writer.transport.abort()
+            if connection is not None:
+                self.connections.release(connection, attempt.complete)
         return attempt
 
-    @staticmethod
-    async def _read_answer(attempt, headers, reader):
-        if headers.get("transfer-encoding") == "chunked":
-            text = b""
-            async for chunk in read_chunks(reader):
-                text += chunk
-                while b"\n\n" in text:
-                    event, text = text.split(b"\n\n", 1)
-                    attempt.pieces.append(event.split(b"data: ", 1)[1].decode())
-            return
-        body = await read_body(reader, headers)
-        if attempt.status == 200:
-            attempt.pieces.append(body.decode())
-
     def turn(self, program, conversation, budget):
         """Returns an attempt that continues `conversation`: (request, body so far), or None."""
         previous, before = conversation or ("", b"")
@@ -132,7 +97,7 @@
                        max_tokens=MAX_TOKENS, tokens_per_event=TOKENS_PER_EVENT,
                        expected_body=before + body)
 
-    async def send_turn(self, attempt):
+    async def send_turn(self, attempt, timeout_seconds=3.0, forwarder=None):
         fields = [f"X-Program-Id: {attempt.program}", f"X-Session-Id: {attempt.program}",
                   f"X-Token-Usage: {len(attempt.expected_body) // 2},{MAX_TOKENS}",
                   f"X-Prefix-Hash: aa:10,{attempt.program[:8]}:{len(attempt.expected_body) // 2}"]
@@ -140,7 +105,7 @@
             fields.append(f"X-Previous-Turn: {attempt.previous}")
         if attempt.budget:
             fields.append(f"X-Token-Budget: {attempt.budget}")
-        return await self.exchange(attempt, 3.0, fields)
+        return await self.exchange(attempt, timeout_seconds, fields, forwarder)
 
     async def run_turn(self, program, conversation, budget):
         """Sends a turn, with retries. Returns the new conversation; None when it failed."""
@@ -207,6 +172,7 @@
     async def run(self):
         while not self.stopping:
             await self.run_program()
+        self.connections.close()
 
     async def continue_conversation(self, conversation):
         """Retries a turn after `conversation` until it is answered. Returns the last status."""
@@ -228,128 +194,3 @@
                 break
             await asyncio.sleep(0.3)
         return status
-
-
-class Operator:
-    """Sends configurations with increasing versions to random nodes, and reads them back."""
-
-    def __init__(self, history, clock, nodes, seed, keys, addresses):
-        self.addresses = addresses
-        self.history = history
-        self.clock = clock
-        self.nodes = nodes
-        self.keys = keys
-        self.random = random.Random(seed)
-        self.unused_routes_random = random.Random(f"filling-{seed}")
-        self.version = 1
-        #: Acknowledged versions; every later configuration keeps the routes that they added.
-        self.added_versions = []
-        self.unused_routes = 0
-        #: Times of acknowledgement by path of those routes.
-        self.added = {}
-        #: Callers of an unlimited tenant that call each route as soon as it is added.
-        self.probers = []
-        #: Caller that checks added and dropped routes once a change must be in force; may be None.
-        self.in_force_prober = None
-        #: Version whose own route the next change drops; None before the first change.
-        self.own_route_version = None
-        self.stopping = False
-
-    def draw_unused_routes(self):
-        """Occasionally adds many unused routes to the next configuration, or removes them."""
-        if self.unused_routes_random.random() < 0.2:
-            self.unused_routes = (self.unused_routes + UNUSED_ROUTES) % (
-                MAX_UNUSED_ROUTES + UNUSED_ROUTES)
-
-    def configuration(self):
-        def route(name, path, kind, service, attempts):
-            return {"Name": name, "Hostname": HOST, "PathPrefix": path, "Type": kind,
-                    "TimeoutMs": 3000, "TargetLatencyMs": 250, "Priority": 0, "Service": service,
-                    "MaxAttempts": attempts, "KeepsHistory": name == "turns",
-                    "RetentionS": RETENTION_SECONDS, "SessionAffinity": False, "Resumable": False}
-        spare = [route(f"spare-{number}", f"/spare/{number}/", "idempotent", "apps", 1)
-                 for number in range(self.version % 5)]
-        spare += [route(f"added-{version}", f"/added/{version}/", "idempotent", "apps", 3)
-                  for version in (*self.added_versions, self.version)]
-        if self.in_force_prober is not None:
-            spare.append(route("own", own_path(self.version), "idempotent", "apps", 3))
-        spare += [route(f"filling-{number}", f"/filling/{number}/", "idempotent", "apps", 1)
-                  for number in range(self.unused_routes)]
-        routes = [route("turns", "/turns/", "streaming", "engines", 1),
-                  route("look", "/look/", "idempotent", "apps", 3),
-                  route("claim", "/claim/", "non_idempotent", "apps", 1)]
-        engine = {"Slots": 12, "KvCapacity": 100000, "Stride": TOKENS_PER_EVENT,
-                  "Models": [{"Name": "m"}]}
-        services = [{"Name": "engines", "HealthPath": "/health", "MaxConnections": 100,
-                     "Engine": engine},
-                    {"Name": "apps", "HealthPath": "/health", "MaxConnections": 100}]
-        tenants = self.keys.configuration()
-        return {"Version": self.version, "Routes": routes + spare, "Services": services,
-                **({} if tenants is None else {"Tenants": tenants})}
-
-    def probe_in_force(self):
-        """Schedules the check that the change just acknowledged is in force at every forwarder."""
-        dropped = own_path(self.own_route_version) if self.own_route_version is not None else None
-        self.own_route_version = self.version
-        asyncio.ensure_future(self.in_force_prober.probe_in_force(
-            self.version, f"/added/{self.version}/", dropped))
-
-    async def call(self, method, path, body=b""):
-        """Sends a call to a random node. Returns (status, body); status 0 without an answer."""
-        address = self.random.choice(self.nodes)
-        for _ in range(3):
-            writer = None
-            try:
-                async with asyncio.timeout(1.5):
-                    reader, writer = await asyncio.open_connection(*address)
-                    writer.write(f"{method} {path} HTTP/1.1\r\nHost: o\r\n"
-                                 f"Content-Type: application/json\r\n"
-                                 f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-                    status, headers = await read_head(reader)
-                    if status == 307:
-                        host, port = headers["location"].split("/")[2].split(":")
-                        # Nodes advertise relay addresses, which forward no operators' calls.
-                        address = (self.addresses.direct(host), int(port))
-                        continue
-                    return status, await read_body(reader, headers)
-            except (OSError, asyncio.IncompleteReadError, TimeoutError, KeyError):
-                return 0, b""
-            finally:
-                if writer is not None:
-                    writer.transport.abort()
-        return 0, b""
-
-    async def change(self):
-        """Sends a new configuration, retrying until it is acknowledged."""
-        self.draw_unused_routes()
-        body = json.dumps(self.configuration()).encode()
-        while True:
-            status, _ = await self.call("POST", "/v1/config/replace", body)
-            if status == 200:
-                self.history.changes.append(ConfigurationChange(self.version, self.clock()))
-                self.added[f"/added/{self.version}/"] = self.clock()
-                self.added_versions.append(self.version)
-                for prober in self.probers:
-                    asyncio.ensure_future(prober.probe_added(f"/added/{self.version}/"))
-                if self.in_force_prober is not None:
-                    self.probe_in_force()
-                self.keys.on_acknowledged()
-                self.version += self.random.randint(1, 3)
-                return
-            await asyncio.sleep(0.2)
-
-    async def read(self):
-        sent = self.clock()
-        status, body = await self.call("GET", "/v1/config/describe")
-        if status != 200:
-            return None
-        version = json.loads(body)["Version"]
-        self.history.reads.append(ConfigurationRead(sent, version))
-        return version
-
-    async def run(self):
-        while not self.stopping:
-            await self.change()
-            for _ in range(self.random.randint(1, 5)):
-                await asyncio.sleep(0.4)
-                await self.read()
