Connection: the end of the accept time leaves a wait whose bytes have arrived

Callers saw: a request that had arrived at a stopping forwarder, but that its busy loop had not read yet when the accept time ended, was reset. Cause: the end of the accept time cancels every wait that has not read anything, without regard to bytes in the socket's buffer. Evidence: connection_wait_test, which failed before (the wait ended without the message).

--- a/src/tallyfold/plane/http/connection_shell.cpp
+++ b/src/tallyfold/plane/http/connection_shell.cpp
@@ -157,6 +157,10 @@
 }
 
 void connection::cancel_wait() {
+    if (socket_.is_open() && peek(socket_) == pending_input::bytes) {
+        // The read is about to complete.
+        return;
+    }
     // Fails only on a closed socket, which has no pending operations.
     std::error_code ignored;
     socket_.cancel(ignored);
--- a/tests/plane/http/connection_wait_test.cpp
+++ b/tests/plane/http/connection_wait_test.cpp
@@ -18,6 +18,7 @@
 class connection_wait_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(connection_wait_test);
     CPPUNIT_TEST(request_read_before_stop_can_be_answered);
+    CPPUNIT_TEST(request_that_arrived_before_stop_is_read);
     CPPUNIT_TEST(idle_wait_ends_at_stop);
     CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +79,21 @@
         CPPUNIT_ASSERT(result.is_open);
     }
 
+    void request_that_arrived_before_stop_is_read() {
+        asio::io_context loop;
+        socket_pair sockets(loop);
+        wait_result result;
+        start_wait(loop, sockets.server, result);
+        // The loop is busy while the request arrives and the stop comes due.
+        asio::write(sockets.client, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        sockets.server->cancel_wait();
+        loop.restart();
+        loop.poll();
+        CPPUNIT_ASSERT(result.ended);
+        CPPUNIT_ASSERT(result.has_message);
+        CPPUNIT_ASSERT(result.is_open);
+    }
+
     void idle_wait_ends_at_stop() {
         asio::io_context loop;
         socket_pair sockets(loop);
