Listener: a connection that was announced as open serves the next request

Callers saw: a stream that began before a planned stop announced an open connection and was closed at its end, during the accept time and after it. A request sent right after the answer was reset; one that had arrived before the end made the close a reset, which may destroy the end of the answer. Cause: whether the connection is kept was asked again at the end of the answer, when the stop had begun. Evidence: two tests of caller_listener_test, which failed before (no answer to the second request). The announcement of the last answer now decides. The next answer announces the close; after the accept time only requests that have arrived are served.

--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -113,7 +113,7 @@
     const http::message_head& head = connection->head();
     const bool bodiless = head.framing == http::body_framing::none;
     const relayed_framing framing{false, body.size(), bodiless};
-    std::string bytes = render_relayed_head(head, framing, caller_.keeps_connection()) + body;
+    std::string bytes = render_relayed_head(head, framing, caller_.announce_connection()) + body;
     started_ = true;
     fully_relayed_ = co_await caller_.write(std::move(bytes));
     co_return answered();
@@ -170,7 +170,7 @@
     }
     chunked_ = head.framing != http::body_framing::length;
     const relayed_framing framing{chunked_, head.content_length, false};
-    return render_relayed_head(head, framing, caller_.keeps_connection());
+    return render_relayed_head(head, framing, caller_.announce_connection());
 }
 
 std::string answer_relay::render_piece(const std::string& piece, bool complete) const {
--- a/src/tallyfold/plane/forwarding/caller_channel_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_channel_shell.cpp
@@ -35,7 +35,7 @@
     }
     const retry_after retry = answer.retry.with_jitter(context_.backends.draw_jitter());
     std::string bytes =
-        render_local_answer(answer.status, answer.reason, retry, keeps_connection());
+        render_local_answer(answer.status, answer.reason, retry, announce_connection());
     local_answer_started_ = true;
     co_await write(std::move(bytes));
 }
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -95,7 +95,10 @@
 }
 
 asio::awaitable<void> caller_listener::serve_caller(http::connection_pointer caller) {
-    while (caller->open() && accepting_) {
+    // A request that arrived on a connection announced as open is served even after the accept
+    // time: closing a socket with unread bytes resets it, and may destroy the end of the last
+    // answer.
+    while (caller->open() && (accepting_ || caller->stale())) {
         const bool keep_connection = co_await serve_next_request(caller);
         if (!keep_connection) {
             break;
--- a/tests/plane/forwarding/caller_listener_test.cpp
+++ b/tests/plane/forwarding/caller_listener_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST_SUITE(caller_listener_test);
     CPPUNIT_TEST(connection_accepted_during_the_stop_ends_the_accept_loop);
     CPPUNIT_TEST(accept_pauses_when_descriptors_run_out);
+    CPPUNIT_TEST(kept_connection_serves_requests_during_the_stop);
+    CPPUNIT_TEST(kept_connection_serves_the_request_that_has_arrived);
     CPPUNIT_TEST_SUITE_END();
 
     /// Far more handlers than either test needs.
@@ -53,6 +55,42 @@
         caller->send(forwarder_world::request("once", "r1"));
         CPPUNIT_ASSERT(world.run_until([&] { return caller->received_text("HTTP/1.1 503"); }));
     }
+
+    /// Begins an answer that announces an open connection, and then the stop.
+    static void begin_kept_answer(forwarder_world& world, raw_caller& caller) {
+        caller.send(forwarder_world::request("once", "r1"));
+        CPPUNIT_ASSERT(world.run_until([&] { return caller.received_text("ok\r\n"); }));
+        CPPUNIT_ASSERT(!caller.received_text("Connection: close"));
+        world.context.stopping = true;
+    }
+
+    void kept_connection_serves_requests_during_the_stop() {
+        forwarder_world world;
+        world.apply_configuration();
+        counting_backend& backend = world.add_backend(backend_behavior::starts_answer);
+        const auto caller = world.connect();
+        begin_kept_answer(world, *caller);
+        backend.answer_all();
+        CPPUNIT_ASSERT(world.run_until([&] { return caller->received_text("\r\n0\r\n\r\n"); }));
+        caller->send(forwarder_world::request("once", "r2"));
+        CPPUNIT_ASSERT(world.run_until([&] { return caller->ended(); }));
+        CPPUNIT_ASSERT(caller->received_text("X-Request-Id: r2\r\n"));
+        CPPUNIT_ASSERT(caller->received_text("Connection: close"));
+    }
+
+    void kept_connection_serves_the_request_that_has_arrived() {
+        forwarder_world world;
+        world.apply_configuration();
+        counting_backend& backend = world.add_backend(backend_behavior::starts_answer);
+        const auto caller = world.connect();
+        begin_kept_answer(world, *caller);
+        caller->send(forwarder_world::request("once", "r2"));
+        world.callers.stop_accepting();
+        backend.answer_all();
+        CPPUNIT_ASSERT(world.run_until([&] { return caller->ended(); }));
+        CPPUNIT_ASSERT(caller->received_text("X-Request-Id: r2\r\n"));
+        CPPUNIT_ASSERT(caller->received_text("Connection: close"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_listener_test);
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -40,7 +40,7 @@
     /// Answers that it did not run the request.
     rejects,
     answers,
-    /// Sends the beginning of a chunked answer, and no more.
+    /// Sends the beginning of a chunked answer, and its end once released.
     starts_answer,
     /// Answers once released.
     holds,
@@ -106,6 +106,11 @@
             if (behavior_ != backend_behavior::silent) {
                 co_await peer->write(std::move(answer), limit);
             }
+            if (behavior_ == backend_behavior::starts_answer) {
+                co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+                std::string end = "0\r\n\r\n";
+                co_await peer->write(std::move(end), limit);
+            }
             peer->next_message();
         }
     }
