A node that waits to join also asks the nodes that contact it

What callers saw: nothing traced to this; found by the review of the join requests that reached no leader. A directory node with a new disk asked the seeds of its settings only. When none of them is up, or the settings name machines that run no directory, it never joined, and the lost voter stayed in the membership.

Cause: the addresses that a node learns from messages were not asked. The leader goes on sending to the replica that the lost disk held, at the same address, so the node hears it within a heartbeat interval.

Evidence: a_node_without_live_seeds_asks_the_leader_that_contacts_it failed before and passes now.

Why it works: the senders of all messages received are asked beside seeds and members; the leader is among them as long as the lost replica is a member.

--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -254,6 +254,10 @@
     for (const auto& [id, member] : replica_.members().members) {
         targets.push_back(member.node);
     }
+    // The leader still sends to the replica that this node's lost disk held.
+    for (const auto& [id, address] : addresses_) {
+        targets.push_back(address);
+    }
     std::sort(targets.begin(), targets.end());
     targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
     for (const node_name& address : targets) {
--- a/tests/plane/directory/directory_core_test.cpp
+++ b/tests/plane/directory/directory_core_test.cpp
@@ -1,5 +1,8 @@
 #include "tallyfold/plane/directory/directory_core.hpp"
 
+#include <set>
+#include <variant>
+
 #include "tallyfold/base/common/random.hpp"
 #include "tallyfold/base/protocol/compression.hpp"
 #include "tests/support/suite.hpp"
@@ -12,6 +15,7 @@
     CPPUNIT_TEST_SUITE(directory_core_test);
     CPPUNIT_TEST(snapshots_are_triggered_by_size);
     CPPUNIT_TEST(uncompressed_state_is_readable);
+    CPPUNIT_TEST(a_node_without_live_seeds_asks_the_leader_that_contacts_it);
     CPPUNIT_TEST_SUITE_END();
 
     /// A directory of one node, which elects itself.
@@ -92,6 +96,30 @@
         CPPUNIT_ASSERT(plain.has_value());
         CPPUNIT_ASSERT(std::get<replace_configuration>(*plain).text == change.text);
     }
+
+    /// Guards against a node with a new disk that never joins again because its seeds are gone.
+    void a_node_without_live_seeds_asks_the_leader_that_contacts_it() {
+        const node_name leader = "10.0.0.4:71";
+        constexpr consensus::replica_id leader_id = 4;
+        constexpr consensus::replica_id lost_id = 1;
+        instant now{std::chrono::seconds(1)};
+        directory_settings settings;
+        settings.address = "10.0.0.1:71";
+        settings.seeds = {"10.0.0.9:71"};
+        directory_core core(settings, 77, {}, now);
+        consensus::replica_message heartbeat;
+        heartbeat.from = leader_id;
+        heartbeat.to = lost_id;
+        core.receive(leader, heartbeat, now);
+        core.tick(now);
+        std::set<node_name> asked;
+        for (const addressed_message& sent : core.take_work().before_sync) {
+            if (std::holds_alternative<join_request>(sent.body)) {
+                asked.insert(sent.to);
+            }
+        }
+        CPPUNIT_ASSERT(asked.contains(leader));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(directory_core_test);
