Removals of a cleared folder are durable before it is used again

What callers saw: nothing; found by the review. Class of the removal of identities first: after clear(), a new identity is renamed into the folder. A loss of power before the next sync of the folder may keep the new identity and bring removed segments back beside it, so that a store holds part of its old turns under the new identity.

Evidence: a_cleared_folder_stays_empty_after_a_loss_of_power failed before and passes now.

Why it works: the folder is synced once more after the last removal, before anything new is written to it.

--- a/src/tallyfold/base/storage/file.cpp
+++ b/src/tallyfold/base/storage/file.cpp
@@ -242,7 +242,8 @@
     for (const std::filesystem::path& entry : entries) {
         std::filesystem::remove_all(entry, ignored);
     }
-    return {};
+    // Otherwise a loss of power could bring old files back beside a new marker.
+    return sync_folder(path);
 }
 
 tl::expected<void, storage_error> sync_folder(const std::string& path) {
--- a/tests/plane/turns/turn_log_test.cpp
+++ b/tests/plane/turns/turn_log_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(turns_after_an_interrupted_rotation_survive_a_loss_of_power);
     CPPUNIT_TEST(a_map_read_after_an_interrupted_save_survives_a_loss_of_power);
     CPPUNIT_TEST(an_identity_never_outlives_the_turns_of_a_cleared_folder);
+    CPPUNIT_TEST(a_cleared_folder_stays_empty_after_a_loss_of_power);
     CPPUNIT_TEST_SUITE_END();
 
     static turn_settlement turn(const std::string& request, std::size_t bytes) {
@@ -157,6 +158,16 @@
         });
     }
 
+    /// Guards against old turns under the identity that follows a cleared one.
+    void a_cleared_folder_stays_empty_after_a_loss_of_power() {
+        unsynced_folder folder("turns");
+        turn_table none;
+        CPPUNIT_ASSERT(open(none, folder.text()).append({turn("first", 10)}).has_value());
+        CPPUNIT_ASSERT(turn_log::clear(folder.text()).has_value());
+        folder.lose_power();
+        CPPUNIT_ASSERT(fs::is_empty(folder.path()));
+    }
+
     const temporary_path folder_{"turns"};
 };
 
