--- a/tests/plane/forwarding/caller_listener_orders_test.cpp
+++ b/tests/plane/forwarding/caller_listener_orders_test.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 /// Below the length of a slow turn, so that the idle timeout comes due together with other events.
-constexpr std::uint32_t short_idle_ms = 3;
-constexpr duration slow_turn = std::chrono::milliseconds(5);
+constexpr std::uint32_t short_idle_ms = 1;
+constexpr std::size_t orders_per_case = 12;
+constexpr duration slow_turn = std::chrono::milliseconds(2);
 
 enum class connection_event : std::uint8_t {
     part_of_request_arrives,
@@ -30,6 +31,22 @@
     caller_leaves,
 };
 
+/// Names the event in a counterexample.
+std::ostream& operator<<(std::ostream& stream, connection_event event) {
+    constexpr std::array names{"part_of_request_arrives",
+                               "request_arrives",
+                               "two_requests_arrive",
+                               "handler_runs",
+                               "all_ready_handlers_run",
+                               "loop_is_slow",
+                               "stop",
+                               "accept_time_ends",
+                               "answer_ends",
+                               "configuration_applied",
+                               "caller_leaves"};
+    return stream << names.at(static_cast<std::size_t>(event));
+}
+
 /// One caller's connection to a forwarder, to which events happen in a given order.
 class event_sequence {
   public:
@@ -156,14 +173,19 @@
                 {1, connection_event::configuration_applied},
                 {1, connection_event::caller_leaves},
             });
-            const auto events = *rc::gen::container<std::vector<connection_event>>(event);
-            event_sequence sequence;
-            for (const connection_event next : events) {
-                sequence.apply(next);
+            // Several orders a case: only a few of them bring the decisive events into one turn.
+            const auto orders = *rc::gen::container<std::vector<std::vector<connection_event>>>(
+                orders_per_case, rc::gen::container<std::vector<connection_event>>(event));
+            std::size_t passed_on = 0;
+            for (const auto& events : orders) {
+                event_sequence sequence;
+                for (const connection_event next : events) {
+                    sequence.apply(next);
+                }
+                RC_ASSERT(sequence.ends_without_loss());
+                passed_on += sequence.passed_on();
             }
-            RC_ASSERT(sequence.ends_without_loss());
-            RC_CLASSIFY(sequence.passed_on() > 0, "passed on");
-            RC_CLASSIFY(sequence.passed_on() > 1, "several passed on");
+            RC_CLASSIFY(passed_on > 0, "passed on");
         });
     }
 };
