A copy and a new segment of the log keep the record and the cost of an adopted turn

Callers saw: nothing traced to this yet; a turn whose history lacks an earlier turn gets 503 until the history expires, and a program's spending counts too low. Cause: a turn that another group's program has adopted stands in a store beside its own program's ledger. A store that missed the settlement of that program has the record with an open cost, and wrote only the reservation into copies and new segments of the log: the record was gone after a restart. Where the cost was unknown, it wrote a settlement of 0 tokens for the adopting program; the receiver then listed the request under that program and left the true cost out of its own copies. Change: the record of a turn whose settled cost isn't known is written as a settlement without a request, which carries records (as the history that a settlement adopts) and settles nothing. Evidence: pages_contain_an_adopted_turn_whose_cost_is_open, a_copied_adopted_turn_adds_no_cost and a_copied_adopted_turn_keeps_the_cost_in_later_pages failed before and pass now.

--- a/src/tallyfold/plane/turns/turn_table.cpp
+++ b/src/tallyfold/plane/turns/turn_table.cpp
@@ -13,6 +13,10 @@
     return record.input.size() + record.output.size() + turn_overhead_bytes;
 }
 
+std::uint32_t milliseconds_of(duration retention) {
+    return static_cast<std::uint32_t>(to_milliseconds(retention));
+}
+
 }  // namespace
 
 turn_table::program_entry& turn_table::renew_retention(const std::string& program,
@@ -42,8 +46,10 @@
 
 void turn_table::settle(const turn_settlement& settlement, instant now) {
     program_entry& entry = renew_retention(settlement.program, settlement.retention_ms, now);
-    requests_[settlement.request] = settlement.program;
-    merge(entry.requests, {{settlement.request, {settlement.tokens, true}}});
+    if (!holds_only_records(settlement)) {
+        requests_[settlement.request] = settlement.program;
+        merge(entry.requests, {{settlement.request, {settlement.tokens, true}}});
+    }
     if (settlement.record.has_value()) {
         store_record(settlement, *settlement.record, now);
     }
@@ -108,23 +114,30 @@
     rebuild_request_index();
 }
 
-turn_change turn_table::change_of(const std::string& request, const std::string& program) const {
+void turn_table::append_changes_of(const std::string& request, const std::string& program,
+                                   std::vector<turn_change>& changes) const {
     const auto turn = turns_.find(request);
     const auto entry = programs_.find(program);
     const bool in_ledger = entry != programs_.end() && entry->second.requests.contains(request);
-    // A turn may outlive its program's ledger when another program continues it.
-    const ledger_entry cost =
-        in_ledger ? entry->second.requests.at(request) : ledger_entry{0, true};
-    const duration retention = in_ledger ? entry->second.retention : turn->second.retention;
-    const auto retention_ms = static_cast<std::uint32_t>(to_milliseconds(retention));
-    if (!cost.settled) {
-        return turn_reservation{program, request, cost.tokens, retention_ms};
+    const ledger_entry cost = in_ledger ? entry->second.requests.at(request) : ledger_entry{};
+    const std::uint32_t retention_ms = in_ledger ? milliseconds_of(entry->second.retention) : 0;
+    if (cost.settled) {
+        turn_settlement settlement{program, request, cost.tokens, retention_ms, std::nullopt, {}};
+        if (turn != turns_.end()) {
+            settlement.record = turn->second.record;
+        }
+        changes.emplace_back(std::move(settlement));
+        return;
+    }
+    if (in_ledger) {
+        changes.emplace_back(turn_reservation{program, request, cost.tokens, retention_ms});
     }
-    turn_settlement settlement{program, request, cost.tokens, retention_ms, std::nullopt, {}};
+    // Another program may have adopted the turn: its cost is then unknown here, or its settlement
+    // was missed.
     if (turn != turns_.end()) {
-        settlement.record = turn->second.record;
+        changes.emplace_back(settlement_of_records(
+            turn->second.program, milliseconds_of(turn->second.retention), {turn->second.record}));
     }
-    return settlement;
 }
 
 std::set<std::string> turn_table::settled_requests() const {
@@ -159,7 +172,7 @@
         }
         const auto turn = turns_.find(request);
         bytes += turn != turns_.end() ? size_of(turn->second.record) : turn_overhead_bytes;
-        page.changes.push_back(change_of(request, program));
+        append_changes_of(request, program, page.changes);
         last = request;
     }
     return page;
--- a/src/tallyfold/plane/turns/turn_table.hpp
+++ b/src/tallyfold/plane/turns/turn_table.hpp
@@ -88,8 +88,9 @@
     void reserve(const turn_reservation& reservation, instant now);
     void settle(const turn_settlement& settlement, instant now);
     void store_record(const turn_settlement& settlement, const turn_record& record, instant now);
-    [[nodiscard]] turn_change change_of(const std::string& request,
-                                        const std::string& program) const;
+    /// Appends the changes that reproduce the request's cost and record.
+    void append_changes_of(const std::string& request, const std::string& program,
+                           std::vector<turn_change>& changes) const;
     void rebuild_request_index();
 
     std::map<std::string, program_entry> programs_;
--- a/src/tallyfold/plane/turns/types.cpp
+++ b/src/tallyfold/plane/turns/types.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/plane/turns/types.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "tallyfold/base/common/hash.hpp"
 
@@ -23,6 +24,15 @@
     }
 }
 
+turn_settlement settlement_of_records(const std::string& program, std::uint32_t retention_ms,
+                                      std::vector<turn_record> records) {
+    return {program, "", 0, retention_ms, std::nullopt, std::move(records)};
+}
+
+bool holds_only_records(const turn_settlement& settlement) {
+    return settlement.request.empty();
+}
+
 namespace {
 
 bool contains_member(const std::vector<store_member>& members, store_id id) {
--- a/src/tallyfold/plane/turns/types.hpp
+++ b/src/tallyfold/plane/turns/types.hpp
@@ -100,6 +100,13 @@
     }
 };
 
+/// A settlement that carries records and settles no request, so that a copy contains a turn whose
+/// cost the sender does not know.
+[[nodiscard]] turn_settlement settlement_of_records(const std::string& program,
+                                                    std::uint32_t retention_ms,
+                                                    std::vector<turn_record> records);
+[[nodiscard]] bool holds_only_records(const turn_settlement& settlement);
+
 /// A store that a map lists.
 struct store_member {
     store_id id = 0;
--- a/tests/plane/turns/turn_table_test.cpp
+++ b/tests/plane/turns/turn_table_test.cpp
@@ -16,6 +16,9 @@
     CPPUNIT_TEST(a_copy_is_paged_and_omits_held_requests);
     CPPUNIT_TEST(an_adopted_history_is_complete_and_copied);
     CPPUNIT_TEST(adopting_a_held_turn_keeps_its_ledger_entry);
+    CPPUNIT_TEST(pages_contain_an_adopted_turn_whose_cost_is_open);
+    CPPUNIT_TEST(a_copied_adopted_turn_adds_no_cost);
+    CPPUNIT_TEST(a_copied_adopted_turn_keeps_the_cost_in_later_pages);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int seconds) { return instant(std::chrono::seconds(seconds)); }
@@ -127,6 +130,54 @@
         }
         CPPUNIT_ASSERT_EQUAL(token_count{40}, copy.ledger_of("other").at("a").tokens);
     }
+
+    /// Settlement of turn "b", which continues turn "a" of another program.
+    static turn_settlement adopting_turn() {
+        turn_settlement own = answered_turn("b", "a");
+        own.adopted = {{"a", "", "in-a", "out-a"}};
+        return own;
+    }
+    /// Copies what `target` lacks of `source`.
+    static void copy(const turn_table& source, turn_table& target) {
+        const change_page page = source.page_after("", target.settled_requests(), 1U << 20U);
+        for (const turn_change& change : page.changes) {
+            target.apply(change, at(0));
+        }
+    }
+
+    // A store missed the settlement of "a", and received the one of "b".
+    void pages_contain_an_adopted_turn_whose_cost_is_open() {
+        turn_table table;
+        table.apply(turn_reservation{"other", "a", 288, 60'000}, at(0));
+        table.apply(adopting_turn(), at(0));
+        turn_table rebuilt;
+        copy(table, rebuilt);
+        CPPUNIT_ASSERT(rebuilt.history_up_to("b").missing.empty());
+        const ledger_entry cost = rebuilt.ledger_of("other").at("a");
+        CPPUNIT_ASSERT(!cost.settled);
+        CPPUNIT_ASSERT_EQUAL(token_count{288}, cost.tokens);
+    }
+
+    void a_copied_adopted_turn_adds_no_cost() {
+        turn_table table;
+        table.apply(adopting_turn(), at(0));
+        turn_table rebuilt;
+        copy(table, rebuilt);
+        CPPUNIT_ASSERT(rebuilt.history_up_to("b").missing.empty());
+        CPPUNIT_ASSERT(table.ledger_of("program") == rebuilt.ledger_of("program"));
+    }
+
+    void a_copied_adopted_turn_keeps_the_cost_in_later_pages() {
+        turn_table source;
+        source.apply(adopting_turn(), at(0));
+        turn_table table;
+        table.apply(turn_reservation{"other", "a", 288, 60'000}, at(0));
+        copy(source, table);
+        turn_table rebuilt;
+        copy(table, rebuilt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rebuilt.ledger_of("other").count("a"));
+        CPPUNIT_ASSERT(rebuilt.holds_turn("a"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(turn_table_test);
