A copy omits a request only when both its cost and its record are held

Callers saw: nothing traced to this yet; 503 for a turn whose history lacks an earlier turn, once the other stores that have it lose their disks; or a program's spending that counts too low. Cause: a joining store listed as held every request whose cost was settled, also when its record was missing (expired there, and kept elsewhere by a later turn), and every turn whose record it had adopted, also when its cost was missing. The sources omitted both, and the copy counted as complete. Change: a request is held when the store has the settled cost and the record. Turns that were settled without a record are sent again, some hundred bytes each. Evidence: a_copy_contains_the_record_of_a_turn_whose_cost_is_held and a_copy_contains_the_cost_of_a_turn_whose_record_is_held failed before and pass now.

--- a/src/tallyfold/plane/turns/messages.hpp
+++ b/src/tallyfold/plane/turns/messages.hpp
@@ -151,7 +151,7 @@
 /// first, so that it accepts no write under an older map after the copy.
 struct copy_request {
     store_map map;
-    /// Settled requests that the joining store already holds.
+    /// Settled requests whose cost and record the joining store already holds.
     std::set<std::string> held;
     /// The page begins after this request's identifier.
     std::string after;
--- a/src/tallyfold/plane/turns/store_fsm.cpp
+++ b/src/tallyfold/plane/turns/store_fsm.cpp
@@ -229,7 +229,7 @@
     const store_member& source = sources[source_offset_ % sources.size()];
     const auto from = copy_positions_.find(source.id);
     if (from == copy_positions_.end()) {
-        held_requests_ = turns_.settled_requests();
+        held_requests_ = turns_.complete_requests();
     }
     copy_request request;
     request.map = copy_progress_->map();
--- a/src/tallyfold/plane/turns/store_fsm.hpp
+++ b/src/tallyfold/plane/turns/store_fsm.hpp
@@ -122,8 +122,8 @@
     std::vector<queued_message> queue_;
     std::vector<queued_message> write_batch_;
     std::optional<copy_progress> copy_progress_;
-    /// Settled requests that this store held before the copy from the current source; the source
-    /// omits them.
+    /// Requests that this store held with cost and record before the copy from the current source;
+    /// the source omits them.
     std::set<std::string> held_requests_;
     /// Last request of the latest page, by source.
     std::map<store_id, std::string> copy_positions_;
--- a/src/tallyfold/plane/turns/turn_table.cpp
+++ b/src/tallyfold/plane/turns/turn_table.cpp
@@ -140,19 +140,16 @@
     }
 }
 
-std::set<std::string> turn_table::settled_requests() const {
-    std::set<std::string> settled;
+std::set<std::string> turn_table::complete_requests() const {
+    std::set<std::string> complete;
     for (const auto& [program, entry] : programs_) {
         for (const auto& [request, cost] : entry.requests) {
-            if (cost.settled) {
-                settled.insert(request);
+            if (cost.settled && turns_.contains(request)) {
+                complete.insert(request);
             }
         }
     }
-    for (const auto& [request, entry] : turns_) {
-        settled.insert(request);
-    }
-    return settled;
+    return complete;
 }
 
 change_page turn_table::page_after(const std::string& after, const std::set<std::string>& held,
--- a/src/tallyfold/plane/turns/turn_table.hpp
+++ b/src/tallyfold/plane/turns/turn_table.hpp
@@ -55,8 +55,10 @@
     /// retains its whole history.
     void expire(instant now, duration margin);
 
-    /// Identifiers of the settled requests in this table; a copy to this store omits them.
-    [[nodiscard]] std::set<std::string> settled_requests() const;
+    /// Identifiers of the requests whose settled cost and whose record are in this table; a copy to
+    /// this store omits them. A request with only one of the two is copied, since the source may
+    /// have the other.
+    [[nodiscard]] std::set<std::string> complete_requests() const;
     /// Changes that reproduce the contents of this table in another one.
     /// @param after the page begins with the request after this one; empty for the first page
     /// @param held requests that the other table already holds
--- a/tests/plane/turns/turn_table_test.cpp
+++ b/tests/plane/turns/turn_table_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(pages_contain_an_adopted_turn_whose_cost_is_open);
     CPPUNIT_TEST(a_copied_adopted_turn_adds_no_cost);
     CPPUNIT_TEST(a_copied_adopted_turn_keeps_the_cost_in_later_pages);
+    CPPUNIT_TEST(a_copy_contains_the_record_of_a_turn_whose_cost_is_held);
+    CPPUNIT_TEST(a_copy_contains_the_cost_of_a_turn_whose_record_is_held);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int seconds) { return instant(std::chrono::seconds(seconds)); }
@@ -137,9 +139,12 @@
         own.adopted = {{"a", "", "in-a", "out-a"}};
         return own;
     }
+    static turn_settlement adopted_turn() {
+        return {"other", "a", 40, 60'000, turn_record{"a", "", "in-a", "out-a"}};
+    }
     /// Copies what `target` lacks of `source`.
     static void copy(const turn_table& source, turn_table& target) {
-        const change_page page = source.page_after("", target.settled_requests(), 1U << 20U);
+        const change_page page = source.page_after("", target.complete_requests(), 1U << 20U);
         for (const turn_change& change : page.changes) {
             target.apply(change, at(0));
         }
@@ -178,6 +183,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rebuilt.ledger_of("other").count("a"));
         CPPUNIT_ASSERT(rebuilt.holds_turn("a"));
     }
+
+    // The record of "a" has expired in the target, whose ledger of the program is kept.
+    void a_copy_contains_the_record_of_a_turn_whose_cost_is_held() {
+        turn_table target;
+        target.apply(turn_settlement{"other", "a", 40, 60'000, std::nullopt}, at(0));
+        turn_table source;
+        source.apply(adopted_turn(), at(0));
+        source.apply(answered_turn("b", "a"), at(0));
+        copy(source, target);
+        CPPUNIT_ASSERT(target.history_up_to("b").missing.empty());
+    }
+
+    void a_copy_contains_the_cost_of_a_turn_whose_record_is_held() {
+        turn_table target;
+        target.apply(adopting_turn(), at(0));
+        turn_table source;
+        source.apply(adopted_turn(), at(0));
+        copy(source, target);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, target.ledger_of("other").count("a"));
+        turn_table rebuilt;
+        copy(target, rebuilt);
+        CPPUNIT_ASSERT_EQUAL(token_count{40}, rebuilt.ledger_of("other").at("a").tokens);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(turn_table_test);
