--- a/src/tallyfold/plane/turns/turn_table.hpp
+++ b/src/tallyfold/plane/turns/turn_table.hpp
@@ -55,8 +55,10 @@
     /// retains its whole history.
     void expire(instant now, duration margin);
 
-    /// Identifiers of the settled requests in this table; a copy to this store omits them.
-    [[nodiscard]] std::set<std::string> settled_requests() const;
+    /// Identifiers of the requests whose settled cost and whose record are in this table; a copy to
+    /// this store omits them. A request with only one of the two is copied, since the source may
+    /// have the other.
+    [[nodiscard]] std::set<std::string> complete_requests() const;
     /// Changes that reproduce the contents of this table in another one.
     /// @param after the page begins with the request after this one; empty for the first page
     /// @param held requests that the other table already holds
@@ -88,8 +90,9 @@
     void reserve(const turn_reservation& reservation, instant now);
     void settle(const turn_settlement& settlement, instant now);
     void store_record(const turn_settlement& settlement, const turn_record& record, instant now);
-    [[nodiscard]] turn_change change_of(const std::string& request,
-                                        const std::string& program) const;
+    /// Appends the changes that reproduce the request's cost and record.
+    void append_changes_of(const std::string& request, const std::string& program,
+                           std::vector<turn_change>& changes) const;
     void rebuild_request_index();
 
     std::map<std::string, program_entry> programs_;
