Comments: put back reasons of constants and rules

The rewording of the comments dropped numbers and reasons that a maintainer needs to change a constant safely. Reasons that stand in docs/DECISIONS-UNDER-LOAD.md beside the constant's name stay there. Comment lines only.

base/storage: cost of the portable CRC-32C. directory: part_timeout, max_content_bytes, max_open_questions, max_pending_proofs, max_versions, max_contents, max_part_bytes, parser_thread_min_bytes, node_timeout, active_window, entry_lifetime, min_read_round_interval, snapshot_disk_bytes, reopen_interval, segment_bytes, loss_timeout, stop_delay, propagation_check_interval, max_body_bytes, retention, max_learner_lag. For node_timeout and active_window the shorter comments were misleading: a node reports every 120 ms, but to each of nine directory nodes once per second. discovery: max_pages, first_successor_age. messaging, http: retry_delay, max_queued_bytes, max_head_bytes. turns: background_settle_timeout, history_grace_period, expiry_margin, min_timeout and max_timeout of copies, first_interval and max_interval of resends, failure_log_interval, size of identities. decisions, tenants, forwarding: connect_limit, default_retry_after, max_answer_head_bytes, max_buffered_answer_bytes. program API: leader_check_interval, join_interval, unknown_outcome_delay, retry_after_ms of a stale configuration, redial_interval.

--- a/src/tallyfold/base/storage/checksum.cpp
+++ b/src/tallyfold/base/storage/checksum.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint32_t all_ones = 0xFFFFFFFF;
 
 #if defined(__x86_64__)
-/// Uses the CRC-32C instruction; the portable version is too slow for large configurations.
+/// Uses the CRC-32C instruction; the portable version is too slow for large configurations: 8.3 ms
+/// of a core for the 2.7 MB of one with 6,000 routes.
 __attribute__((target("sse4.2"))) std::uint32_t checksum_sse42(std::string_view bytes) {
     std::uint64_t value = all_ones;
     while (bytes.size() >= sizeof(std::uint64_t)) {
--- a/src/tallyfold/plane/decisions/time_budget.hpp
+++ b/src/tallyfold/plane/decisions/time_budget.hpp
@@ -21,7 +21,7 @@
     /// Fraction of the time left for an attempt that another one may follow. Below one half, so
     /// that the next attempt has more time.
     static constexpr double attempt_share = 0.4;
-    /// Maximum time to establish a connection.
+    /// Maximum time to establish a connection; over a hundred round trips between zones (3 ms).
     static constexpr duration connect_limit = std::chrono::milliseconds(500);
 
     /// @param received time at which the last byte of the request was read
--- a/src/tallyfold/plane/directory/admin_api_shell.cpp
+++ b/src/tallyfold/plane/directory/admin_api_shell.cpp
@@ -19,7 +19,8 @@
 /// of operators' clients.
 constexpr duration log_timeout = std::chrono::milliseconds(900);
 /// Minimum size in bytes of a text that is parsed on the parser thread. Parsing a larger one on the
-/// loop thread of a slow machine would delay heartbeats beyond the election timeout.
+/// loop thread of a slow machine would delay heartbeats beyond the election timeout: 2 MB take 35
+/// ms of a core, so 0.7 s with a twentieth of one. 64 KB take 22 ms there, about one tick.
 constexpr std::size_t parser_thread_min_bytes = 64U << 10U;
 constexpr const char* folder_unavailable_reason = "the data folder can't be used now";
 
--- a/src/tallyfold/plane/directory/configuration_fetch.cpp
+++ b/src/tallyfold/plane/directory/configuration_fetch.cpp
@@ -9,10 +9,11 @@
 namespace {
 
 /// Time without a part after which the fetch continues at another node that holds a newer version.
-/// Longer than a directory node is busy with a large change.
+/// Longer than the 0.3 s for which a directory node may be busy with a large change; a part usually
+/// takes 15 ms.
 constexpr duration part_timeout = std::chrono::milliseconds(400);
 /// Maximum size of a content in bytes, compressed and decompressed; a larger one is rejected as
-/// corrupt.
+/// corrupt. Eight times the largest operator's request.
 constexpr std::size_t max_content_bytes = 64U << 20U;
 
 /// Decodes a content and applies it to `base`.
--- a/src/tallyfold/plane/directory/configuration_proofs.cpp
+++ b/src/tallyfold/plane/directory/configuration_proofs.cpp
@@ -4,9 +4,11 @@
 
 namespace {
 
-/// Maximum number of pending questions. Requests that wait for an older one have timed out.
+/// Maximum number of pending questions: about 3 s of them at one per 50 ms. Requests that wait for
+/// an older one have timed out.
 constexpr std::size_t max_open_questions = 64;
-/// Maximum number of proofs for versions that are not held yet.
+/// Maximum number of proofs for versions that are not held yet. While versions follow each other
+/// quickly, several may be proved before they are fetched.
 constexpr std::size_t max_pending_proofs = 16;
 
 }  // namespace
--- a/src/tallyfold/plane/directory/configuration_source.cpp
+++ b/src/tallyfold/plane/directory/configuration_source.cpp
@@ -10,12 +10,13 @@
 namespace {
 
 /// Maximum number of versions from which differences can be computed. Nodes that hold an older one
-/// get the full configuration.
+/// get the full configuration. Nodes rarely lag by more changes than occur during a fetch. Each
+/// version takes about 2 MB with 6,000 routes.
 constexpr std::size_t max_versions = 4;
-/// Maximum number of contents kept for nodes that are still fetching them.
+/// Maximum number of contents kept for nodes that are still fetching them: two for each version.
 constexpr std::size_t max_contents = 8;
 /// Maximum size of a part in bytes; small, so that heartbeats on the same connection are not
-/// delayed.
+/// delayed: a part takes 9 ms on a link of 30 Mbit/s.
 constexpr std::size_t max_part_bytes = 32U << 10U;
 
 const routing::configuration& empty_configuration() {
--- a/src/tallyfold/plane/directory/directory_client_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// Silence of all directory nodes after which their loss is logged. Longer than an election.
+/// Silence of all directory nodes after which their loss is logged. Longer than an election,
+/// which takes 0.5 to 1 s.
 constexpr duration loss_timeout = std::chrono::milliseconds(1500);
 
 }  // namespace
--- a/src/tallyfold/plane/directory/directory_replica_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_replica_shell.cpp
@@ -10,9 +10,10 @@
 
 namespace {
 
-/// Delay before a failed data folder is reopened. Each attempt reads the whole log.
+/// Delay before a failed data folder is reopened. Each attempt reads the whole log, and a full disk
+/// or a remount takes seconds.
 constexpr duration reopen_interval = std::chrono::milliseconds(500);
-/// Size in bytes at which the log starts a new file; holds a few large configurations.
+/// Size in bytes at which the log starts a new file; holds a few large configurations (2 MB each).
 constexpr std::uint64_t segment_bytes = 4U << 20U;
 
 /// Returns a random number above 0.
--- a/src/tallyfold/plane/directory/directory_settings.cpp
+++ b/src/tallyfold/plane/directory/directory_settings.cpp
@@ -12,8 +12,8 @@
 constexpr consensus::log_index first_index = 1;
 constexpr consensus::term_number first_term = 1;
 
-/// Minimum interval between rounds in which the leader confirms its leadership for reads; limits
-/// the number of messages.
+/// Minimum interval between rounds in which the leader confirms its leadership for reads. Limits
+/// the number of messages: 50 rounds per second take about 250.
 constexpr duration min_read_round_interval = std::chrono::milliseconds(20);
 
 }  // namespace
--- a/src/tallyfold/plane/directory/directory_settings.hpp
+++ b/src/tallyfold/plane/directory/directory_settings.hpp
@@ -31,7 +31,7 @@
     consensus::log_index snapshot_interval = 64;
     std::size_t snapshot_bytes = 1U << 20U;
     /// Number of uncompressed bytes of entries after which a snapshot is taken. Limits the log on
-    /// disk and the memory that mirrors it.
+    /// disk and the memory that mirrors it. Three configurations of 6,000 routes, 2.4 MB each.
     std::size_t snapshot_disk_bytes = 8U << 20U;
     member_planner_settings members;
     store_planner_settings stores;
--- a/src/tallyfold/plane/directory/directory_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_shell.cpp
@@ -18,14 +18,17 @@
 
 /// Resolution of all timers of the core; a quarter of its heartbeat interval.
 constexpr duration tick_interval = std::chrono::milliseconds(20);
-/// Time between a stop request and the end of the process, in which pending answers are sent.
+/// Time between a stop request and the end of the process, in which pending answers are sent. About
+/// a hundred times the latency between zones.
 constexpr duration stop_delay = std::chrono::milliseconds(300);
 /// Interval at which a follower requests the list of back ends from the leader; a fifth of the poll
 /// interval.
 constexpr duration list_request_interval = std::chrono::milliseconds(200);
-/// Interval at which the propagation of the configuration is checked.
+/// Interval at which the propagation of the configuration is checked. A change takes 0.2 to 0.4 s
+/// to reach all nodes.
 constexpr duration propagation_check_interval = std::chrono::milliseconds(200);
-/// Maximum size in bytes of an operator's request; several times a large configuration.
+/// Maximum size in bytes of an operator's request; four times the text of a configuration with
+/// 6,000 routes.
 constexpr std::size_t max_body_bytes = 8U << 20U;
 
 /// Wires the components of a directory node, all of which run on the loop thread.
--- a/src/tallyfold/plane/directory/format_tracker.cpp
+++ b/src/tallyfold/plane/directory/format_tracker.cpp
@@ -6,10 +6,12 @@
 
 namespace {
 
-/// Time without a message after which a node no longer counts as active; several reporting
-/// intervals.
+/// Time without a message after which a node no longer counts as active. A node reports to one
+/// directory node after another every 120 ms, so each of nine receives a report about once per
+/// second.
 constexpr duration active_window = std::chrono::seconds(5);
-/// Entries that are older are removed, since names of replaced nodes are not reused.
+/// Entries that are older are removed, since names of replaced nodes are not reused. Far longer
+/// than a restart.
 constexpr duration entry_lifetime = std::chrono::minutes(30);
 
 }  // namespace
--- a/src/tallyfold/plane/directory/member_planner.cpp
+++ b/src/tallyfold/plane/directory/member_planner.cpp
@@ -10,7 +10,8 @@
 /// Age up to which a join request is valid; several request intervals. An older one is from a
 /// process that has ended.
 constexpr duration join_lifetime = std::chrono::milliseconds(1500);
-/// Maximum number of entries by which a learner may lag when it is promoted to voter.
+/// Maximum number of entries by which a learner may lag when it is promoted to voter; a few changes
+/// in flight.
 constexpr consensus::log_index max_learner_lag = 4;
 
 }  // namespace
--- a/src/tallyfold/plane/directory/store_view.hpp
+++ b/src/tallyfold/plane/directory/store_view.hpp
@@ -26,7 +26,7 @@
     duration live_timeout = std::chrono::milliseconds(1500);
     /// Longest retention of a turn at any store; afterwards, all turns on a lost disk have expired.
     /// store_planner::update_incomplete_groups() sets it from the configuration before each plan;
-    /// this default applies until then.
+    /// this default applies until then: a minute, and the margin of 15 s that stores add.
     duration retention = std::chrono::seconds(75);
     /// Time for which reports are collected before the first groups are formed, so that they
     /// include all stores.
--- a/src/tallyfold/plane/directory/version_tracker.cpp
+++ b/src/tallyfold/plane/directory/version_tracker.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Silence after which a node is ignored; longer than two reporting intervals.
+/// Silence after which a node is ignored. A node reports to the directory nodes in turn, to each of
+/// nine about once per second, so it has missed two or three reports.
 constexpr duration node_timeout = std::chrono::seconds(3);
 
 }  // namespace
--- a/src/tallyfold/plane/discovery/list_walk.hpp
+++ b/src/tallyfold/plane/discovery/list_walk.hpp
@@ -38,6 +38,7 @@
     [[nodiscard]] const polled_list& polled() const { return polled_; }
 
   private:
+    /// Ends the walk of a list that names a next page forever.
     static constexpr std::size_t max_pages = 1'000;
 
     polled_list polled_;
--- a/src/tallyfold/plane/discovery/poller_election.hpp
+++ b/src/tallyfold/plane/discovery/poller_election.hpp
@@ -32,7 +32,7 @@
     std::size_t pages = 0;
 
     /// Age of the list at which the node of rank 0 polls. Above the maximum age at other nodes of a
-    /// short list that is polled every second.
+    /// short list that is polled every second (1.3 s).
     static constexpr duration first_successor_age = std::chrono::milliseconds(1'500);
     /// Additional age for each page: time to request it.
     static constexpr duration page_allowance = std::chrono::milliseconds(10);
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 /// Maximum size in bytes of an answer that is buffered before it is relayed, so that the request
-/// can be retried if the answer breaks off. Bounds the memory of one request.
+/// can be retried if the answer breaks off. Holds the answers of lookups and bounds the memory of
+/// one request.
 constexpr std::uint64_t max_buffered_answer_bytes = 64U << 10U;
 
 bool is_success(const http::message_head& head) {
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Maximum size of an answer's head in bytes.
+/// Maximum size of an answer's head in bytes; four times the default limit of a caller's head.
 constexpr std::size_t max_answer_head_bytes = 64U << 10U;
 /// Maximum number of answers to other requests that are skipped before the expected one.
 /// Tolerates duplicate answers, but not a connection that is out of sync.
--- a/src/tallyfold/plane/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/plane/http/endpoint_server_shell.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Limit of a request line and its header fields together.
+/// Limit of a request line and its header fields together; operators' tools send a few hundred
+/// bytes.
 constexpr std::size_t max_head_bytes = 16U << 10U;
 /// Time after which a connection without a request is closed.
 constexpr duration idle_timeout = std::chrono::seconds(30);
--- a/src/tallyfold/plane/messaging/frame_channel_shell.hpp
+++ b/src/tallyfold/plane/messaging/frame_channel_shell.hpp
@@ -54,7 +54,8 @@
     void close_on_protocol_error(const std::string& reason);
     void fail(const std::string& reason);
 
-    /// Limit of the bytes queued for one peer.
+    /// Limit of the bytes queued for one peer. Beyond it the peer has stopped reading, and the
+    /// memory of a node has to serve many peers.
     static constexpr std::size_t max_queued_bytes = 8U << 20U;
     /// Maximum number of bytes per read.
     static constexpr std::size_t read_size = 16U << 10U;
--- a/src/tallyfold/plane/messaging/peer_link_shell.cpp
+++ b/src/tallyfold/plane/messaging/peer_link_shell.cpp
@@ -10,7 +10,8 @@
 /// Shorter than the kernel's first SYN retransmission, which comes after 1 s: the SYN to a machine
 /// that is restarting is lost.
 constexpr auto connect_timeout = std::chrono::milliseconds(250);
-/// Delay before the next attempt to connect.
+/// Delay before the next attempt to connect. A restarted process is reached within 0.1 s, and an
+/// unreachable one costs about 16 packets per second.
 constexpr auto retry_delay = std::chrono::milliseconds(60);
 /// Time after which unacknowledged data closes the connection; below the 1.5 s limit of a begin
 /// operation on the stores.
--- a/src/tallyfold/plane/tenants/quota_client_shell.cpp
+++ b/src/tallyfold/plane/tenants/quota_client_shell.cpp
@@ -23,7 +23,8 @@
 /// Longest time that a call of a running program waits for a permit that is about to be free. A
 /// refusal may fail the whole program, and permits are freed continuously at the tenant's rate.
 constexpr duration max_permit_wait = std::chrono::milliseconds(400);
-/// Retry delay of a refused call when the lender gives none, and the shortest otherwise.
+/// Retry delay of a refused call when the lender gives none, and the shortest otherwise. The
+/// election of a lender takes 0.5 to 1 s, a slow answer only some milliseconds.
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
 
 std::uint64_t random_process_id() {
--- a/src/tallyfold/plane/turns/begin_coordinator.hpp
+++ b/src/tallyfold/plane/turns/begin_coordinator.hpp
@@ -73,7 +73,8 @@
     /// resend_backoff::first_interval, so that loaded stores have time to reply.
     static constexpr duration history_resend_interval = std::chrono::milliseconds(250);
     /// Time after the quorum in which the nearest store's texts may arrive before another store is
-    /// asked for them. Above the usual latency of a begin, and short against its time limit.
+    /// asked for them. Three times the usual latency of a begin (5 ms), and short against its time
+    /// limit (1.5 s).
     static constexpr duration history_grace_period = std::chrono::milliseconds(15);
 
     /// Selects the store that returns the history and the engines that cache the prompt; 0 for
--- a/src/tallyfold/plane/turns/copy_timeout.hpp
+++ b/src/tallyfold/plane/turns/copy_timeout.hpp
@@ -14,9 +14,10 @@
 
 class copy_timeout {
   public:
-    /// Initial and shortest timeout.
+    /// Initial and shortest timeout; the longest delay of a copy by a failed source.
     static constexpr duration min_timeout = std::chrono::milliseconds(300);
-    /// Three doublings of the minimum.
+    /// Three doublings of the minimum. A begin at saturated stores takes up to 0.69 s at the
+    /// median.
     static constexpr duration max_timeout = std::chrono::milliseconds(2'400);
 
     /// Records that a page was requested.
--- a/src/tallyfold/plane/turns/resend_backoff.hpp
+++ b/src/tallyfold/plane/turns/resend_backoff.hpp
@@ -14,10 +14,10 @@
 
 class resend_backoff {
   public:
-    /// Well above the usual latency of a begin, so that only dropped requests are sent again, and
-    /// well below its time limit.
+    /// Well above the usual latency of a begin (3 to 5 ms), so that only dropped requests are sent
+    /// again, and a sixth of its time limit (1.5 s).
     static constexpr duration first_interval = std::chrono::milliseconds(250);
-    /// Limits the pauses of an operation with a long time limit, such as a settlement.
+    /// Limits the pauses of an operation with a long time limit, such as a settlement (6 s).
     static constexpr duration max_interval = std::chrono::milliseconds(2'000);
 
     /// Makes a send due at once, after a reconnect or when a store has sent a newer map.
--- a/src/tallyfold/plane/turns/store_folder_shell.cpp
+++ b/src/tallyfold/plane/turns/store_folder_shell.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// A random 64-bit identity; 0 means that there is none.
+/// A random 64-bit identity; 0 means that there is none. Two of them do not collide in practice.
 store_id random_identity() {
     std::random_device source;
     const std::uint64_t high = source();
--- a/src/tallyfold/plane/turns/store_writer_shell.cpp
+++ b/src/tallyfold/plane/turns/store_writer_shell.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Minimum interval between log lines about failed writes.
+/// Minimum interval between log lines about failed writes. Short enough to show a failing disk at
+/// once, and limits the log to 43,200 lines per day.
 constexpr duration failure_log_interval = std::chrono::seconds(2);
 /// Approximate size of the texts in one record of a new segment, in bytes. Bounds the memory that a
 /// rotation needs beside the table.
--- a/src/tallyfold/plane/turns/turn_client_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_client_shell.cpp
@@ -17,7 +17,8 @@
 /// Time without a message from a store with open requests after which its connection is replaced.
 /// Leaves time for another attempt within the time limit of a begin.
 constexpr duration silence_timeout = std::chrono::milliseconds(900);
-/// Time limit of a settlement in the background.
+/// Time limit of a settlement in the background: the silence after which the directory replaces a
+/// store.
 constexpr duration background_settle_timeout = std::chrono::seconds(6);
 
 }  // namespace
--- a/src/tallyfold/plane/turns/turn_store_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_store_shell.cpp
@@ -22,7 +22,8 @@
 
 /// Interval of the removal of expired turns, which visits every turn.
 constexpr duration expiry_interval = std::chrono::seconds(2);
-/// Time that turns are kept beyond their retention, for clock skew and turns under way.
+/// Time that turns are kept beyond their retention, for clock skew and turns under way. Ten times
+/// the 1.5 s that a begin may take.
 constexpr duration expiry_margin = std::chrono::seconds(15);
 /// Interval between attempts to restore a failed log; each attempt costs a sync.
 constexpr duration repair_interval = std::chrono::milliseconds(500);
--- a/src/tallyfold/program_api/control/control_core.cpp
+++ b/src/tallyfold/program_api/control/control_core.cpp
@@ -9,9 +9,10 @@
 
 namespace {
 
-/// Interval of a leader's checks of members and leases.
+/// Interval of a leader's checks of members and leases: the replicas' heartbeat interval, and a
+/// fifteenth of the time after which a scheduler counts as lost.
 constexpr duration leader_check_interval = std::chrono::milliseconds(100);
-/// Interval between join requests.
+/// Interval between join requests; as long as the election timeout.
 constexpr duration join_interval = std::chrono::milliseconds(500);
 /// A longer gap between ticks means that the process was suspended, so the time since a node's last
 /// heartbeat says nothing about the node.
--- a/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
+++ b/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
@@ -24,7 +24,7 @@
 constexpr duration initial_seal_retry_delay = std::chrono::milliseconds(300);
 constexpr duration max_seal_retry_delay = std::chrono::seconds(3);
 /// Time after which callers of a request with an unknown outcome get outcome_unknown. Must stay
-/// below the callers' inactivity timeout. Seal requests continue after that.
+/// below the callers' inactivity timeout of 8 s. Seal requests continue after that.
 constexpr duration unknown_outcome_delay = std::chrono::seconds(4);
 /// Retry delay suggested to these callers.
 constexpr std::uint32_t unknown_retry_after_ms = 1000;
--- a/src/tallyfold/program_api/scheduler/commands/refusal.hpp
+++ b/src/tallyfold/program_api/scheduler/commands/refusal.hpp
@@ -22,6 +22,7 @@
 
 /// Refusal of new work while the scheduler cannot confirm its configuration with control.
 inline journal::outcome stale_configuration() {
+    // A third of the configuration lease.
     constexpr std::uint32_t retry_after_ms = 1000;
     return refusal(journal::answer_code::configuration_stale,
                    "the scheduler cannot confirm that its configuration is current",
--- a/src/tallyfold/program_api/transport/transport.cpp
+++ b/src/tallyfold/program_api/transport/transport.cpp
@@ -14,7 +14,8 @@
 using asio::ip::tcp;
 using logging::event_id;
 
-/// Interval of the connection checks, and minimum delay between two connection attempts.
+/// Interval of the connection checks, and minimum delay between two connection attempts. Well below
+/// the time after which a restarted node counts as silent.
 constexpr auto redial_interval = std::chrono::milliseconds(100);
 /// Time for sending the last messages when the process stops; peers detect the close in any case.
 constexpr auto stop_grace = std::chrono::milliseconds(200);
