A late join request does not replace a directory member that was heard since

A follower that was frozen passes on a request that is seconds old. If its sender's disk was lost again meanwhile, the present voter at that address was removed as lost, and a learner that no longer exists was added; the voter asked to join again only after 2.5 s, with one voter fewer in between.

Cause: a request was dated by its arrival, and any member at its address was taken for the lost one, also one heard since. The leader itself, when it was the first match, hid all other lost members.

Evidence: late_join_request_does_not_replace_a_member_heard_since failed before and passes now; directory_disks_test passes.

Why it works: each disk that is alive goes on sending. A member at the same address that was heard after the request has the present disk; if the request is the newer one, it is repeated every 300 ms and the lost member stays silent.

--- a/src/tallyfold/plane/directory/member_planner.cpp
+++ b/src/tallyfold/plane/directory/member_planner.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/plane/directory/member_planner.hpp"
 
+#include <algorithm>
+
 namespace tallyfold::directory {
 
 using consensus::membership;
@@ -53,31 +55,43 @@
     return found == last_message_.end() ? leading_since_ : found->second;
 }
 
-std::optional<replica_id> member_planner::lost_disk(const membership& members, instant now) const {
+bool member_planner::is_current(const joining_replica& joining, const membership& members,
+                                replica_id id, instant now) const {
+    const auto has_answered_since = [&](const auto& entry) {
+        const auto& [other, member] = entry;
+        return other != id && member.node == joining.address &&
+               last_heard(other) > joining.requested_at;
+    };
+    return now - joining.requested_at <= join_lifetime &&
+           std::none_of(members.members.begin(), members.members.end(), has_answered_since);
+}
+
+std::optional<replica_id> member_planner::lost_disk(const membership& members, replica_id self,
+                                                    instant now) const {
     // A different replica that joins from a member's address means that the member's disk was
     // replaced.
     for (const auto& [id, joining] : join_requests_) {
-        if (now - joining.requested_at > join_lifetime) {
+        if (!is_current(joining, members, id, now)) {
             continue;
         }
         for (const auto& [other, member] : members.members) {
-            const bool replaced = other != id && member.node == joining.address;
+            const bool replaced = other != id && other != self && member.node == joining.address;
             if (replaced && may_remove_lost(members, other, joining.first_requested_at, now)) {
                 return other;
             }
         }
     }
-    return replaced_member(members, now);
+    return replaced_member(members, self, now);
 }
 
 std::optional<replica_id> member_planner::replaced_member(const membership& members,
-                                                          instant now) const {
+                                                          replica_id self, instant now) const {
     // A replica that has joined sends no more requests. Of two members at one address, the one that
     // was heard last has the present disk.
     for (const auto& [id, member] : members.members) {
         for (const auto& [other, successor] : members.members) {
-            const bool replaced =
-                id != other && member.node == successor.node && last_heard(id) < last_heard(other);
+            const bool replaced = id != other && id != self && member.node == successor.node &&
+                                  last_heard(id) < last_heard(other);
             const auto request = join_requests_.find(other);
             const instant known_since = request == join_requests_.end()
                                             ? leading_since_
@@ -115,12 +129,12 @@
 std::optional<membership> member_planner::plan(const replication_view& view, replica_id self,
                                                instant now) const {
     membership next = view.members;
-    if (const auto lost = lost_disk(next, now); lost && *lost != self) {
+    if (const auto lost = lost_disk(next, self, now)) {
         next.members.erase(*lost);
         return next;
     }
     for (const auto& [id, joining] : join_requests_) {
-        if (now - joining.requested_at <= join_lifetime && !next.members.contains(id)) {
+        if (is_current(joining, next, id, now) && !next.members.contains(id)) {
             next.members[id] = {joining.address, true};
             return next;
         }
--- a/src/tallyfold/plane/directory/member_planner.hpp
+++ b/src/tallyfold/plane/directory/member_planner.hpp
@@ -71,11 +71,17 @@
         instant requested_at{};
     };
     [[nodiscard]] bool is_silent(consensus::replica_id id, duration limit, instant now) const;
+    /// False for a request that is too old, or that arrived late: a member at the same address was
+    /// heard after it, so the disk that asked to join is not the present one.
+    [[nodiscard]] bool is_current(const joining_replica& joining,
+                                  const consensus::membership& members, consensus::replica_id id,
+                                  instant now) const;
+    /// A member other than `self` whose disk was replaced.
     [[nodiscard]] std::optional<consensus::replica_id> lost_disk(
-        const consensus::membership& members, instant now) const;
+        const consensus::membership& members, consensus::replica_id self, instant now) const;
     /// A member whose node has lost its disk and has joined as another member.
     [[nodiscard]] std::optional<consensus::replica_id> replaced_member(
-        const consensus::membership& members, instant now) const;
+        const consensus::membership& members, consensus::replica_id self, instant now) const;
     /// @param known_since when its successor was first heard
     [[nodiscard]] bool may_remove_lost(const consensus::membership& members,
                                        consensus::replica_id lost, instant known_since,
--- a/tests/plane/directory/member_planner_test.cpp
+++ b/tests/plane/directory/member_planner_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(replica_is_removed_when_its_node_joins_with_new_disk);
     CPPUNIT_TEST(second_lost_voter_is_removed_after_promotion_of_its_successor);
     CPPUNIT_TEST(removal_of_lost_voter_is_deferred_for_a_limited_time);
+    CPPUNIT_TEST(late_join_request_does_not_replace_a_member_heard_since);
     CPPUNIT_TEST(learner_is_promoted_only_when_caught_up);
     CPPUNIT_TEST_SUITE_END();
 
@@ -125,6 +126,15 @@
         CPPUNIT_ASSERT(next.has_value() && !next->members.contains(2));
     }
 
+    void late_join_request_does_not_replace_a_member_heard_since() {
+        const replication_view view = voters(5);
+        member_planner planner({});
+        planner.start(at(0));
+        planner.on_join({99, "10.0.0.5:7000"}, at(1000));
+        planner.on_message(5, at(1020));
+        CPPUNIT_ASSERT(!planner.plan(view, self, at(1030)).has_value());
+    }
+
     void learner_is_promoted_only_when_caught_up() {
         replication_view view = voters(3);
         view.members.members[9] = {"10.0.0.9:7000", true};
