Tests: the forwarder's test world uses an address of its own process

The port that it had picked and released could be taken by another process before the listener bound it.

--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -3,6 +3,8 @@
 /// The request path of one forwarder in a test: a caller_listener with its context, back ends and
 /// callers on loopback sockets, all on one loop. Nothing runs outside run_until() and run_turns().
 
+#include <unistd.h>
+
 #include <array>
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -17,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/names.hpp"
 #include "platform/replica_calls.hpp"
 #include "tallyfold/plane/forwarding/caller_listener_shell.hpp"
 #include "tallyfold/plane/forwarding/forwarder_context.hpp"
@@ -90,7 +93,7 @@
             if (!head) {
                 co_return;
             }
-            const std::string id = *peer->head().headers.find("X-Request-Id");
+            const std::string id = *peer->head().headers.find(platform::names::request_id);
             requests_.push_back(id);
             if (behavior_ == backend_behavior::holds) {
                 co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
@@ -283,12 +286,14 @@
     forwarding::caller_listener callers;
 
   private:
+    /// Listens on a loopback address that no other process uses: it contains the process's number.
     void listen() {
-        asio::ip::tcp::acceptor free_port(
-            process.loop(), asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        endpoint_ = free_port.local_endpoint();
-        free_port.close();
-        const std::string problem = callers.start("127.0.0.1:" + std::to_string(endpoint_.port()));
+        constexpr std::uint32_t loopback_network = 127U << 24U;
+        constexpr std::uint16_t port = 17'180;
+        const auto number = static_cast<std::uint32_t>(::getpid());
+        const asio::ip::address_v4 address(loopback_network | number);
+        endpoint_ = {address, port};
+        const std::string problem = callers.start(address.to_string() + ":" + std::to_string(port));
         CPPUNIT_ASSERT_EQUAL(std::string{}, problem);
     }
 
