A group that has recovered from a loss needs majorities again in later changes

Callers saw: nothing traced to this yet; 503 for every turn of a group for as long as one member is silent, in the 75 s or more after a recovery, although a majority is in reach. Cause: the flag after_loss stands for two things: that turns may have been lost, which holds until they would have expired, and that the open change is a recovery, in which each surviving disk is needed. When a member of the recovered group was silent for six seconds, the planner began to replace it, and this change asked for all former members, the silent one included, until it came back. The change for a lost disk needed a recovery at once for the same reason, which waits for any other silent member. Change: store_map::recovering() tells a recovery: its current members list all next ones, too, as recover_from_survivors and readmit_absent plan them. Later changes have a joining store and need majorities. A recovery that is planned again because a joining store failed adds the new one to the current members, so it stays a recovery. Evidence: recovered_group_serves_while_silent_member_is_replaced failed before and passes now.

--- a/src/tallyfold/plane/directory/group_members.cpp
+++ b/src/tallyfold/plane/directory/group_members.cpp
@@ -151,7 +151,12 @@
     if (has_too_few_members(view, members, map) || same_members(members, map.next)) {
         return std::nullopt;
     }
-    return with_members(map, map.current, std::move(members));
+    store_list current = map.current;
+    if (map.recovering()) {
+        // All survivors remain required.
+        add_missing(current, members);
+    }
+    return with_members(map, std::move(current), std::move(members));
 }
 
 std::optional<change_store_groups> form_groups(const store_view& view) {
--- a/src/tallyfold/plane/directory/group_recovery.cpp
+++ b/src/tallyfold/plane/directory/group_recovery.cpp
@@ -79,11 +79,7 @@
     }
     // A new disk that is not in the map yet may have been written to under the address of its
     // predecessor, and may hold the only copy of a turn.
-    for (const store_member& member : members) {
-        if (!has_id(survivors->current, member.id)) {
-            survivors->current.push_back(member);
-        }
-    }
+    add_missing(survivors->current, members);
     survivors->next = std::move(members);
     return survivors;
 }
--- a/src/tallyfold/plane/directory/store_view.cpp
+++ b/src/tallyfold/plane/directory/store_view.cpp
@@ -13,6 +13,14 @@
                        [id](const store_member& member) { return member.id == id; });
 }
 
+void add_missing(store_list& members, const store_list& added) {
+    for (const store_member& member : added) {
+        if (!has_id(members, member.id)) {
+            members.push_back(member);
+        }
+    }
+}
+
 bool same_members(store_list left, store_list right) {
     const auto by_id = [](const store_member& one, const store_member& other) {
         return one.id < other.id;
--- a/src/tallyfold/plane/directory/store_view.hpp
+++ b/src/tallyfold/plane/directory/store_view.hpp
@@ -43,6 +43,8 @@
 using store_list = std::vector<turns::store_member>;
 
 [[nodiscard]] bool has_id(const store_list& members, turns::store_id id);
+/// Appends the stores of `added` that `members` does not list.
+void add_missing(store_list& members, const store_list& added);
 /// True when both lists contain the same stores, in any order.
 [[nodiscard]] bool same_members(store_list left, store_list right);
 /// Copies the group's map with other members. Its epoch is 0 until the change is planned.
--- a/src/tallyfold/plane/turns/types.cpp
+++ b/src/tallyfold/plane/turns/types.cpp
@@ -46,6 +46,13 @@
     return contains_member(current, id) || contains_member(next, id);
 }
 
+bool store_map::recovering() const {
+    return after_loss && changing() &&
+           std::all_of(next.begin(), next.end(), [this](const store_member& member) {
+               return contains_member(current, member.id);
+           });
+}
+
 std::vector<store_member> store_map::all() const {
     std::vector<store_member> members = current;
     for (const store_member& member : next) {
@@ -57,7 +64,7 @@
 }
 
 bool store_map::has_current_quorum(const std::set<store_id>& answered) const {
-    if (after_loss && changing()) {
+    if (recovering()) {
         return !current.empty() &&
                std::all_of(current.begin(), current.end(), [&](const store_member& member) {
                    return answered.contains(member.id);
@@ -68,7 +75,7 @@
 
 std::size_t store_map::required_copy_count() const {
     const std::size_t majority = current.size() / 2 + 1;
-    return after_loss && changing() ? current.size() : current.size() - majority + 1;
+    return recovering() ? current.size() : current.size() - majority + 1;
 }
 
 group_number store_table::group_of(const std::string& program) const {
--- a/src/tallyfold/plane/turns/types.hpp
+++ b/src/tallyfold/plane/turns/types.hpp
@@ -144,10 +144,13 @@
     [[nodiscard]] bool changing() const { return !next.empty(); }
     /// True when either list contains the store.
     [[nodiscard]] bool contains(store_id id) const;
+    /// True while the group copies from all disks that survived a loss. `current` then lists the
+    /// members of `next`, too; a later change of the group has a joining store that it does not.
+    [[nodiscard]] bool recovering() const;
     /// Members of both lists, each once.
     [[nodiscard]] std::vector<store_member> all() const;
-    /// True when `answered` contains a quorum of `current`: a majority, or all of them while a
-    /// change after a loss of disks is under way.
+    /// True when `answered` contains a quorum of `current`: a majority, or all of them while
+    /// recovering().
     [[nodiscard]] bool has_current_quorum(const std::set<store_id>& answered) const;
     /// Number of members of `current` from which a store has to copy to hold every acknowledged
     /// write: every quorum of `current` includes one of them.
--- a/tests/plane/directory/store_planner_test.cpp
+++ b/tests/plane/directory/store_planner_test.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(recovery_waits_for_unreachable_member);
     CPPUNIT_TEST(returning_member_is_readmitted_as_copy_source);
     CPPUNIT_TEST(after_loss_is_cleared_when_lost_turns_have_expired);
+    CPPUNIT_TEST(recovered_group_serves_while_silent_member_is_replaced);
+    CPPUNIT_TEST(replanned_recovery_requires_all_survivors);
     CPPUNIT_TEST(change_is_replanned_when_joining_member_is_silent);
     CPPUNIT_TEST(retired_store_is_removed_and_not_readmitted);
     CPPUNIT_TEST(retirement_is_refused_when_too_few_would_remain);
@@ -305,6 +307,50 @@
         CPPUNIT_ASSERT(cleared->current == three_stores() && !cleared->changing());
     }
 
+    // The group has recovered from a loss, and holds every turn at a majority again.
+    void recovered_group_serves_while_silent_member_is_replaced() {
+        directory_state state;
+        store_map recovered{1, three_stores(), {}};
+        recovered.after_loss = true;
+        state.apply(change_store_groups{{recovered}});
+        store_planner planner({});
+        planner.start(at(0));
+        for (const int time : {0, 7'000}) {
+            report(planner, three_stores()[0], at(time));
+            report(planner, three_stores()[1], at(time));
+            report(planner, member(4, "4"), at(time));
+        }
+        const auto map = planned_map(planner, state, at(7'000));
+        CPPUNIT_ASSERT(map.has_value() && map->changing());
+        CPPUNIT_ASSERT(map->has_current_quorum({1, 2}));
+        CPPUNIT_ASSERT(!map->has_current_quorum({1}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, map->required_copy_count());
+        // Turns may still have been lost with the former disks.
+        CPPUNIT_ASSERT(map->after_loss);
+    }
+
+    // Store 20 joins a recovery from store 1, and fails.
+    void replanned_recovery_requires_all_survivors() {
+        directory_state state;
+        const std::vector<store_member> members{three_stores()[0], member(20, "2"),
+                                                member(30, "3")};
+        store_map recovering{1, members, members};
+        recovering.after_loss = true;
+        state.apply(change_store_groups{{recovering}});
+        store_planner planner({});
+        planner.start(at(0));
+        for (const int time : {0, 7'000}) {
+            report(planner, members[0], at(time));
+            report(planner, members[2], at(time));
+            report(planner, member(4, "4"), at(time));
+        }
+        const auto map = planned_map(planner, state, at(7'000));
+        CPPUNIT_ASSERT(map.has_value() && map->changing());
+        CPPUNIT_ASSERT(!map->has_current_quorum({1, 30, 4}));
+        CPPUNIT_ASSERT(!map->has_current_quorum({20, 30, 4}));
+        CPPUNIT_ASSERT(map->has_current_quorum({1, 20, 30, 4}));
+    }
+
     void change_is_replanned_when_joining_member_is_silent() {
         const std::vector<store_member> next{three_stores()[0], three_stores()[1],
                                              three_stores()[2], member(40, "4")};
