Simulation: disk losses in series that end in a loss of disks and power

Runs in real proportions of time: disks are lost up to the tolerated number, each followed only by 6 s of catch-up with a working directory; stores stop for up to 9 s, the directory's leader for up to 4 s; the end takes the tolerated disks while all stores, forwarders and the directory lose power, in whatever is under way.

--- /dev/null
+++ b/tests/support/final_fault_world.hpp
@@ -0,0 +1,249 @@
+#pragma once
+/// @file
+/// Simulation in real proportions of time of one deployment: disks are lost in series, each loss
+/// followed only by the catch-up time, stores and the directory fail in between, and the run ends
+/// when the tolerated number of disks is lost while all other machines lose power.
+
+#include <chrono>
+#include <set>
+#include <vector>
+
+#include "tests/support/store_world.hpp"
+
+namespace tallyfold::tests {
+
+class final_fault_world : public store_world {
+  public:
+    final_fault_world(std::uint64_t seed, std::size_t machine_count, std::uint32_t losses_borne,
+                      injected_defect fault = injected_defect::nothing)
+        : store_world(seed, machine_count, fault, disk_losses::in_series, losses_borne),
+          starts_at_(machine_count) {}
+
+    void run_to_final_fault() {
+        const instant end = now_ + std::chrono::milliseconds(random_.between(2'000, 25'000));
+        while (now_ < end) {
+            step();
+            cause_faults();
+        }
+        end_in_final_fault();
+    }
+
+    /// Runs for as long as a deployment may take to recover.
+    void recover() {
+        const instant end = now_ + recovery_time;
+        while (now_ < end) {
+            step();
+        }
+        forwarder_.stop();
+    }
+
+    /// What was under way when the final fault came.
+    [[nodiscard]] bool ended_in_change() const { return ended_in_change_; }
+    [[nodiscard]] bool ended_during_copy() const { return ended_during_copy_; }
+    [[nodiscard]] bool ended_during_settlement() const { return ended_during_settlement_; }
+    /// Number of recoveries of a group that had lost a majority.
+    [[nodiscard]] int recoveries() const { return recoveries_; }
+    /// Describes the groups' maps, for the report of a failed run.
+    [[nodiscard]] std::string describe_groups() const {
+        std::string text;
+        for (const turns::store_map& map : state_.stores().groups) {
+            text += turns::describe(map) + "; ";
+        }
+        return text;
+    }
+
+  private:
+    static constexpr duration catch_up_time = std::chrono::seconds(6);
+    static constexpr duration recovery_time = std::chrono::seconds(15);
+    static constexpr duration report_interval = std::chrono::milliseconds(300);
+    static constexpr duration plan_interval = std::chrono::milliseconds(100);
+
+    [[nodiscard]] bool directory_works() const { return now_ >= directory_back_at_; }
+
+    void start_due_machines() {
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            if (!fleet_.machine(number).store && now_ >= starts_at_[number]) {
+                fleet_.start(number);
+            }
+        }
+    }
+
+    void step() {
+        now_ += std::chrono::milliseconds(random_.between(5, 15));
+        start_due_machines();
+        act_as_directory();
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            if (random_.chance(0.5)) {
+                fleet_.flush(number);
+            }
+            // Slow enough for a change to be open for a second or more.
+            if (random_.chance(0.02)) {
+                fleet_.continue_copy(number);
+            }
+        }
+        act_as_forwarder();
+        fleet_.deliver_some(random_.below(40 * groups()));
+    }
+
+    void act_as_directory() {
+        if (!directory_works()) {
+            return;
+        }
+        if (now_ >= report_at_) {
+            report_at_ = now_ + report_interval;
+            report_all();
+            deliver_tables();
+        }
+        if (now_ >= plan_at_) {
+            plan_at_ = now_ + plan_interval;
+            const std::set<turns::map_epoch> before = recovering_epochs();
+            plan();
+            recoveries_ += recovering_epochs() == before ? 0 : 1;
+        }
+    }
+
+    [[nodiscard]] std::set<turns::map_epoch> recovering_epochs() const {
+        std::set<turns::map_epoch> epochs;
+        for (const turns::store_map& map : state_.stores().groups) {
+            if (map.after_loss && map.changing()) {
+                epochs.insert(map.epoch);
+            }
+        }
+        return epochs;
+    }
+
+    void deliver_tables() {
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            if (fleet_.machine(number).store && random_.chance(0.8)) {
+                fleet_.machine(number).store->learn_table(state_.stores());
+            }
+        }
+        if (random_.chance(0.5) || !forwarder_.has_group_maps()) {
+            forwarder_.learn_table(state_.stores());
+        }
+    }
+
+    void act_as_forwarder() {
+        if (!forwarder_.has_group_maps()) {
+            return;
+        }
+        if (random_.chance(0.25)) {
+            forwarder_.begin_turn();
+        }
+        for (int attempt = 0; attempt < 3; ++attempt) {
+            if (forwarder_.has_unfinished_begins()) {
+                forwarder_.continue_random_begin();
+            }
+            if (forwarder_.has_unfinished_settlements() && random_.chance(0.5)) {
+                forwarder_.resend_random_settlement();
+            }
+        }
+    }
+
+    /// True when `count` disks more may be lost: the deployment has caught up with earlier losses
+    /// except for as many as it tolerates together with these. It cannot catch up without the
+    /// directory.
+    [[nodiscard]] bool may_lose_disks(std::uint32_t count) const {
+        std::uint32_t open = 0;
+        for (const instant returned : loss_returns_) {
+            open += now_ < std::max(returned, directory_back_at_) + catch_up_time ? 1 : 0;
+        }
+        return open + count <= losses_borne_;
+    }
+
+    void lose_disk(std::size_t number, instant returns_at) {
+        fleet_.machine(number).store.reset();
+        fleet_.wipe_disk(number);
+        starts_at_[number] = returns_at;
+        loss_returns_.push_back(returns_at);
+        ++wipes_;
+        wipes_in_change_ += groups_are_complete() ? 0 : 1;
+    }
+
+    void stop_machine(std::size_t number, instant returns_at) {
+        fleet_.machine(number).store.reset();
+        starts_at_[number] = std::max(starts_at_[number], returns_at);
+    }
+
+    [[nodiscard]] instant later(std::uint64_t least_ms, std::uint64_t most_ms) {
+        return now_ + std::chrono::milliseconds(
+                          random_.between(static_cast<int>(least_ms), static_cast<int>(most_ms)));
+    }
+
+    void cause_faults() {
+        if (random_.chance(0.02) && may_lose_disks(1)) {
+            for (const std::size_t number : choose_lost_disks(1 + random_.below(losses_borne_))) {
+                lose_disk(number, later(100, 2'800));
+            }
+        }
+        if (random_.chance(0.006)) {
+            stop_machine(random_.below(fleet_.size()), later(100, 9'000));
+        }
+        if (random_.chance(0.001)) {
+            directory_back_at_ = later(500, 4'000);
+            planner_.start(directory_back_at_);
+        }
+    }
+
+    [[nodiscard]] bool copies_are_under_way() const {
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            const store_machine& machine = fleet_.machine(number);
+            if (machine.store && machine.store->map().changing() &&
+                machine.store->copied_epoch() < machine.store->map().epoch) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void end_in_final_fault() {
+        ended_in_change_ = !groups_are_complete();
+        ended_during_copy_ = copies_are_under_way();
+        ended_during_settlement_ = forwarder_.has_unfinished_settlements();
+        lose_power();
+        forwarder_.lose_power();
+        fleet_.lose_messages();
+        const std::vector<std::size_t> lost = choose_lost_disks(losses_borne_);
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            starts_at_[number] = later(300, 2'500);
+        }
+        for (const std::size_t number : lost) {
+            lose_disk(number, later(300, 2'500));
+        }
+        directory_back_at_ = later(1'000, 4'000);
+        planner_.start(directory_back_at_);
+    }
+
+    /// Up to `count` members of a random group, as the directory lists them.
+    [[nodiscard]] std::vector<std::size_t> choose_lost_disks(std::size_t count) {
+        std::vector<std::size_t> candidates;
+        const auto& maps = state_.stores().groups;
+        for (const turns::store_member& member : maps[random_.below(maps.size())].all()) {
+            const std::size_t number = std::stoul(member.address);
+            if (fleet_.machine(number).identity == member.id) {
+                candidates.push_back(number);
+            }
+        }
+        std::vector<std::size_t> lost;
+        while (lost.size() < count && !candidates.empty() &&
+               may_lose_disks(static_cast<std::uint32_t>(lost.size()) + 1)) {
+            const std::size_t pick = random_.below(candidates.size());
+            lost.push_back(candidates[pick]);
+            candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(pick));
+        }
+        return lost;
+    }
+
+    std::vector<instant> starts_at_;
+    /// Times at which the machines that lost their disks return.
+    std::vector<instant> loss_returns_;
+    instant directory_back_at_{};
+    instant report_at_{};
+    instant plan_at_{};
+    int recoveries_ = 0;
+    bool ended_in_change_ = false;
+    bool ended_during_copy_ = false;
+    bool ended_during_settlement_ = false;
+};
+
+}  // namespace tallyfold::tests
--- a/tests/support/simulated_forwarder.hpp
+++ b/tests/support/simulated_forwarder.hpp
@@ -73,6 +73,13 @@
         unfinished_settlements_.clear();
     }
 
+    /// Abandons all unfinished operations and forgets the group maps.
+    void lose_power() {
+        stop();
+        group_maps_ = {};
+    }
+    [[nodiscard]] bool has_group_maps() const { return group_maps_.known(); }
+
     /// @return a random store of the group, from which the history is read
     turns::store_id nearest(const turns::store_map& map) {
         return map.current.empty() ? 0 : map.current[random_.below(map.current.size())].id;
--- a/tests/support/store_world.hpp
+++ b/tests/support/store_world.hpp
@@ -101,7 +101,7 @@
     [[nodiscard]] int wipes_in_change() const { return wipes_in_change_; }
     [[nodiscard]] int retired() const { return retired_; }
 
-  private:
+  protected:
     static directory::store_planner_settings planner_settings(std::uint32_t losses_borne) {
         directory::store_planner_settings settings;
         settings.losses = losses_borne;
