Permits held at other nodes no longer refuse waiting calls of new programs

A loss of power is not the cause: it is the same before and after one.

Cause: each node with a recent call of the tenant holds permits for calls to come. The token bucket counts them as spent. Calls that wait to begin a program were bounded by the same part of it as the permits held in advance, so once some thirty nodes held theirs, nothing was left for a call that waited at another. Calls of running programs may use the last quarter and were not refused.

Why it works: what waits comes before what may come. In a lender's first window nothing changes.

--- a/src/tallyfold/plane/tenants/permit_rule.cpp
+++ b/src/tallyfold/plane/tenants/permit_rule.cpp
@@ -48,8 +48,8 @@
 /// Permits left by the token bucket and, in a lender's first window, by the rate since its start.
 struct rate_headroom {
     double for_all = 0;
-    /// For new programs and future calls: fewer, so that these don't use up the permits that calls
-    /// of running programs need next.
+    /// For future calls, and for new programs in a lender's first window: fewer, so that these
+    /// don't use up the permits that calls of running programs need next.
     double for_new = 0;
 };
 
@@ -97,9 +97,12 @@
     lent.needed = std::min(lent.needed, headroom.for_all);
     const double for_new =
         std::min(within_bound_for_new(tenant, bound, running_for, rules), headroom.for_new);
-    const double available_to_new = std::max(0.0, for_new - lent.needed);
-    lent.beginning = std::min(lent.beginning, available_to_new);
-    lent.spare = std::min(lent.spare, available_to_new - lent.beginning);
+    // Waiting calls come before future ones: permits held in advance at other nodes must not use up
+    // what is left for them.
+    const double for_beginning =
+        running_for < rules.window ? for_new : std::min(within_bound, headroom.for_all);
+    lent.beginning = std::min(lent.beginning, std::max(0.0, for_beginning - lent.needed));
+    lent.spare = std::min(lent.spare, std::max(0.0, for_new - lent.needed - lent.beginning));
     return lent;
 }
 
--- a/src/tallyfold/plane/tenants/permit_rule.hpp
+++ b/src/tallyfold/plane/tenants/permit_rule.hpp
@@ -42,8 +42,8 @@
 constexpr duration settling_time = std::chrono::milliseconds(500);
 
 /// Share of the limit, 0 to 1, that is withheld from new programs and future calls, for calls of
-/// running programs. The same share of the burst tolerance is withheld, and in a lender's first
-/// window the same share of the rate and of the bound.
+/// running programs. The same share of the burst tolerance is withheld from future calls, and in a
+/// lender's first window from both, as are the same share of the rate and of the bound.
 constexpr double reserved_share = 0.25;
 
 /// One tenant's limit and its use, in permits.
--- a/tests/plane/tenants/quota_test.cpp
+++ b/tests/plane/tenants/quota_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(the_bound_holds_under_all_faults_at_once);
     CPPUNIT_TEST(the_bound_holds_at_many_nodes_under_all_faults_at_once);
     CPPUNIT_TEST(spare_permits_at_other_nodes_cause_no_refusals);
+    CPPUNIT_TEST(spare_permits_at_other_nodes_refuse_no_new_programs);
+    CPPUNIT_TEST(the_bound_holds_for_new_programs);
     CPPUNIT_TEST(a_change_of_lender_alone_causes_few_refusals);
     CPPUNIT_TEST(the_loss_of_all_lender_state_is_detected);
     CPPUNIT_TEST(permits_of_dead_and_frozen_nodes_are_recovered);
@@ -222,6 +224,35 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, underloaded.refused);
     }
 
+    /// New programs at many nodes, at half of the limit: none is refused once the lender has been
+    /// there for a window, at first and after a loss of power.
+    void spare_permits_at_other_nodes_refuse_no_new_programs() {
+        for (const double rate : {12.0, 30.0}) {
+            quota_world simulation{1, many_nodes, limited_tenant("t", rate, rate), quota_rules{}};
+            simulation.need = permit_need::new_program;
+            for (int lender = 0; lender < 2; ++lender) {
+                simulation.run(std::chrono::seconds(6), rate / 2);
+                const std::uint64_t before = simulation.refused;
+                simulation.run(std::chrono::seconds(15), rate / 2);
+                CPPUNIT_ASSERT_EQUAL(before, simulation.refused);
+                simulation.lose_power(std::chrono::seconds(1));
+            }
+        }
+    }
+
+    void the_bound_holds_for_new_programs() {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            quota_world simulation = world(seed, 30);
+            simulation.need = permit_need::new_program;
+            std::mt19937_64 random(seed);
+            for (int round = 0; round < 6; ++round) {
+                simulation.run(milliseconds(500 + random() % 4'000), 400);
+                simulation.lose_power(milliseconds(100 + random() % 1'500));
+            }
+            require_within_bound(simulation, seed);
+        }
+    }
+
     void a_change_of_lender_alone_causes_few_refusals() {
         quota_world simulation = world(8, 100);
         simulation.run(std::chrono::seconds(8), 60);
--- a/tests/plane/tenants/quota_world.hpp
+++ b/tests/plane/tenants/quota_world.hpp
@@ -50,6 +50,8 @@
     std::uint64_t refused = 0;
     std::uint64_t returned = 0;
     double message_loss = 0;
+    /// Kind of all calls.
+    permit_need need = permit_need::running_program;
     /// Share of calls, 0 to 1, that hold a permit for up to `longest_hold` and return it without
     /// running.
     double late_return_share = 0;
@@ -238,7 +240,7 @@
     }
 
     void end_waiting(node& asker, bool admitted) {
-        asker.holder->end_wait(tenant_.name, permit_need::running_program);
+        asker.holder->end_wait(tenant_.name, need);
         admitted ? spent.push_back(now) : void(++refused);
     }
 
@@ -320,7 +322,7 @@
                                                                         : void(++refused);
             return;
         }
-        taker.holder->begin_wait(tenant_.name, permit_need::running_program);
+        taker.holder->begin_wait(tenant_.name, need);
         taker.waiting.push_back({taker.holder->sequence() + 1, now});
     }
 
