The cache of the applied state keeps the newest state after a restart

What callers saw: nothing that was traced. A forwarder that starts while a directory node comes up for the second time could be told an older configuration than that node served before.

Cause: applied_state_cache saved each state that differed from the last one it had saved itself.

Why it works: a state older than the one found at the start isn't saved. The state found is still saved again once it has been applied, since its file may not have been synced when the process ended.

--- a/src/tallyfold/plane/directory/applied_state_cache.cpp
+++ b/src/tallyfold/plane/directory/applied_state_cache.cpp
@@ -44,14 +44,16 @@
             next_ = 1 - number;
         }
     }
+    loaded_ = revision_of(newest);
     return newest;
 }
 
 void applied_state_cache::save(const directory_state& applied, instant now) {
-    if (revision_of(applied) == saved_ || now - saved_at_ < save_interval) {
+    const state_revision revision = revision_of(applied);
+    if (revision < loaded_ || revision == saved_ || now - saved_at_ < save_interval) {
         return;
     }
-    saved_ = revision_of(applied);
+    saved_ = revision;
     saved_at_ = now;
     if (storage::overwrite_file(path_of(next_), storage::single_record(state_on_disk(applied)))) {
         next_ = 1 - next_;
--- a/src/tallyfold/plane/directory/applied_state_cache.hpp
+++ b/src/tallyfold/plane/directory/applied_state_cache.hpp
@@ -22,6 +22,8 @@
     /// node then obtains the state from its log or its peers.
     directory_state load();
     /// Saves the state when it differs from the last saved one and the minimum interval has passed.
+    /// A state that is older than the loaded one isn't saved: after a restart the log is applied
+    /// again from its snapshot.
     /// A failed write leaves the previous file intact; it is retried with the next changed state.
     void save(const directory_state& applied, instant now);
 
@@ -39,6 +41,8 @@
     };
     [[nodiscard]] static state_revision revision_of(const directory_state& state);
 
+    /// Revision of the state found at the start.
+    state_revision loaded_;
     /// Revision of the last saved state.
     state_revision saved_;
     instant saved_at_{};
--- a/tests/plane/directory/applied_state_cache_test.cpp
+++ b/tests/plane/directory/applied_state_cache_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(applied_state_cache_test);
     CPPUNIT_TEST(newest_saved_state_is_loaded);
     CPPUNIT_TEST(torn_file_falls_back_to_previous_state);
+    CPPUNIT_TEST(older_states_after_a_restart_are_not_saved);
     CPPUNIT_TEST(saves_within_the_interval_are_skipped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -60,6 +61,24 @@
         CPPUNIT_ASSERT_EQUAL(routing::configuration_version{1}, loaded(folder.text()));
     }
 
+    /// Guards against a node that serves an older configuration after its second restart: the log
+    /// may be applied in steps, and each of them was saved over the newest state.
+    void older_states_after_a_restart_are_not_saved() {
+        const temporary_path folder("cache");
+        std::filesystem::create_directory(folder.path());
+        instant now{std::chrono::seconds(5)};
+        applied_state_cache(folder.text()).save(with_version(10), now);
+        applied_state_cache restarted(folder.text());
+        restarted.load();
+        for (routing::configuration_version version = 7; version <= 9; ++version) {
+            now += interval;
+            restarted.save(with_version(version), now);
+            CPPUNIT_ASSERT_EQUAL(routing::configuration_version{10}, loaded(folder.text()));
+        }
+        restarted.save(with_version(11), now + interval);
+        CPPUNIT_ASSERT_EQUAL(routing::configuration_version{11}, loaded(folder.text()));
+    }
+
     void saves_within_the_interval_are_skipped() {
         const temporary_path folder("cache");
         std::filesystem::create_directory(folder.path());
