The directory's leader reports voters that are silent

Nothing said that a lost voter stayed in the membership: forwarders, stores and the operator's reads go on without it, until one more loss ends the quorum.

--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -44,6 +44,7 @@
     store_majority_lost = 2110,
     entry_unreadable = 2111,
     format_awaited = 2112,
+    voters_silent = 2113,
     shard_assigned = 2201,
     shard_released = 2202,
     shard_loaded = 2203,
--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -238,7 +238,10 @@
     }
     if (leads()) {
         const std::vector<std::string> open = store_planner_.describe_open_changes(state_, now);
-        for (logging::event_record& event : stall_log_.check(replica_, identity_, open, now)) {
+        const std::size_t silent =
+            member_planner_.silent_voter_count(replica_.members(), identity_, now);
+        for (logging::event_record& event :
+             stall_log_.check(replica_, identity_, open, silent, now)) {
             work_.events.push_back(std::move(event));
         }
     }
--- a/src/tallyfold/plane/directory/leader_stall_log.cpp
+++ b/src/tallyfold/plane/directory/leader_stall_log.cpp
@@ -41,7 +41,7 @@
 
 std::vector<logging::event_record> leader_stall_log::check(
     const consensus::replica_fsm& replica, consensus::replica_id self,
-    const std::vector<std::string>& open_changes, instant now) {
+    const std::vector<std::string>& open_changes, std::size_t silent_voters, instant now) {
     if (open_changes.empty()) {
         changes_open_since_.reset();
     } else if (!changes_open_since_.has_value()) {
@@ -56,7 +56,13 @@
         return {uncommitted_event(replica, self, now)};
     }
     std::vector<logging::event_record> events;
-    events.reserve(open_changes.size());
+    events.reserve(open_changes.size() + 1);
+    if (silent_voters > 0) {
+        events.push_back({logging::event_id::voters_silent,
+                          "term=" + std::to_string(replica.term()) +
+                              " voters=" + std::to_string(replica.members().voter_count()) +
+                              " silent=" + std::to_string(silent_voters)});
+    }
     for (const std::string& fields : open_changes) {
         events.push_back(
             {logging::event_id::store_change_open,
--- a/src/tallyfold/plane/directory/leader_stall_log.hpp
+++ b/src/tallyfold/plane/directory/leader_stall_log.hpp
@@ -1,8 +1,10 @@
 #pragma once
 /// @file
-/// Reports stalls of the directory's leader: no entry of its term is committed, or changes of store
-/// groups remain open. Owns the times of the current stall and of the next report. Pure.
+/// Reports stalls of the directory's leader: no entry of its term is committed, changes of store
+/// groups remain open, or voters are silent. Owns the times of the current stall and of the next
+/// report. Pure.
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,10 +20,11 @@
     /// Handles the start of this node's leadership.
     void start(instant now);
     /// @param open_changes log fields for each group with an open change
+    /// @param silent_voters number of voters that have been silent for long
     /// @return events to log now; empty while no stall has lasted long enough
     [[nodiscard]] std::vector<logging::event_record> check(
         const consensus::replica_fsm& replica, consensus::replica_id self,
-        const std::vector<std::string>& open_changes, instant now);
+        const std::vector<std::string>& open_changes, std::size_t silent_voters, instant now);
 
   private:
     [[nodiscard]] logging::event_record uncommitted_event(const consensus::replica_fsm& replica,
--- a/src/tallyfold/plane/directory/member_planner.cpp
+++ b/src/tallyfold/plane/directory/member_planner.cpp
@@ -151,6 +151,16 @@
     return std::nullopt;
 }
 
+std::size_t member_planner::silent_voter_count(const membership& members, replica_id self,
+                                               instant now) const {
+    const auto is_silent_voter = [&](const auto& entry) {
+        const auto& [id, member] = entry;
+        return id != self && !member.learner && is_silent(id, settings_.silence_timeout, now);
+    };
+    return static_cast<std::size_t>(
+        std::count_if(members.members.begin(), members.members.end(), is_silent_voter));
+}
+
 std::optional<replica_id> member_planner::removable_member(const membership& members,
                                                            bool has_successor, replica_id self,
                                                            instant now) const {
--- a/src/tallyfold/plane/directory/member_planner.hpp
+++ b/src/tallyfold/plane/directory/member_planner.hpp
@@ -61,6 +61,9 @@
     [[nodiscard]] std::optional<consensus::membership> plan(const replication_view& view,
                                                             consensus::replica_id self,
                                                             instant now) const;
+    /// Number of voters other than `self` that have been silent for `silence_timeout`.
+    [[nodiscard]] std::size_t silent_voter_count(const consensus::membership& members,
+                                                 consensus::replica_id self, instant now) const;
 
   private:
     /// The first silent member that can be removed.
--- a/tests/plane/directory/member_planner_test.cpp
+++ b/tests/plane/directory/member_planner_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(removal_of_lost_voter_is_deferred_for_a_limited_time);
     CPPUNIT_TEST(late_join_request_does_not_replace_a_member_heard_since);
     CPPUNIT_TEST(learner_is_promoted_only_when_caught_up);
+    CPPUNIT_TEST(silent_voters_are_counted_without_learners_and_the_leader);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr replica_id self = 1;
@@ -153,6 +154,20 @@
         CPPUNIT_ASSERT(!planner.plan(view, self, at(1030)).has_value());
     }
 
+    void silent_voters_are_counted_without_learners_and_the_leader() {
+        replication_view view = voters(5);
+        view.members.members[9] = {"10.0.0.9:7000", true};
+        member_planner planner({});
+        planner.start(at(0));
+        planner.on_message(2, at(6'000));
+        planner.on_message(3, at(6'000));
+        // Voters 4 and 5, the learner and the leader itself were not heard.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             planner.silent_voter_count(view.members, self, at(1'000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             planner.silent_voter_count(view.members, self, at(6'000)));
+    }
+
     void learner_is_promoted_only_when_caught_up() {
         replication_view view = voters(3);
         view.members.members[9] = {"10.0.0.9:7000", true};
