--- a/tests/plane/directory/member_planner_test.cpp
+++ b/tests/plane/directory/member_planner_test.cpp
@@ -46,6 +46,14 @@
         return planner;
     }
 
+    /// A planner of a directory that tolerates two losses.
+    static member_planner planner_for_two_losses() {
+        member_planner_settings settings;
+        settings.max_voters = 7;
+        settings.min_voters = 5;
+        return member_planner(settings);
+    }
+
     void silent_voter_is_removed_when_enough_remain() {
         // Guards against a silent voter that stays: after one further loss, two of four voters
         // would be left, which is no majority.
@@ -60,10 +68,7 @@
         // Guards against a node that was replaced by plan and stays a voter: two of six voters may
         // then be lost beside it, and three are no majority.
         const replication_view view = voters(6);
-        member_planner_settings settings;
-        settings.max_voters = 7;
-        settings.min_voters = 5;
-        member_planner planner(settings);
+        member_planner planner = planner_for_two_losses();
         planner.start(at(0));
         for (const auto& [id, member] : view.members.members) {
             planner.on_message(id, at(id == 3 ? 0 : 1'400));
@@ -104,10 +109,7 @@
     /// A planner for two tolerated losses. One of five voters has been removed, and the disk of
     /// voter 2 is replaced.
     static member_planner planner_after_first_removal(const replication_view& view) {
-        member_planner_settings settings;
-        settings.max_voters = 7;
-        settings.min_voters = 5;
-        member_planner planner(settings);
+        member_planner planner = planner_for_two_losses();
         planner.start(at(0));
         for (const auto& [id, member] : view.members.members) {
             planner.on_message(id, at(900));
