Design of the dispatch of calls to engines, its messages and interfaces

Cause: a forwarder sees one call in 66 and guesses an engine's room and speed; in a burst the engines hold the queue (775 calls for 288 slots), and otherwise calls queue at full engines while slots are free elsewhere. Change: the design note, the messages of format 4 and the interfaces of the parts. Nothing uses them yet; not measured.

--- a/src/tallyfold/base/protocol/format_version.hpp
+++ b/src/tallyfold/base/protocol/format_version.hpp
@@ -18,10 +18,12 @@
     v2 = 2,
     /// Adds the list of back ends in parts, and evacuated zones.
     v3 = 3,
+    /// Adds the dispatch of calls to engines.
+    v4 = 4,
 };
 
 constexpr format_version oldest_format = format_version::v1;
-constexpr format_version newest_format = format_version::v3;
+constexpr format_version newest_format = format_version::v4;
 
 inline std::string to_string(format_version version) {
     return std::to_string(static_cast<int>(version));
--- a/src/tallyfold/plane/messaging/peer_message.cpp
+++ b/src/tallyfold/plane/messaging/peer_message.cpp
@@ -25,6 +25,8 @@
         case protocol::format_version::v2:
             return kinds_in_second_format;
         case protocol::format_version::v3:
+            return kinds_in_third_format;
+        case protocol::format_version::v4:
             break;
     }
     return std::variant_size_v<peer_message>;
