Forwarders ask a dispatcher for a place at an engine before they send a call

Cause: nothing knew what runs at an engine, so calls queued at full engines while slots were free elsewhere. Change: dispatch_service runs the dispatchers in the directory nodes; dispatch_client asks, waits, renews leases and releases, and lets the forwarder decide alone when no answer comes. Off unless dispatch_from_nodes is set.

--- a/src/tallyfold/plane/decisions/backend_selection.hpp
+++ b/src/tallyfold/plane/decisions/backend_selection.hpp
@@ -58,7 +58,13 @@
 };
 
 /// Rule that selected the back end.
-enum class selection_rule : std::uint8_t { placement, affinity_target, less_loaded_of_two };
+enum class selection_rule : std::uint8_t {
+    placement,
+    affinity_target,
+    less_loaded_of_two,
+    /// Selected by the dispatcher of the engine group.
+    dispatched,
+};
 
 struct chosen_backend {
     backend_name name;
--- a/src/tallyfold/plane/decisions/call_ranking.hpp
+++ b/src/tallyfold/plane/decisions/call_ranking.hpp
@@ -21,6 +21,9 @@
     /// Bounds of the urgency levels that the engines define.
     static constexpr std::int32_t most_urgent = 0;
     static constexpr std::int32_t least_urgent = 9;
+    /// Level of calls that a dispatcher granted a place. Equal for all of them, because they are
+    /// ordered before they are sent, and an engine that preempts reads the preempted prompt again.
+    static constexpr std::int32_t dispatched_level = 3;
 
     /// Sets the policy; an empty text removes it. After an error the previous policy stays active.
     tl::expected<policy_change, scheduling::policy_error> set_policy(const std::string& text);
--- /dev/null
+++ b/src/tallyfold/plane/decisions/decider_choice.cpp
@@ -0,0 +1,30 @@
+#include "tallyfold/plane/decisions/decider_choice.hpp"
+
+#include <algorithm>
+
+namespace tallyfold::forwarding {
+
+bool decider_choice::is_silent(const node_name& node, instant now) const {
+    const auto found = silent_.find(node);
+    return found != silent_.end() && now < found->second.until;
+}
+
+bool decider_choice::unanswered(const node_name& node, instant asked_at, instant now) {
+    const auto [found, is_new] = silent_.try_emplace(node);
+    silence& known = found->second;
+    if (!is_new) {
+        if (asked_at <= known.since) {
+            return false;
+        }
+        known.delay = std::min(2 * known.delay, max_retry_delay);
+    }
+    known.since = now;
+    known.until = now + known.delay;
+    return is_new;
+}
+
+bool decider_choice::answered(const node_name& node) {
+    return silent_.erase(node) > 0;
+}
+
+}  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/decisions/decider_choice.hpp
+++ b/src/tallyfold/plane/decisions/decider_choice.hpp
@@ -1,12 +1,13 @@
 #pragma once
 /// @file
-/// Selects the directory node that a forwarder asks for places of one engine group. No I/O;
-/// dispatch_client owns one for each group.
+/// Selects the directory node that a forwarder asks for places. No I/O; dispatch_client owns it.
 ///
 /// Failure pattern: the node that dispatches is killed, frozen or cut off. The first request
-/// without an answer moves all later ones to the next node in the group's order; the preferred node
-/// is tried again after a delay that doubles.
+/// without an answer moves all later ones to the next node in the group's order; the silent node is
+/// tried again after a delay that doubles, so that a node that stays silent costs few calls the
+/// wait.
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -17,21 +18,39 @@
 
 class decider_choice {
   public:
-    /// Delay before a silent node is asked again; doubles up to the maximum. An unanswered attempt
-    /// costs one call answer_timeout of dispatch_client.
+    /// Delay before a silent node is asked again; doubles with each further silence.
     static constexpr duration first_retry_delay = std::chrono::seconds(1);
     static constexpr duration max_retry_delay = std::chrono::seconds(4);
 
-    /// Sets the nodes, first choice first. What is known of nodes that stay is kept.
-    void set_order(std::vector<node_name> order);
-    /// Node to ask now: the first in the order that is usable; nothing when none is.
+    /// First node in `order` that is usable and not silent; nothing when there is none.
     /// @param usable false for nodes that are not connected or of an earlier format
     template <class Usable>
-    [[nodiscard]] std::optional<node_name> current(instant now, Usable&& usable) const;
-    /// Records that the node didn't answer in time. @return true when this is new
-    bool unanswered(const node_name& node, instant now);
+    [[nodiscard]] std::optional<node_name> choose(const std::vector<node_name>& order, instant now,
+                                                  Usable&& usable) const {
+        for (const node_name& node : order) {
+            if (!is_silent(node, now) && usable(node)) {
+                return node;
+            }
+        }
+        return std::nullopt;
+    }
+    /// True while the node must not be asked.
+    [[nodiscard]] bool is_silent(const node_name& node, instant now) const;
+    /// Records that the node did not answer in time. Requests that were sent before an earlier
+    /// silence was recorded do not count again.
+    /// @param asked_at when the unanswered request was sent
+    /// @return true when the node was not known to be silent
+    bool unanswered(const node_name& node, instant asked_at, instant now);
     /// Records an answer. @return true when the node was silent before
     bool answered(const node_name& node);
+
+  private:
+    struct silence {
+        instant since{};
+        instant until{};
+        duration delay = first_retry_delay;
+    };
+    std::map<node_name, silence> silent_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/decisions/local_answer.cpp
+++ b/src/tallyfold/plane/decisions/local_answer.cpp
@@ -51,6 +51,14 @@
     return answer;
 }
 
+local_answer answer_without_place(dispatch::place_reason reason, duration retry_after) {
+    local_answer answer;
+    answer.status = 503;
+    answer.reason = "no place at an engine: " + std::string(dispatch::text_of(reason));
+    answer.retry = forwarding::retry_after{retry_after};
+    return answer;
+}
+
 refusal refusal_of_unknown_route(bool confirmed) {
     return confirmed ? refusal::no_route : refusal::unconfirmed_route;
 }
--- a/src/tallyfold/plane/decisions/local_answer.hpp
+++ b/src/tallyfold/plane/decisions/local_answer.hpp
@@ -14,6 +14,7 @@
 #include "tallyfold/plane/decisions/attempt_failure.hpp"
 #include "tallyfold/plane/decisions/request_outcome.hpp"
 #include "tallyfold/plane/decisions/retry_after.hpp"
+#include "tallyfold/plane/dispatch/messages.hpp"
 #include "tallyfold/plane/tenants/permit_decision.hpp"
 #include "tallyfold/plane/turns/begin_coordinator.hpp"
 
@@ -51,6 +52,11 @@
 /// @param decision a decision that grants no permit
 [[nodiscard]] local_answer answer_without_permit(const tenants::permit_decision& decision);
 
+/// @param reason why the dispatcher refused the call a place at an engine
+/// @param retry_after expected time until there is room
+[[nodiscard]] local_answer answer_without_place(dispatch::place_reason reason,
+                                                duration retry_after);
+
 /// A route or key that this node does not have may exist in a newer configuration, so it is
 /// reported as unknown only if the configuration is confirmed.
 /// @param confirmed the configuration of this node is confirmed to be the newest
--- a/src/tallyfold/plane/directory/backend_list_sharing_shell.hpp
+++ b/src/tallyfold/plane/directory/backend_list_sharing_shell.hpp
@@ -24,6 +24,8 @@
 
     void start();
 
+    /// The newest list that this node knows.
+    [[nodiscard]] const discovery::backend_list& list() const { return list_; }
     /// Returns the status of the list for a node that reports.
     /// @param active_nodes number of nodes known to be active
     [[nodiscard]] discovery::list_status status(std::size_t active_nodes, instant now) const;
--- a/src/tallyfold/plane/directory/directory_client_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.cpp
@@ -66,8 +66,10 @@
         on_list_part(from, *list_part);
     } else if (const auto* evacuations = std::get_if<evacuation_status>(&message)) {
         on_evacuations(*evacuations);
-    } else if (on_other_message_) {
-        on_other_message_(message);
+    } else {
+        for (const other_message_handler& handler : other_message_handlers_) {
+            handler(from, message);
+        }
     }
 }
 
@@ -83,6 +85,9 @@
     if (up && version() == routing::no_version) {
         report();
     }
+    if (up && on_connected_) {
+        on_connected_(address);
+    }
     if (!up) {
         fetch_.on_disconnect(address);
     }
@@ -346,6 +351,21 @@
     links_[address]->send(message);
 }
 
+std::vector<node_name> directory_client::addresses() const {
+    std::vector<node_name> addresses;
+    addresses.reserve(links_.size());
+    for (const auto& entry : links_) {
+        addresses.push_back(entry.first);
+    }
+    return addresses;
+}
+
+bool directory_client::supports(const node_name& address, protocol::format_version format) const {
+    const auto found = links_.find(address);
+    return found != links_.end() && found->second->connected() &&
+           found->second->peer_format() >= format;
+}
+
 void directory_client::merge_map(const turns::store_map& map) {
     if (stores_.merge_newer(map)) {
         on_stores_(stores_);
--- a/src/tallyfold/plane/directory/directory_client_shell.hpp
+++ b/src/tallyfold/plane/directory/directory_client_shell.hpp
@@ -61,11 +61,21 @@
     asio::awaitable<bool> refresh(duration limit);
     /// Sends to a directory node; the message is dropped while the node is not connected.
     void send_to(const node_name& address, const messaging::peer_message& message);
+    using other_message_handler =
+        std::function<void(const node_name& from, const messaging::peer_message&)>;
     /// @param handler receives the directory nodes' messages that are neither report answers nor
-    /// configuration parts
-    void on_other_messages(std::function<void(const messaging::peer_message&)> handler) {
-        on_other_message_ = std::move(handler);
+    /// configuration parts; each handler receives all of them
+    void on_other_messages(other_message_handler handler) {
+        other_message_handlers_.push_back(std::move(handler));
     }
+    /// @param handler called when a directory node is connected, again after each loss
+    void on_connected(std::function<void(const node_name&)> handler) {
+        on_connected_ = std::move(handler);
+    }
+    /// Addresses of all known directory nodes, connected or not.
+    [[nodiscard]] std::vector<node_name> addresses() const;
+    /// True when the directory node is connected and supports the format.
+    [[nodiscard]] bool supports(const node_name& address, protocol::format_version format) const;
     /// Reports to all directory nodes that a back end aborted a call.
     void report_failure(const backend_name& backend);
     /// @param handler receives the failures reported by other nodes; each is repeated until it
@@ -151,7 +161,8 @@
     std::function<void(const std::vector<std::string>&)> on_evacuated_zones_;
     /// Revision of the evacuated zones that this node holds.
     std::uint64_t evacuation_revision_ = 0;
-    std::function<void(const messaging::peer_message&)> on_other_message_;
+    std::vector<other_message_handler> other_message_handlers_;
+    std::function<void(const node_name&)> on_connected_;
     std::function<void(const std::vector<discovery::relayed_failure>&)> on_relayed_failures_;
     node_name leader_;
     consensus::term_number term_ = 0;
--- a/src/tallyfold/plane/directory/directory_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_shell.cpp
@@ -6,6 +6,7 @@
 #include "tallyfold/plane/directory/directory_links_shell.hpp"
 #include "tallyfold/plane/directory/directory_metrics.hpp"
 #include "tallyfold/plane/directory/directory_replica_shell.hpp"
+#include "tallyfold/plane/directory/dispatch_service_shell.hpp"
 #include "tallyfold/plane/directory/permit_lending_shell.hpp"
 #include "tallyfold/plane/directory/propagation_monitor_shell.hpp"
 #include "tallyfold/plane/directory/report_service_shell.hpp"
@@ -60,6 +61,7 @@
     propagation_monitor propagation_;
     report_service reports_;
     permit_lending permits_;
+    dispatch_service dispatch_;
     admin_api admin_;
     messaging::peer_server peers_;
     http::endpoint_server operators_;
@@ -78,6 +80,7 @@
       propagation_(metrics_),
       reports_(metrics_, list_, propagation_),
       permits_(process_.settings(), replica_.core()),
+      dispatch_(process_, list_, replica_.core()),
       admin_(process_, codec, replica_.core(), [this] { replica_.run_work(); }),
       peers_(process_.loop(), settings.directory_listener()),
       operators_(process_.loop(), settings.operators_address, max_body_bytes) {}
@@ -122,6 +125,12 @@
         reports_.record_failure(*failure);
     } else if (const auto* spent = std::get_if<tenants::permit_report>(&message)) {
         channel->send(permits_.answer(*spent, now));
+    } else if (const auto* request = std::get_if<dispatch::place_request>(&message)) {
+        dispatch_.receive(channel, *request, now);
+    } else if (const auto* release = std::get_if<dispatch::place_release>(&message)) {
+        dispatch_.receive(channel, *release, now);
+    } else if (const auto* renewal = std::get_if<dispatch::place_renewal>(&message)) {
+        dispatch_.receive(channel, *renewal, now);
     }
     replica_.run_work();
 }
@@ -164,6 +173,7 @@
 void directory_node::tick() {
     replica_.tick();
     permits_.tick(http::steady_now());
+    dispatch_.tick(http::steady_now());
 }
 
 std::string directory_node::start_servers() {
--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -12,10 +12,8 @@
 /// Upper bounds of what a working node sends.
 constexpr std::uint32_t max_tokens_of_call = 10'000'000;
 constexpr std::uint32_t max_longest_wait_ms = 600'000;
-/// Part of Retry-After that is added at random, so that callers do not return together.
-constexpr double retry_jitter = 0.5;
 /// Shortest Retry-After, in milliseconds: a round trip and the end of some calls.
-constexpr double min_retry_after_ms = 50;
+constexpr std::uint32_t min_retry_after_ms = 50;
 /// Weight of an ended call in the mean duration of a call.
 constexpr double duration_weight = 0.02;
 /// Number of routes that are told apart; further ones share the first number.
@@ -51,8 +49,8 @@
     return "none";
 }
 
-dispatcher::dispatcher(dispatcher_settings settings, std::uint64_t seed)
-    : ledger_(settings.learns_speed), queue_(settings.queue), random_(seed) {
+dispatcher::dispatcher(dispatcher_settings settings)
+    : ledger_(settings.learns_speed), queue_(settings.queue) {
     route_names_.emplace_back();
 }
 
@@ -161,9 +159,8 @@
     addressed_answer addressed = make_answer(call.key, place_outcome::refused);
     addressed.answer.reason = refusal.reason;
     addressed.answer.expected_wait_ms = to_ms(refusal.expected_wait);
-    const double wait = std::max(min_retry_after_ms, 1.0 * addressed.answer.expected_wait_ms);
     addressed.answer.retry_after_ms =
-        static_cast<std::uint32_t>(wait * (1 + retry_jitter * random_.unit()));
+        std::max(min_retry_after_ms, addressed.answer.expected_wait_ms);
     return addressed;
 }
 
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -15,7 +15,6 @@
 #include <utility>
 #include <vector>
 
-#include "tallyfold/base/common/random.hpp"
 #include "tallyfold/plane/dispatch/place_ledger.hpp"
 #include "tallyfold/plane/dispatch/program_needs.hpp"
 #include "tallyfold/plane/dispatch/wait_queue.hpp"
@@ -67,8 +66,7 @@
     /// Time without a message after which an empty dispatcher is idle.
     static constexpr duration idle_time = std::chrono::seconds(60);
 
-    /// @param seed of the jitter of Retry-After
-    dispatcher(dispatcher_settings settings, std::uint64_t seed);
+    explicit dispatcher(dispatcher_settings settings);
 
     void set_engines(const std::vector<scheduling::backend_member>& engines,
                      token_count cache_tokens);
@@ -131,7 +129,6 @@
     place_ledger ledger_;
     wait_queue queue_;
     program_needs needs_;
-    random_source random_;
     std::vector<forwarder_process> processes_;
     std::map<node_name, node_processes> nodes_;
     std::unordered_map<call_key, pending_request, call_key_hash> pending_;
--- a/src/tallyfold/plane/dispatch/messages.hpp
+++ b/src/tallyfold/plane/dispatch/messages.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "tallyfold/base/common/types.hpp"
@@ -88,6 +89,23 @@
     longest_wait_reached,
 };
 
+/// Text of the reason in logs.
+constexpr std::string_view text_of(place_reason reason) {
+    switch (reason) {
+        case place_reason::wait_too_long:
+            return "wait_too_long";
+        case place_reason::new_program:
+            return "new_program";
+        case place_reason::queue_full:
+            return "queue_full";
+        case place_reason::longest_wait_reached:
+            return "longest_wait_reached";
+        case place_reason::none:
+            break;
+    }
+    return "none";
+}
+
 /// Answer to a place_request.
 struct place_answer {
     std::uint64_t process_id = 0;
@@ -103,7 +121,7 @@
     std::uint32_t expected_wait_ms = 0;
     /// Time that the call has waited, in milliseconds.
     std::uint32_t waited_ms = 0;
-    /// Set with `refused`.
+    /// Set with `refused`; the forwarder adds jitter.
     std::uint32_t retry_after_ms = 0;
     /// Running calls and slots of the engine group.
     std::uint32_t running = 0;
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -143,6 +143,9 @@
         if (success) {
             record_events(*piece, backend);
         }
+        if (complete && received_handler_) {
+            received_handler_();
+        }
         if (complete && success) {
             const bool settled = co_await settle_turn(backend);
             if (!settled) {
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -6,6 +6,7 @@
 /// end of its answer is written. Used on the loop thread only.
 
 #include <asio/awaitable.hpp>
+#include <functional>
 #include <string>
 
 #include "tallyfold/plane/forwarding/attempt_result.hpp"
@@ -47,6 +48,10 @@
     /// Time from the request's last byte to the answer's first byte; zero without an answer.
     [[nodiscard]] duration first_byte() const { return first_byte_; }
     [[nodiscard]] std::uint64_t events() const { return events_.events(); }
+    /// Sets a handler that is called when a whole answer was received, before its turn is settled.
+    void on_received(std::function<void()> handler) { received_handler_ = std::move(handler); }
+    /// Pace of the answer's event stream.
+    [[nodiscard]] const stream_pace& pace() const { return pace_; }
     /// Identifier of the last event relayed to the caller; empty without one.
     [[nodiscard]] const std::string& last_event() const { return relayed_events_.last_id(); }
     [[nodiscard]] token_count generated_tokens() const;
@@ -82,6 +87,7 @@
     /// Complete events of a resumable stream that were relayed to the caller.
     http::event_boundary_filter relayed_events_;
     stream_pace pace_;
+    std::function<void()> received_handler_;
     bool received_ = false;
     bool started_ = false;
     bool fully_relayed_ = false;
--- a/src/tallyfold/plane/forwarding/backend_registry.cpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.cpp
@@ -107,6 +107,24 @@
     return selector_.select(question, state, random_, now);
 }
 
+std::optional<chosen_backend> backend_registry::find_dispatched(const std::string& service,
+                                                                const backend_name& name,
+                                                                token_count cached_tokens) const {
+    const auto found = services_.find(service);
+    const backend_state* backend =
+        found == services_.end() ? nullptr : found->second.pool.find(name);
+    if (backend == nullptr || backend->leaving()) {
+        return std::nullopt;
+    }
+    return chosen_backend{name, backend->member.address, cached_tokens, selection_rule::dispatched,
+                          backend_eligibility::distrusted};
+}
+
+std::size_t backend_registry::count(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0 : found->second.pool.all().size();
+}
+
 const backend_state* backend_registry::find(const backend_name& name) const {
     for (const auto& [service, state] : services_) {
         if (const backend_state* found = state.pool.find(name)) {
--- a/src/tallyfold/plane/forwarding/backend_registry.hpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.hpp
@@ -53,6 +53,36 @@
     /// @return nothing when no back end of the service is eligible
     std::optional<chosen_backend> choose(const selection_request& question, instant now);
 
+    /// The back end that a dispatcher selected; nothing when it is unknown here or leaving.
+    [[nodiscard]] std::optional<chosen_backend> find_dispatched(const std::string& service,
+                                                                const backend_name& name,
+                                                                token_count cached_tokens) const;
+    /// Number of back ends of the service, including those that are leaving.
+    [[nodiscard]] std::size_t count(const std::string& service) const;
+    /// Back ends of the service that `matches` holds for, at most `limit`.
+    template <class Matches>
+    [[nodiscard]] std::vector<backend_name> select(const std::string& service, std::size_t limit,
+                                                   Matches&& matches) const {
+        std::vector<backend_name> selected;
+        const auto found = services_.find(service);
+        if (found == services_.end()) {
+            return selected;
+        }
+        for (const auto& [name, backend] : found->second.pool.all()) {
+            if (selected.size() >= limit) {
+                break;
+            }
+            if (matches(backend)) {
+                selected.push_back(name);
+            }
+        }
+        return selected;
+    }
+    /// Engines known to hold a prefix of the prompt, longest first.
+    [[nodiscard]] std::vector<scheduling::cached_prefix> holders_of(
+        const std::vector<scheduling::prefix_point>& prompt) const {
+        return cache_.find(prompt);
+    }
     /// Registers a call at the chosen back end. The uncached part of its prompt counts as pending
     /// prefill work there until the first byte.
     backend_call started(const std::string& service, const chosen_backend& chosen,
--- a/src/tallyfold/plane/forwarding/connection_pool_shell.cpp
+++ b/src/tallyfold/plane/forwarding/connection_pool_shell.cpp
@@ -23,10 +23,14 @@
         idle_connection candidate = std::move(kept.back());
         kept.pop_back();
         if (now < candidate.until && !candidate.connection->stale()) {
+            if (kept.empty()) {
+                idle_.erase(found);
+            }
             return candidate.connection;
         }
         candidate.connection->close();
     }
+    idle_.erase(found);
     return nullptr;
 }
 
--- a/src/tallyfold/plane/forwarding/connection_pool_shell.hpp
+++ b/src/tallyfold/plane/forwarding/connection_pool_shell.hpp
@@ -16,6 +16,10 @@
   public:
     /// Removes a usable idle connection to `address` from the pool; null when there is none.
     http::connection_pointer take(const std::string& address, instant now);
+    /// True when there is an idle connection to `address`, which may have been closed meanwhile.
+    [[nodiscard]] bool has_idle(const std::string& address) const {
+        return idle_.contains(address);
+    }
     /// Adds an idle connection.
     /// @param idle_timeout announced by the back end, if any
     void put(const std::string& address, http::connection_pointer idle,
--- a/src/tallyfold/plane/forwarding/finished_request.cpp
+++ b/src/tallyfold/plane/forwarding/finished_request.cpp
@@ -26,6 +26,11 @@
     const bool has_objective = turn.program_time_left.has_value();
     add_field(line, "cached", std::to_string(sending.cached_tokens));
     add_field(line, "waited_ms", milliseconds(sending.waited));
+    if (sending.place != place_kind::none) {
+        add_field(line, "place", text_of(sending.place));
+        add_field(line, "place_ms", milliseconds(sending.place_time));
+        add_field(line, "room_wait_ms", milliseconds(sending.room_wait));
+    }
     add_field(line, "urgency", std::to_string(sending.urgency));
     add_field(line, "program_left_ms",
               has_objective ? milliseconds(*turn.program_time_left) : std::string("-"));
--- a/src/tallyfold/plane/forwarding/finished_request.hpp
+++ b/src/tallyfold/plane/forwarding/finished_request.hpp
@@ -9,6 +9,7 @@
 
 #include "tallyfold/base/common/time.hpp"
 #include "tallyfold/base/common/types.hpp"
+#include "tallyfold/plane/decisions/place_kind.hpp"
 #include "tallyfold/plane/decisions/request_outcome.hpp"
 #include "tallyfold/plane/routing/configuration.hpp"
 
@@ -27,6 +28,11 @@
     std::uint32_t back_offs = 0;
     /// Total time in the admission queue.
     duration waited{};
+    /// How the last attempt got its place at an engine.
+    place_kind place = place_kind::none;
+    /// Total time until dispatchers answered, and in their queues.
+    duration place_time{};
+    duration room_wait{};
     /// Priority level of the request at engines; 0 is the highest.
     std::int32_t urgency = 0;
 };
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
@@ -10,6 +10,10 @@
 const prometheus::Histogram::BucketBoundaries latency_buckets{0.005, 0.01, 0.025, 0.05, 0.1, 0.2,
                                                               0.4,   0.8,  1.6,   3.2,  6.4};
 
+/// In seconds. An answer takes a round trip, 0.2 to 3 ms, and counts as missing after 40 ms.
+const prometheus::Histogram::BucketBoundaries place_buckets{0.0005, 0.001, 0.002, 0.004,
+                                                            0.008,  0.016, 0.032, 0.064};
+
 }  // namespace
 
 forwarder_metrics::forwarder_metrics(prometheus::Registry& registry)
@@ -26,6 +30,10 @@
                    .Help("Calls that asked for a permit of their tenant, by outcome, and whether "
                          "the keeper had to be asked")
                    .Register(registry)),
+      alone_(prometheus::BuildCounter()
+                 .Name("tallyfold_forwarder_place_alone_total")
+                 .Help("Calls to engines that were sent without a place of a dispatcher, by reason")
+                 .Register(registry)),
       connections_(net::add_counter(registry, "tallyfold_forwarder_backend_connections_total",
                                     "New connections to back ends")),
       adopted_(net::add_counter(registry, "tallyfold_forwarder_adopted_lines_total",
@@ -42,6 +50,9 @@
       wait_(net::add_histogram(registry, "tallyfold_forwarder_wait_seconds",
                                "Time that a call waited here before it was placed",
                                latency_buckets)),
+      place_(net::add_histogram(registry, "tallyfold_forwarder_place_seconds",
+                                "Time until a dispatcher answered a request for a place",
+                                place_buckets)),
       slowdown_(net::add_gauge(registry, "tallyfold_forwarder_engine_slowdown",
                                "Times slower than on an idle engine that events come")),
       waiting_(net::add_gauge(registry, "tallyfold_forwarder_waiting_calls",
@@ -59,6 +70,10 @@
     total_.Observe(seconds(elapsed));
 }
 
+void forwarder_metrics::count_alone(const std::string& reason) {
+    alone_.Add({{"reason", reason}}).Increment();
+}
+
 void forwarder_metrics::count_attempt_failure(const std::string& reason) {
     failures_.Add({{"reason", reason}}).Increment();
 }
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
@@ -34,6 +34,10 @@
     }
     /// Records the time that a call spent in the admission queue.
     void record_admission_wait(duration elapsed) { wait_.Observe(seconds(elapsed)); }
+    /// Records the time until a dispatcher answered a request for a place.
+    void record_place_time(duration elapsed) { place_.Observe(seconds(elapsed)); }
+    /// Counts a call to an engine that got no place from a dispatcher.
+    void count_alone(const std::string& reason);
     /// Counts a new connection to a back end.
     void count_connection() { connections_.Increment(); }
     /// Counts a turn that continues a conversation history stored by another store group.
@@ -49,12 +53,14 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Family<prometheus::Counter>& permits_;
+    prometheus::Family<prometheus::Counter>& alone_;
     prometheus::Counter& connections_;
     prometheus::Counter& adopted_;
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& store_;
     prometheus::Histogram& total_;
     prometheus::Histogram& wait_;
+    prometheus::Histogram& place_;
     prometheus::Gauge& slowdown_;
     prometheus::Gauge& waiting_;
 };
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -84,6 +84,7 @@
     /// When this process started.
     instant started_at_;
     call_ranking ranking_;
+    dispatch_client dispatch_;
     forwarder_context context_;
     caller_listener callers_;
     http::endpoint_server readiness_;
@@ -105,8 +106,9 @@
       turns_(process_, [this](const turns::store_map& map) { directory_.merge_map(map); }),
       poller_(process_, lists),
       started_at_(http::steady_now()),
-      context_{process_, codec,    directory_, quotas_, turns_, backends_, connections_,
-               metrics_, ranking_, {},         nullptr, {},     false},
+      dispatch_(process_, directory_, metrics_),
+      context_{process_, codec,    directory_, quotas_, turns_,  backends_, connections_,
+               metrics_, ranking_, dispatch_,  {},      nullptr, {},        false},
       callers_(context_),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
 
@@ -277,6 +279,7 @@
         },
         {});
     quotas_.start();
+    dispatch_.start();
     directory_.on_evacuated_zones([this](const std::vector<std::string>& zones) {
         backends_.set_evacuated_zones({zones.begin(), zones.end()});
         logging::write_event(logging::event_id::zone_evacuation_changed,
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -218,7 +218,8 @@
 
 asio::awaitable<void> request_relay::send() {
     answer_.emplace(context_, *forwarded_, caller_, turn_ ? &*turn_ : nullptr);
-    send_loop_.emplace(context_, *forwarded_, caller_, *answer_);
+    const token_count used_tokens = turn_ ? turn_->used_tokens() : 0;
+    send_loop_.emplace(context_, *forwarded_, caller_, *answer_, used_tokens);
     end_ = co_await send_loop_->run();
     if (end_.answer) {
         co_await caller_.write_answer(*end_.answer);
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -21,17 +21,26 @@
 }  // namespace
 
 send_loop::send_loop(forwarder_context& context, const forwarded_request& request,
-                     caller_channel& caller, answer_relay& answer)
+                     caller_channel& caller, answer_relay& answer, token_count used_tokens)
     : context_(context),
       request_(request),
       caller_(caller),
       answer_(answer),
-      policy_(make_retry_policy(context, request.route)) {}
+      policy_(make_retry_policy(context, request.route)),
+      place_(context, request, used_tokens) {
+    placed_.kind = place_kind::none;
+    // The engine's slot is free from here on; the turn's settlement takes a few milliseconds more.
+    answer_.on_received([this] {
+        place_.release(dispatch::release_outcome::answered, answer_.pace(),
+                       answer_.generated_tokens());
+    });
+}
 
 void send_loop::abort_attempt() {
     if (attempt_) {
         attempt_->abort();
     }
+    place_.cancel();
 }
 
 selection_request send_loop::make_selection_request() const {
@@ -64,18 +73,26 @@
 asio::awaitable<request_result> send_loop::run() {
     selection_request question = make_selection_request();
     statistics_.urgency = urgency_of(question.call);
-    co_await wait_for_admission(question.call);
     attempt_result last;
     last.failure.kind = failure_kind::no_backend;
     std::optional<chosen_backend> resumed;
     while (!caller_.disconnected()) {
-        const auto backend =
-            resumed ? resumed : context_.backends.choose(question, http::steady_now());
+        std::optional<chosen_backend> backend = resumed;
+        if (!resumed) {
+            const bool may_send = co_await obtain_place(question);
+            if (!may_send) {
+                co_return refused_place();
+            }
+            if (caller_.disconnected()) {
+                break;
+            }
+            backend = select_backend(question);
+        }
         resumed.reset();
         if (!backend) {
             // Waiting is pointless while the zones of all back ends are evacuated.
             const bool evacuated = context_.backends.is_evacuated(question.service);
-            if (evacuated || !co_await back_off(question.call)) {
+            if (evacuated || !co_await back_off()) {
                 break;
             }
             // retry_policy allows a pause only if no tried back end ran the request, so all of them
@@ -111,9 +128,15 @@
     parameters.backend = std::move(backend);
     parameters.urgency = statistics_.urgency;
     parameters.reserves_retry_time = policy_.may_retry_run() && !request_.route.streaming;
+    if (placed_.kind != place_kind::none) {
+        place_.sent(placed_, statistics_.backend);
+    }
     attempt_.emplace(context_, request_, caller_, answer_, std::move(parameters));
     const attempt_result result = co_await attempt_->run();
     attempt_.reset();
+    const bool failed = result.end == attempt_end::may_have_run && !caller_.disconnected();
+    place_.release(failed ? dispatch::release_outcome::failed : dispatch::release_outcome::not_sent,
+                   answer_.pace(), answer_.generated_tokens());
     co_return result;
 }
 
@@ -140,6 +163,75 @@
     return result_after(ended);
 }
 
+asio::awaitable<bool> send_loop::obtain_place(const selection_request& question) {
+    if (!place_.is_needed()) {
+        placed_ = {};
+        placed_.kind = place_kind::none;
+    } else {
+        placed_ = co_await place_.acquire(question);
+        record_place();
+    }
+    if (placed_.kind == place_kind::refused) {
+        if (statistics_.sends == 0) {
+            log_refused_place();
+            co_return false;
+        }
+        // A refusal would state that the request has not run.
+        placed_.kind = place_kind::alone;
+    }
+    const bool has_place =
+        placed_.kind == place_kind::granted || placed_.kind == place_kind::forced;
+    if (!has_place && !admitted_) {
+        co_await wait_for_admission(question.call);
+    }
+    co_return true;
+}
+
+std::optional<chosen_backend> send_loop::select_backend(const selection_request& question) {
+    const bool has_place =
+        placed_.kind == place_kind::granted || placed_.kind == place_kind::forced;
+    if (has_place) {
+        auto dispatched = context_.backends.find_dispatched(request_.service.name, placed_.engine,
+                                                            placed_.cached_tokens);
+        if (dispatched) {
+            statistics_.urgency = call_ranking::dispatched_level;
+            return dispatched;
+        }
+        // The engine has left since.
+        place_.give_back(placed_);
+        placed_.kind = place_kind::alone;
+        statistics_.place = placed_.kind;
+    }
+    statistics_.urgency = urgency_of(question.call);
+    return context_.backends.choose(question, http::steady_now());
+}
+
+void send_loop::record_place() {
+    statistics_.place = placed_.kind;
+    statistics_.place_time += placed_.answer_time;
+    statistics_.room_wait += placed_.waited;
+}
+
+void send_loop::log_refused_place() const {
+    const request_metadata& facts = request_.facts;
+    const std::string tenant = request_.tenant_name();
+    logging::write_event(
+        logging::event_id::place_refused,
+        "request=" + facts.request + " program=" + (facts.program.empty() ? "-" : facts.program) +
+            " tenant=" + (tenant.empty() ? "-" : tenant) + " route=" + request_.route.name +
+            " program_running=" + (place_.program_running() ? "yes" : "no") +
+            " reason=" + std::string(dispatch::text_of(placed_.reason)) +
+            " expected_wait_ms=" + std::to_string(to_milliseconds(placed_.expected_wait)) +
+            " retry_after_ms=" + std::to_string(to_milliseconds(placed_.retry_after)) +
+            " peer=" + placed_.decider + " running=" + std::to_string(placed_.running) +
+            " slots=" + std::to_string(placed_.slots));
+}
+
+request_result send_loop::refused_place() const {
+    local_answer answer = answer_without_place(placed_.reason, placed_.retry_after);
+    return {answer.outcome, answer.reason, answer};
+}
+
 asio::awaitable<void> send_loop::wait_for_admission(const scheduling::call_features& call) {
     admission_queue& queue = context_.admission_queue_of(request_.service.name);
     admission_priority priority;
@@ -162,7 +254,7 @@
     }
 }
 
-asio::awaitable<bool> send_loop::back_off(const scheduling::call_features& call) {
+asio::awaitable<bool> send_loop::back_off() {
     const duration time_left = request_.budget.left(http::steady_now());
     const auto pause = policy_.back_off(time_left, context_.backends.draw_jitter());
     if (!pause || context_.is_disabled(settings::mechanism::back_off)) {
@@ -174,7 +266,6 @@
     leave_admission();
     asio::steady_timer timer(context_.process.loop(), *pause);
     co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
-    co_await wait_for_admission(call);
     co_return true;
 }
 
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -11,6 +11,7 @@
 #include "tallyfold/plane/decisions/retry_policy.hpp"
 #include "tallyfold/plane/forwarding/answer_relay_shell.hpp"
 #include "tallyfold/plane/forwarding/backend_attempt_shell.hpp"
+#include "tallyfold/plane/forwarding/call_place_shell.hpp"
 #include "tallyfold/plane/forwarding/finished_request.hpp"
 
 namespace tallyfold::forwarding {
@@ -18,13 +19,14 @@
 class send_loop {
   public:
     /// @param request, `caller` and `answer` must outlive the loop
+    /// @param used_tokens tokens that the program used before the request
     send_loop(forwarder_context& context, const forwarded_request& request, caller_channel& caller,
-              answer_relay& answer);
+              answer_relay& answer, token_count used_tokens);
 
     /// Must be called at most once, and be followed by leave_admission().
     /// @return the outcome, and the answer to write if none was relayed
     asio::awaitable<request_result> run();
-    /// Cancels the current attempt.
+    /// Cancels the current attempt, or the wait for a place.
     void abort_attempt();
     /// Releases the admission slot, if held, so that the next waiting call can be sent.
     void leave_admission();
@@ -39,10 +41,19 @@
   private:
     [[nodiscard]] selection_request make_selection_request() const;
     [[nodiscard]] std::int32_t urgency_of(const scheduling::call_features& call) const;
+    /// Obtains a place of a dispatcher for the next attempt if one is needed, and waits for
+    /// admission otherwise or when the dispatcher does not answer.
+    /// @return false when the request is refused
+    asio::awaitable<bool> obtain_place(const selection_request& question);
+    /// Back end for the next attempt: the dispatcher's, or one selected here.
+    std::optional<chosen_backend> select_backend(const selection_request& question);
+    void record_place();
+    void log_refused_place() const;
+    [[nodiscard]] request_result refused_place() const;
     asio::awaitable<void> wait_for_admission(const scheduling::call_features& call);
-    /// Pauses before full back ends are tried again, and re-enters admission. @return false when
-    /// the request must not be retried
-    asio::awaitable<bool> back_off(const scheduling::call_features& call);
+    /// Releases the admission slot and pauses before full back ends are tried again. @return false
+    /// when the request must not be retried
+    asio::awaitable<bool> back_off();
     asio::awaitable<attempt_result> attempt(chosen_backend backend);
     /// Logs a failed attempt and determines the next step.
     next_step handle_failure(const chosen_backend& backend, const attempt_result& failed);
@@ -55,6 +66,9 @@
     retry_policy policy_;
     /// The current attempt.
     std::optional<backend_attempt> attempt_;
+    call_place place_;
+    /// Latest answer of a dispatcher.
+    place_result placed_;
     /// True while the call holds a slot of the admission queue.
     bool admitted_ = false;
     send_statistics statistics_;
--- a/src/tallyfold/plane/forwarding/stream_pace.cpp
+++ b/src/tallyfold/plane/forwarding/stream_pace.cpp
@@ -24,6 +24,13 @@
     latest_event_at_ = now;
 }
 
+duration stream_pace::mean_gap() const {
+    if (event_count_ < 2) {
+        return duration::zero();
+    }
+    return (latest_event_at_ - first_event_at_) / static_cast<std::int64_t>(event_count_ - 1);
+}
+
 void stream_pace::record_call_end(scheduling::engine_pace& pace, instant sent_at,
                                   instant now) const {
     if (event_count_ >= min_events_for_gap) {
--- a/src/tallyfold/plane/forwarding/stream_pace.hpp
+++ b/src/tallyfold/plane/forwarding/stream_pace.hpp
@@ -20,6 +20,13 @@
     /// contribute a mean gap.
     void record_call_end(scheduling::engine_pace& pace, instant sent_at, instant now) const;
 
+    /// Number of events so far.
+    [[nodiscard]] std::uint64_t events() const { return event_count_; }
+    /// Arrival of the first event; the epoch without one.
+    [[nodiscard]] instant first_event_at() const { return first_event_at_; }
+    /// Mean time between two events; zero with fewer than two.
+    [[nodiscard]] duration mean_gap() const;
+
   private:
     /// Engine of the latest events.
     backend_name engine_;
--- a/src/tallyfold/plane/process/mechanisms.cpp
+++ b/src/tallyfold/plane/process/mechanisms.cpp
@@ -10,7 +10,7 @@
 
 using named_mechanism = std::pair<std::string_view, mechanism>;
 
-constexpr std::array<named_mechanism, 14> all_mechanisms{{
+constexpr std::array<named_mechanism, 18> all_mechanisms{{
     {"prompt_holders", mechanism::prompt_holders},
     {"program_home", mechanism::program_affinity},
     {"bounded_running", mechanism::bounded_running},
@@ -25,6 +25,10 @@
     {"permit_wait", mechanism::permit_wait},
     {"break_evidence", mechanism::backend_distrust},
     {"object_home", mechanism::object_affinity},
+    {"dispatch", mechanism::dispatch},
+    {"dispatch_refusal", mechanism::dispatch_refusal},
+    {"dispatch_shares", mechanism::dispatch_shares},
+    {"engine_speed", mechanism::engine_speed},
 }};
 
 const named_mechanism* find(std::string_view name) {
--- a/src/tallyfold/plane/process/mechanisms.hpp
+++ b/src/tallyfold/plane/process/mechanisms.hpp
@@ -41,6 +41,14 @@
     /// Requests for an object go to the back end selected by rendezvous hashing of its name, the
     /// same at every forwarder.
     object_affinity,
+    /// Calls to engines get their places from a dispatcher, where the settings call for it.
+    dispatch,
+    /// Dispatchers refuse calls that can't be served in time; when off, these wait.
+    dispatch_refusal,
+    /// Dispatchers serve tenants within their share first; when off, shares are ignored.
+    dispatch_shares,
+    /// Dispatchers place calls by the engines' speed; when off, all count as equally fast.
+    engine_speed,
 };
 
 /// @param name the name in the setting "switched_off"
--- a/src/tallyfold/plane/process/node_settings.cpp
+++ b/src/tallyfold/plane/process/node_settings.cpp
@@ -12,6 +12,7 @@
 constexpr double max_accepted_slowdown = 1'000;
 constexpr double max_quota_slack = 10'000;
 constexpr std::int64_t max_losses_borne = 16;
+constexpr std::int64_t max_dispatch_from_nodes = 100'000;
 constexpr std::int64_t max_acknowledge_ms = 600'000;
 constexpr std::int64_t max_revocation_ms = 600'000;
 
@@ -93,6 +94,8 @@
     settings.policy_file = reader.text_or("policy_file", {});
     settings.max_slowdown =
         reader.real_or("most_slowdown", default_max_slowdown, 0, max_accepted_slowdown);
+    settings.dispatch_from_nodes = static_cast<std::size_t>(
+        reader.integer_or("dispatch_from_nodes", 0, 0, max_dispatch_from_nodes));
     for (const std::string& name : reader.text_list("switched_off")) {
         if (is_mechanism(name)) {
             settings.disabled.add(name);
--- a/src/tallyfold/plane/process/node_settings.hpp
+++ b/src/tallyfold/plane/process/node_settings.hpp
@@ -45,6 +45,9 @@
     /// Slowdown of engines, relative to idle, above which requests queue at the forwarder; 0
     /// disables queueing.
     double max_slowdown = 0;
+    /// Number of active nodes from which calls to engines get their places from a dispatcher; 0 for
+    /// never.
+    std::size_t dispatch_from_nodes = 0;
     /// Mechanisms that are switched off for ablation experiments; none in production.
     disabled_mechanisms disabled;
     /// Name of the placement strategy: by the policy, or a baseline for comparison.
--- a/src/tallyfold/plane/tenants/quota_client_shell.cpp
+++ b/src/tallyfold/plane/tenants/quota_client_shell.cpp
@@ -59,7 +59,7 @@
 
 void quota_client::start() {
     directory_.on_other_messages(
-        [this](const messaging::peer_message& message) { on_message(message); });
+        [this](const node_name&, const messaging::peer_message& message) { on_message(message); });
     process_.run_every(tick_interval, [this] { tick(); });
 }
 
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -181,8 +181,9 @@
           directory(process, {}),
           quotas(process, directory),
           turns(process, [](const turns::store_map&) {}),
-          context{process, codec,   directory, quotas,  turns, backends, connections,
-                  metrics, ranking, {},        nullptr, {},    false},
+          dispatch(process, directory, metrics),
+          context{process, codec,   directory, quotas, turns,   backends, connections,
+                  metrics, ranking, dispatch,  {},     nullptr, {},       false},
           callers(context) {
         listen();
     }
@@ -282,6 +283,7 @@
     tenants::quota_client quotas;
     turns::turn_client turns;
     forwarding::call_ranking ranking;
+    forwarding::dispatch_client dispatch;
     forwarding::forwarder_context context;
     forwarding::caller_listener callers;
 
