Calls wait for the engine that holds their prompt; programs that begin prefer none

Change: a waiting call goes to the engine that holds its prompt, and elsewhere only while a sixth of the slots is free; a program's first turn goes to the engine with the least expected time. Running programs are not refused; new ones are when their wait would not fit into their slack.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t min_retry_after_ms = 50;
 /// Weight of an ended call in the mean duration of a call.
 constexpr double duration_weight = 0.02;
+/// Number of waiting calls among which one that finds its prompt at a free engine is looked for.
+constexpr std::size_t max_calls_considered = 256;
 /// Number of routes that are told apart; further ones share the first number.
 constexpr std::size_t max_routes = 256;
 
@@ -88,8 +90,7 @@
         }
     }
     for (const call_key& key : waiting) {
-        queue_.remove(key);
-        pending_.erase(key);
+        take_waiting(key);
     }
 }
 
@@ -125,6 +126,7 @@
     call.cost = static_cast<double>(request.prompt_tokens) + request.max_tokens;
     call.latest_start = arrived + std::chrono::milliseconds(request.time_left_ms) -
                         needs_.expected_time(request.route, request.used_tokens);
+    call.expected_calls = needs_.expected_calls(request.route, request.used_tokens);
     call.wait_limit = arrived + std::chrono::milliseconds(request.longest_wait_ms);
     call.arrived = arrived;
     return call;
@@ -185,34 +187,100 @@
     return addressed;
 }
 
+dispatcher::pending_request dispatcher::make_pending(const place_request& request,
+                                                     instant now) const {
+    pending_request pending;
+    pending.request = request;
+    pending.repeated = now;
+    pending.moves_from = now;
+    // A program that begins shares only the first part of its prompt with others. If it preferred
+    // an engine for that, all programs would begin at the few engines that hold the part.
+    if (!request.program_running) {
+        return pending;
+    }
+    if (const auto preferred = ledger_.preferred(question_of(request), now)) {
+        pending.preferred = preferred->engine;
+        pending.moves_from = now + preferred->cost_elsewhere;
+    }
+    return pending;
+}
+
+std::optional<placed_call> dispatcher::place_at_once(const pending_request& pending,
+                                                     instant now) const {
+    const placement_question question = question_of(pending.request);
+    if (pending.preferred.empty()) {
+        return ledger_.choose(question, now);
+    }
+    if (const auto preferred = ledger_.choose_at(pending.preferred, question, now)) {
+        return preferred;
+    }
+    if (!ledger_.has_spare_slots()) {
+        return std::nullopt;
+    }
+    const auto waiting = waiting_for_.find(pending.preferred);
+    const std::uint32_t ahead = waiting == waiting_for_.end() ? 0 : waiting->second;
+    const duration expected = ledger_.expected_wait_at(pending.preferred, ahead, call_ms_);
+    return expected > pending.moves_from - now ? ledger_.choose(question, now) : std::nullopt;
+}
+
+const waiting_call* dispatcher::next_to_place(instant now) {
+    const bool may_move = ledger_.has_spare_slots();
+    return queue_.visit(now, max_calls_considered, [&](const waiting_call& call) {
+        const pending_request& pending = pending_.at(call.key);
+        return pending.preferred.empty() || ledger_.has_room_at(pending.preferred) ||
+               (may_move && now >= pending.moves_from) ||
+               !ledger_.is_available(pending.preferred, now);
+    });
+}
+
+std::optional<dispatcher::pending_request> dispatcher::take_waiting(const call_key& key) {
+    const auto found = pending_.find(key);
+    if (found == pending_.end()) {
+        return std::nullopt;
+    }
+    pending_request pending = std::move(found->second);
+    pending_.erase(found);
+    queue_.remove(key);
+    const auto count = waiting_for_.find(pending.preferred);
+    if (count != waiting_for_.end() && --count->second == 0) {
+        waiting_for_.erase(count);
+    }
+    return pending;
+}
+
 void dispatcher::grant_waiting(std::vector<addressed_answer>& answers, instant now) {
-    while (const waiting_call* next = queue_.next(now)) {
+    while (queue_.size() > 0 && ledger_.has_free_slot()) {
+        const waiting_call* next = next_to_place(now);
+        if (next == nullptr) {
+            return;
+        }
         const waiting_call call = *next;
-        const auto pending = pending_.find(call.key);
-        const auto placed = ledger_.choose(question_of(pending->second.request), now);
+        const pending_request& pending = pending_.at(call.key);
+        const placement_question question = question_of(pending.request);
+        auto placed = ledger_.choose_at(pending.preferred, question, now);
+        if (!placed) {
+            placed = ledger_.choose(question, now);
+        }
         if (!placed) {
             return;
         }
-        answers.push_back(grant(call, pending->second.request, *placed, place_reason::none, now));
-        queue_.remove(call.key);
-        pending_.erase(pending);
+        answers.push_back(grant(call, pending.request, *placed, place_reason::none, now));
+        take_waiting(call.key);
     }
 }
 
 void dispatcher::grant_overdue(std::vector<addressed_answer>& answers, instant now) {
     for (const call_key& key : queue_.overdue(now)) {
         const waiting_call call = *queue_.find(key);
-        const auto pending = pending_.find(key);
-        const auto placed = ledger_.choose_beyond_slots(question_of(pending->second.request), now);
+        const auto pending = take_waiting(key);
+        const auto placed = ledger_.choose_beyond_slots(question_of(pending->request), now);
         if (placed) {
-            answers.push_back(grant(call, pending->second.request, *placed,
-                                    place_reason::longest_wait_reached, now));
+            answers.push_back(
+                grant(call, pending->request, *placed, place_reason::longest_wait_reached, now));
         } else {
             // No engine is available; the forwarder has its own rules for that.
             answers.push_back(make_answer(key, place_outcome::unknown_service));
         }
-        queue_.remove(key);
-        pending_.erase(pending);
     }
 }
 
@@ -256,11 +324,10 @@
     }
     const waiting_call call = make_waiting_call(key, request, now);
     needs_.record_call(request.route, request.program, request.used_tokens, now);
-    if (queue_.size() == 0) {
-        if (const auto placed = ledger_.choose(question_of(request), now)) {
-            answers.push_back(grant(call, request, *placed, place_reason::none, now));
-            return answers;
-        }
+    pending_request pending = make_pending(request, now);
+    if (const auto placed = place_at_once(pending, now)) {
+        answers.push_back(grant(call, request, *placed, place_reason::none, now));
+        return answers;
     }
     const double slots = ledger_.room().slots;
     queue_.set_capacity(call_ms_ > 0 ? slots * 1'000 / call_ms_ : 0);
@@ -268,7 +335,10 @@
         answers.push_back(refuse(call, *refusal));
         return answers;
     }
-    pending_[key] = {request, now, now};
+    if (!pending.preferred.empty()) {
+        ++waiting_for_[pending.preferred];
+    }
+    pending_.emplace(key, std::move(pending));
     grant_waiting(answers, now);
     if (pending_.contains(key)) {
         addressed_answer addressed = make_answer(key, place_outcome::waiting);
@@ -279,8 +349,7 @@
 }
 
 void dispatcher::finish(const call_key& key, const released_call& released, instant now) {
-    if (queue_.remove(key)) {
-        pending_.erase(key);
+    if (take_waiting(key)) {
         return;
     }
     const auto finished = ledger_.finish(key, end_of(released), now);
@@ -330,9 +399,7 @@
             fault_ = message_fault::absurd_value;
         } else {
             // A call that waits here was sent by its forwarder after all.
-            if (queue_.remove(key)) {
-                pending_.erase(key);
-            }
+            take_waiting(key);
             call_size size;
             size.tokens = running.tokens;
             ledger_.start(key, running.engine, size, now);
@@ -348,8 +415,7 @@
         }
     }
     for (const call_key& key : dropped) {
-        queue_.remove(key);
-        pending_.erase(key);
+        take_waiting(key);
     }
 }
 
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -101,8 +101,12 @@
     };
     struct pending_request {
         place_request request;
-        instant arrived{};
         instant repeated{};
+        /// Engine that holds the prompt; empty when none does.
+        backend_name preferred;
+        /// Time from which another engine may take the call: after that it would have been quicker
+        /// to read the prompt again.
+        instant moves_from{};
     };
 
     /// Number of the sender's process, registered if it is new; nothing for a replaced one.
@@ -118,16 +122,28 @@
     /// Registers the call at the engine. @param arrived when its first request arrived
     addressed_answer grant(const waiting_call& call, const place_request& request,
                            const placed_call& placed, place_reason reason, instant now);
+    /// Place for a call that does not have to wait: at the engine that it prefers, or at another
+    /// one when waiting for the preferred one would take longer than reading the prompt again.
+    [[nodiscard]] std::optional<placed_call> place_at_once(const pending_request& pending,
+                                                           instant now) const;
+    /// Next waiting call that gets a free slot; null when none can. A call waits for the engine
+    /// that it prefers, unless that is gone, or many slots are free elsewhere.
+    const waiting_call* next_to_place(instant now);
+    [[nodiscard]] pending_request make_pending(const place_request& request, instant now) const;
     /// Grants waiting calls the free slots.
     void grant_waiting(std::vector<addressed_answer>& answers, instant now);
     /// Grants calls that have waited their longest wait a place beyond the slots.
     void grant_overdue(std::vector<addressed_answer>& answers, instant now);
     void drop_unrepeated(instant now);
+    /// Removes a call from the queue. @return its request; nothing when it does not wait
+    std::optional<pending_request> take_waiting(const call_key& key);
     void finish(const call_key& key, const released_call& released, instant now);
     std::uint16_t route_index(const std::string& route);
 
     place_ledger ledger_;
     wait_queue queue_;
+    /// Number of waiting calls by the engine that they prefer.
+    std::unordered_map<backend_name, std::uint32_t> waiting_for_;
     program_needs needs_;
     std::vector<forwarder_process> processes_;
     std::map<node_name, node_processes> nodes_;
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -12,12 +12,21 @@
 constexpr double handshake_ms = 1;
 /// Round trip within a zone, in milliseconds.
 constexpr double round_trip_ms = 0.2;
-/// Share of a prefill by which each call that runs at the engine is delayed: prefills alternate
-/// with the steps of running calls.
-constexpr double delay_of_running_call = 0.5;
-/// Cost of each call that runs at the engine, in milliseconds: its later prefills and its share of
-/// each step. Spreads calls over engines that are equal otherwise.
-constexpr double running_call_ms = 2;
+/// Share of a prefill by which each call that runs at the engine is delayed: a step that prefills
+/// generates no tokens for the others.
+constexpr double delay_of_running_call = 1;
+/// Tokens by which an engine has to hold more of a prompt than the others on average to be
+/// preferred; reading fewer takes a few milliseconds.
+constexpr double min_preference_tokens = 200;
+/// Cost of each call that runs at the engine, in milliseconds: the program comes back to the engine
+/// that holds its history, and finds it full the more often the more calls it has.
+constexpr double running_call_ms = 20;
+/// Share of the group's slots that has to be free for a call to leave the engine that holds its
+/// prompt. With fewer, reading prompts again takes the slots of others.
+constexpr double min_spare_share = 1.0 / 6;
+/// Calls beyond the slots go to the engine that holds their prompt up to this multiple of its
+/// slots; engines reject calls when their own queue is full.
+constexpr std::uint32_t max_overload = 2;
 /// Time for a generated token while no engine's is known, in milliseconds.
 constexpr double default_token_ms = 3;
 /// Weight of an ended call in the share of the longest answer that calls generate.
@@ -80,6 +89,27 @@
     return use == nullptr ? 0 : use->running;
 }
 
+std::uint32_t place_ledger::slots_of(const backend_name& engine) const {
+    const scheduling::backend_state* known = pool_.find(engine);
+    return known == nullptr ? 1 : std::max(1U, known->member.slots);
+}
+
+bool place_ledger::has_spare_slots() const {
+    const double free = static_cast<double>(room_.slots) - room_.running;
+    return free >= min_spare_share * room_.slots;
+}
+
+bool place_ledger::is_available(const backend_name& engine, instant now) const {
+    const scheduling::backend_state* known = pool_.find(engine);
+    return known != nullptr && pool_.available(*known, now);
+}
+
+bool place_ledger::has_room_at(const backend_name& engine) const {
+    const scheduling::backend_state* known = pool_.find(engine);
+    return known != nullptr && !known->leaving() &&
+           running_at(engine) < std::max(1U, known->member.slots);
+}
+
 bool place_ledger::is_eligible(const scheduling::backend_state& engine,
                                const placement_question& question, instant now) const {
     return pool_.available(engine, now) && !lists(question.excluded, engine.member.name);
@@ -123,8 +153,8 @@
            running_call_ms * running + tokens * token_ms(engine.member.name, running + 1, now);
 }
 
-std::optional<placed_call> place_ledger::choose(const placement_question& question,
-                                                instant now) const {
+std::map<backend_name, token_count> place_ledger::cached_tokens(
+    const placement_question& question) const {
     std::map<backend_name, token_count> cached;
     if (question.prompt != nullptr) {
         for (const scheduling::cached_prefix& match : cache_.find(*question.prompt)) {
@@ -137,6 +167,54 @@
             known = std::max(known, holder.tokens);
         }
     }
+    return cached;
+}
+
+std::optional<preferred_engine> place_ledger::preferred(const placement_question& question,
+                                                        instant now) const {
+    const std::map<backend_name, token_count> cached = cached_tokens(question);
+    backend_name best;
+    token_count best_tokens = 0;
+    token_count all_tokens = 0;
+    for (const auto& [name, tokens] : cached) {
+        const scheduling::backend_state* engine = pool_.find(name);
+        if (engine == nullptr || !is_eligible(*engine, question, now)) {
+            continue;
+        }
+        const token_count held = std::min(tokens, question.prompt_tokens);
+        all_tokens += held;
+        if (held > best_tokens) {
+            best = name;
+            best_tokens = held;
+        }
+    }
+    const double others = std::max(1.0, static_cast<double>(pool_.all().size()) - 1);
+    const double more_tokens =
+        static_cast<double>(best_tokens) - static_cast<double>(all_tokens - best_tokens) / others;
+    if (best.empty() || more_tokens < min_preference_tokens) {
+        return std::nullopt;
+    }
+    const double prefill = more_tokens * milliseconds(speed_.prefill_time_per_token());
+    const double slots = std::max(1U, pool_.find(best)->member.slots);
+    return preferred_engine{best, best_tokens, from_milliseconds(prefill * slots)};
+}
+
+std::optional<placed_call> place_ledger::choose_at(const backend_name& engine,
+                                                   const placement_question& question,
+                                                   instant now) const {
+    const scheduling::backend_state* known = pool_.find(engine);
+    if (known == nullptr || !is_eligible(*known, question, now) || !has_room(*known, question)) {
+        return std::nullopt;
+    }
+    const std::map<backend_name, token_count> cached = cached_tokens(question);
+    const auto held = cached.find(engine);
+    const token_count tokens = held == cached.end() ? 0 : held->second;
+    return placed_call{engine, std::min(tokens, question.prompt_tokens)};
+}
+
+std::optional<placed_call> place_ledger::choose(const placement_question& question,
+                                                instant now) const {
+    const std::map<backend_name, token_count> cached = cached_tokens(question);
     std::optional<placed_call> best;
     double best_ms = 0;
     for (const auto& [name, engine] : pool_.all()) {
@@ -154,8 +232,19 @@
     return best;
 }
 
+duration place_ledger::expected_wait_at(const backend_name& engine, std::uint32_t ahead,
+                                        double call_ms) const {
+    const scheduling::backend_state* known = pool_.find(engine);
+    const double slots = known == nullptr ? 1 : std::max(1U, known->member.slots);
+    return from_milliseconds(call_ms / slots * (1.0 + ahead));
+}
+
 std::optional<placed_call> place_ledger::choose_beyond_slots(const placement_question& question,
                                                              instant now) const {
+    const auto holder = preferred(question, now);
+    if (holder && running_at(holder->engine) < max_overload * slots_of(holder->engine)) {
+        return placed_call{holder->engine, holder->cached_tokens};
+    }
     std::optional<placed_call> best;
     double best_ms = 0;
     for (const auto& [name, engine] : pool_.all()) {
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -44,7 +44,16 @@
     token_count cached_tokens = 0;
 };
 
-/// Tokens and program of a call that starts.
+/// Engine that a call should go to, and what it costs to send it elsewhere.
+struct preferred_engine {
+    backend_name engine;
+    token_count cached_tokens = 0;
+    /// Time of slots that reading the prompt again elsewhere takes: that of the call and of the
+    /// calls that run there.
+    duration cost_elsewhere{};
+};
+
+/// Tokens of a call that starts.
 struct call_size {
     /// Tokens that the engine holds for the call until it ends: prompt and longest answer.
     std::uint32_t tokens = 0;
@@ -91,6 +100,18 @@
     /// room.
     [[nodiscard]] std::optional<placed_call> choose(const placement_question& question,
                                                     instant now) const;
+    /// Engine that holds so much more of the prompt than the others that reading it again elsewhere
+    /// would cost them time; nothing when there is none.
+    [[nodiscard]] std::optional<preferred_engine> preferred(const placement_question& question,
+                                                            instant now) const;
+    /// The given engine, if it has room for the call.
+    [[nodiscard]] std::optional<placed_call> choose_at(const backend_name& engine,
+                                                       const placement_question& question,
+                                                       instant now) const;
+    /// Expected time until a slot of a full engine frees for a call behind `ahead` others.
+    /// @param call_ms mean duration of a call, in milliseconds
+    [[nodiscard]] duration expected_wait_at(const backend_name& engine, std::uint32_t ahead,
+                                            double call_ms) const;
     /// Engine for a call that is granted beyond the slots: the fewest calls for its speed; nothing
     /// when no engine is available.
     [[nodiscard]] std::optional<placed_call> choose_beyond_slots(const placement_question& question,
@@ -115,6 +136,14 @@
     [[nodiscard]] bool has_engine(const backend_name& engine) const {
         return pool_.find(engine) != nullptr;
     }
+    /// True when the engine may get calls.
+    [[nodiscard]] bool is_available(const backend_name& engine, instant now) const;
+    /// True when so many slots of the group are free that calls may leave the engines that hold
+    /// their prompts.
+    [[nodiscard]] bool has_spare_slots() const;
+    /// True when the engine has a free slot.
+    [[nodiscard]] bool has_room_at(const backend_name& engine) const;
+    [[nodiscard]] bool has_free_slot() const { return room_.running < room_.slots; }
     [[nodiscard]] bool has_engines() const { return !pool_.all().empty(); }
     [[nodiscard]] const group_room& room() const { return room_; }
     [[nodiscard]] std::size_t calls() const { return calls_.size(); }
@@ -142,6 +171,10 @@
     };
     using call_table = std::unordered_map<call_key, registered_call, call_key_hash>;
 
+    /// Tokens of the prompt that engines hold.
+    [[nodiscard]] std::map<backend_name, token_count> cached_tokens(
+        const placement_question& question) const;
+    [[nodiscard]] std::uint32_t slots_of(const backend_name& engine) const;
     std::uint32_t index_of(const backend_name& engine);
     [[nodiscard]] const engine_use* use_of(const backend_name& engine) const;
     /// True when the engine may get new calls of the question.
--- a/src/tallyfold/plane/dispatch/program_needs.cpp
+++ b/src/tallyfold/plane/dispatch/program_needs.cpp
@@ -101,23 +101,33 @@
     average(known->call_ms, milliseconds(took));
 }
 
-duration program_needs::expected_time(const std::string& route, token_count used_tokens) const {
-    const route_statistics* known = find(route);
-    if (known == nullptr || known->total < min_calls) {
-        return duration::zero();
-    }
-    const std::size_t position = position_of(*known, used_tokens);
+double program_needs::later_calls(const route_statistics& known, token_count used_tokens) {
+    const std::size_t position = position_of(known, used_tokens);
     // Runaway programs, whose calls never end, are no measure for the others.
-    const auto end = std::min(max_position, static_cast<std::size_t>(runaway_calls(*known)) + 1);
+    const auto end = std::min(max_position, static_cast<std::size_t>(runaway_calls(known)) + 1);
     double later = 0;
     for (std::size_t next = position + 1; next < end; ++next) {
-        later += known->calls[next];
+        later += known.calls[next];
     }
     // Each call at a later position belongs to a program that passed this one.
-    const double remaining_calls = later / std::max(1.0, known->calls[position]);
+    return later / std::max(1.0, known.calls[position]);
+}
+
+double program_needs::expected_calls(const std::string& route, token_count used_tokens) const {
+    const route_statistics* known = find(route);
+    const bool is_known = known != nullptr && known->total >= min_calls;
+    return is_known ? 1 + later_calls(*known, used_tokens) : 1;
+}
+
+duration program_needs::expected_time(const std::string& route, token_count used_tokens) const {
+    const route_statistics* known = find(route);
+    if (known == nullptr || known->total < min_calls) {
+        return duration::zero();
+    }
     const double step = std::max(known->step_ms, known->call_ms);
+    const double expected = known->call_ms + later_calls(*known, used_tokens) * step;
     return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(known->call_ms + remaining_calls * step));
+        std::chrono::duration<double, std::milli>(expected));
 }
 
 bool program_needs::is_runaway(const std::string& route, token_count used_tokens) const {
--- a/src/tallyfold/plane/dispatch/program_needs.hpp
+++ b/src/tallyfold/plane/dispatch/program_needs.hpp
@@ -34,6 +34,8 @@
     /// Records an answered call.
     /// @param took time from its grant to its end
     void record_answer(const std::string& route, token_count generated, duration took);
+    /// Expected number of calls of the program from this one on, itself included; 1 while unknown.
+    [[nodiscard]] double expected_calls(const std::string& route, token_count used_tokens) const;
     /// Expected time from the start of this call to the end of its program; zero while unknown.
     [[nodiscard]] duration expected_time(const std::string& route, token_count used_tokens) const;
     /// True when the program has used far more tokens than is usual for its route, so that it
@@ -58,6 +60,7 @@
     [[nodiscard]] const route_statistics* find(const std::string& route) const;
     route_statistics* find_or_add(const std::string& route);
     static std::size_t position_of(const route_statistics& known, token_count used_tokens);
+    [[nodiscard]] static double later_calls(const route_statistics& known, token_count used_tokens);
     /// Number of calls beyond which a program of the route is a runaway.
     static double runaway_calls(const route_statistics& known);
     void record_step(route_statistics& known, program_hash program, instant now);
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -8,10 +8,18 @@
 
 namespace {
 
-/// Share of the longest wait that a call of a new program may be expected to wait although the
-/// program will be late. A program that begins later than that keeps its caller waiting for an
-/// answer that a return at a better time gives sooner.
-constexpr double new_program_wait_share = 0.5;
+/// Wait that a call of a new program may be expected to have in any case: as long as one call
+/// takes, so that short waits refuse nobody.
+constexpr duration min_tolerated_wait = std::chrono::milliseconds(200);
+
+/// Longest expected wait with which a program is let in: each of its calls is likely to wait about
+/// as long, and all waits have to fit into its slack.
+duration tolerated_wait(const waiting_call& call, instant now) {
+    const duration slack = call.latest_start - now;
+    const auto for_each_call =
+        std::chrono::duration_cast<duration>(slack / std::max(1.0, call.expected_calls));
+    return std::max(min_tolerated_wait, for_each_call);
+}
 
 }  // namespace
 
@@ -25,15 +33,12 @@
     if (calls_.size() >= max_length) {
         return queue_refusal{place_reason::queue_full, expected};
     }
-    if (settings_.refuses) {
-        const duration longest = call.wait_limit - now;
-        if (expected > longest) {
+    // A program under way has used engines already; its calls wait, and run at their wait limit.
+    if (settings_.refuses && !call.program_running) {
+        if (expected > call.wait_limit - now) {
             return queue_refusal{place_reason::wait_too_long, expected};
         }
-        const auto tolerated =
-            std::max(call.latest_start - now,
-                     std::chrono::duration_cast<duration>(longest * new_program_wait_share));
-        if (!call.program_running && expected > tolerated) {
+        if (expected > tolerated_wait(call, now)) {
             return queue_refusal{place_reason::new_program, expected};
         }
     }
@@ -60,44 +65,67 @@
     }
 }
 
-std::optional<std::tuple<wait_queue::rank, instant, call_key>> wait_queue::best_of(
-    const tenant_queue& queue, bool within_share) {
-    const auto first = [](rank kind, const ordered_calls& calls) {
-        return std::tuple(kind, calls.begin()->first, calls.begin()->second);
+bool wait_queue::is_within_share(const std::string& tenant, instant now) const {
+    return !settings_.shares || shares_.is_within(tenant, now);
+}
+
+std::vector<wait_queue::cursor> wait_queue::begin_of(priority_queue& level, instant now) const {
+    std::vector<cursor> cursors;
+    const auto add = [&](rank kind, const ordered_calls& calls) {
+        if (!calls.empty()) {
+            cursors.push_back({kind, calls.begin(), calls.end()});
+        }
     };
-    if (!queue.in_time.empty()) {
-        return first(within_share ? rank::in_time : rank::in_time_beyond_share, queue.in_time);
-    }
-    if (!queue.late.empty()) {
-        return first(within_share ? rank::late : rank::late_beyond_share, queue.late);
-    }
-    if (!queue.runaway.empty()) {
-        return first(rank::runaway, queue.runaway);
+    for (auto& [tenant, queue] : level.tenants) {
+        move_late(queue, now);
+        const bool within = is_within_share(tenant, now);
+        add(within ? rank::in_time : rank::in_time_beyond_share, queue.in_time);
+        add(within ? rank::late : rank::late_beyond_share, queue.late);
+        add(rank::runaway, queue.runaway);
     }
-    return std::nullopt;
+    return cursors;
 }
 
-bool wait_queue::is_within_share(const std::string& tenant, instant now) const {
-    return !settings_.shares || shares_.is_within(tenant, now);
+const waiting_call* wait_queue::visit(instant now, std::size_t limit,
+                                      const std::function<bool(const waiting_call&)>& stop) {
+    std::size_t visited = 0;
+    for (auto& [priority, level] : priorities_) {
+        const waiting_call* found = visit_level(level, now, limit, visited, stop);
+        if (found != nullptr || visited >= limit) {
+            return found;
+        }
+    }
+    return nullptr;
 }
 
-const waiting_call* wait_queue::next(instant now) {
-    if (priorities_.empty()) {
-        return nullptr;
-    }
-    priority_queue& level = priorities_.begin()->second;
+const waiting_call* wait_queue::visit_level(priority_queue& level, instant now, std::size_t limit,
+                                            std::size_t& visited,
+                                            const std::function<bool(const waiting_call&)>& stop) {
     if (level.taken % oldest_first_interval == oldest_first_interval - 1) {
-        return &calls_.at(level.by_arrival.begin()->second);
+        const waiting_call& oldest = calls_.at(level.by_arrival.begin()->second);
+        if (stop(oldest)) {
+            return &oldest;
+        }
     }
-    std::optional<std::tuple<rank, instant, call_key>> best;
-    for (auto& [tenant, queue] : level.tenants) {
-        move_late(queue, now);
-        const auto candidate = best_of(queue, is_within_share(tenant, now));
-        if (candidate && (!best || *candidate < *best)) {
-            best = candidate;
+    std::vector<cursor> cursors = begin_of(level, now);
+    const auto later = std::greater<>{};
+    std::make_heap(cursors.begin(), cursors.end(), later);
+    while (visited < limit && !cursors.empty()) {
+        ++visited;
+        std::pop_heap(cursors.begin(), cursors.end(), later);
+        cursor& first = cursors.back();
+        const waiting_call& call = calls_.at(first.position->second);
+        if (stop(call)) {
+            return &call;
+        }
+        ++first.position;
+        if (first.position == first.end) {
+            cursors.pop_back();
+        } else {
+            std::push_heap(cursors.begin(), cursors.end(), later);
         }
     }
-    return best ? &calls_.at(std::get<call_key>(*best)) : nullptr;
+    return nullptr;
 }
 
 bool wait_queue::remove(const call_key& key) {
--- a/src/tallyfold/plane/dispatch/wait_queue.hpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.hpp
@@ -10,10 +10,12 @@
 /// served in time learns it at once.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +56,8 @@
     double cost = 1;
     /// Time by which the call has to start for its program to be in time; in the past when late.
     instant latest_start{};
+    /// Calls that the program is expected to make from this one on, itself included.
+    double expected_calls = 1;
     /// Time at which the call is granted a slot in any case.
     instant wait_limit{};
     instant arrived{};
@@ -90,8 +94,15 @@
     /// Queues a call, or refuses it.
     /// @return nothing when the call is queued
     std::optional<queue_refusal> push(const waiting_call& call, instant now);
+    /// Visits calls in the order in which they get free slots, until `stop` returns true for one or
+    /// `limit` calls were visited.
+    /// @return the call at which it stopped, or null; it stays in the queue
+    const waiting_call* visit(instant now, std::size_t limit,
+                              const std::function<bool(const waiting_call&)>& stop);
     /// Call that gets the next free slot; it stays in the queue. Null when the queue is empty.
-    [[nodiscard]] const waiting_call* next(instant now);
+    [[nodiscard]] const waiting_call* next(instant now) {
+        return visit(now, 1, [](const waiting_call&) { return true; });
+    }
     /// Removes a call that is granted a slot or withdrawn. @return false when it is not queued
     bool remove(const call_key& key);
     /// Calls whose wait limit has passed, in the order of their limits.
@@ -132,10 +143,23 @@
         runaway,
     };
 
+    /// Position in one of the ordered sets of a tenant, for the merge of all of them.
+    struct cursor {
+        rank kind = rank::in_time;
+        ordered_calls::const_iterator position;
+        ordered_calls::const_iterator end;
+
+        bool operator>(const cursor& other) const {
+            return std::tie(kind, *position) > std::tie(other.kind, *other.position);
+        }
+    };
+
     static void move_late(tenant_queue& queue, instant now);
-    /// Best call of one tenant with its rank; nothing when the tenant has none.
-    [[nodiscard]] static std::optional<std::tuple<rank, instant, call_key>> best_of(
-        const tenant_queue& queue, bool within_share);
+    const waiting_call* visit_level(priority_queue& level, instant now, std::size_t limit,
+                                    std::size_t& visited,
+                                    const std::function<bool(const waiting_call&)>& stop);
+    /// Cursors at the beginnings of the ordered sets of all tenants.
+    [[nodiscard]] std::vector<cursor> begin_of(priority_queue& level, instant now) const;
     [[nodiscard]] bool is_within_share(const std::string& tenant, instant now) const;
     /// Number of queued calls that would go before the call.
     [[nodiscard]] std::size_t calls_ahead_of(const waiting_call& call, instant now) const;
