Program needs count the time between calls without waits

Cause: the time between two calls grew with the queue, so programs passed for late that could be in time. Change: the estimate follows the shorter samples.

--- a/src/tallyfold/plane/dispatch/program_needs.cpp
+++ b/src/tallyfold/plane/dispatch/program_needs.cpp
@@ -23,6 +23,12 @@
     value = value > 0 ? value + average_weight * (sample - value) : sample;
 }
 
+/// Moves an estimate towards the shorter samples, a quarter of which are below it.
+void track_low(double& value, double sample) {
+    const double weight = sample < value ? average_weight : average_weight / 3;
+    value = value > 0 ? value + weight * (sample - value) : sample;
+}
+
 double milliseconds(duration value) {
     return std::chrono::duration<double, std::milli>(value).count();
 }
@@ -67,7 +73,7 @@
     if (found != last_calls_.end()) {
         const duration step = now - found->second;
         if (step > duration::zero() && step <= max_step) {
-            average(known.step_ms, milliseconds(step));
+            track_low(known.step_ms, milliseconds(step));
         }
         found->second = now;
     } else if (last_calls_.size() < max_programs) {
--- a/src/tallyfold/plane/dispatch/program_needs.hpp
+++ b/src/tallyfold/plane/dispatch/program_needs.hpp
@@ -53,7 +53,8 @@
         double total = 0;
         double tokens_per_call = 0;
         double call_ms = 0;
-        /// Time from the beginning of one call to that of the next one.
+        /// Time from the beginning of one call to that of the next one when neither waits: below the
+        /// mean, which grows with the waits that it should not count.
         double step_ms = 0;
     };
 
