--- a/src/tallyfold/scheduling/engine_speed.cpp
+++ b/src/tallyfold/scheduling/engine_speed.cpp
@@ -10,6 +10,9 @@
 /// that a burst of slow samples doesn't pass for idle.
 constexpr double weight_of_lower_sample = 0.2;
 constexpr double weight_of_higher_sample = 0.002;
+/// Higher samples count as this multiple of the estimate: slow periods are 2.5 times slower, and a
+/// stalled connection gives samples that are thousands of times too high.
+constexpr double max_sample_ratio = 10;
 /// Weight of a sample in the present ratio of an engine: follows a slow period within some calls.
 constexpr double ratio_weight = 0.4;
 /// Weight of a sample in the effect of sharing, which all engines have in common.
@@ -20,6 +23,8 @@
 constexpr double default_prefill_us = 13;
 /// Longest valid token time; longer ones are stalls of the connection or the caller.
 constexpr duration max_token_time = std::chrono::seconds(2);
+/// Longest valid time to the first event; no prefill takes a minute.
+constexpr duration max_first_event = std::chrono::seconds(60);
 
 double microseconds(duration value) {
     return std::chrono::duration<double, std::micro>(value).count();
@@ -32,13 +37,16 @@
 /// Moves an estimate of the minimum towards a sample; 0 stands for no estimate.
 void track_minimum(double& value, double sample) {
     const double weight = sample < value ? weight_of_lower_sample : weight_of_higher_sample;
-    value = value > 0 ? value + weight * (sample - value) : sample;
+    const double bounded = std::min(sample, max_sample_ratio * value);
+    value = value > 0 ? value + weight * (bounded - value) : sample;
 }
 
 }  // namespace
 
 void engine_speed::record(const backend_name& engine, const speed_sample& sample, instant now) {
-    if (sample.prefilled_tokens >= min_prefilled_tokens && sample.first_event > duration::zero()) {
+    const bool valid_first_event =
+        sample.first_event > duration::zero() && sample.first_event <= max_first_event;
+    if (sample.prefilled_tokens >= min_prefilled_tokens && valid_first_event) {
         track_minimum(prefill_us_, microseconds(sample.first_event) /
                                        static_cast<double>(sample.prefilled_tokens));
     }
@@ -49,7 +57,9 @@
     const std::uint32_t running = std::max(1U, sample.running);
     engine_state& state = engines_[engine];
     const bool fresh = state.latest != instant{} && now - state.latest <= slowdown_lifetime;
+    idle_total_us_ -= state.idle_token_us;
     track_minimum(state.idle_token_us, token_us / sharing_factor(running));
+    idle_total_us_ += state.idle_token_us;
     const double shared = token_us / state.idle_token_us;
     double& level = ratio_by_running_[std::min<std::size_t>(running, max_levels) - 1];
     level = level > 0 ? level + sharing_weight * (shared - level) : std::max(1.0, shared);
@@ -58,16 +68,29 @@
     state.latest = now;
 }
 
-double engine_speed::idle_us(const backend_name& engine) const {
+void engine_speed::remove_engine(const backend_name& engine) {
     const auto found = engines_.find(engine);
-    if (found != engines_.end() && found->second.idle_token_us > 0) {
-        return found->second.idle_token_us;
+    if (found != engines_.end()) {
+        idle_total_us_ -= found->second.idle_token_us;
+        engines_.erase(found);
     }
-    double total = 0;
-    for (const auto& [name, state] : engines_) {
-        total += state.idle_token_us;
+}
+
+const engine_speed::engine_state* engine_speed::find(const backend_name& engine) const {
+    const auto found = engines_.find(engine);
+    return found == engines_.end() ? nullptr : &found->second;
+}
+
+double engine_speed::idle_us(const engine_state* state) const {
+    if (state != nullptr) {
+        return state->idle_token_us;
     }
-    return engines_.empty() ? 0 : total / static_cast<double>(engines_.size());
+    return engines_.empty() ? 0 : idle_total_us_ / static_cast<double>(engines_.size());
+}
+
+double engine_speed::slowdown(const engine_state* state, instant now) {
+    const bool fresh = state != nullptr && now - state->latest <= slowdown_lifetime;
+    return fresh ? std::max(1.0, state->ratio) : 1;
 }
 
 double engine_speed::sharing_factor(std::uint32_t running) const {
@@ -79,17 +102,16 @@
 
 duration engine_speed::token_time(const backend_name& engine, std::uint32_t running,
                                   instant now) const {
-    return from_microseconds(idle_us(engine) * sharing_factor(running) * slowdown(engine, now));
+    const engine_state* state = find(engine);
+    return from_microseconds(idle_us(state) * sharing_factor(running) * slowdown(state, now));
 }
 
 duration engine_speed::idle_token_time(const backend_name& engine) const {
-    return from_microseconds(idle_us(engine));
+    return from_microseconds(idle_us(find(engine)));
 }
 
 double engine_speed::slowdown(const backend_name& engine, instant now) const {
-    const auto found = engines_.find(engine);
-    const bool fresh = found != engines_.end() && now - found->second.latest <= slowdown_lifetime;
-    return fresh ? std::max(1.0, found->second.ratio) : 1;
+    return slowdown(find(engine), now);
 }
 
 duration engine_speed::prefill_time_per_token() const {
--- a/src/tallyfold/scheduling/engine_speed.hpp
+++ b/src/tallyfold/scheduling/engine_speed.hpp
@@ -8,7 +8,7 @@
 /// is not taken for an overloaded one, and gets work in proportion to its speed.
 
 #include <cstdint>
-#include <map>
+#include <unordered_map>
 #include <vector>
 
 #include "tallyfold/base/common/time.hpp"
@@ -35,7 +35,7 @@
 
     /// Records an answered call. Absurd values are ignored.
     void record(const backend_name& engine, const speed_sample& sample, instant now);
-    void remove_engine(const backend_name& engine) { engines_.erase(engine); }
+    void remove_engine(const backend_name& engine);
 
     /// Expected time for one generated token at the engine while `running` calls run there; for an
     /// engine without samples the mean of the others, zero while nothing is known.
@@ -60,11 +60,17 @@
         instant latest{};
     };
 
-    [[nodiscard]] double idle_us(const backend_name& engine) const;
+    /// State of an engine; null without samples.
+    [[nodiscard]] const engine_state* find(const backend_name& engine) const;
+    [[nodiscard]] double idle_us(const engine_state* state) const;
+    [[nodiscard]] static double slowdown(const engine_state* state, instant now);
     /// Factor by which `running` calls slow each other down.
     [[nodiscard]] double sharing_factor(std::uint32_t running) const;
 
-    std::map<backend_name, engine_state> engines_;
+    /// Looked up for each engine of a group at each decision.
+    std::unordered_map<backend_name, engine_state> engines_;
+    /// Sum of the idle token times of `engines_`.
+    double idle_total_us_ = 0;
     /// Moving average of the ratio of the token time to the idle one, by running calls; 0 while
     /// unknown.
     std::vector<double> ratio_by_running_ = std::vector<double>(max_levels, 0);
