--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -56,8 +56,10 @@
     pool_.update(engines);
     cache_tokens_ = cache_tokens;
     room_.slots = 0;
-    for (const scheduling::backend_member& member : engines) {
-        room_.slots += member.leaving ? 0 : std::max(1U, member.slots);
+    group_.clear();
+    for (const auto& [name, state] : pool_.all()) {
+        group_.push_back({&state, index_of(name)});
+        room_.slots += state.member.leaving ? 0 : std::max(1U, state.member.slots);
     }
 }
 
@@ -85,17 +87,13 @@
     return pool_.available(engine, now) && !lists(question.excluded, engine.member.name);
 }
 
-bool place_ledger::has_room(const scheduling::backend_state& engine,
-                            const placement_question& question) const {
-    const engine_use* use = use_of(engine.member.name);
-    if (use == nullptr) {
-        return true;
-    }
+bool place_ledger::has_room(const group_engine& engine, const placement_question& question) const {
+    const engine_use& use = engines_[engine.index];
     const token_count needed = question.prompt_tokens + question.max_tokens;
     // A call larger than the cache runs alone or is rejected by the engine.
     const bool fits =
-        cache_tokens_ == 0 || use->tokens + needed <= cache_tokens_ || use->running == 0;
-    return use->running < std::max(1U, engine.member.slots) && fits;
+        cache_tokens_ == 0 || use.tokens + needed <= cache_tokens_ || use.running == 0;
+    return use.running < std::max(1U, engine.state->member.slots) && fits;
 }
 
 double place_ledger::token_ms(const backend_name& engine, std::uint32_t running,
@@ -105,49 +103,58 @@
     return learned > 0 ? learned : default_token_ms;
 }
 
-double place_ledger::expected_ms(const scheduling::backend_state& engine,
-                                 const placement_question& question, token_count cached_tokens,
-                                 instant now) const {
-    const engine_use* use = use_of(engine.member.name);
-    const std::uint32_t running = use == nullptr ? 0 : use->running;
-    const double way = engine.member.zone == question.zone ? round_trip_ms : zone_round_trip_ms;
-    const bool is_connected = lists(question.connected, engine.member.name);
-    const double connect = is_connected ? 0 : handshake_ms + way;
+double place_ledger::expected_ms(const group_engine& engine, const placement_question& question,
+                                 token_count cached_tokens, instant now) const {
+    const engine_use& use = engines_[engine.index];
+    const scheduling::backend_member& member = engine.state->member;
+    const double way = member.zone == question.zone ? round_trip_ms : zone_round_trip_ms;
+    const double connect = lists(question.connected, member.name) ? 0 : handshake_ms + way;
     const auto uncached = static_cast<double>(question.prompt_tokens -
                                               std::min(cached_tokens, question.prompt_tokens));
     const double prefill = uncached * milliseconds(speed_.prefill_time_per_token());
-    const double pending =
-        use == nullptr ? 0 : std::max(0.0, milliseconds(use->prefilled_at - now));
+    const double pending = std::max(0.0, milliseconds(use.prefilled_at - now));
     const double tokens = static_cast<double>(question.max_tokens) * answer_share_;
-    return way + connect + pending + prefill * (1 + delay_of_running_call * running) +
-           running_call_ms * running + tokens * token_ms(engine.member.name, running + 1, now);
+    return way + connect + pending + prefill * (1 + delay_of_running_call * use.running) +
+           running_call_ms * use.running + tokens * token_ms(member.name, use.running + 1, now);
 }
 
-std::optional<placed_call> place_ledger::choose(const placement_question& question,
-                                                instant now) const {
-    std::map<backend_name, token_count> cached;
-    if (question.prompt != nullptr) {
-        for (const scheduling::cached_prefix& match : cache_.find(*question.prompt)) {
-            cached[match.engine] = match.tokens;
+std::vector<token_count> place_ledger::cached_tokens_of(const placement_question& question) const {
+    std::vector<token_count> cached(engines_.size());
+    const auto note = [&](const scheduling::cached_prefix& prefix) {
+        const auto found = engine_indexes_.find(prefix.engine);
+        if (found != engine_indexes_.end()) {
+            cached[found->second] = std::max(cached[found->second], prefix.tokens);
         }
+    };
+    if (question.prompt != nullptr) {
+        const auto matches = cache_.find(*question.prompt);
+        std::for_each(matches.begin(), matches.end(), note);
     }
     if (question.holders != nullptr) {
-        for (const scheduling::cached_prefix& holder : *question.holders) {
-            token_count& known = cached[holder.engine];
-            known = std::max(known, holder.tokens);
-        }
+        std::for_each(question.holders->begin(), question.holders->end(), note);
     }
+    return cached;
+}
+
+std::optional<placed_call> place_ledger::choose(const placement_question& question,
+                                                instant now) const {
+    const bool any_room = std::any_of(group_.begin(), group_.end(), [&](const auto& engine) {
+        return has_room(engine, question);
+    });
+    if (!any_room) {
+        return std::nullopt;
+    }
+    const std::vector<token_count> cached = cached_tokens_of(question);
     std::optional<placed_call> best;
     double best_ms = 0;
-    for (const auto& [name, engine] : pool_.all()) {
-        if (!is_eligible(engine, question, now) || !has_room(engine, question)) {
+    for (const group_engine& engine : group_) {
+        if (!has_room(engine, question) || !is_eligible(*engine.state, question, now)) {
             continue;
         }
-        const auto held = cached.find(name);
-        const token_count tokens = held == cached.end() ? 0 : held->second;
+        const token_count tokens = cached[engine.index];
         const double expected = expected_ms(engine, question, tokens, now);
         if (!best || expected < best_ms) {
-            best = placed_call{name, std::min(tokens, question.prompt_tokens)};
+            best = placed_call{engine.state->member.name, std::min(tokens, question.prompt_tokens)};
             best_ms = expected;
         }
     }
@@ -158,11 +165,12 @@
                                                              instant now) const {
     std::optional<placed_call> best;
     double best_ms = 0;
-    for (const auto& [name, engine] : pool_.all()) {
-        if (!is_eligible(engine, question, now)) {
+    for (const group_engine& engine : group_) {
+        if (!is_eligible(*engine.state, question, now)) {
             continue;
         }
-        const std::uint32_t calls = running_at(name) + 1;
+        const backend_name& name = engine.state->member.name;
+        const std::uint32_t calls = engines_[engine.index].running + 1;
         const double load_ms = calls * token_ms(name, calls, now);
         if (!best || load_ms < best_ms) {
             best = placed_call{name, 0};
@@ -205,7 +213,10 @@
 
 place_ledger::call_table::iterator place_ledger::erase(call_table::iterator call) {
     engine_use& use = engines_[call->second.engine];
-    --use.running;
+    if (--use.running == 0) {
+        // The expected prefill of calls that were not sent or were cut off doesn't take place.
+        use.prefilled_at = {};
+    }
     use.tokens -= call->second.size.tokens;
     --room_.running;
     room_.tokens -= call->second.size.tokens;
@@ -234,8 +245,8 @@
     sample.running = call.running;
     sample.prefilled_tokens = call.size.uncached_tokens;
     sample.first_event = ended.first_event;
-    const double tokens_per_event =
-        static_cast<double>(ended.generated_tokens) / static_cast<double>(ended.events);
+    const double tokens_per_event = std::max(
+        1.0, static_cast<double>(ended.generated_tokens) / static_cast<double>(ended.events));
     sample.token_time = from_milliseconds(milliseconds(ended.gap) / tokens_per_event);
     speed_.record(engine, sample, now);
 }
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -9,7 +9,6 @@
 /// slot.
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -142,17 +141,25 @@
     };
     using call_table = std::unordered_map<call_key, registered_call, call_key_hash>;
 
+    /// An engine of the group: its state in `pool_`, and its position in `engines_`.
+    struct group_engine {
+        const scheduling::backend_state* state = nullptr;
+        std::uint32_t index = 0;
+    };
+
     std::uint32_t index_of(const backend_name& engine);
     [[nodiscard]] const engine_use* use_of(const backend_name& engine) const;
     /// True when the engine may get new calls of the question.
     [[nodiscard]] bool is_eligible(const scheduling::backend_state& engine,
                                    const placement_question& question, instant now) const;
-    [[nodiscard]] bool has_room(const scheduling::backend_state& engine,
+    [[nodiscard]] bool has_room(const group_engine& engine,
                                 const placement_question& question) const;
+    /// Tokens of the prompt that each engine of `engines_` holds.
+    [[nodiscard]] std::vector<token_count> cached_tokens_of(
+        const placement_question& question) const;
     /// Expected time from the sending of the call to its end, in milliseconds.
-    [[nodiscard]] double expected_ms(const scheduling::backend_state& engine,
-                                     const placement_question& question, token_count cached_tokens,
-                                     instant now) const;
+    [[nodiscard]] double expected_ms(const group_engine& engine, const placement_question& question,
+                                     token_count cached_tokens, instant now) const;
     [[nodiscard]] double token_ms(const backend_name& engine, std::uint32_t running,
                                   instant now) const;
     void learn(const registered_call& call, const call_end& ended, instant now);
@@ -163,9 +170,11 @@
     scheduling::engine_speed speed_;
     scheduling::cache_map cache_{max_cached_prefixes};
     token_count cache_tokens_ = 0;
-    std::map<backend_name, std::uint32_t> engine_indexes_;
+    std::unordered_map<backend_name, std::uint32_t> engine_indexes_;
     /// Use of every engine that was ever in the group.
     std::vector<engine_use> engines_;
+    /// Engines of the group by name; spares the look-ups by name at each decision.
+    std::vector<group_engine> group_;
     call_table calls_;
     group_room room_;
     /// Moving average of the share of their longest answer that calls generate.
--- a/src/tallyfold/scheduling/cache_map.cpp
+++ b/src/tallyfold/scheduling/cache_map.cpp
@@ -69,6 +69,7 @@
 
 std::vector<cached_prefix> cache_map::find(const std::vector<prefix_point>& points) const {
     std::vector<cached_prefix> matches;
+    std::vector<std::uint32_t> matched;
     for (auto point = points.rbegin(); point != points.rend(); ++point) {
         const auto found = entries_.find(point->hash);
         if (found == entries_.end()) {
@@ -76,11 +77,10 @@
         }
         const auto point_begin = static_cast<std::ptrdiff_t>(matches.size());
         for (const auto& [id, tokens] : found->second.holders) {
-            const backend_name& name = engine_names_[id];
-            const bool known = std::any_of(matches.begin(), matches.end(),
-                                           [&](const auto& match) { return match.engine == name; });
-            if (!known) {
-                matches.push_back({name, point->hash, std::min(tokens, point->tokens)});
+            if (std::find(matched.begin(), matched.end(), id) == matched.end()) {
+                matched.push_back(id);
+                matches.push_back(
+                    {engine_names_[id], point->hash, std::min(tokens, point->tokens)});
             }
         }
         std::stable_sort(
