--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "tallyfold/plane/dispatch/dispatcher.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace tallyfold::dispatch {
 
@@ -12,6 +11,8 @@
 /// Upper bounds of what a working node sends.
 constexpr std::uint32_t max_tokens_of_call = 10'000'000;
 constexpr std::uint32_t max_longest_wait_ms = 600'000;
+/// Weights are rate limits. Larger ones would make the sum of all weights inexact or infinite.
+constexpr double max_weight = 1e9;
 /// Shortest Retry-After, in milliseconds: a round trip and the end of some calls.
 constexpr std::uint32_t min_retry_after_ms = 50;
 /// Weight of an ended call in the mean duration of a call.
@@ -66,12 +67,13 @@
     if (!is_new && processes_[known.current].process_id == process_id) {
         return known.current;
     }
-    if (!is_new && known.replaced == process_id) {
+    const auto& replaced = known.replaced;
+    if (std::find(replaced.begin(), replaced.end(), process_id) != replaced.end()) {
         fault_ = message_fault::earlier_process;
         return std::nullopt;
     }
     if (!is_new) {
-        known.replaced = processes_[known.current].process_id;
+        known.replaced.push_back(processes_[known.current].process_id);
         drop_process(known.current);
     }
     known.current = static_cast<std::uint32_t>(processes_.size());
@@ -96,11 +98,16 @@
 bool dispatcher::is_valid(const place_request& request) {
     return !request.node.empty() && request.prompt_tokens <= max_tokens_of_call &&
            request.max_tokens <= max_tokens_of_call &&
-           request.longest_wait_ms <= max_longest_wait_ms && std::isfinite(request.tenant_weight) &&
+           request.longest_wait_ms <= max_longest_wait_ms &&
+           request.holders.size() <= max_listed_engines &&
            request.excluded.size() <= max_listed_engines &&
            request.connected.size() <= max_listed_engines;
 }
 
+bool dispatcher::is_valid_weight(double weight) {
+    return weight >= 0 && weight <= max_weight;
+}
+
 std::uint16_t dispatcher::route_index(const std::string& route) {
     const auto found = std::find(route_names_.begin(), route_names_.end(), route);
     if (found != route_names_.end()) {
@@ -118,7 +125,7 @@
     waiting_call call;
     call.key = key;
     call.tenant = request.tenant;
-    call.tenant_weight = request.tenant_weight;
+    call.tenant_weight = is_valid_weight(request.tenant_weight) ? request.tenant_weight : 1;
     call.priority = {request.tenant_priority, request.route_priority};
     call.program_running = request.program_running;
     call.runaway = needs_.is_runaway(request.route, request.used_tokens);
@@ -254,6 +261,13 @@
         answers.push_back(make_answer(key, place_outcome::unknown_service));
         return answers;
     }
+    if (!is_valid_weight(request.tenant_weight)) {
+        fault_ = message_fault::absurd_value;
+    }
+    if (queue_.size() > 0 && ledger_.room().running < ledger_.room().slots) {
+        // Slots that became free without a release, by a replaced process or a new engine.
+        grant_waiting(answers, now);
+    }
     const waiting_call call = make_waiting_call(key, request, now);
     needs_.record_call(request.route, request.program, request.used_tokens, now);
     if (queue_.size() == 0) {
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -96,8 +96,8 @@
     };
     struct node_processes {
         std::uint32_t current = 0;
-        /// Identifier of the process before the current one; 0 for none.
-        std::uint64_t replaced = 0;
+        /// Identifiers of the earlier processes.
+        std::vector<std::uint64_t> replaced;
     };
     struct pending_request {
         place_request request;
@@ -109,6 +109,7 @@
     std::optional<std::uint32_t> process_of(const node_name& node, std::uint64_t process_id);
     void drop_process(std::uint32_t process);
     [[nodiscard]] static bool is_valid(const place_request& request);
+    [[nodiscard]] static bool is_valid_weight(double weight);
     [[nodiscard]] waiting_call make_waiting_call(const call_key& key, const place_request& request,
                                                  instant arrived) const;
     [[nodiscard]] static placement_question question_of(const place_request& request);
