Engine speed: idle times don't drift with the effect of sharing

Cause: the idle time of an engine was derived from samples divided by the effect of sharing, and that effect from samples divided by the idle time. Change: a sample shorter than the idle time counts as it is, only longer ones are divided; the ratio of a sample to the idle time counts as ten at most. Measured: two new tests fail on the code before.

--- a/src/tallyfold/scheduling/engine_speed.cpp
+++ b/src/tallyfold/scheduling/engine_speed.cpp
@@ -58,12 +58,16 @@
     engine_state& state = engines_[engine];
     const bool fresh = state.latest != instant{} && now - state.latest <= slowdown_lifetime;
     idle_total_us_ -= state.idle_token_us;
-    track_minimum(state.idle_token_us, token_us / sharing_factor(running));
+    // A shorter time counts as it is: calls that share an engine are not faster than one alone. If
+    // it were divided by the effect of sharing, which is derived from it, both would drift away.
+    const bool is_known = state.idle_token_us > 0;
+    const double alone_us = token_us / (is_known ? sharing_factor(running) : 1);
+    track_minimum(state.idle_token_us, std::min(token_us, std::max(alone_us, state.idle_token_us)));
     idle_total_us_ += state.idle_token_us;
-    const double shared = token_us / state.idle_token_us;
+    const double shared = std::min(max_sample_ratio, token_us / state.idle_token_us);
     double& level = ratio_by_running_[std::min<std::size_t>(running, max_levels) - 1];
     level = level > 0 ? level + sharing_weight * (shared - level) : std::max(1.0, shared);
-    const double ratio = token_us / (state.idle_token_us * sharing_factor(running));
+    const double ratio = shared / sharing_factor(running);
     state.ratio = fresh ? state.ratio + ratio_weight * (ratio - state.ratio) : ratio;
     state.latest = now;
 }
--- a/tests/scheduling/engine_speed_test.cpp
+++ b/tests/scheduling/engine_speed_test.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/scheduling/engine_speed.hpp"
 
 #include <cmath>
+#include <random>
 
 #include "tests/support/suite.hpp"
 
@@ -16,6 +17,8 @@
     CPPUNIT_TEST(a_slow_period_is_seen_and_forgotten);
     CPPUNIT_TEST(a_removed_engine_starts_anew);
     CPPUNIT_TEST(one_absurd_sample_does_not_move_the_estimates);
+    CPPUNIT_TEST(stalls_of_some_calls_leave_the_estimates);
+    CPPUNIT_TEST(slow_periods_are_not_taken_for_an_effect_of_sharing);
     CPPUNIT_TEST(any_samples_leave_finite_values);
     CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +95,53 @@
         CPPUNIT_ASSERT(in_us(speed.prefill_time_per_token()) <= 14);
     }
 
+    /// Guards against estimates that drift away from all samples: the idle time is derived from the
+    /// effect of sharing, and that effect from the idle time.
+    void stalls_of_some_calls_leave_the_estimates() {
+        for (const unsigned seed : {1U, 2U, 3U}) {
+            std::mt19937 random(seed);
+            engine_speed speed;
+            for (int number = 0; number < 5'000; ++number) {
+                const std::string engine = number % 3 == 0 ? "fast" : "slow";
+                const double usual = engine == "fast" ? 1'600 : 3'900;
+                const bool stalled = random() % 10 == 0;
+                const double token_us = stalled ? 20'000 + random() % 700'000 : usual;
+                speed.record(engine, sample(random() % 6 + 1, token_us), at(5 * number));
+                if (number % 100 == 99) {
+                    const double fast = in_us(speed.idle_token_time("fast"));
+                    const double slow = in_us(speed.idle_token_time("slow"));
+                    const std::string seen = std::to_string(number) + ": " + std::to_string(fast) +
+                                             " and " + std::to_string(slow);
+                    CPPUNIT_ASSERT_MESSAGE(seen, fast > 0.4 * 1'600 && fast < 1.6 * 1'600);
+                    CPPUNIT_ASSERT_MESSAGE(seen, slow > 0.4 * 3'900 && slow < 1.6 * 3'900);
+                    CPPUNIT_ASSERT_MESSAGE(seen, fast < 0.8 * slow);
+                    CPPUNIT_ASSERT(speed.slowdown("fast", at(5 * number)) < 10);
+                }
+            }
+        }
+    }
+
+    /// Slow periods of 600 ms, 15 in 100, during which more calls run at an engine.
+    void slow_periods_are_not_taken_for_an_effect_of_sharing() {
+        for (const unsigned seed : {1U, 2U, 3U}) {
+            std::mt19937 random(seed);
+            engine_speed speed;
+            for (int period = 0; period < 100; ++period) {
+                const bool slow = random() % 100 < 15;
+                for (int number = 0; number < 30; ++number) {
+                    const std::uint32_t running = slow ? random() % 3 + 4 : random() % 4 + 1;
+                    const int time = period * 600 + number * 20;
+                    speed.record("a", sample(running, slow ? 7'500 : 3'000), at(time));
+                }
+                if (period >= 10) {
+                    const double idle = in_us(speed.idle_token_time("a"));
+                    const std::string seen = std::to_string(period) + ": " + std::to_string(idle);
+                    CPPUNIT_ASSERT_MESSAGE(seen, idle > 0.6 * 3'000 && idle < 1.4 * 3'000);
+                }
+            }
+        }
+    }
+
     void any_samples_leave_finite_values() {
         check_property("estimates stay finite and positive for any samples", [] {
             engine_speed speed;
