Dispatcher: a call that excludes the free engine holds up no other

Cause: waiting calls are granted slots in order, and the first one that finds no engine ended the search. When it had tried the engine with the free slot before, the slot stayed free although others waited. Change: a call for which only excluded engines have room is passed over, at most four at once. A call that finds no room in a cache still comes first, so that short prompts don't overtake a long one until its longest wait.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t min_retry_after_ms = 50;
 /// Weight of an ended call in the mean duration of a call.
 constexpr double duration_weight = 0.02;
+/// Maximum number of waiting calls that are passed over at once, which bounds the work of a
+/// message.
+constexpr std::size_t max_passed = 4;
 /// Number of routes that are told apart; further ones share the first number.
 constexpr std::size_t max_routes = 256;
 
@@ -192,13 +195,26 @@
     return addressed;
 }
 
+bool dispatcher::is_blocked_by_exclusion(const place_request& request, instant now) const {
+    placement_question question = question_of(request);
+    question.excluded = nullptr;
+    return !request.excluded.empty() && ledger_.choose(question, now);
+}
+
 void dispatcher::grant_waiting(std::vector<addressed_answer>& answers, instant now) {
-    while (const waiting_call* next = queue_.next(now)) {
+    std::set<call_key> passed;
+    while (const waiting_call* next = queue_.next(now, passed)) {
         const waiting_call call = *next;
         const auto pending = pending_.find(call.key);
         const auto placed = ledger_.choose(question_of(pending->second.request), now);
         if (!placed) {
-            return;
+            // Slots that the call must not use go to others; room in a cache is left to it.
+            if (passed.size() >= max_passed ||
+                !is_blocked_by_exclusion(pending->second.request, now)) {
+                return;
+            }
+            passed.insert(call.key);
+            continue;
         }
         answers.push_back(grant(call, pending->second.request, *placed, place_reason::none, now));
         queue_.remove(call.key);
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -119,6 +120,8 @@
     /// Registers the call at the engine. @param arrived when its first request arrived
     addressed_answer grant(const waiting_call& call, const place_request& request,
                            const placed_call& placed, place_reason reason, instant now);
+    /// True when only engines that the request excludes have room for it.
+    [[nodiscard]] bool is_blocked_by_exclusion(const place_request& request, instant now) const;
     /// Grants waiting calls the free slots.
     void grant_waiting(std::vector<addressed_answer>& answers, instant now);
     /// Grants calls that have waited their longest wait a place beyond the slots.
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -61,43 +61,50 @@
 }
 
 std::optional<std::tuple<wait_queue::rank, instant, call_key>> wait_queue::best_of(
-    const tenant_queue& queue, bool within_share) {
-    const auto first = [](rank kind, const ordered_calls& calls) {
-        return std::tuple(kind, calls.begin()->first, calls.begin()->second);
+    const tenant_queue& queue, bool within_share, const std::set<call_key>& passed) {
+    std::optional<std::tuple<rank, instant, call_key>> best;
+    const auto take_first = [&](rank kind, const ordered_calls& calls) {
+        const auto first = first_of(calls, passed);
+        if (!best && first != calls.end()) {
+            best = std::tuple(kind, first->first, first->second);
+        }
     };
-    if (!queue.in_time.empty()) {
-        return first(within_share ? rank::in_time : rank::in_time_beyond_share, queue.in_time);
-    }
-    if (!queue.late.empty()) {
-        return first(within_share ? rank::late : rank::late_beyond_share, queue.late);
-    }
-    if (!queue.runaway.empty()) {
-        return first(rank::runaway, queue.runaway);
-    }
-    return std::nullopt;
+    take_first(within_share ? rank::in_time : rank::in_time_beyond_share, queue.in_time);
+    take_first(within_share ? rank::late : rank::late_beyond_share, queue.late);
+    take_first(rank::runaway, queue.runaway);
+    return best;
+}
+
+wait_queue::ordered_calls::const_iterator wait_queue::first_of(const ordered_calls& calls,
+                                                               const std::set<call_key>& passed) {
+    return std::find_if(calls.begin(), calls.end(),
+                        [&](const auto& entry) { return !passed.contains(entry.second); });
 }
 
 bool wait_queue::is_within_share(const std::string& tenant, instant now) const {
     return !settings_.shares || shares_.is_within(tenant, now);
 }
 
-const waiting_call* wait_queue::next(instant now) {
-    if (priorities_.empty()) {
-        return nullptr;
-    }
-    priority_queue& level = priorities_.begin()->second;
-    if (level.taken % oldest_first_interval == oldest_first_interval - 1) {
-        return &calls_.at(level.by_arrival.begin()->second);
-    }
-    std::optional<std::tuple<rank, instant, call_key>> best;
-    for (auto& [tenant, queue] : level.tenants) {
-        move_late(queue, now);
-        const auto candidate = best_of(queue, is_within_share(tenant, now));
-        if (candidate && (!best || *candidate < *best)) {
-            best = candidate;
+const waiting_call* wait_queue::next(instant now, const std::set<call_key>& passed) {
+    for (auto& [priority, level] : priorities_) {
+        const auto oldest = first_of(level.by_arrival, passed);
+        if (oldest == level.by_arrival.end()) {
+            continue;
+        }
+        if (level.taken % oldest_first_interval == oldest_first_interval - 1) {
+            return &calls_.at(oldest->second);
+        }
+        std::optional<std::tuple<rank, instant, call_key>> best;
+        for (auto& [tenant, queue] : level.tenants) {
+            move_late(queue, now);
+            const auto candidate = best_of(queue, is_within_share(tenant, now), passed);
+            if (candidate && (!best || *candidate < *best)) {
+                best = candidate;
+            }
         }
+        return best ? &calls_.at(std::get<call_key>(*best)) : nullptr;
     }
-    return best ? &calls_.at(std::get<call_key>(*best)) : nullptr;
+    return nullptr;
 }
 
 bool wait_queue::remove(const call_key& key) {
--- a/src/tallyfold/plane/dispatch/wait_queue.hpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.hpp
@@ -90,8 +90,9 @@
     /// Queues a call, or refuses it.
     /// @return nothing when the call is queued
     std::optional<queue_refusal> push(const waiting_call& call, instant now);
-    /// Call that gets the next free slot; it stays in the queue. Null when the queue is empty.
-    [[nodiscard]] const waiting_call* next(instant now);
+    /// Call that gets the next free slot; it stays in the queue. Null when there is none.
+    /// @param passed calls that can't use the free slots
+    [[nodiscard]] const waiting_call* next(instant now, const std::set<call_key>& passed = {});
     /// Removes a call that is granted a slot or withdrawn. @return false when it is not queued
     bool remove(const call_key& key);
     /// Calls whose wait limit has passed, in the order of their limits.
@@ -135,7 +136,10 @@
     static void move_late(tenant_queue& queue, instant now);
     /// Best call of one tenant with its rank; nothing when the tenant has none.
     [[nodiscard]] static std::optional<std::tuple<rank, instant, call_key>> best_of(
-        const tenant_queue& queue, bool within_share);
+        const tenant_queue& queue, bool within_share, const std::set<call_key>& passed);
+    /// First of the calls that is not among `passed`.
+    [[nodiscard]] static ordered_calls::const_iterator first_of(const ordered_calls& calls,
+                                                                const std::set<call_key>& passed);
     [[nodiscard]] bool is_within_share(const std::string& tenant, instant now) const;
     /// Number of queued calls that would go before the call.
     [[nodiscard]] std::size_t calls_ahead_of(const waiting_call& call, instant now) const;
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(a_dispatcher_that_was_frozen_grants_no_expired_request);
     CPPUNIT_TEST(all_restart_at_once);
     CPPUNIT_TEST(new_slots_are_used_before_a_call_is_refused);
+    CPPUNIT_TEST(a_call_that_excludes_the_free_engine_holds_up_no_other);
+    CPPUNIT_TEST(room_in_a_cache_is_left_to_the_first_call);
     CPPUNIT_TEST(counts_equal_the_calls_under_way);
     CPPUNIT_TEST(equal_calls_wait_only_while_no_engine_has_room);
     CPPUNIT_TEST(messages_do_not_depend_on_the_number_of_forwarders);
@@ -509,6 +511,42 @@
         expect(place_outcome::granted, given, 1);
     }
 
+    /// Guards against slots that stay free because the first call of the queue has tried their
+    /// engine before; an engine that fails calls at once is the one with free slots.
+    void a_call_that_excludes_the_free_engine_holds_up_no_other() {
+        dispatcher target = make_dispatcher(2, 1);
+        const auto first = target.request(request(1), at(0));
+        target.request(request(2), at(0));
+        place_request tried = request(3);
+        tried.excluded = {first[0].answer.engine};
+        expect(place_outcome::waiting, target.request(tried, at(0)));
+        expect(place_outcome::waiting, target.request(request(4), at(1)));
+        const auto given = target.release(released({1}), at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, given.size());
+        expect(place_outcome::granted, given);
+        CPPUNIT_ASSERT_EQUAL(call_number{4}, given[0].answer.call);
+        const auto next = target.release(released({2}), at(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, next.size());
+        CPPUNIT_ASSERT_EQUAL(call_number{3}, next[0].answer.call);
+        expect_counts(2, 0, target);
+    }
+
+    /// Guards against a long prompt that shorter ones overtake until its longest wait.
+    void room_in_a_cache_is_left_to_the_first_call() {
+        dispatcher target = make_dispatcher();
+        target.set_engines({engine("engine-0", 4)}, 400);
+        target.request(request(1), at(0));
+        target.request(request(2), at(0));
+        place_request large = request(3);
+        large.prompt_tokens = 300;
+        expect(place_outcome::waiting, target.request(large, at(0)));
+        expect(place_outcome::waiting, target.request(request(4), at(1)));
+        CPPUNIT_ASSERT(target.release(released({1}), at(10)).empty());
+        const auto given = target.release(released({2}), at(20));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, given.size());
+        CPPUNIT_ASSERT_EQUAL(call_number{3}, given[0].answer.call);
+    }
+
     /// Draws messages of three nodes, two processes each, and follows what they mean.
     void counts_equal_the_calls_under_way() {
         check_property("counts equal the calls under way; each has one engine", [] {
