Dispatch benchmark: memory of granted and of waiting calls

Cause: it measured the ledger alone. Change: it also measures calls granted by a dispatcher and calls that wait there.

--- a/apps/tallyfold_dispatch_bench.cpp
+++ b/apps/tallyfold_dispatch_bench.cpp
@@ -190,19 +190,51 @@
         calls.renewals.total_us / static_cast<double>(calls.renewed), calls.ticks.each());
 }
 
-/// Measures the heap used by running calls, after the structures of a group have been filled.
+/// Heap used for each call that `work` adds.
+template <class Work>
+double bytes_each(std::size_t count, Work&& work) {
+    const auto before = mallinfo2().uordblks;
+    for (std::size_t number = 0; number < count; ++number) {
+        work(number);
+    }
+    return static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(count);
+}
+
+/// Measures the heap used by calls under way. The map of cached prefixes has a fixed capacity.
 void measure_memory() {
-    constexpr std::uint64_t calls = 100'000;
+    constexpr std::size_t calls = 50'000;
     dispatch::place_ledger ledger;
     ledger.set_engines(make_engines(64), 0);
     const backend_name engine = make_engines(1)[0].name;
     const instant now(std::chrono::seconds(100));
-    const auto before = mallinfo2().uordblks;
-    for (std::uint64_t call = 0; call < calls; ++call) {
+    const double registered = bytes_each(calls, [&](std::size_t call) {
         ledger.start({1, call}, engine, {1'262, 96, 366, 1}, now);
+    });
+    dispatch::dispatcher_settings settings;
+    settings.queue.refuses = false;
+    dispatch::dispatcher dispatcher(settings);
+    auto engines = make_engines(64);
+    for (scheduling::backend_member& each : engines) {
+        each.slots = calls / engines.size();
     }
-    const auto used = static_cast<double>(mallinfo2().uordblks - before);
-    std::printf("memory: %.0f bytes a running call\n", used / static_cast<double>(calls));
+    dispatcher.set_engines(engines, 0);
+    dispatch::place_request asked;
+    asked.node = "forwarder";
+    asked.tenant = "tenant";
+    asked.route = "short";
+    asked.longest_wait_ms = 1'500;
+    asked.prompt_tokens = 1'166;
+    const auto ask = [&](std::size_t call) {
+        asked.call = call + 1;
+        dispatcher.request(asked, now + call * std::chrono::microseconds(20));
+    };
+    const double granted = bytes_each(calls - calls % 64, ask);
+    asked.prompt = {{1, 512}, {2, 800}, {3, 1'166}};
+    const double waiting = bytes_each(2'000, [&](std::size_t call) { ask(calls + call); });
+    std::printf(
+        "memory: %.0f bytes a call in the ledger, %.0f a granted call in the dispatcher, %.0f a "
+        "waiting call\n",
+        registered, granted, waiting);
 }
 
 }  // namespace
