--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -96,8 +97,8 @@
     };
     struct node_processes {
         std::uint32_t current = 0;
-        /// Identifier of the process before the current one; 0 for none.
-        std::uint64_t replaced = 0;
+        /// Identifiers of the earlier processes.
+        std::vector<std::uint64_t> replaced;
     };
     struct pending_request {
         place_request request;
@@ -113,6 +114,7 @@
     std::optional<std::uint32_t> process_of(const node_name& node, std::uint64_t process_id);
     void drop_process(std::uint32_t process);
     [[nodiscard]] static bool is_valid(const place_request& request);
+    [[nodiscard]] static bool is_valid_weight(double weight);
     [[nodiscard]] waiting_call make_waiting_call(const call_key& key, const place_request& request,
                                                  instant arrived) const;
     [[nodiscard]] static placement_question question_of(const place_request& request);
@@ -128,8 +130,11 @@
                                                            instant now) const;
     /// Next waiting call that gets a free slot; null when none can. A call waits for the engine
     /// that it prefers, unless that is gone, or many slots are free elsewhere.
-    const waiting_call* next_to_place(instant now);
+    /// @param passed calls that can't use the free slots
+    const waiting_call* next_to_place(const std::set<call_key>& passed, instant now);
     [[nodiscard]] pending_request make_pending(const place_request& request, instant now) const;
+    /// True when only engines that the request excludes have room for it.
+    [[nodiscard]] bool is_blocked_by_exclusion(const place_request& request, instant now) const;
     /// Grants waiting calls the free slots.
     void grant_waiting(std::vector<addressed_answer>& answers, instant now);
     /// Grants calls that have waited their longest wait a place beyond the slots.
