Message format 4 leaves joins, stored values and gauges of format 3 as they were

A directory node passed a join request on only for nodes of format 4, so a node of format 3 could not join through it during an upgrade. Stored values with the number 3 were encoded with format 4 (the same bytes today), and the error for a value of format 4 said that the build knows it.

--- a/src/tallyfold/base/protocol/stored_value.hpp
+++ b/src/tallyfold/base/protocol/stored_value.hpp
@@ -18,6 +18,8 @@
 /// First eight bytes of a value with a format version; the lowest byte holds the version. Values of
 /// earlier formats begin with a version, an epoch or a small number, which never reach this value.
 constexpr std::uint64_t format_version_marker = 0xFFFF'FFFF'FFFF'FE00U;
+/// The newest format of stored values. Later formats add messages only.
+constexpr format_version newest_stored_format = format_version::v3;
 
 /// Format version at the start of `bytes`, if there is one.
 inline std::optional<std::uint8_t> leading_format_number(std::string_view bytes) {
@@ -42,8 +44,11 @@
         }
     }
     const std::uint64_t marker =
-        format_version_marker | static_cast<std::uint64_t>(format_version::v3);
-    return encode(marker) + encode(value);
+        format_version_marker | static_cast<std::uint64_t>(newest_stored_format);
+    std::string bytes = encode(marker);
+    binary_writer writer(bytes, newest_stored_format);
+    writer(value);
+    return bytes;
 }
 
 /// Decodes a value that was encoded by encode_stored() of this or an earlier build. Of the two
@@ -51,14 +56,14 @@
 template <class T>
 tl::expected<T, decode_error> decode_stored(std::string_view bytes) {
     const auto number = leading_format_number(bytes);
-    if (number == static_cast<std::uint8_t>(format_version::v3)) {
-        return decode<T>(bytes.substr(sizeof(format_version_marker)), format_version::v3);
+    if (number == static_cast<std::uint8_t>(newest_stored_format)) {
+        return decode<T>(bytes.substr(sizeof(format_version_marker)), newest_stored_format);
     }
     if (number) {
-        return tl::unexpected(decode_error{"its form has the number " + std::to_string(*number) +
-                                               ", this build knows " + to_string(newest_format) +
-                                               " and earlier ones",
-                                           true});
+        return tl::unexpected(decode_error{
+            "its form has the number " + std::to_string(*number) + ", this build knows " +
+                to_string(newest_stored_format) + " and earlier ones",
+            true});
     }
     if (auto value = decode<T>(bytes, format_version::v1)) {
         return value;
--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tallyfold/base/protocol/compression.hpp"
+#include "tallyfold/base/protocol/stored_value.hpp"
 
 namespace tallyfold::directory {
 
@@ -109,10 +110,11 @@
 
 void directory_core::forward_to_leader(const join_request& request, instant now) {
     const node_name leader = leader_address();
-    // The leader takes the format of the sender for the joining node's.
-    const bool has_newest_format = formats_.all_support(protocol::newest_format, {request.address});
+    // The leader takes the format of the sender for the joining node's. Format v3 is the newest
+    // that the leader waits for before it commits a value.
+    const bool reads_log = formats_.all_support(protocol::newest_stored_format, {request.address});
     if (halted_ || leads() || leader.empty() || leader == settings_.address ||
-        leader == request.address || !has_newest_format) {
+        leader == request.address || !reads_log) {
         return;
     }
     std::erase_if(forwarded_joins_, [&](const auto& forwarded) {
--- a/tests/plane/directory/mixed_formats_test.cpp
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -5,6 +5,7 @@
 
 #include "tallyfold/base/common/random.hpp"
 #include "tallyfold/base/protocol/stored_value.hpp"
+#include "tallyfold/plane/directory/directory_metrics.hpp"
 #include "tallyfold/plane/directory/format_tracker.hpp"
 #include "tallyfold/plane/directory/stored_formats.hpp"
 #include "tests/support/directory_group.hpp"
@@ -28,6 +29,10 @@
     CPPUNIT_TEST(stored_values_use_first_format_when_possible);
     CPPUNIT_TEST(second_format_values_do_not_decode_as_first_format);
     CPPUNIT_TEST(later_format_is_distinguished_from_damage);
+    CPPUNIT_TEST(join_of_a_third_format_node_is_passed_on);
+    CPPUNIT_TEST(gauges_count_nodes_by_format);
+    CPPUNIT_TEST(stored_values_stay_in_third_format);
+    CPPUNIT_TEST(earlier_formats_cannot_represent_dispatch_messages);
     CPPUNIT_TEST_SUITE_END();
 
     static routing::configuration configuration_of(routing::configuration_version version,
@@ -209,9 +214,85 @@
             state.restore(std::string(reinterpret_cast<const char*>(&mark), sizeof(mark)));
         CPPUNIT_ASSERT(!restored);
         CPPUNIT_ASSERT(restored.error().is_newer_format);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("its form has the number 4, this build knows 3 and earlier ones"),
+            restored.error().reason);
         CPPUNIT_ASSERT_EQUAL(routing::configuration_version{46}, state.configuration().version);
     }
 
+    /// @return number of join requests that the node passes on
+    static std::size_t passed_on_joins(directory_core& core, const join_request& request,
+                                       instant now) {
+        core.take_work();
+        core.receive(request, now);
+        std::size_t passed_on = 0;
+        for (const addressed_message& sent : core.take_work().before_sync) {
+            passed_on += std::holds_alternative<join_request>(sent.body) ? 1 : 0;
+        }
+        return passed_on;
+    }
+
+    /// Guards against a node of the production build that cannot join during an upgrade while it
+    /// reaches no leader: format v4 adds nothing that a directory node has to read.
+    void join_of_a_third_format_node_is_passed_on() {
+        directory_group group(3);
+        group.run_until_led();
+        directory_core& core = group.node(group.followers().front());
+        std::size_t replica = 100;
+        for (const auto& [format, passed_on] :
+             {std::pair(format_version::v1, 0U), std::pair(format_version::v2, 0U),
+              std::pair(format_version::v3, 1U), std::pair(format_version::v4, 1U)}) {
+            const join_request request{++replica, "10.0.1." + std::to_string(replica) + ":71"};
+            core.record_peer_format(request.address, format, group.now());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{passed_on},
+                                 passed_on_joins(core, request, group.now()));
+        }
+    }
+
+    void gauges_count_nodes_by_format() {
+        directory_group group(1);
+        directory_core& core = group.node(group.run_until_led());
+        core.record_peer_format("a", format_version::v2, group.now());
+        core.record_peer_format("b", format_version::v3, group.now());
+        core.record_peer_format("c", format_version::v3, group.now());
+        core.record_peer_format("d", format_version::v4, group.now());
+        prometheus::Registry registry;
+        directory_metrics metrics(registry);
+        metrics.observe(core, group.now());
+        CPPUNIT_ASSERT_EQUAL(0.0, metrics.nodes_in_first_format.Value());
+        CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_second_format.Value());
+        CPPUNIT_ASSERT_EQUAL(2.0, metrics.nodes_in_third_format.Value());
+        CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_fourth_format.Value());
+    }
+
+    /// Guards against values that a build of format v3 cannot read, although nothing in them needs
+    /// a later format.
+    void stored_values_stay_in_third_format() {
+        const directory_command command = evacuate_zone{"a", true, 5};
+        const std::string stored = protocol::encode_stored(command);
+        CPPUNIT_ASSERT(protocol::leading_format_number(stored) == std::uint8_t{3});
+        const std::string value = stored.substr(sizeof(protocol::format_version_marker));
+        CPPUNIT_ASSERT_EQUAL(protocol::encode_as(command, format_version::v3).value(), value);
+        // Format v4 waits for nobody: the messages that need it are sent to nodes that know it.
+        directory_state state;
+        state.apply(command);
+        CPPUNIT_ASSERT(state.oldest_usable_format() == format_version::v3);
+    }
+
+    void earlier_formats_cannot_represent_dispatch_messages() {
+        for (const messaging::peer_message& message :
+             {messaging::peer_message(dispatch::place_request{}),
+              messaging::peer_message(dispatch::place_answer{}),
+              messaging::peer_message(dispatch::place_release{}),
+              messaging::peer_message(dispatch::place_renewal{})}) {
+            for (const format_version format :
+                 {format_version::v1, format_version::v2, format_version::v3}) {
+                CPPUNIT_ASSERT(!messaging::encode_frame(message, format));
+            }
+            CPPUNIT_ASSERT(messaging::encode_frame(message, format_version::v4).has_value());
+        }
+    }
+
     void stored_values_use_first_format_when_possible() {
         directory_state state;
         state.apply(replace_configuration{configuration_of(46, many_routes), "text"});
--- a/tests/plane/messaging/format_negotiation_test.cpp
+++ b/tests/plane/messaging/format_negotiation_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(newer_peer_uses_newest_common_format);
     CPPUNIT_TEST(link_and_server_negotiate_format);
     CPPUNIT_TEST(peer_without_offer_gets_first_format);
+    CPPUNIT_TEST(third_format_peer_gets_no_dispatch_messages);
     CPPUNIT_TEST(skips_undecodable_frame);
     CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +161,33 @@
                              std::get<directory::node_report_answer>(*answer).configuration);
     }
 
+    /// Guards against messages that the peer's build has to pass over, on a connection of either
+    /// direction.
+    void third_format_peer_gets_no_dispatch_messages() {
+        asio::io_context loop;
+        peer_server server(loop, address);
+        CPPUNIT_ASSERT_EQUAL(std::string{},
+                             server.start([&](const channel_pointer& channel, const peer_message&) {
+                                 CPPUNIT_ASSERT(channel->peer_format() == format_version::v3);
+                                 channel->send(dispatch::place_answer{});
+                                 channel->send(dispatch::place_renewal{});
+                                 channel->send(directory::evacuation_status{7, {}});
+                             }));
+        asio::ip::tcp::socket node(loop);
+        node.connect(*net::parse_endpoint(address));
+        const auto offer = encode_frame(to_message({3, 3}), format_version::v1);
+        const auto report = encode_frame(directory::node_report{}, format_version::v3);
+        asio::write(node, asio::buffer(*offer + *report));
+        run(loop);
+        const std::vector<std::string> payloads = received(node);
+        // The server's own offer comes first.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, payloads.size());
+        const auto status = decode_payload(payloads.back(), format_version::v3);
+        CPPUNIT_ASSERT(status.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7},
+                             std::get<directory::evacuation_status>(*status).revision);
+    }
+
     void skips_undecodable_frame() {
         asio::io_context loop;
         peer_server server(loop, address);
