Silence of a dispatcher: one delay for calls that wait together, renewals follow an answer

Cause: a waiting call repeats its request every 200 ms, also while its node is passed over as silent. Each repeat without an answer counted as a further silence, so that with several waiting calls the delay before the node is asked again went from 1 to 4 s at once. Renewals followed the choice for requests: when the delay of a silent node ended they went back to it unanswered, and the leases at the node that decides ran out. After a further silence running calls were not reported at once. Change: requests that end during the delay don't count; renewals and reports go to a node that has been silent only after its next answer, unless there is no other; dispatcher_lost is logged, and running calls are reported, at each silence that counts. A connection whose format is not negotiated at a renewal stays marked as new, so that a restarted dispatcher gets all running calls at the next one (no test shows this last fault: the negotiation has to fall on a renewal).

--- a/src/tallyfold/plane/decisions/decider_choice.cpp
+++ b/src/tallyfold/plane/decisions/decider_choice.cpp
@@ -13,14 +13,14 @@
     const auto [found, is_new] = silent_.try_emplace(node);
     silence& known = found->second;
     if (!is_new) {
-        if (asked_at <= known.since) {
+        if (asked_at <= known.since || now < known.until) {
             return false;
         }
         known.delay = std::min(2 * known.delay, max_retry_delay);
     }
     known.since = now;
     known.until = now + known.delay;
-    return is_new;
+    return true;
 }
 
 bool decider_choice::answered(const node_name& node) {
--- a/src/tallyfold/plane/decisions/decider_choice.hpp
+++ b/src/tallyfold/plane/decisions/decider_choice.hpp
@@ -36,10 +36,13 @@
     }
     /// True while the node must not be asked.
     [[nodiscard]] bool is_silent(const node_name& node, instant now) const;
-    /// Records that the node did not answer in time. Requests that were sent before an earlier
-    /// silence was recorded do not count again.
+    /// True from a silence until the next answer, also while the node may be asked again.
+    [[nodiscard]] bool is_doubtful(const node_name& node) const { return silent_.contains(node); }
+    /// Records that the node did not answer in time. Requests that were sent before a silence was
+    /// recorded, or that end while the node must not be asked, do not count again: otherwise calls
+    /// that wait together would lengthen the delay at once.
     /// @param asked_at when the unanswered request was sent
-    /// @return true when the node was not known to be silent
+    /// @return true when the request counts as a silence
     bool unanswered(const node_name& node, instant asked_at, instant now);
     /// Records an answer. @return true when the node was silent before
     bool answered(const node_name& node);
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -72,6 +72,17 @@
     });
 }
 
+std::optional<node_name> dispatch_client::renewal_target_of(const dispatch::engine_group& group,
+                                                            instant now) const {
+    const std::vector<node_name> order =
+        dispatch::dispatch_order(group, directory_.addresses(), directory_.leader());
+    const auto reliable = choice_.choose(order, now, [this](const node_name& node) {
+        return !choice_.is_doubtful(node) &&
+               directory_.supports(node, protocol::format_version::v4);
+    });
+    return reliable ? reliable : decider_of(group, now);
+}
+
 asio::awaitable<place_result> dispatch_client::acquire(dispatch::place_request& question,
                                                        std::size_t engines) {
     const instant began = http::steady_now();
@@ -247,7 +258,7 @@
     const bool has_place = place.kind == place_kind::granted || place.kind == place_kind::forced;
     if (has_place) {
         running.decider = place.decider;
-    } else if (const auto decider = decider_of(running.group, now)) {
+    } else if (const auto decider = renewal_target_of(running.group, now)) {
         running.decider = *decider;
         send_renewal(*decider, {running.call});
     }
@@ -278,7 +289,7 @@
     for (auto& [number, running] : sent_) {
         const auto [known, is_new] = deciders.try_emplace(running.group);
         if (is_new) {
-            known->second = decider_of(running.group, now);
+            known->second = renewal_target_of(running.group, now);
         }
         if (!known->second) {
             continue;
@@ -290,7 +301,10 @@
             renewals[running.decider].push_back(running.call);
         }
     }
-    reconnected_.clear();
+    // The others have not negotiated their format yet, so nothing was sent to them.
+    std::erase_if(reconnected_, [this](const node_name& node) {
+        return directory_.supports(node, protocol::format_version::v4);
+    });
     for (auto& [node, calls] : renewals) {
         send_renewal(node, std::move(calls));
     }
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -95,8 +95,13 @@
     [[nodiscard]] static dispatch::engine_group group_of(const std::string& service,
                                                          std::uint64_t program, call_number call,
                                                          std::size_t engines);
+    /// Node to ask for a place.
     [[nodiscard]] std::optional<node_name> decider_of(const dispatch::engine_group& group,
                                                       instant now) const;
+    /// Node to report running calls to: a node that has been silent gets them again only after an
+    /// answer, unless there is no other.
+    [[nodiscard]] std::optional<node_name> renewal_target_of(const dispatch::engine_group& group,
+                                                             instant now) const;
     asio::awaitable<place_result> wait_for_place(waiting_call& waiting,
                                                  const dispatch::place_request& request,
                                                  const dispatch::engine_group& group);
@@ -118,8 +123,8 @@
     call_number next_call_ = 1;
     std::map<call_number, waiting_call*> waiting_;
     std::map<call_number, sent_call> sent_;
-    /// Directory nodes whose connection was made since the last renewal, so that they may be new
-    /// processes that know of no calls.
+    /// Directory nodes whose connection was made since the last renewal to them, so that they may
+    /// be new processes that know of no calls.
     std::set<node_name> reconnected_;
 };
 
