Place of a call: buffered answers, engines that left, resumed streams

Cause: a buffered answer was released as not_sent, so that the dispatcher learned nothing from it (duration of calls, needs of routes). When the granted engine had left, the call went past the admission limit of the calls that are decided alone. A resumed stream counted as granted although its place was released with the failed attempt; its dispatcher heard of it 500 ms later. A refusal that was passed over, because the request had been sent before, was logged as place=refused. A caller that left waited for admission. Change: the place is released when the whole answer was received, buffered or not; the engine of a grant is looked up before admission; a resumed stream is reported at once. Tests of the dispatch client and of the sending of requests against directory nodes on loopback that answer late, not at all, or for another process. Resumed streams have no test.

--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -108,6 +108,9 @@
         body += *piece;
     } while (!connection->message_complete());
     received_ = true;
+    if (received_handler_) {
+        received_handler_();
+    }
     if (caller_.disconnected()) {
         co_return answered();
     }
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -84,6 +84,7 @@
                 co_return refused_place();
             }
             if (caller_.disconnected()) {
+                give_back_place();
                 break;
             }
             backend = select_backend(question);
@@ -115,6 +116,10 @@
             }
             ++statistics_.resumes;
             resumed = backend;
+            if (placed_.kind != place_kind::none) {
+                // The place was released with the failed attempt; the next one is reported.
+                placed_.kind = place_kind::alone;
+            }
         }
     }
     co_return make_request_result(last);
@@ -178,29 +183,39 @@
         }
         // A refusal would state that the request has not run.
         placed_.kind = place_kind::alone;
+        statistics_.place = placed_.kind;
+    }
+    if (has_place() && !dispatched_backend()) {
+        // The engine has left since.
+        give_back_place();
+        statistics_.place = placed_.kind;
     }
-    const bool has_place =
-        placed_.kind == place_kind::granted || placed_.kind == place_kind::forced;
-    if (!has_place && !admitted_) {
+    if (!has_place() && !admitted_ && !caller_.disconnected()) {
         co_await wait_for_admission(question.call);
     }
     co_return true;
 }
 
-std::optional<chosen_backend> send_loop::select_backend(const selection_request& question) {
-    const bool has_place =
-        placed_.kind == place_kind::granted || placed_.kind == place_kind::forced;
-    if (has_place) {
-        auto dispatched = context_.backends.find_dispatched(request_.service.name, placed_.engine,
-                                                            placed_.cached_tokens);
-        if (dispatched) {
-            statistics_.urgency = call_ranking::dispatched_level;
-            return dispatched;
-        }
-        // The engine has left since.
+bool send_loop::has_place() const {
+    return placed_.kind == place_kind::granted || placed_.kind == place_kind::forced;
+}
+
+std::optional<chosen_backend> send_loop::dispatched_backend() const {
+    return context_.backends.find_dispatched(request_.service.name, placed_.engine,
+                                             placed_.cached_tokens);
+}
+
+void send_loop::give_back_place() {
+    if (has_place()) {
         place_.give_back(placed_);
         placed_.kind = place_kind::alone;
-        statistics_.place = placed_.kind;
+    }
+}
+
+std::optional<chosen_backend> send_loop::select_backend(const selection_request& question) {
+    if (has_place()) {
+        statistics_.urgency = call_ranking::dispatched_level;
+        return dispatched_backend();
     }
     statistics_.urgency = urgency_of(question.call);
     return context_.backends.choose(question, http::steady_now());
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -45,6 +45,12 @@
     /// admission otherwise or when the dispatcher does not answer.
     /// @return false when the request is refused
     asio::awaitable<bool> obtain_place(const selection_request& question);
+    /// True when the next attempt has a place of a dispatcher.
+    [[nodiscard]] bool has_place() const;
+    /// The engine of the place; nothing when it has left.
+    [[nodiscard]] std::optional<chosen_backend> dispatched_backend() const;
+    /// Gives back a place that is not used.
+    void give_back_place();
     /// Back end for the next attempt: the dispatcher's, or one selected here.
     std::optional<chosen_backend> select_backend(const selection_request& question);
     void record_place();
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -47,6 +47,8 @@
     starts_answer,
     /// Answers once released.
     holds,
+    /// Closes the connection instead of an answer.
+    closes,
 };
 
 /// A back end that counts the requests which reach it.
@@ -95,6 +97,10 @@
             }
             const std::string id = *peer->head().headers.find(platform::names::request_id);
             requests_.push_back(id);
+            if (behavior_ == backend_behavior::closes) {
+                peer->close();
+                co_return;
+            }
             if (behavior_ == backend_behavior::holds) {
                 co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
             }
@@ -193,7 +199,7 @@
         routing::configuration configuration;
         configuration.limits.idle_timeout_ms = idle_ms;
         configuration.version = ++version_;
-        configuration.services.push_back({"service", "/health", 9});
+        configuration.services.push_back({"service", "/health", 9, serves_engines});
         routing::route repeatable;
         repeatable.name = "repeatable";
         repeatable.host = "host";
@@ -274,6 +280,14 @@
         process.loop().poll();
     }
 
+    /// A loopback address that no other process uses: it contains the process's number.
+    static asio::ip::address_v4 own_address() {
+        constexpr std::uint32_t loopback_network = 127U << 24U;
+        return asio::ip::address_v4(loopback_network | static_cast<std::uint32_t>(::getpid()));
+    }
+
+    /// True when the back ends of the configuration are engines.
+    bool serves_engines = false;
     net::node_process process;
     platform::replica_calls codec;
     forwarding::forwarder_metrics metrics;
@@ -288,12 +302,9 @@
     forwarding::caller_listener callers;
 
   private:
-    /// Listens on a loopback address that no other process uses: it contains the process's number.
     void listen() {
-        constexpr std::uint32_t loopback_network = 127U << 24U;
         constexpr std::uint16_t port = 17'180;
-        const auto number = static_cast<std::uint32_t>(::getpid());
-        const asio::ip::address_v4 address(loopback_network | number);
+        const asio::ip::address_v4 address = own_address();
         endpoint_ = {address, port};
         const std::string problem = callers.start(address.to_string() + ":" + std::to_string(port));
         CPPUNIT_ASSERT_EQUAL(std::string{}, problem);
