Place ledger: answers of unknown length don't shorten the expected answer

Cause: answers that are relayed in one piece report no tokens. Since they are released as answered, each counted as an empty answer in the share of the longest answer that calls generate, so that after some hundred of them the speed of engines no longer mattered for the choice. Change: only answers with tokens count. Measured: answer_length_test 1 passed; with the former line it failed (near engine at 10 ms a token chosen before one at 1 ms).

--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -222,7 +222,8 @@
         return;
     }
     pool_.succeeded(engine);
-    if (call.size.max_tokens > 0) {
+    // The tokens of answers without events are unknown.
+    if (call.size.max_tokens > 0 && ended.generated_tokens > 0) {
         const double share =
             std::min(1.0, static_cast<double>(ended.generated_tokens) / call.size.max_tokens);
         answer_share_ += answer_share_weight * (share - answer_share_);
