--- a/tests/plane/forwarding/dispatch_client_test.cpp
+++ b/tests/plane/forwarding/dispatch_client_test.cpp
@@ -131,6 +131,7 @@
     CPPUNIT_TEST(request_that_was_rejected_is_not_refused);
     CPPUNIT_TEST(place_is_released_when_a_stream_was_received);
     CPPUNIT_TEST(place_is_released_when_a_buffered_answer_was_received);
+    CPPUNIT_TEST(resumed_stream_is_reported_at_once);
     CPPUNIT_TEST(caller_leaves_while_its_call_waits);
     CPPUNIT_TEST(nothing_is_asked_while_dispatch_is_off);
     CPPUNIT_TEST_SUITE_END();
@@ -509,6 +510,25 @@
         CPPUNIT_ASSERT_EQUAL(backend_name("backend-0"), node.released.front().engine);
     }
 
+    /// Guards against a slot that is granted to another call while a resumed stream takes it: the
+    /// place was released with the attempt that broke off.
+    void resumed_stream_is_reported_at_once() {
+        dispatch_world test(1);
+        fake_dispatcher& node = test.node(0);
+        counting_backend& backend = test.world.add_backend(backend_behavior::breaks_stream);
+        const auto caller = test.world.connect();
+        caller->send(forwarder_world::request("resumable", "r1"));
+        CPPUNIT_ASSERT(test.run_until([&] { return caller->received_text("id: 2\n"); }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, backend.requests().size());
+        const dispatch::call_number call = node.requests.front().call;
+        CPPUNIT_ASSERT(test.run_until([&] { return node.has_renewed(call); }, milliseconds(250)));
+        CPPUNIT_ASSERT(node.was_released(call, release_outcome::failed));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node.requests.size());
+        backend.release();
+        CPPUNIT_ASSERT(
+            test.run_until([&] { return node.was_released(call, release_outcome::answered); }));
+    }
+
     void caller_leaves_while_its_call_waits() {
         dispatch_world test(1);
         fake_dispatcher& node = test.node(0);
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -49,6 +49,9 @@
     holds,
     /// Closes the connection instead of an answer.
     closes,
+    /// Sends one event of a stream to the first request and closes the connection; sends the next
+    /// event to the second request, and the end once released.
+    breaks_stream,
 };
 
 /// A back end that counts the requests which reach it.
@@ -109,6 +112,20 @@
                 answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
             }
             answer += "X-Request-Id: " + id + "\r\n";
+            if (behavior_ == backend_behavior::breaks_stream) {
+                answer += "Transfer-Encoding: chunked\r\n\r\nf\r\nid: " +
+                          std::to_string(requests_.size()) + "\ndata: x\n\n\r\n";
+                co_await peer->write(std::move(answer), limit);
+                if (requests_.size() == 1) {
+                    peer->close();
+                    co_return;
+                }
+                co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+                std::string end = "0\r\n\r\n";
+                co_await peer->write(std::move(end), limit);
+                peer->next_message();
+                continue;
+            }
             answer += behavior_ == backend_behavior::starts_answer
                           ? "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
                           : "Content-Length: 2\r\n\r\nok";
@@ -194,7 +211,8 @@
         listen();
     }
 
-    /// Puts a configuration with one repeatable and one at-most-once route into force.
+    /// Puts a configuration into force with a repeatable and an at-most-once route, a stream that
+    /// keeps its history and one that is resumed.
     void apply_configuration(std::uint32_t timeout_ms = 20'000, std::uint32_t idle_ms = 15'000) {
         routing::configuration configuration;
         configuration.limits.idle_timeout_ms = idle_ms;
@@ -217,7 +235,12 @@
         turn.prefix = "/turn/";
         turn.streaming = true;
         turn.keeps_history = true;
-        configuration.routes = {repeatable, once, turn};
+        routing::route resumable = once;
+        resumable.name = "resumable";
+        resumable.prefix = "/resumable/";
+        resumable.streaming = true;
+        resumable.resumable = true;
+        configuration.routes = {repeatable, once, turn, resumable};
         context.routes = std::make_shared<routing::route_table>(std::move(configuration));
     }
 
