--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -47,6 +47,11 @@
     starts_answer,
     /// Answers once released.
     holds,
+    /// Closes the connection instead of an answer.
+    closes,
+    /// Sends one event of a stream to the first request and closes the connection; sends the next
+    /// event to the second request, and the end once released.
+    breaks_stream,
 };
 
 /// A back end that counts the requests which reach it.
@@ -95,6 +100,10 @@
             }
             const std::string id = *peer->head().headers.find(platform::names::request_id);
             requests_.push_back(id);
+            if (behavior_ == backend_behavior::closes) {
+                peer->close();
+                co_return;
+            }
             if (behavior_ == backend_behavior::holds) {
                 co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
             }
@@ -103,6 +112,20 @@
                 answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
             }
             answer += "X-Request-Id: " + id + "\r\n";
+            if (behavior_ == backend_behavior::breaks_stream) {
+                answer += "Transfer-Encoding: chunked\r\n\r\nf\r\nid: " +
+                          std::to_string(requests_.size()) + "\ndata: x\n\n\r\n";
+                co_await peer->write(std::move(answer), limit);
+                if (requests_.size() == 1) {
+                    peer->close();
+                    co_return;
+                }
+                co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+                std::string end = "0\r\n\r\n";
+                co_await peer->write(std::move(end), limit);
+                peer->next_message();
+                continue;
+            }
             answer += behavior_ == backend_behavior::starts_answer
                           ? "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
                           : "Content-Length: 2\r\n\r\nok";
@@ -188,12 +211,13 @@
         listen();
     }
 
-    /// Puts a configuration with one repeatable and one at-most-once route into force.
+    /// Puts a configuration into force with a repeatable and an at-most-once route, a stream that
+    /// keeps its history and one that is resumed.
     void apply_configuration(std::uint32_t timeout_ms = 20'000, std::uint32_t idle_ms = 15'000) {
         routing::configuration configuration;
         configuration.limits.idle_timeout_ms = idle_ms;
         configuration.version = ++version_;
-        configuration.services.push_back({"service", "/health", 9});
+        configuration.services.push_back({"service", "/health", 9, serves_engines});
         routing::route repeatable;
         repeatable.name = "repeatable";
         repeatable.host = "host";
@@ -211,7 +235,12 @@
         turn.prefix = "/turn/";
         turn.streaming = true;
         turn.keeps_history = true;
-        configuration.routes = {repeatable, once, turn};
+        routing::route resumable = once;
+        resumable.name = "resumable";
+        resumable.prefix = "/resumable/";
+        resumable.streaming = true;
+        resumable.resumable = true;
+        configuration.routes = {repeatable, once, turn, resumable};
         context.routes = std::make_shared<routing::route_table>(std::move(configuration));
     }
 
@@ -274,6 +303,14 @@
         process.loop().poll();
     }
 
+    /// A loopback address that no other process uses: it contains the process's number.
+    static asio::ip::address_v4 own_address() {
+        constexpr std::uint32_t loopback_network = 127U << 24U;
+        return asio::ip::address_v4(loopback_network | static_cast<std::uint32_t>(::getpid()));
+    }
+
+    /// True when the back ends of the configuration are engines.
+    bool serves_engines = false;
     net::node_process process;
     platform::replica_calls codec;
     forwarding::forwarder_metrics metrics;
@@ -288,12 +325,9 @@
     forwarding::caller_listener callers;
 
   private:
-    /// Listens on a loopback address that no other process uses: it contains the process's number.
     void listen() {
-        constexpr std::uint32_t loopback_network = 127U << 24U;
         constexpr std::uint16_t port = 17'180;
-        const auto number = static_cast<std::uint32_t>(::getpid());
-        const asio::ip::address_v4 address(loopback_network | number);
+        const asio::ip::address_v4 address = own_address();
         endpoint_ = {address, port};
         const std::string problem = callers.start(address.to_string() + ":" + std::to_string(port));
         CPPUNIT_ASSERT_EQUAL(std::string{}, problem);
