--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -202,7 +202,6 @@
     pending_request pending;
     pending.request = request;
     pending.repeated = now;
-    pending.moves_from = now;
     // A program that begins shares only the first part of its prompt with others. If it preferred
     // an engine for that, all programs would begin at the few engines that hold the part.
     if (!request.program_running) {
@@ -210,7 +209,6 @@
     }
     if (const auto preferred = ledger_.preferred(question_of(request), now)) {
         pending.preferred = preferred->engine;
-        pending.moves_from = now + preferred->cost_elsewhere;
     }
     return pending;
 }
@@ -224,13 +222,7 @@
     if (const auto preferred = ledger_.choose_at(pending.preferred, question, now)) {
         return preferred;
     }
-    if (!ledger_.has_spare_slots()) {
-        return std::nullopt;
-    }
-    const auto waiting = waiting_for_.find(pending.preferred);
-    const std::uint32_t ahead = waiting == waiting_for_.end() ? 0 : waiting->second;
-    const duration expected = ledger_.expected_wait_at(pending.preferred, ahead, call_ms_);
-    return expected > pending.moves_from - now ? ledger_.choose(question, now) : std::nullopt;
+    return ledger_.has_spare_slots() ? ledger_.choose(question, now) : std::nullopt;
 }
 
 const waiting_call* dispatcher::next_to_place(const std::set<call_key>& passed, instant now) {
@@ -238,8 +230,7 @@
     return queue_.visit(now, max_calls_considered, [&](const waiting_call& call) {
         const pending_request& pending = pending_.at(call.key);
         const bool may_go = pending.preferred.empty() || ledger_.has_room_at(pending.preferred) ||
-                            (may_move && now >= pending.moves_from) ||
-                            !ledger_.is_available(pending.preferred, now);
+                            may_move || !ledger_.is_available(pending.preferred, now);
         return may_go && !passed.contains(call.key);
     });
 }
@@ -252,10 +243,6 @@
     pending_request pending = std::move(found->second);
     pending_.erase(found);
     queue_.remove(key);
-    const auto count = waiting_for_.find(pending.preferred);
-    if (count != waiting_for_.end() && --count->second == 0) {
-        waiting_for_.erase(count);
-    }
     return pending;
 }
 
@@ -267,7 +254,7 @@
 
 void dispatcher::grant_waiting(std::vector<addressed_answer>& answers, instant now) {
     std::set<call_key> passed;
-    while (queue_.size() > 0 && ledger_.has_free_slot()) {
+    while (queue_.size() > 0 && ledger_.free_slots() > 0) {
         const waiting_call* next = next_to_place(passed, now);
         if (next == nullptr) {
             return;
@@ -348,7 +335,7 @@
     if (!is_valid_weight(request.tenant_weight)) {
         fault_ = message_fault::absurd_value;
     }
-    if (queue_.size() > 0 && ledger_.room().running < ledger_.room().slots) {
+    if (queue_.size() > 0 && ledger_.free_slots() > 0) {
         // Slots that became free without a release, by a replaced process or a new engine.
         grant_waiting(answers, now);
     }
@@ -365,9 +352,6 @@
         answers.push_back(refuse(call, *refusal));
         return answers;
     }
-    if (!pending.preferred.empty()) {
-        ++waiting_for_[pending.preferred];
-    }
     pending_.emplace(key, std::move(pending));
     grant_waiting(answers, now);
     if (pending_.contains(key)) {
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -105,9 +105,6 @@
         instant repeated{};
         /// Engine that holds the prompt; empty when none does.
         backend_name preferred;
-        /// Time from which another engine may take the call: after that it would have been quicker
-        /// to read the prompt again.
-        instant moves_from{};
     };
 
     /// Number of the sender's process, registered if it is new; nothing for a replaced one.
@@ -125,7 +122,7 @@
     addressed_answer grant(const waiting_call& call, const place_request& request,
                            const placed_call& placed, place_reason reason, instant now);
     /// Place for a call that does not have to wait: at the engine that it prefers, or at another
-    /// one when waiting for the preferred one would take longer than reading the prompt again.
+    /// one while many slots are free.
     [[nodiscard]] std::optional<placed_call> place_at_once(const pending_request& pending,
                                                            instant now) const;
     /// Next waiting call that gets a free slot; null when none can. A call waits for the engine
@@ -147,8 +144,6 @@
 
     place_ledger ledger_;
     wait_queue queue_;
-    /// Number of waiting calls by the engine that they prefer.
-    std::unordered_map<backend_name, std::uint32_t> waiting_for_;
     program_needs needs_;
     std::vector<forwarder_process> processes_;
     std::map<node_name, node_processes> nodes_;
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -91,14 +91,22 @@
     return use == nullptr ? 0 : use->running;
 }
 
-std::uint32_t place_ledger::slots_of(const backend_name& engine) const {
-    const scheduling::backend_state* known = pool_.find(engine);
-    return known == nullptr ? 1 : std::max(1U, known->member.slots);
+std::uint32_t place_ledger::slots_of(const scheduling::backend_state& engine) {
+    return std::max(1U, engine.member.slots);
+}
+
+std::uint32_t place_ledger::free_slots() const {
+    // Calls at engines that have left take no slot of the group.
+    std::uint32_t free = 0;
+    for (const group_engine& engine : group_) {
+        const std::uint32_t slots = engine.state->leaving() ? 0 : slots_of(*engine.state);
+        free += slots - std::min(slots, engines_[engine.index].running);
+    }
+    return free;
 }
 
 bool place_ledger::has_spare_slots() const {
-    const double free = static_cast<double>(room_.slots) - room_.running;
-    return free >= min_spare_share * room_.slots;
+    return free_slots() >= min_spare_share * room_.slots;
 }
 
 bool place_ledger::is_available(const backend_name& engine, instant now) const {
@@ -166,8 +174,8 @@
     return cached;
 }
 
-std::optional<preferred_engine> place_ledger::preferred(const placement_question& question,
-                                                        instant now) const {
+std::optional<placed_call> place_ledger::preferred(const placement_question& question,
+                                                   instant now) const {
     const std::vector<token_count> cached = cached_tokens_of(question);
     const group_engine* best = nullptr;
     token_count best_tokens = 0;
@@ -189,10 +197,7 @@
     if (best == nullptr || more_tokens < min_preference_tokens) {
         return std::nullopt;
     }
-    const double prefill = more_tokens * milliseconds(speed_.prefill_time_per_token());
-    const scheduling::backend_member& member = best->state->member;
-    const double slots = std::max(1U, member.slots);
-    return preferred_engine{member.name, best_tokens, from_milliseconds(prefill * slots)};
+    return placed_call{best->state->member.name, best_tokens};
 }
 
 std::optional<placed_call> place_ledger::choose_at(const backend_name& engine,
@@ -234,18 +239,12 @@
     return best;
 }
 
-duration place_ledger::expected_wait_at(const backend_name& engine, std::uint32_t ahead,
-                                        double call_ms) const {
-    const scheduling::backend_state* known = pool_.find(engine);
-    const double slots = known == nullptr ? 1 : std::max(1U, known->member.slots);
-    return from_milliseconds(call_ms / slots * (1.0 + ahead));
-}
-
 std::optional<placed_call> place_ledger::choose_beyond_slots(const placement_question& question,
                                                              instant now) const {
     const auto holder = preferred(question, now);
-    if (holder && running_at(holder->engine) < max_overload * slots_of(holder->engine)) {
-        return placed_call{holder->engine, holder->cached_tokens};
+    if (holder &&
+        running_at(holder->engine) < max_overload * slots_of(*pool_.find(holder->engine))) {
+        return holder;
     }
     std::optional<placed_call> best;
     double best_ms = 0;
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -43,15 +43,6 @@
     token_count cached_tokens = 0;
 };
 
-/// Engine that a call should go to, and what it costs to send it elsewhere.
-struct preferred_engine {
-    backend_name engine;
-    token_count cached_tokens = 0;
-    /// Time of slots that reading the prompt again elsewhere takes: that of the call and of the
-    /// calls that run there.
-    duration cost_elsewhere{};
-};
-
 /// Tokens of a call that starts.
 struct call_size {
     /// Tokens that the engine holds for the call until it ends: prompt and longest answer.
@@ -99,18 +90,14 @@
     /// room.
     [[nodiscard]] std::optional<placed_call> choose(const placement_question& question,
                                                     instant now) const;
-    /// Engine that holds so much more of the prompt than the others that reading it again elsewhere
-    /// would cost them time; nothing when there is none.
-    [[nodiscard]] std::optional<preferred_engine> preferred(const placement_question& question,
-                                                            instant now) const;
+    /// Engine that holds so much more of the prompt than the others that the call should go there,
+    /// even if it is full; nothing when there is none.
+    [[nodiscard]] std::optional<placed_call> preferred(const placement_question& question,
+                                                       instant now) const;
     /// The given engine, if it has room for the call.
     [[nodiscard]] std::optional<placed_call> choose_at(const backend_name& engine,
                                                        const placement_question& question,
                                                        instant now) const;
-    /// Expected time until a slot of a full engine frees for a call behind `ahead` others.
-    /// @param call_ms mean duration of a call, in milliseconds
-    [[nodiscard]] duration expected_wait_at(const backend_name& engine, std::uint32_t ahead,
-                                            double call_ms) const;
     /// Engine for a call that is granted beyond the slots: the fewest calls for its speed; nothing
     /// when no engine is available.
     [[nodiscard]] std::optional<placed_call> choose_beyond_slots(const placement_question& question,
@@ -142,7 +129,8 @@
     [[nodiscard]] bool has_spare_slots() const;
     /// True when the engine has a free slot.
     [[nodiscard]] bool has_room_at(const backend_name& engine) const;
-    [[nodiscard]] bool has_free_slot() const { return room_.running < room_.slots; }
+    /// Free slots of the group's engines.
+    [[nodiscard]] std::uint32_t free_slots() const;
     [[nodiscard]] bool has_engines() const { return !pool_.all().empty(); }
     [[nodiscard]] const group_room& room() const { return room_; }
     [[nodiscard]] std::size_t calls() const { return calls_.size(); }
@@ -176,7 +164,7 @@
         std::uint32_t index = 0;
     };
 
-    [[nodiscard]] std::uint32_t slots_of(const backend_name& engine) const;
+    [[nodiscard]] static std::uint32_t slots_of(const scheduling::backend_state& engine);
     std::uint32_t index_of(const backend_name& engine);
     [[nodiscard]] const engine_use* use_of(const backend_name& engine) const;
     /// True when the engine may get new calls of the question.
--- a/src/tallyfold/plane/dispatch/program_needs.cpp
+++ b/src/tallyfold/plane/dispatch/program_needs.cpp
@@ -15,7 +15,7 @@
 constexpr double min_calls = 20;
 /// A program with this many times the usual number of calls is a runaway; the longest regular ones
 /// have two to three times as many.
-constexpr double runaway_factor = 5;
+constexpr double runaway_factor = 3;
 /// Programs that paused for longer are not used as samples of the time between calls.
 constexpr duration max_step = std::chrono::seconds(5);
 
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -50,7 +50,8 @@
     if (call.runaway) {
         queue.runaway.insert({call.arrived, call.key});
     } else {
-        queue.in_time.insert({call.latest_start, call.key});
+        ordered_calls& calls = call.program_running ? queue.in_time : queue.in_time_new;
+        calls.insert({call.latest_start, call.key});
     }
     level.by_arrival.insert({call.arrived, call.key});
     by_arrival_.insert({call.arrived, call.key});
@@ -58,10 +59,10 @@
     return std::nullopt;
 }
 
-void wait_queue::move_late(tenant_queue& queue, instant now) {
-    while (!queue.in_time.empty() && queue.in_time.begin()->first < now) {
-        queue.late.insert(*queue.in_time.begin());
-        queue.in_time.erase(queue.in_time.begin());
+void wait_queue::move_late(ordered_calls& from, tenant_queue& queue, instant now) {
+    while (!from.empty() && from.begin()->first < now) {
+        queue.late.insert(*from.begin());
+        from.erase(from.begin());
     }
 }
 
@@ -77,9 +78,11 @@
         }
     };
     for (auto& [tenant, queue] : level.tenants) {
-        move_late(queue, now);
+        move_late(queue.in_time, queue, now);
+        move_late(queue.in_time_new, queue, now);
         const bool within = is_within_share(tenant, now);
         add(within ? rank::in_time : rank::in_time_beyond_share, queue.in_time);
+        add(within ? rank::in_time_new : rank::in_time_new_beyond_share, queue.in_time_new);
         add(within ? rank::late : rank::late_beyond_share, queue.late);
         add(rank::runaway, queue.runaway);
     }
@@ -137,9 +140,10 @@
     const auto level = priorities_.find(call.priority);
     const auto queue = level->second.tenants.find(call.tenant);
     queue->second.in_time.erase({call.latest_start, key});
+    queue->second.in_time_new.erase({call.latest_start, key});
     queue->second.late.erase({call.latest_start, key});
     queue->second.runaway.erase({call.arrived, key});
-    if (queue->second.empty()) {
+    if (queue->second.size() == 0) {
         level->second.tenants.erase(queue);
     }
     level->second.by_arrival.erase({call.arrived, key});
@@ -170,12 +174,17 @@
     const auto before = [&](const ordered_calls& calls) {
         return static_cast<std::size_t>(std::distance(calls.begin(), calls.lower_bound(own)));
     };
+    const std::size_t in_time = queue.in_time.size() + queue.in_time_new.size();
     if (call.runaway) {
-        return queue.in_time.size() + queue.late.size() +
+        return in_time + queue.late.size() +
                static_cast<std::size_t>(std::distance(
                    queue.runaway.begin(), queue.runaway.lower_bound({call.arrived, call.key})));
     }
-    return is_late ? queue.in_time.size() + before(queue.late) : before(queue.in_time);
+    if (is_late) {
+        return in_time + before(queue.late);
+    }
+    return call.program_running ? before(queue.in_time)
+                                : queue.in_time.size() + before(queue.in_time_new);
 }
 
 std::size_t wait_queue::calls_ahead_of(const waiting_call& call, instant now) const {
@@ -187,7 +196,7 @@
             break;
         }
         for (const auto& [tenant, queue] : level.tenants) {
-            const std::size_t regular = queue.in_time.size() + queue.late.size();
+            const std::size_t regular = queue.size() - queue.runaway.size();
             if (priority < call.priority) {
                 ahead += regular + queue.runaway.size();
             } else if (call.runaway || is_within_share(tenant, now) == within) {
--- a/src/tallyfold/plane/dispatch/wait_queue.hpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.hpp
@@ -119,14 +119,16 @@
     using ordered_calls = std::set<std::pair<instant, call_key>>;
     /// Waiting calls of one tenant and priority.
     struct tenant_queue {
-        /// Calls that could be in time when they were last looked at, by latest start.
+        /// Calls of programs under way, and of new ones, that could be in time when they were last
+        /// looked at, by latest start.
         ordered_calls in_time;
+        ordered_calls in_time_new;
         /// Late calls, and below them those of runaway programs, by arrival.
         ordered_calls late;
         ordered_calls runaway;
 
-        [[nodiscard]] bool empty() const {
-            return in_time.empty() && late.empty() && runaway.empty();
+        [[nodiscard]] std::size_t size() const {
+            return in_time.size() + in_time_new.size() + late.size() + runaway.size();
         }
     };
     struct priority_queue {
@@ -137,8 +139,10 @@
     /// Class of a call within its priority; lower goes first.
     enum class rank : std::uint8_t {
         in_time,
+        in_time_new,
         late,
         in_time_beyond_share,
+        in_time_new_beyond_share,
         late_beyond_share,
         runaway,
     };
@@ -154,7 +158,7 @@
         }
     };
 
-    static void move_late(tenant_queue& queue, instant now);
+    static void move_late(ordered_calls& from, tenant_queue& queue, instant now);
     const waiting_call* visit_level(priority_queue& level, instant now, std::size_t limit,
                                     std::size_t& visited,
                                     const std::function<bool(const waiting_call&)>& stop);
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -502,6 +502,7 @@
         expect(place_outcome::waiting, target.request(request(11), at(3'000)));
         place_request hasty = request(12);
         hasty.longest_wait_ms = 100;
+        hasty.program_running = false;
         expect(place_outcome::refused, target.request(hasty, at(3'000)));
         target.set_engines({engine("engine-0", 4)}, 0);
         hasty.call = 13;
