Needs of a program: by its objective, without waits, from calls that ran

Cause: the mean number of calls of a route was taken for every program, so that a program of one call looked late from its start; the time from call to call included the wait for a slot, so that all programs looked late once calls queued; refused programs counted as first calls and made all programs look shorter; a short first answer made the second call pass for a first one.

Change: calls are recorded when they get a slot; the step runs from the start of a call to the arrival of the next one; the number of calls of a program with an objective is scaled by its objective over the usual one and remembered for its later calls.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -33,6 +33,14 @@
     return ended;
 }
 
+program_call program_call_of(const place_request& request, instant arrived) {
+    program_call call{request.route, request.program, request.used_tokens, {}, arrived};
+    if (request.time_left_ms < no_objective_ms) {
+        call.time_left = std::chrono::milliseconds(request.time_left_ms);
+    }
+    return call;
+}
+
 }  // namespace
 
 std::string text_of(message_fault fault) {
@@ -123,8 +131,9 @@
     call.program_running = request.program_running;
     call.runaway = needs_.is_runaway(request.route, request.used_tokens);
     call.cost = static_cast<double>(request.prompt_tokens) + request.max_tokens;
-    call.latest_start = arrived + std::chrono::milliseconds(request.time_left_ms) -
-                        needs_.expected_time(request.route, request.used_tokens);
+    const program_call asked = program_call_of(request, arrived);
+    call.latest_start =
+        arrived + std::chrono::milliseconds(request.time_left_ms) - needs_.expected_time(asked);
     call.wait_limit = arrived + std::chrono::milliseconds(request.longest_wait_ms);
     call.arrived = arrived;
     return call;
@@ -174,6 +183,7 @@
     ledger_.start(call.key, placed.engine, size, now);
     ledger_.record_cached(placed.engine, request.prompt);
     queue_.record_granted(call, now);
+    needs_.record_call(program_call_of(request, call.arrived), now);
     ++counters_.granted;
     counters_.waited += now > call.arrived ? 1 : 0;
     counters_.forced += reason == place_reason::longest_wait_reached ? 1 : 0;
@@ -255,7 +265,6 @@
         return answers;
     }
     const waiting_call call = make_waiting_call(key, request, now);
-    needs_.record_call(request.route, request.program, request.used_tokens, now);
     if (queue_.size() == 0) {
         if (const auto placed = ledger_.choose(question_of(request), now)) {
             answers.push_back(grant(call, request, *placed, place_reason::none, now));
--- a/src/tallyfold/plane/dispatch/program_needs.cpp
+++ b/src/tallyfold/plane/dispatch/program_needs.cpp
@@ -16,6 +16,8 @@
 /// A program with this many times the usual number of calls is a runaway; the longest regular ones
 /// have two to three times as many.
 constexpr double runaway_factor = 5;
+/// Most calls of a program relative to the usual number that its objective is taken to mean.
+constexpr double max_objective_ratio = 3;
 /// Programs that paused for longer are not used as samples of the time between calls.
 constexpr duration max_step = std::chrono::seconds(5);
 
@@ -43,46 +45,56 @@
 }
 
 std::size_t program_needs::position_of(const route_statistics& known, token_count used_tokens) {
-    if (known.tokens_per_call <= 0) {
+    if (known.tokens_per_call <= 0 || used_tokens == 0) {
         return 0;
     }
+    // A short first answer does not make the second call a first one.
     const double position = static_cast<double>(used_tokens) / known.tokens_per_call;
-    return static_cast<std::size_t>(std::min(position + 0.5, max_position - 1.0));
+    return static_cast<std::size_t>(std::clamp(position + 0.5, 1.0, max_position - 1.0));
 }
 
-double program_needs::runaway_calls(const route_statistics& known) {
-    const double usual_calls = known.total / std::max(1.0, known.calls[0]);
-    return runaway_factor * usual_calls;
+double program_needs::usual_calls(const route_statistics& known) {
+    return known.total / std::max(1.0, known.calls[0]);
 }
 
-void program_needs::record_step(route_statistics& known, program_hash program, instant now) {
-    if (program == 0) {
+double program_needs::calls_by_objective(const route_statistics& known, const program_call& call) {
+    if (call.used_tokens > 0 || !call.time_left || known.objective_ms <= 0) {
+        return 0;
+    }
+    const double ratio = milliseconds(*call.time_left) / known.objective_ms;
+    return usual_calls(known) * std::clamp(ratio, 0.0, max_objective_ratio);
+}
+
+void program_needs::record_program(route_statistics& known, const program_call& call, instant now) {
+    if (call.program == 0) {
         return;
     }
-    if (last_calls_.size() >= max_programs) {
-        std::erase_if(last_calls_,
-                      [&](const auto& entry) { return now - entry.second > max_step; });
+    if (programs_.size() >= max_programs) {
+        std::erase_if(programs_,
+                      [&](const auto& entry) { return now - entry.second.started > max_step; });
     }
-    const auto found = last_calls_.find(program);
-    if (found != last_calls_.end()) {
-        const duration step = now - found->second;
+    const auto found = programs_.find(call.program);
+    if (found != programs_.end()) {
+        const duration step = call.arrived - found->second.started;
         if (step > duration::zero() && step <= max_step) {
             average(known.step_ms, milliseconds(step));
         }
-        found->second = now;
-    } else if (last_calls_.size() < max_programs) {
-        last_calls_.emplace(program, now);
+        found->second.started = now;
+    } else if (programs_.size() < max_programs) {
+        programs_.emplace(call.program, known_program{now, calls_by_objective(known, call)});
     }
 }
 
-void program_needs::record_call(const std::string& route, program_hash program,
-                                token_count used_tokens, instant now) {
-    route_statistics* known = find_or_add(route);
+void program_needs::record_call(const program_call& call, instant now) {
+    route_statistics* known = find_or_add(call.route);
     if (known == nullptr) {
         return;
     }
-    record_step(*known, program, now);
-    known->calls[position_of(*known, used_tokens)] += 1;
+    record_program(*known, call, now);
+    if (call.used_tokens == 0 && call.time_left && *call.time_left > duration::zero()) {
+        average(known->objective_ms, milliseconds(*call.time_left));
+    }
+    known->calls[position_of(*known, call.used_tokens)] += 1;
     known->total += 1;
     if (known->total >= calls_until_halved) {
         for (double& count : known->calls) {
@@ -101,23 +113,38 @@
     average(known->call_ms, milliseconds(took));
 }
 
-duration program_needs::expected_time(const std::string& route, token_count used_tokens) const {
-    const route_statistics* known = find(route);
-    if (known == nullptr || known->total < min_calls) {
-        return duration::zero();
+double program_needs::later_calls(const route_statistics& known, const program_call& call) const {
+    const std::size_t position = position_of(known, call.used_tokens);
+    const auto remembered = programs_.find(call.program);
+    const double all =
+        remembered != programs_.end() ? remembered->second.calls : calls_by_objective(known, call);
+    if (all > 0) {
+        return std::max(0.0, all - 1 - static_cast<double>(position));
     }
-    const std::size_t position = position_of(*known, used_tokens);
     // Runaway programs, whose calls never end, are no measure for the others.
-    const auto end = std::min(max_position, static_cast<std::size_t>(runaway_calls(*known)) + 1);
+    const auto end =
+        std::min(max_position, static_cast<std::size_t>(runaway_factor * usual_calls(known)) + 1);
     double later = 0;
     for (std::size_t next = position + 1; next < end; ++next) {
-        later += known->calls[next];
+        later += known.calls[next];
     }
     // Each call at a later position belongs to a program that passed this one.
-    const double remaining_calls = later / std::max(1.0, known->calls[position]);
+    return later / std::max(1.0, known.calls[position]);
+}
+
+double program_needs::expected_calls(const program_call& call) const {
+    const route_statistics* known = find(call.route);
+    return known == nullptr || known->total < min_calls ? 1 : 1 + later_calls(*known, call);
+}
+
+duration program_needs::expected_time(const program_call& call) const {
+    const route_statistics* known = find(call.route);
+    if (known == nullptr || known->total < min_calls) {
+        return duration::zero();
+    }
     const double step = std::max(known->step_ms, known->call_ms);
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(known->call_ms + remaining_calls * step));
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+        known->call_ms + later_calls(*known, call) * step));
 }
 
 bool program_needs::is_runaway(const std::string& route, token_count used_tokens) const {
@@ -125,7 +152,8 @@
     if (known == nullptr || known->total < min_calls || known->tokens_per_call <= 0) {
         return false;
     }
-    return static_cast<double>(used_tokens) / known->tokens_per_call > runaway_calls(*known);
+    return static_cast<double>(used_tokens) / known->tokens_per_call >
+           runaway_factor * usual_calls(*known);
 }
 
 }  // namespace tallyfold::dispatch
