Dispatcher: a waiting call that can't use a free slot delays no other

Cause: the first call of the queue decided alone. When it excluded the engine with the free slot, or was too large for its cache, all calls behind it waited, and later ones too, up to its wait limit.

Change: up to 8 calls are passed over for ones that can use the slot; a new call takes a slot that no waiting call can use. The order of the calls that can use a slot is unchanged.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t min_retry_after_ms = 50;
 /// Weight of an ended call in the mean duration of a call.
 constexpr double duration_weight = 0.02;
+/// Maximum number of waiting calls that are passed over at once for others that can use a free
+/// slot. Each costs a scan of the engines.
+constexpr std::size_t max_passed_over = 8;
 /// Number of routes that are told apart; further ones share the first number.
 constexpr std::size_t max_routes = 256;
 
@@ -197,16 +200,21 @@
 }
 
 void dispatcher::grant_waiting(std::vector<addressed_answer>& answers, instant now) {
-    while (const waiting_call* next = queue_.next(now)) {
+    std::vector<call_key> passed_over;
+    while (const waiting_call* next = queue_.next(now, passed_over)) {
         const waiting_call call = *next;
         const auto pending = pending_.find(call.key);
         const auto placed = ledger_.choose(question_of(pending->second.request), now);
-        if (!placed) {
+        if (placed) {
+            answers.push_back(
+                grant(call, pending->second.request, *placed, place_reason::none, now));
+            queue_.remove(call.key);
+            pending_.erase(pending);
+        } else if (has_free_slots() && passed_over.size() < max_passed_over) {
+            passed_over.push_back(call.key);
+        } else {
             return;
         }
-        answers.push_back(grant(call, pending->second.request, *placed, place_reason::none, now));
-        queue_.remove(call.key);
-        pending_.erase(pending);
     }
 }
 
@@ -266,7 +274,8 @@
         return answers;
     }
     const waiting_call call = make_waiting_call(key, request, now);
-    if (queue_.size() == 0) {
+    // Waiting calls can't use slots that are free: they exclude the engine, or are too large.
+    if (queue_.size() == 0 || has_free_slots()) {
         if (const auto placed = ledger_.choose(question_of(request), now)) {
             answers.push_back(grant(call, request, *placed, place_reason::none, now));
             return answers;
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -118,6 +118,8 @@
     /// Registers the call at the engine. @param arrived when its first request arrived
     addressed_answer grant(const waiting_call& call, const place_request& request,
                            const placed_call& placed, place_reason reason, instant now);
+    /// False when the group runs as many calls as it has slots, or more.
+    [[nodiscard]] bool has_free_slots() const { return room().running < room().slots; }
     /// Grants waiting calls the free slots.
     void grant_waiting(std::vector<addressed_answer>& answers, instant now);
     /// Grants calls that have waited their longest wait a place beyond the slots.
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -26,6 +26,15 @@
     return std::chrono::duration_cast<duration>(value * factor);
 }
 
+/// First call that is not passed over; null when there is none.
+const std::pair<instant, call_key>* first_of(const std::set<std::pair<instant, call_key>>& calls,
+                                             const std::vector<call_key>& passed_over) {
+    const auto found = std::find_if(calls.begin(), calls.end(), [&](const auto& call) {
+        return std::find(passed_over.begin(), passed_over.end(), call.second) == passed_over.end();
+    });
+    return found == calls.end() ? nullptr : &*found;
+}
+
 }  // namespace
 
 void wait_queue::record_granted(const waiting_call& call, instant now) {
@@ -84,18 +93,15 @@
 }
 
 std::optional<std::tuple<wait_queue::rank, instant, call_key>> wait_queue::best_of(
-    const tenant_queue& queue, share_level level) {
-    const auto first = [](const rank& kind, const ordered_calls& calls) {
-        return std::tuple(kind, calls.begin()->first, calls.begin()->second);
-    };
-    if (!queue.in_time.empty()) {
-        return first({false, level, false}, queue.in_time);
+    const tenant_queue& queue, share_level level, const std::vector<call_key>& passed_over) {
+    if (const auto* call = first_of(queue.in_time, passed_over)) {
+        return std::tuple(rank{false, level, false}, call->first, call->second);
     }
-    if (!queue.late.empty()) {
-        return first({false, level, true}, queue.late);
+    if (const auto* call = first_of(queue.late, passed_over)) {
+        return std::tuple(rank{false, level, true}, call->first, call->second);
     }
-    if (!queue.runaway.empty()) {
-        return first({true, level, false}, queue.runaway);
+    if (const auto* call = first_of(queue.runaway, passed_over)) {
+        return std::tuple(rank{true, level, false}, call->first, call->second);
     }
     return std::nullopt;
 }
@@ -104,23 +110,30 @@
     return settings_.shares ? shares_.level_of(tenant, now) : share_level::within;
 }
 
-const waiting_call* wait_queue::next(instant now) {
-    if (priorities_.empty()) {
-        return nullptr;
-    }
-    priority_queue& level = priorities_.begin()->second;
+std::optional<call_key> wait_queue::next_of(priority_queue& level, instant now,
+                                            const std::vector<call_key>& passed_over) const {
     if (level.taken % oldest_first_interval == oldest_first_interval - 1) {
-        return &calls_.at(level.by_arrival.begin()->second).call;
+        const auto* oldest = first_of(level.by_arrival, passed_over);
+        return oldest == nullptr ? std::nullopt : std::optional(oldest->second);
     }
     std::optional<std::tuple<rank, instant, call_key>> best;
     for (auto& [tenant, queue] : level.tenants) {
         move_late(queue, now);
-        const auto candidate = best_of(queue, level_of(tenant, now));
+        const auto candidate = best_of(queue, level_of(tenant, now), passed_over);
         if (candidate && (!best || *candidate < *best)) {
             best = candidate;
         }
     }
-    return best ? &calls_.at(std::get<call_key>(*best)).call : nullptr;
+    return best ? std::optional(std::get<call_key>(*best)) : std::nullopt;
+}
+
+const waiting_call* wait_queue::next(instant now, const std::vector<call_key>& passed_over) {
+    for (auto& [priority, level] : priorities_) {
+        if (const auto key = next_of(level, now, passed_over)) {
+            return &calls_.at(*key).call;
+        }
+    }
+    return nullptr;
 }
 
 bool wait_queue::remove(const call_key& key) {
--- a/src/tallyfold/plane/dispatch/wait_queue.hpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.hpp
@@ -92,8 +92,10 @@
     /// Queues a call, or refuses it.
     /// @return nothing when the call is queued
     std::optional<queue_refusal> push(const waiting_call& call, instant now);
-    /// Call that gets the next free slot; it stays in the queue. Null when the queue is empty.
-    [[nodiscard]] const waiting_call* next(instant now);
+    /// Call that gets the next free slot; it stays in the queue. Null when there is none.
+    /// @param passed_over calls that can't use the free slots
+    [[nodiscard]] const waiting_call* next(instant now,
+                                           const std::vector<call_key>& passed_over = {});
     /// Removes a call that is granted a slot or withdrawn. @return false when it is not queued
     bool remove(const call_key& key);
     /// Calls whose wait limit has passed, in the order of their limits.
@@ -147,7 +149,10 @@
     [[nodiscard]] double wait_correction() const;
     /// Best call of one tenant with its rank; nothing when the tenant has none.
     [[nodiscard]] static std::optional<std::tuple<rank, instant, call_key>> best_of(
-        const tenant_queue& queue, share_level level);
+        const tenant_queue& queue, share_level level, const std::vector<call_key>& passed_over);
+    /// Call of a priority that gets the next free slot; nothing when all are passed over.
+    [[nodiscard]] std::optional<call_key> next_of(priority_queue& level, instant now,
+                                                  const std::vector<call_key>& passed_over) const;
     [[nodiscard]] share_level level_of(const std::string& tenant, instant now) const;
     /// Number of queued calls that would go before the call.
     [[nodiscard]] std::size_t calls_ahead_of(const waiting_call& call, instant now) const;
