--- a/tests/plane/dispatch/program_needs_test.cpp
+++ b/tests/plane/dispatch/program_needs_test.cpp
@@ -14,7 +14,7 @@
     CPPUNIT_TEST(unknown_routes_need_nothing);
     CPPUNIT_TEST(estimates_are_near_the_truth);
     CPPUNIT_TEST(estimates_follow_the_objective);
-    CPPUNIT_TEST(waits_and_refused_programs_are_not_counted);
+    CPPUNIT_TEST(waits_are_not_counted);
     CPPUNIT_TEST(runaways_are_told_apart);
     CPPUNIT_TEST(any_values_give_finite_estimates);
     CPPUNIT_TEST_SUITE_END();
@@ -99,7 +99,7 @@
             3, needs.expected_calls(call("r", 8, 2 * answer_tokens, 1s, instant{201s})), 1);
     }
 
-    void waits_and_refused_programs_are_not_counted() {
+    void waits_are_not_counted() {
         // Guards against estimates that rise with the queue, which made all programs look late.
         program_needs waiting;
         run_programs(waiting, "r", std::vector<int>(100, 3), 60ms, 900ms, false);
