--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -134,6 +134,9 @@
         if (waiting.answer && waiting.answer->outcome != dispatch::place_outcome::waiting) {
             place_result result = result_of(*waiting.answer, waiting);
             result.answer_time = answer_time;
+            if (waiting.answer->outcome == dispatch::place_outcome::unknown_service) {
+                pass_over(waiting.decider, group, asked, "unknown_service");
+            }
             co_return result;
         }
         if (waiting.answer) {
@@ -141,7 +144,7 @@
             is_unanswered = false;
         }
         if (is_unanswered && now >= asked + answer_timeout) {
-            on_silence(waiting.decider, group, asked);
+            pass_over(waiting.decider, group, asked, "silent");
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("silent");
             co_return place_result{};
@@ -206,7 +209,10 @@
     if (answer.process_id != process_id_) {
         return;
     }
-    if (choice_.answered(from)) {
+    // A node that does not know the service, such as one that starts, is passed over like a silent
+    // one.
+    const bool decides = answer.outcome != dispatch::place_outcome::unknown_service;
+    if (decides && choice_.answered(from)) {
         logging::write_event(logging::event_id::dispatcher_regained, "peer=" + from);
     }
     const auto found = waiting_.find(answer.call);
@@ -223,15 +229,15 @@
     }
 }
 
-void dispatch_client::on_silence(const node_name& node, const dispatch::engine_group& group,
-                                 instant asked_at) {
+void dispatch_client::pass_over(const node_name& node, const dispatch::engine_group& group,
+                                instant asked_at, const std::string& reason) {
     const instant now = http::steady_now();
     if (!choice_.unanswered(node, asked_at, now)) {
         return;
     }
     const auto next = decider_of(group, now);
     logging::write_event(logging::event_id::dispatcher_lost,
-                         "peer=" + node + " service=" + group.service +
+                         "peer=" + node + " reason=" + reason + " service=" + group.service +
                              " group=" + std::to_string(group.index) +
                              " silent_ms=" + std::to_string(to_milliseconds(now - asked_at)) +
                              " next=" + next.value_or("-"));
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -108,7 +108,10 @@
     place_result result_of(const dispatch::place_answer& answer, const waiting_call& waiting);
     void on_message(const node_name& from, const messaging::peer_message& message);
     void on_answer(const node_name& from, const dispatch::place_answer& answer);
-    void on_silence(const node_name& node, const dispatch::engine_group& group, instant asked_at);
+    /// Passes over a directory node that did not answer or does not know the service.
+    /// @param asked_at when the request was sent
+    void pass_over(const node_name& node, const dispatch::engine_group& group, instant asked_at,
+                   const std::string& reason);
     void withdraw(const node_name& decider, call_number call, const std::string& service);
     /// Renews the leases of calls that have run for some time, and reports the others where their
     /// dispatcher has changed.
