--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -116,9 +116,13 @@
             answer_time = now - began;
             metrics_.record_place_time(answer_time);
         }
+        // Without a place, the times end when the call is sent without one.
+        place_result without_place;
+        without_place.answer_time = answer_time == duration::zero() ? now - began : answer_time;
+        without_place.waited = now - began - without_place.answer_time;
         if (waiting.cancelled) {
             withdraw(waiting.decider, request.call, request.service);
-            co_return place_result{};
+            co_return without_place;
         }
         if (waiting.answer && waiting.answer->outcome != dispatch::place_outcome::waiting) {
             place_result result = result_of(*waiting.answer, waiting);
@@ -133,12 +137,12 @@
             on_silence(waiting.decider, group, asked);
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("silent");
-            co_return place_result{};
+            co_return without_place;
         }
         if (now >= end) {
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("longest_wait");
-            co_return place_result{};
+            co_return without_place;
         }
         if (!is_unanswered && now >= asked + repeat_interval) {
             asked = now;
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -31,7 +31,8 @@
     /// Set when granted or forced.
     backend_name engine;
     token_count cached_tokens = 0;
-    /// Time from the request to the first answer, and in the dispatcher's queue.
+    /// Time from the request to the first answer, and in the dispatcher's queue. Without an answer,
+    /// or once answers stop, they end when the call is decided alone.
     duration answer_time{};
     duration waited{};
     /// The following are set with `refused`.
