A place is released at the node that granted it

Cause: when a forwarder asked another directory node, it moved the lease of its running calls there and released them only there. Change: a call remembers who granted its place, and is released there and at the node that renews it.

--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -250,7 +250,7 @@
     running.sent_at = now;
     const bool has_place = place.kind == place_kind::granted || place.kind == place_kind::forced;
     if (has_place) {
-        running.decider = place.decider;
+        running.decider = running.granted_by = place.decider;
     } else if (const auto decider = decider_of(running.group, now)) {
         running.decider = *decider;
         send_renewal(*decider, {running.call});
@@ -263,9 +263,13 @@
     if (found == sent_.end()) {
         return;
     }
-    if (!found->second.decider.empty()) {
-        directory_.send_to(found->second.decider,
-                           dispatch::place_release{process_.settings().node, process_id_, {ended}});
+    // The node that granted the place may dispatch again before the lease there expires.
+    const sent_call& known = found->second;
+    for (const node_name& holder : std::set{known.granted_by, known.decider}) {
+        if (!holder.empty()) {
+            directory_.send_to(
+                holder, dispatch::place_release{process_.settings().node, process_id_, {ended}});
+        }
     }
     sent_.erase(found);
 }
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -87,7 +87,9 @@
     /// A call that runs at an engine.
     struct sent_call {
         dispatch::engine_group group;
-        /// Node that knows of the call; empty while none does.
+        /// Node that granted the place; empty without one.
+        node_name granted_by;
+        /// Node that the lease is renewed at; empty while none knows of the call.
         node_name decider;
         dispatch::running_call call;
         instant sent_at{};
