Fault soak: a killed forwarder at the end; newest loss of a dispatcher

Change: at the end a forwarder is killed while twelve calls of it run, so that only leases return the places; it is a violation when none was taken.

--- a/tests/platform/soak/dispatch_watch.py
+++ b/tests/platform/soak/dispatch_watch.py
@@ -83,6 +83,11 @@
             known = found[self.decider.name]
             self.waiting = known[1]["waiting"] if known is not None else 0
 
+    async def read_running(self):
+        """Returns the number of places that the directory nodes count as taken."""
+        found = await asyncio.gather(*(read_metrics(node) for node in self.nodes))
+        return sum(metrics[1]["running"] for metrics in found if metrics is not None)
+
     async def read_places_left(self):
         """Waits until all leases must have ended, then reads the places of each directory node."""
         await asyncio.sleep(LEASE_SECONDS + GAUGE_SECONDS + EXPIRY_SECONDS)
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -265,5 +265,7 @@
     dispatcher_losses: list = field(default_factory=list)
     #: Times after which forwarders reported a silent dispatcher (event 3120): (forwarder, seconds).
     silences: list = field(default_factory=list)
+    #: Places that were taken before the last forwarder with calls was killed; None when none was.
+    places_abandoned: int | None = None
     #: Places left at the end; None for a directory node whose metrics could not be read.
     places_left: list = field(default_factory=list)
