--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -243,11 +243,17 @@
 
 const waiting_call* dispatcher::next_to_place(const std::set<call_key>& passed, instant now) {
     const bool may_move = ledger_.has_spare_slots();
+    const std::vector<bool> ready = ledger_.ready_engines(now);
+    const auto may_go = [&](engine_position preferred) {
+        return may_move || preferred == no_engine || ready[preferred];
+    };
+    const bool any_may_go = std::any_of(waiting_for_.begin(), waiting_for_.end(),
+                                        [&](const auto& waiting) { return may_go(waiting.first); });
+    if (!any_may_go) {
+        return nullptr;
+    }
     return queue_.visit(now, max_calls_considered, [&](const waiting_call& call) {
-        const pending_request& pending = pending_.at(call.key);
-        const bool may_go = pending.preferred.empty() || ledger_.has_room_at(pending.preferred) ||
-                            may_move || !ledger_.is_available(pending.preferred, now);
-        return may_go && !passed.contains(call.key);
+        return may_go(call.preferred) && !passed.contains(call.key);
     });
 }
 
@@ -258,6 +264,10 @@
     }
     pending_request pending = std::move(found->second);
     pending_.erase(found);
+    const auto count = waiting_for_.find(queue_.find(key)->preferred);
+    if (--count->second == 0) {
+        waiting_for_.erase(count);
+    }
     queue_.remove(key);
     return pending;
 }
@@ -350,12 +360,13 @@
         // Slots that became free without a release, by a replaced process or a new engine.
         grant_waiting(answers, now);
     }
-    const waiting_call call = make_waiting_call(key, request, now);
+    waiting_call call = make_waiting_call(key, request, now);
     pending_request pending = make_pending(request, now);
     if (const auto placed = place_at_once(pending, now)) {
         answers.push_back(grant(call, request, *placed, place_reason::none, now));
         return answers;
     }
+    call.preferred = ledger_.position_of(pending.preferred);
     const double slots = ledger_.room().slots;
     queue_.set_capacity(call_ms_ > 0 ? slots * 1'000 / call_ms_ : 0);
     if (const auto refusal = queue_.push(call, now)) {
@@ -363,10 +374,11 @@
         return answers;
     }
     pending_.emplace(key, std::move(pending));
+    ++waiting_for_[call.preferred];
     grant_waiting(answers, now);
     if (pending_.contains(key)) {
         addressed_answer addressed = make_answer(key, place_outcome::waiting);
-        addressed.answer.expected_wait_ms = to_ms(queue_.expected_wait(call, now));
+        addressed.answer.expected_wait_ms = to_ms(queue_.expected_at_arrival(key));
         answers.push_back(addressed);
     }
     return answers;
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -142,6 +142,8 @@
 
     place_ledger ledger_;
     wait_queue queue_;
+    /// Number of waiting calls by the engine that they should go to; without zeros.
+    std::map<engine_position, std::uint32_t> waiting_for_;
     program_needs needs_;
     std::vector<forwarder_process> processes_;
     std::map<node_name, node_processes> nodes_;
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -109,15 +109,18 @@
     return free_slots() >= min_spare_share * room_.slots;
 }
 
-bool place_ledger::is_available(const backend_name& engine, instant now) const {
-    const scheduling::backend_state* known = pool_.find(engine);
-    return known != nullptr && pool_.available(*known, now);
+engine_position place_ledger::position_of(const backend_name& engine) const {
+    const auto found = engine_indexes_.find(engine);
+    return found == engine_indexes_.end() ? no_engine : found->second;
 }
 
-bool place_ledger::has_room_at(const backend_name& engine) const {
-    const scheduling::backend_state* known = pool_.find(engine);
-    return known != nullptr && !known->leaving() &&
-           running_at(engine) < std::max(1U, known->member.slots);
+std::vector<bool> place_ledger::ready_engines(instant now) const {
+    std::vector<bool> ready(engines_.size(), true);
+    for (const group_engine& engine : group_) {
+        ready[engine.index] = !pool_.available(*engine.state, now) ||
+                              engines_[engine.index].running < slots_of(*engine.state);
+    }
+    return ready;
 }
 
 bool place_ledger::is_eligible(const scheduling::backend_state& engine,
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -122,13 +122,14 @@
     [[nodiscard]] bool has_engine(const backend_name& engine) const {
         return pool_.find(engine) != nullptr;
     }
-    /// True when the engine may get calls.
-    [[nodiscard]] bool is_available(const backend_name& engine, instant now) const;
+    /// Position of an engine, the same for the life of the ledger.
+    [[nodiscard]] engine_position position_of(const backend_name& engine) const;
+    /// By engine position: true when a call that should go to the engine need not wait for it,
+    /// because it has a free slot, or because it is gone or ejected and the call may go elsewhere.
+    [[nodiscard]] std::vector<bool> ready_engines(instant now) const;
     /// True when so many slots of the group are free that calls may leave the engines that hold
     /// their prompts.
     [[nodiscard]] bool has_spare_slots() const;
-    /// True when the engine has a free slot.
-    [[nodiscard]] bool has_room_at(const backend_name& engine) const;
     /// Free slots of the group's engines.
     [[nodiscard]] std::uint32_t free_slots() const;
     [[nodiscard]] bool has_engines() const { return !pool_.all().empty(); }
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -241,6 +241,12 @@
     return scaled(estimate(call, now), wait_correction());
 }
 
+duration wait_queue::expected_at_arrival(const call_key& key) const {
+    const auto found = calls_.find(key);
+    return found == calls_.end() ? duration::zero()
+                                 : scaled(found->second.estimate, wait_correction());
+}
+
 const waiting_call* wait_queue::find(const call_key& key) const {
     const auto found = calls_.find(key);
     return found == calls_.end() ? nullptr : &found->second.call;
--- a/src/tallyfold/plane/dispatch/wait_queue.hpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -41,6 +42,10 @@
     }
 };
 
+/// Position of an engine in the place ledger.
+using engine_position = std::uint32_t;
+constexpr engine_position no_engine = std::numeric_limits<engine_position>::max();
+
 /// A call that asks for a slot, as far as the queue needs it.
 struct waiting_call {
     call_key key;
@@ -56,6 +61,9 @@
     double cost = 1;
     /// Expected number of calls of the program from this one on, itself included.
     double calls_left = 1;
+    /// Position in the ledger of the engine that the call should go to; no_engine when there is
+    /// none.
+    engine_position preferred = no_engine;
     /// Time by which the call has to start for its program to be in time; in the past when late.
     instant latest_start{};
     /// Time at which the call is granted a slot in any case.
@@ -110,6 +118,8 @@
     /// Expected wait of a queued call, or of one that would be queued now, corrected by how long
     /// calls have waited relative to it; zero while the rate at which slots free is unknown.
     [[nodiscard]] duration expected_wait(const waiting_call& call, instant now) const;
+    /// The wait that was expected for a queued call when it was queued.
+    [[nodiscard]] duration expected_at_arrival(const call_key& key) const;
     [[nodiscard]] const waiting_call* find(const call_key& key) const;
     [[nodiscard]] std::size_t size() const { return calls_.size(); }
     /// Age of the call that has waited longest; zero when the queue is empty.
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -127,9 +127,13 @@
             answer_time = now - began;
             metrics_.record_place_time(answer_time);
         }
+        // Without a place, the times end when the call is sent without one.
+        place_result without_place;
+        without_place.answer_time = answer_time == duration::zero() ? now - began : answer_time;
+        without_place.waited = now - began - without_place.answer_time;
         if (waiting.cancelled) {
             withdraw(waiting.decider, request.call, request.service);
-            co_return place_result{};
+            co_return without_place;
         }
         if (waiting.answer && waiting.answer->outcome != dispatch::place_outcome::waiting) {
             place_result result = result_of(*waiting.answer, waiting);
@@ -147,12 +151,12 @@
             pass_over(waiting.decider, group, asked, "silent");
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("silent");
-            co_return place_result{};
+            co_return without_place;
         }
         if (now >= end) {
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("longest_wait");
-            co_return place_result{};
+            co_return without_place;
         }
         if (!is_unanswered && now >= asked + repeat_interval) {
             asked = now;
@@ -263,7 +267,7 @@
     running.sent_at = now;
     const bool has_place = place.kind == place_kind::granted || place.kind == place_kind::forced;
     if (has_place) {
-        running.decider = place.decider;
+        running.decider = running.granted_by = place.decider;
     } else if (const auto decider = renewal_target_of(running.group, now)) {
         running.decider = *decider;
         send_renewal(*decider, {running.call});
@@ -276,9 +280,13 @@
     if (found == sent_.end()) {
         return;
     }
-    if (!found->second.decider.empty()) {
-        directory_.send_to(found->second.decider,
-                           dispatch::place_release{process_.settings().node, process_id_, {ended}});
+    // The node that granted the place may dispatch again before the lease there expires.
+    const sent_call& known = found->second;
+    for (const node_name& holder : std::set{known.granted_by, known.decider}) {
+        if (!holder.empty()) {
+            directory_.send_to(
+                holder, dispatch::place_release{process_.settings().node, process_id_, {ended}});
+        }
     }
     sent_.erase(found);
 }
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -31,7 +31,8 @@
     /// Set when granted or forced.
     backend_name engine;
     token_count cached_tokens = 0;
-    /// Time from the request to the first answer, and in the dispatcher's queue.
+    /// Time from the request to the first answer, and in the dispatcher's queue. Without an answer,
+    /// or once answers stop, they end when the call is decided alone.
     duration answer_time{};
     duration waited{};
     /// The following are set with `refused`.
@@ -86,7 +87,9 @@
     /// A call that runs at an engine.
     struct sent_call {
         dispatch::engine_group group;
-        /// Node that knows of the call; empty while none does.
+        /// Node that granted the place; empty without one.
+        node_name granted_by;
+        /// Node that the lease is renewed at; empty while none knows of the call.
         node_name decider;
         dispatch::running_call call;
         instant sent_at{};
