--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -402,10 +402,10 @@
             placed = Placement("a", "f", True, "alone", seconds, 0.0, **fields)
             return self.violations(dispatch_checks.dispatchers_answer_in_time,
                                    attempts=[attempt()], placements=[placed])
-        self.assertTrue(found(0.2))
+        self.assertTrue(found(0.16))
         self.assertFalse(found(0.041))
-        self.assertFalse(found(0.2, sends=2))
-        self.assertTrue(found(0.2, sends=2, resumes=1))
+        self.assertFalse(found(0.16, sends=2))
+        self.assertTrue(found(0.16, sends=2, resumes=1))
 
     def test_a_forwarder_that_was_stopped_itself_may_be_late(self):
         placed = Placement("a", "f", True, "alone", 0.2, 0.0)
