Dispatcher: return values that can be moved

Cause: clang-tidy (performance-no-automatic-move) warned in dispatcher.cpp and place_ledger.cpp, which scripts/lint takes for errors. Change: the two local results are no longer const.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -235,7 +235,7 @@
     if (pending.preferred.empty()) {
         return ledger_.choose(question, now);
     }
-    if (const auto preferred = ledger_.choose_at(pending.preferred, question, now)) {
+    if (auto preferred = ledger_.choose_at(pending.preferred, question, now)) {
         return preferred;
     }
     return ledger_.has_spare_slots() ? ledger_.choose(question, now) : std::nullopt;
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -244,7 +244,7 @@
 
 std::optional<placed_call> place_ledger::choose_beyond_slots(const placement_question& question,
                                                              instant now) const {
-    const auto holder = preferred(question, now);
+    auto holder = preferred(question, now);
     if (holder &&
         running_at(holder->engine) < max_overload * slots_of(*pool_.find(holder->engine))) {
         return holder;
