Place ledger: nothing is kept of engines that have left

Cause: when an engine left while calls ran there, the ends of these calls recorded its speed again after it had been removed, for good; it then counted in the mean that new engines are given. The ledger also kept a position for each engine that was ever in the group, and each decision allocates and clears lists of that length. Change: calls that end at an engine that has left teach nothing. Measured: both new tests of place_ledger_test fail before (18 passed, 2 failed) and pass now (20 passed).

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -72,7 +72,11 @@
 
 void dispatcher::set_engines(const std::vector<scheduling::backend_member>& engines,
                              token_count cache_tokens) {
-    ledger_.set_engines(engines, cache_tokens);
+    std::set<engine_position> awaited;
+    for (const auto& [position, count] : waiting_for_) {
+        awaited.insert(position);
+    }
+    ledger_.set_engines(engines, cache_tokens, awaited);
 }
 
 std::optional<std::uint32_t> dispatcher::process_of(const node_name& node,
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -47,7 +47,8 @@
 }  // namespace
 
 void place_ledger::set_engines(const std::vector<scheduling::backend_member>& engines,
-                               token_count cache_tokens) {
+                               token_count cache_tokens,
+                               const std::set<engine_position>& referenced) {
     std::vector<backend_name> gone;
     for (const auto& entry : pool_.all()) {
         const scheduling::backend_member& known = entry.second.member;
@@ -63,6 +64,7 @@
         speed_.remove_engine(name);
     }
     pool_.update(engines);
+    free_positions(referenced);
     cache_tokens_ = cache_tokens;
     room_.slots = 0;
     group_.clear();
@@ -73,14 +75,33 @@
 }
 
 std::uint32_t place_ledger::index_of(const backend_name& engine) {
-    const auto [found, is_new] =
-        engine_indexes_.try_emplace(engine, static_cast<std::uint32_t>(engines_.size()));
-    if (is_new) {
+    const auto [found, is_new] = engine_indexes_.try_emplace(engine);
+    if (!is_new) {
+        return found->second;
+    }
+    if (free_positions_.empty()) {
+        found->second = static_cast<std::uint32_t>(engines_.size());
         engines_.push_back({engine});
+    } else {
+        found->second = free_positions_.back();
+        free_positions_.pop_back();
+        engines_[found->second] = {engine};
     }
     return found->second;
 }
 
+void place_ledger::free_positions(const std::set<engine_position>& referenced) {
+    std::erase_if(engine_indexes_, [&](const auto& entry) {
+        const auto& [name, position] = entry;
+        const bool in_use =
+            has_engine(name) || engines_[position].running > 0 || referenced.contains(position);
+        if (!in_use) {
+            free_positions_.push_back(position);
+        }
+        return !in_use;
+    });
+}
+
 const place_ledger::engine_use* place_ledger::use_of(const backend_name& engine) const {
     const auto found = engine_indexes_.find(engine);
     return found == engine_indexes_.end() ? nullptr : &engines_[found->second];
@@ -128,6 +149,12 @@
     return pool_.available(engine, now) && !lists(question.excluded, engine.member.name);
 }
 
+bool place_ledger::has_eligible_engine(const placement_question& question, instant now) const {
+    return std::any_of(group_.begin(), group_.end(), [&](const group_engine& engine) {
+        return is_eligible(*engine.state, question, now);
+    });
+}
+
 bool place_ledger::has_room(const group_engine& engine, const placement_question& question) const {
     const engine_use& use = engines_[engine.index];
     const token_count needed = question.prompt_tokens + question.max_tokens;
@@ -311,6 +338,10 @@
 
 void place_ledger::learn(const registered_call& call, const call_end& ended, instant now) {
     const backend_name& engine = engines_[call.engine].name;
+    if (!has_engine(engine)) {
+        // The speed of an engine that has left would be kept, and count as usual for new ones.
+        return;
+    }
     if (ended.outcome == release_outcome::failed) {
         pool_.failed(engine, now);
         return;
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -83,8 +84,10 @@
 
     /// Replaces the engines of the group. Calls at engines that left stay until they end.
     /// @param cache_tokens capacity of each engine's cache; 0 when unknown, then it never limits
+    /// @param referenced positions that the caller still refers to; those of other engines that
+    /// have left and run no calls are given to new engines
     void set_engines(const std::vector<scheduling::backend_member>& engines,
-                     token_count cache_tokens);
+                     token_count cache_tokens, const std::set<engine_position>& referenced = {});
 
     /// Engine with a free slot and the least expected time for the call; nothing when none has
     /// room.
@@ -122,7 +125,9 @@
     [[nodiscard]] bool has_engine(const backend_name& engine) const {
         return pool_.find(engine) != nullptr;
     }
-    /// Position of an engine, the same for the life of the ledger.
+    /// True when the call may use any engine, with or without a free slot.
+    [[nodiscard]] bool has_eligible_engine(const placement_question& question, instant now) const;
+    /// Position of an engine, the same until it leaves; no_engine for unknown ones.
     [[nodiscard]] engine_position position_of(const backend_name& engine) const;
     /// By engine position: true when a call that should go to the engine need not wait for it,
     /// because it has a free slot, or because it is gone or ejected and the call may go elsewhere.
@@ -167,6 +172,8 @@
 
     [[nodiscard]] static std::uint32_t slots_of(const scheduling::backend_state& engine);
     std::uint32_t index_of(const backend_name& engine);
+    /// Frees the positions of engines that have left and run no calls.
+    void free_positions(const std::set<engine_position>& referenced);
     [[nodiscard]] const engine_use* use_of(const backend_name& engine) const;
     /// True when the engine may get new calls of the question.
     [[nodiscard]] bool is_eligible(const scheduling::backend_state& engine,
@@ -190,8 +197,10 @@
     scheduling::cache_map cache_{max_cached_prefixes};
     token_count cache_tokens_ = 0;
     std::unordered_map<backend_name, std::uint32_t> engine_indexes_;
-    /// Use of every engine that was ever in the group.
+    /// Use of the engines of the group, and of those that left and still run calls.
     std::vector<engine_use> engines_;
+    /// Positions in `engines_` of no engine.
+    std::vector<std::uint32_t> free_positions_;
     /// Engines of the group by name; spares the look-ups by name at each decision.
     std::vector<group_engine> group_;
     call_table calls_;
--- a/tests/plane/dispatch/place_ledger_test.cpp
+++ b/tests/plane/dispatch/place_ledger_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(excluded_leaving_and_ejected_engines_get_no_call);
     CPPUNIT_TEST(beyond_the_slots_the_engine_with_the_fewest_calls_for_its_speed_is_chosen);
     CPPUNIT_TEST(calls_at_an_engine_that_left_stay_until_they_end);
+    CPPUNIT_TEST(nothing_is_learned_of_an_engine_that_left);
+    CPPUNIT_TEST(positions_of_engines_that_left_are_used_again);
     CPPUNIT_TEST(a_replaced_engine_is_not_assumed_to_hold_prefixes);
     CPPUNIT_TEST(a_listed_twice_engine_has_its_slots_once);
     CPPUNIT_TEST(a_call_that_was_not_sent_leaves_no_pending_prefill);
@@ -208,6 +210,37 @@
         CPPUNIT_ASSERT(!ledger.choose(question(), at(300)));
     }
 
+    /// Guards against estimates that are kept for each engine that ever left.
+    void nothing_is_learned_of_an_engine_that_left() {
+        place_ledger ledger;
+        ledger.set_engines({engine("left")}, 0);
+        ledger.start({1, 1}, "left", {100, 100, 0, 0}, at(0));
+        ledger.set_engines({engine("new")}, 0);
+        CPPUNIT_ASSERT(ledger.finish({1, 1}, answered(90), at(10)).has_value());
+        CPPUNIT_ASSERT(ledger.speed().idle_token_time("left") == duration::zero());
+        CPPUNIT_ASSERT(ledger.speed().idle_token_time("new") == duration::zero());
+    }
+
+    /// Guards against decisions whose work grows with the number of engines that ever left.
+    void positions_of_engines_that_left_are_used_again() {
+        place_ledger ledger;
+        for (int number = 0; number < 100; ++number) {
+            const backend_name name = "engine-" + std::to_string(number);
+            ledger.set_engines({engine(name)}, 0);
+            CPPUNIT_ASSERT_EQUAL(engine_position{0}, ledger.position_of(name));
+        }
+        // Not while a call runs there.
+        ledger.start({1, 1}, "engine-99", {100, 100, 0, 0}, at(0));
+        ledger.set_engines({engine("a")}, 0);
+        CPPUNIT_ASSERT_EQUAL(engine_position{1}, ledger.position_of("a"));
+        CPPUNIT_ASSERT_EQUAL(1U, ledger.running_at("engine-99"));
+        CPPUNIT_ASSERT_EQUAL(0U, ledger.running_at("a"));
+        CPPUNIT_ASSERT(ledger.finish({1, 1}, answered(3), at(10)).has_value());
+        ledger.set_engines({engine("b")}, 0);
+        CPPUNIT_ASSERT(ledger.position_of("b") <= 1);
+        CPPUNIT_ASSERT_EQUAL(0U, ledger.running_at("b"));
+    }
+
     void a_replaced_engine_is_not_assumed_to_hold_prefixes() {
         place_ledger ledger;
         ledger.set_engines({engine("a")}, 0);
