Dispatcher: a replaced process is served again after 5 s

Cause: a node's process that a dispatcher has not heard of replaces the present one. Process identifiers have no order, so a late first message of an earlier process (one that was frozen, or whose bytes a frozen directory node reads after those of its successor) replaced the living process, whose messages were then ignored for good: each of them kept the dispatcher from becoming idle. Its forwarder waited 40 ms and decided alone each time that it tried the node again. The list of earlier processes also grew with each restart. Change: a replaced process is remembered for 5 s; after that its messages count again. Measured: the new test of dispatcher_test fails before and passes now; messages of earlier processes within 5 s are ignored as before (same test, and the test of them).

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -79,20 +79,25 @@
     ledger_.set_engines(engines, cache_tokens, awaited);
 }
 
-std::optional<std::uint32_t> dispatcher::process_of(const node_name& node,
-                                                    std::uint64_t process_id) {
+std::optional<std::uint32_t> dispatcher::process_of(const node_name& node, std::uint64_t process_id,
+                                                    instant now) {
     const auto [found, is_new] = nodes_.try_emplace(node);
     node_processes& known = found->second;
     if (!is_new && processes_[known.current].process_id == process_id) {
         return known.current;
     }
-    const auto& replaced = known.replaced;
-    if (std::find(replaced.begin(), replaced.end(), process_id) != replaced.end()) {
+    std::erase_if(known.replaced, [&](const replaced_process& each) {
+        return now - each.replaced_at > replaced_lifetime;
+    });
+    const bool is_earlier =
+        std::any_of(known.replaced.begin(), known.replaced.end(),
+                    [&](const replaced_process& each) { return each.process_id == process_id; });
+    if (is_earlier) {
         fault_ = message_fault::earlier_process;
         return std::nullopt;
     }
     if (!is_new) {
-        known.replaced.push_back(processes_[known.current].process_id);
+        known.replaced.push_back({processes_[known.current].process_id, now});
         drop_process(known.current);
     }
     known.current = static_cast<std::uint32_t>(processes_.size());
@@ -344,7 +349,7 @@
         fault_ = message_fault::absurd_value;
         return answers;
     }
-    const auto process = process_of(request.node, request.process_id);
+    const auto process = process_of(request.node, request.process_id, now);
     if (!process) {
         return answers;
     }
@@ -410,7 +415,7 @@
     fault_ = message_fault::none;
     last_message_ = now;
     std::vector<addressed_answer> answers;
-    const auto process = process_of(release.node, release.process_id);
+    const auto process = process_of(release.node, release.process_id, now);
     if (!process) {
         return answers;
     }
@@ -424,7 +429,7 @@
 void dispatcher::renew(const place_renewal& renewal, instant now) {
     fault_ = message_fault::none;
     last_message_ = now;
-    const auto process = process_of(renewal.node, renewal.process_id);
+    const auto process = process_of(renewal.node, renewal.process_id, now);
     if (!process) {
         return;
     }
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -64,6 +64,10 @@
     /// Time after which a waiting call whose request was not repeated is dropped: three intervals
     /// at which forwarders repeat it.
     static constexpr duration request_lifetime = std::chrono::milliseconds(600);
+    /// Time for which messages of a replaced process are ignored: longer than messages stay in
+    /// the buffers of a connection whose process has ended. After it the process counts as present
+    /// again, since the message that replaced it may have been a late one of an earlier process.
+    static constexpr duration replaced_lifetime = std::chrono::seconds(5);
     /// Time without a message after which an empty dispatcher is idle.
     static constexpr duration idle_time = std::chrono::seconds(60);
 
@@ -95,10 +99,14 @@
         node_name node;
         std::uint64_t process_id = 0;
     };
+    struct replaced_process {
+        std::uint64_t process_id = 0;
+        instant replaced_at{};
+    };
     struct node_processes {
         std::uint32_t current = 0;
-        /// Identifiers of the earlier processes.
-        std::vector<std::uint64_t> replaced;
+        /// Processes that were replaced within replaced_lifetime.
+        std::vector<replaced_process> replaced;
     };
     struct pending_request {
         place_request request;
@@ -108,7 +116,8 @@
     };
 
     /// Number of the sender's process, registered if it is new; nothing for a replaced one.
-    std::optional<std::uint32_t> process_of(const node_name& node, std::uint64_t process_id);
+    std::optional<std::uint32_t> process_of(const node_name& node, std::uint64_t process_id,
+                                            instant now);
     void drop_process(std::uint32_t process);
     [[nodiscard]] static bool is_valid(const place_request& request);
     [[nodiscard]] static bool is_valid_weight(double weight);
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(extreme_values_of_a_request_are_served);
     CPPUNIT_TEST(a_tenant_without_a_valid_weight_counts_as_one);
     CPPUNIT_TEST(messages_of_earlier_processes_are_ignored);
+    CPPUNIT_TEST(a_process_is_served_again_after_a_message_of_an_earlier_one);
     CPPUNIT_TEST(a_restarted_forwarder_leaves_nothing_behind);
     CPPUNIT_TEST(a_renewal_names_an_engine_that_left);
     CPPUNIT_TEST(an_absurd_renewal_is_ignored);
@@ -288,6 +289,20 @@
         expect_counts(0, 0, target);
     }
 
+    /// Guards against a forwarder that is ignored for good: the first message that this dispatcher
+    /// gets of an earlier process, which was frozen, arrives after one of the present process.
+    void a_process_is_served_again_after_a_message_of_an_earlier_one() {
+        dispatcher target = make_dispatcher(1, 4);
+        expect(place_outcome::granted, target.request(request(1, "node", 2), at(0)));
+        expect(place_outcome::granted, target.request(request(1, "node", 1), at(100)));
+        CPPUNIT_ASSERT(target.request(request(2, "node", 2), at(200)).empty());
+        expect_fault(message_fault::earlier_process, target);
+        expect(place_outcome::granted, target.request(request(3, "node", 2), at(6'000)));
+        expect_counts(1, 0, target);
+        CPPUNIT_ASSERT(target.request(request(2, "node", 1), at(6'000)).empty());
+        expect_fault(message_fault::earlier_process, target);
+    }
+
     void a_restarted_forwarder_leaves_nothing_behind() {
         dispatcher target = make_dispatcher(1, 2);
         for (call_number call = 1; call <= 5; ++call) {
