Dispatcher: calls too large for the free cache hold up no others

Cause: after five waiting calls in a row for which no engine had room in its cache, or that excluded the engines with room, the search for a call for a free slot ended. Smaller calls behind them waited although an engine had a slot and room for them, until the first ones ran or reached their longest wait. Each call passed over also began the walk through the queue again. Change: one walk looks for the call and its place. Once a call without excluded engines finds no room, larger ones are passed over without a look-up; the limit of four holds for calls with excluded engines alone, and ends the search for these only. Measured: the new test (30 large calls before a small one) fails before and passes now.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -21,9 +21,9 @@
 constexpr double duration_weight = 0.02;
 /// Number of waiting calls among which one that finds its prompt at a free engine is looked for.
 constexpr std::size_t max_calls_considered = 256;
-/// Maximum number of waiting calls that are passed over at once, which bounds the work of a
-/// message.
-constexpr std::size_t max_passed = 4;
+/// Maximum number of waiting calls with excluded engines for which a place is looked for in vain,
+/// which bounds the work of a message.
+constexpr std::size_t max_excluding = 4;
 /// Number of routes that are told apart; further ones share the first number.
 constexpr std::size_t max_routes = 256;
 
@@ -250,7 +250,31 @@
     return ledger_.has_spare_slots() ? ledger_.choose(question, now) : std::nullopt;
 }
 
-const waiting_call* dispatcher::next_to_place(const std::set<call_key>& passed, instant now) {
+std::optional<placed_call> dispatcher::place_waiting(const waiting_call& call, passed_calls& passed,
+                                                     instant now) const {
+    if (call.cost >= passed.too_large || passed.excluding.contains(call.key)) {
+        return std::nullopt;
+    }
+    const pending_request& pending = pending_.at(call.key);
+    const bool excludes = !pending.request.excluded.empty();
+    if (excludes && passed.excluding.size() >= max_excluding) {
+        return std::nullopt;
+    }
+    const placement_question question = question_of(pending.request);
+    auto placed = ledger_.choose_at(pending.preferred, question, now);
+    if (!placed) {
+        placed = ledger_.choose(question, now);
+    }
+    if (!placed && excludes) {
+        passed.excluding.insert(call.key);
+    } else if (!placed) {
+        passed.too_large = call.cost;
+    }
+    return placed;
+}
+
+const waiting_call* dispatcher::next_to_place(passed_calls& passed,
+                                              std::optional<placed_call>& placed, instant now) {
     const bool may_move = ledger_.has_spare_slots();
     const std::vector<bool> ready = ledger_.ready_engines(now);
     const auto may_go = [&](engine_position preferred) {
@@ -262,7 +286,10 @@
         return nullptr;
     }
     return queue_.visit(now, max_calls_considered, [&](const waiting_call& call) {
-        return may_go(call.preferred) && !passed.contains(call.key);
+        if (may_go(call.preferred)) {
+            placed = place_waiting(call, passed, now);
+        }
+        return placed.has_value();
     });
 }
 
@@ -282,28 +309,16 @@
 }
 
 void dispatcher::grant_waiting(std::vector<addressed_answer>& answers, instant now) {
-    std::set<call_key> passed;
+    passed_calls passed;
     while (queue_.size() > 0 && ledger_.free_slots() > 0) {
-        const waiting_call* next = next_to_place(passed, now);
+        std::optional<placed_call> placed;
+        const waiting_call* next = next_to_place(passed, placed, now);
         if (next == nullptr) {
             return;
         }
         const waiting_call call = *next;
-        const pending_request& pending = pending_.at(call.key);
-        const placement_question question = question_of(pending.request);
-        auto placed = ledger_.choose_at(pending.preferred, question, now);
-        if (!placed) {
-            placed = ledger_.choose(question, now);
-        }
-        if (!placed) {
-            // The call excludes the engines with free slots, or is too large for their caches.
-            if (passed.size() >= max_passed) {
-                return;
-            }
-            passed.insert(call.key);
-            continue;
-        }
-        answers.push_back(grant(call, pending.request, *placed, place_reason::none, now));
+        answers.push_back(
+            grant(call, pending_.at(call.key).request, *placed, place_reason::none, now));
         take_waiting(call.key);
     }
 }
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 /// number of nodes; it grows with the engines of the group and with the calls that wait.
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -115,6 +116,15 @@
         backend_name preferred;
     };
 
+    /// Waiting calls that can't use the slots that are free now.
+    struct passed_calls {
+        /// Calls that exclude the engines with room.
+        std::set<call_key> excluding;
+        /// Size of the smallest call that excludes no engine and finds no room; larger ones find
+        /// none either.
+        double too_large = std::numeric_limits<double>::infinity();
+    };
+
     /// Number of the sender's process, registered if it is new; nothing for a replaced one.
     std::optional<std::uint32_t> process_of(const node_name& node, std::uint64_t process_id,
                                             instant now);
@@ -134,10 +144,13 @@
     /// one while many slots are free.
     [[nodiscard]] std::optional<placed_call> place_at_once(const pending_request& pending,
                                                            instant now) const;
-    /// Next waiting call that gets a free slot; null when none can. A call waits for the engine
-    /// that it prefers, unless that is gone, or many slots are free elsewhere.
-    /// @param passed calls that can't use the free slots
-    const waiting_call* next_to_place(const std::set<call_key>& passed, instant now);
+    /// Next waiting call that gets a free slot, and its place; null when none can. A call waits for
+    /// the engine that it prefers, unless that is gone, or many slots are free elsewhere.
+    const waiting_call* next_to_place(passed_calls& passed, std::optional<placed_call>& placed,
+                                      instant now);
+    /// Place for a waiting call; a call that can't use the free slots is added to `passed`.
+    [[nodiscard]] std::optional<placed_call> place_waiting(const waiting_call& call,
+                                                           passed_calls& passed, instant now) const;
     [[nodiscard]] pending_request make_pending(const place_request& request, instant now) const;
     /// Grants waiting calls the free slots.
     void grant_waiting(std::vector<addressed_answer>& answers, instant now);
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(new_slots_are_used_before_a_call_is_refused);
     CPPUNIT_TEST(a_call_that_excludes_the_free_engine_holds_up_no_other);
     CPPUNIT_TEST(a_call_too_large_for_the_free_cache_holds_up_no_other_and_runs_at_its_limit);
+    CPPUNIT_TEST(many_calls_too_large_for_the_free_cache_hold_up_no_other);
     CPPUNIT_TEST(counts_equal_the_calls_under_way);
     CPPUNIT_TEST(equal_calls_wait_only_while_no_engine_has_room);
     CPPUNIT_TEST(messages_do_not_depend_on_the_number_of_forwarders);
@@ -567,6 +568,29 @@
         CPPUNIT_ASSERT_EQUAL(call_number{3}, given[0].answer.call);
     }
 
+    /// Guards against free slots behind more calls that can't use them than are looked at.
+    void many_calls_too_large_for_the_free_cache_hold_up_no_other() {
+        dispatcher target = make_dispatcher(1, 2, false);
+        target.set_engines({engine("engine-0", 4)}, 400);
+        place_request half = request(1);
+        half.prompt_tokens = 150;
+        expect(place_outcome::granted, target.request(half, at(0)));
+        expect(place_outcome::granted, target.request(request(2), at(0)));
+        call_number call = 2;
+        while (call < 32) {
+            place_request large = request(++call);
+            large.prompt_tokens = 300 - static_cast<std::uint32_t>(call);
+            expect(place_outcome::waiting, target.request(large, at(1)));
+            CPPUNIT_ASSERT(large.prompt_tokens + large.max_tokens > 200);
+        }
+        place_request small = request(++call);
+        small.prompt_tokens = 60;
+        expect(place_outcome::waiting, target.request(small, at(2)));
+        const auto given = target.release(released({2}, release_outcome::not_sent), at(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, given.size());
+        CPPUNIT_ASSERT_EQUAL(call, given[0].answer.call);
+    }
+
     /// Draws messages of three nodes, two processes each, and follows what they mean.
     void counts_equal_the_calls_under_way() {
         check_property("counts equal the calls under way; each has one engine", [] {
