Dispatcher: a repeated request costs no walk over the calls ahead

Cause: forwarders repeat the request of each waiting call every 200 ms, and each answer counted the calls ahead: with n calls waiting, 5 n walks of up to n steps a second (the queue holds up to 4,096). Change: repeated requests are answered by the wait that was expected at arrival. Measured: the new test fails before (200 ms for 100 ms) and passes now.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -347,7 +347,8 @@
         pending->second.request.excluded = std::move(request.excluded);
         addressed_answer addressed = make_answer(key, place_outcome::waiting);
         const waiting_call* call = queue_.find(key);
-        addressed.answer.expected_wait_ms = to_ms(queue_.expected_wait(*call, now));
+        // The present one would cost a walk over the calls ahead for each repeated request.
+        addressed.answer.expected_wait_ms = to_ms(queue_.expected_at_arrival(key));
         addressed.answer.waited_ms = to_ms(now - call->arrived);
         return addressed;
     }
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST_SUITE(dispatcher_test);
     CPPUNIT_TEST(a_call_is_granted_a_free_slot_and_waits_without_one);
     CPPUNIT_TEST(a_repeated_request_gets_the_present_state);
+    CPPUNIT_TEST(a_repeated_request_is_answered_by_the_wait_expected_at_its_arrival);
     CPPUNIT_TEST(without_engines_the_forwarder_decides);
     CPPUNIT_TEST(a_call_is_granted_beyond_the_slots_at_its_longest_wait);
     CPPUNIT_TEST(a_call_without_an_available_engine_is_given_back);
@@ -155,6 +156,26 @@
         expect_counts(2, 1, target);
     }
 
+    /// Guards against a walk over the calls ahead for each repeated request: with 1,000 waiting
+    /// calls, 5,000 walks a second.
+    void a_repeated_request_is_answered_by_the_wait_expected_at_its_arrival() {
+        dispatcher target = make_dispatcher(1, 1, false);
+        for (call_number call = 1; call <= 6; ++call) {
+            target.request(request(call), at(static_cast<int>(call)));
+        }
+        for (call_number call = 1; call <= 5; ++call) {
+            target.release(released({call}), at(100 + 20 * static_cast<int>(call)));
+        }
+        const answers first = target.request(request(7), at(210));
+        expect(place_outcome::waiting, first);
+        CPPUNIT_ASSERT(first[0].answer.expected_wait_ms > 0);
+        place_request urgent = request(8);
+        urgent.route_priority = -1;
+        expect(place_outcome::waiting, target.request(urgent, at(220)));
+        const answers again = target.request(request(7), at(410));
+        CPPUNIT_ASSERT_EQUAL(first[0].answer.expected_wait_ms, again[0].answer.expected_wait_ms);
+    }
+
     void without_engines_the_forwarder_decides() {
         dispatcher target{dispatcher_settings{}};
         expect(place_outcome::unknown_service, target.request(request(1), at(0)));
