Dispatch: a service or call without engines keeps no others from their dispatcher

Cause: a call that excludes all engines of its group (two engines, both tried) waited its longest wait for a slot that no end of a call could give it. The answer then, `unknown_service`, made the forwarder pass the directory node over for 1 to 4 s, for the calls of all services; so did each call to a service without engines. With every directory node passed over in turn, all calls were decided alone. Change: a call that no engine may get is answered `unknown_service` at once, with the slots of the group. With slots above 0 the forwarder decides that call alone (reason `no_engine` of place_alone_total) and passes no node over; without slots it passes the node over for this service only.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -391,6 +391,11 @@
         answers.push_back(grant(call, request, *placed, place_reason::none, now));
         return answers;
     }
+    if (!ledger_.has_eligible_engine(question_of(request), now)) {
+        // No end of a call would give it a slot; the forwarder has its own rules for that.
+        answers.push_back(make_answer(key, place_outcome::unknown_service));
+        return answers;
+    }
     call.preferred = ledger_.position_of(pending.preferred);
     const double slots = ledger_.room().slots;
     queue_.set_capacity(call_ms_ > 0 ? slots * 1'000 / call_ms_ : 0);
--- a/src/tallyfold/plane/dispatch/messages.hpp
+++ b/src/tallyfold/plane/dispatch/messages.hpp
@@ -73,7 +73,8 @@
     /// The call is queued; another answer follows.
     waiting,
     refused,
-    /// The directory node knows no engines of the service; the forwarder decides alone.
+    /// The directory node knows no engines of the service, or, with `slots` above 0, none that the
+    /// call may use; the forwarder decides alone.
     unknown_service,
 };
 
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -67,18 +67,30 @@
                                                      instant now) const {
     const std::vector<node_name> order =
         dispatch::dispatch_order(group, directory_.addresses(), directory_.leader());
-    return choice_.choose(order, now, [this](const node_name& node) {
-        return directory_.supports(node, protocol::format_version::v4);
-    });
+    return choice_.choose(
+        order, now, [&](const node_name& node) { return is_usable(node, group.service, now); });
+}
+
+bool dispatch_client::is_usable(const node_name& node, const std::string& service,
+                                instant now) const {
+    const auto known = choice_by_service_.find(service);
+    const bool knows_service =
+        known == choice_by_service_.end() || !known->second.is_silent(node, now);
+    return knows_service && directory_.supports(node, protocol::format_version::v4);
+}
+
+bool dispatch_client::is_doubtful(const node_name& node, const std::string& service) const {
+    const auto known = choice_by_service_.find(service);
+    return choice_.is_doubtful(node) ||
+           (known != choice_by_service_.end() && known->second.is_doubtful(node));
 }
 
 std::optional<node_name> dispatch_client::renewal_target_of(const dispatch::engine_group& group,
                                                             instant now) const {
     const std::vector<node_name> order =
         dispatch::dispatch_order(group, directory_.addresses(), directory_.leader());
-    const auto reliable = choice_.choose(order, now, [this](const node_name& node) {
-        return !choice_.is_doubtful(node) &&
-               directory_.supports(node, protocol::format_version::v4);
+    const auto reliable = choice_.choose(order, now, [&](const node_name& node) {
+        return !is_doubtful(node, group.service) && is_usable(node, group.service, now);
     });
     return reliable ? reliable : decider_of(group, now);
 }
@@ -100,6 +112,7 @@
     }
     waiting_call waiting(process_.loop());
     waiting.decider = *decider;
+    waiting.service = question.service;
     waiting_[call] = &waiting;
     result = co_await wait_for_place(waiting, question, group);
     waiting_.erase(call);
@@ -138,8 +151,11 @@
         if (waiting.answer && waiting.answer->outcome != dispatch::place_outcome::waiting) {
             place_result result = result_of(*waiting.answer, waiting);
             result.answer_time = answer_time;
-            if (waiting.answer->outcome == dispatch::place_outcome::unknown_service) {
-                pass_over(waiting.decider, group, asked, "unknown_service");
+            const bool knows_service = waiting.answer->slots > 0;
+            if (waiting.answer->outcome == dispatch::place_outcome::unknown_service &&
+                !knows_service) {
+                pass_over(choice_by_service_[group.service], waiting.decider, group, asked,
+                          "unknown_service");
             }
             co_return result;
         }
@@ -148,7 +164,7 @@
             is_unanswered = false;
         }
         if (is_unanswered && now >= asked + answer_timeout) {
-            pass_over(waiting.decider, group, asked, "silent");
+            pass_over(choice_, waiting.decider, group, asked, "silent");
             withdraw(waiting.decider, request.call, request.service);
             metrics_.count_alone("silent");
             co_return without_place;
@@ -189,7 +205,7 @@
             break;
         case dispatch::place_outcome::unknown_service:
         case dispatch::place_outcome::waiting:
-            metrics_.count_alone("unknown_service");
+            metrics_.count_alone(answer.slots > 0 ? "no_engine" : "unknown_service");
             break;
     }
     return result;
@@ -215,11 +231,19 @@
     }
     // A node that does not know the service, such as one that starts, is passed over like a silent
     // one.
-    const bool decides = answer.outcome != dispatch::place_outcome::unknown_service;
-    if (decides && choice_.answered(from)) {
-        logging::write_event(logging::event_id::dispatcher_regained, "peer=" + from);
-    }
     const auto found = waiting_.find(answer.call);
+    if (answer.outcome != dispatch::place_outcome::unknown_service) {
+        bool is_regained = choice_.answered(from);
+        const auto known = found == waiting_.end()
+                               ? choice_by_service_.end()
+                               : choice_by_service_.find(found->second->service);
+        if (known != choice_by_service_.end()) {
+            is_regained = known->second.answered(from) || is_regained;
+        }
+        if (is_regained) {
+            logging::write_event(logging::event_id::dispatcher_regained, "peer=" + from);
+        }
+    }
     if (found != waiting_.end() && found->second->decider == from) {
         found->second->answer = answer;
         found->second->timer.cancel();
@@ -233,10 +257,11 @@
     }
 }
 
-void dispatch_client::pass_over(const node_name& node, const dispatch::engine_group& group,
-                                instant asked_at, const std::string& reason) {
+void dispatch_client::pass_over(decider_choice& choice, const node_name& node,
+                                const dispatch::engine_group& group, instant asked_at,
+                                const std::string& reason) {
     const instant now = http::steady_now();
-    if (!choice_.unanswered(node, asked_at, now)) {
+    if (!choice.unanswered(node, asked_at, now)) {
         return;
     }
     const auto next = decider_of(group, now);
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -80,6 +80,7 @@
         explicit waiting_call(asio::io_context& loop) : timer(loop) {}
         asio::steady_timer timer;
         node_name decider;
+        std::string service;
         /// The latest answer that has not been handled.
         std::optional<dispatch::place_answer> answer;
         bool cancelled = false;
@@ -111,10 +112,18 @@
     place_result result_of(const dispatch::place_answer& answer, const waiting_call& waiting);
     void on_message(const node_name& from, const messaging::peer_message& message);
     void on_answer(const node_name& from, const dispatch::place_answer& answer);
-    /// Passes over a directory node that did not answer or does not know the service.
+    /// Passes over a directory node that did not answer, or, for one service, that does not know
+    /// it.
+    /// @param choice `choice_`, or the service's one of `choice_by_service_`
     /// @param asked_at when the request was sent
-    void pass_over(const node_name& node, const dispatch::engine_group& group, instant asked_at,
+    void pass_over(decider_choice& choice, const node_name& node,
+                   const dispatch::engine_group& group, instant asked_at,
                    const std::string& reason);
+    /// True when the node can be asked for places of the service.
+    [[nodiscard]] bool is_usable(const node_name& node, const std::string& service,
+                                 instant now) const;
+    /// True from a silence of the node until its next answer.
+    [[nodiscard]] bool is_doubtful(const node_name& node, const std::string& service) const;
     void withdraw(const node_name& decider, call_number call, const std::string& service);
     /// Renews the leases of calls that have run for some time, and reports the others where their
     /// dispatcher has changed.
@@ -125,6 +134,9 @@
     directory::directory_client& directory_;
     forwarder_metrics& metrics_;
     decider_choice choice_;
+    /// Directory nodes that do not know the service. By service, since a service without engines
+    /// must not keep the calls of others from their dispatchers.
+    std::map<std::string, decider_choice> choice_by_service_;
     std::uint64_t process_id_;
     call_number next_call_ = 1;
     std::map<call_number, waiting_call*> waiting_;
--- a/tests/plane/forwarding/dispatch_client_test.cpp
+++ b/tests/plane/forwarding/dispatch_client_test.cpp
@@ -114,6 +114,8 @@
     CPPUNIT_TEST(waiting_call_repeats_its_request_until_it_is_granted);
     CPPUNIT_TEST(refused_place_is_returned);
     CPPUNIT_TEST(node_that_knows_no_service_is_passed_over);
+    CPPUNIT_TEST(node_that_knows_no_service_is_asked_for_others);
+    CPPUNIT_TEST(node_without_an_engine_for_a_call_is_asked_for_others);
     CPPUNIT_TEST(call_without_an_answer_is_decided_alone_and_reported_to_the_next_node);
     CPPUNIT_TEST(running_calls_move_with_the_dispatcher);
     CPPUNIT_TEST(running_calls_move_back_after_an_answer_only);
@@ -191,6 +193,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.node(1).requests.size());
     }
 
+    /// Guards against a service without engines for which the calls of all others are decided
+    /// alone.
+    void node_that_knows_no_service_is_asked_for_others() {
+        dispatch_world test(1);
+        test.node(0).reply = place_reply::unknown_service;
+        CPPUNIT_ASSERT(test.acquire(5'000, "empty").kind == place_kind::alone);
+        test.node(0).reply = place_reply::grants;
+        CPPUNIT_ASSERT(test.acquire().kind == place_kind::granted);
+        CPPUNIT_ASSERT(test.acquire(5'000, "empty").kind == place_kind::alone);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, test.node(0).requests.size());
+    }
+
+    /// Guards against one call that has tried all engines, for which those after it are decided
+    /// alone.
+    void node_without_an_engine_for_a_call_is_asked_for_others() {
+        dispatch_world test(1);
+        test.node(0).reply = place_reply::no_engine;
+        CPPUNIT_ASSERT(test.acquire().kind == place_kind::alone);
+        test.node(0).reply = place_reply::grants;
+        CPPUNIT_ASSERT(test.acquire().kind == place_kind::granted);
+    }
+
     void call_without_an_answer_is_decided_alone_and_reported_to_the_next_node() {
         dispatch_world test(2);
         test.node(0).reply = place_reply::silent;
--- a/tests/plane/forwarding/fake_dispatcher.hpp
+++ b/tests/plane/forwarding/fake_dispatcher.hpp
@@ -21,6 +21,8 @@
     waits,
     refuses,
     unknown_service,
+    /// Has engines of the service, but none that the call may use.
+    no_engine,
     silent,
     /// Grants a place to another process of the node.
     grants_other_process,
@@ -126,6 +128,9 @@
                 break;
             case place_reply::unknown_service:
                 break;
+            case place_reply::no_engine:
+                answer.slots = 6;
+                break;
             case place_reply::grants_other_process:
                 ++answer.process_id;
                 [[fallthrough]];
