Dispatch service: a withdrawal goes to dispatchers that know the call

Cause: a release without an engine (a withdrawn request, a late grant) went to every dispatcher of the service on the node: with 10,000 engines and three directory nodes, some 52 of them for each caller that leaves. Each also registered the sender as the present process of its node; a late one of an earlier process ended the calls of the present process and shut it out, in groups that neither had to do with. Change: such a release goes to the dispatchers in which the call runs or waits. Measured: the new test of dispatch_service_test fails before (9 passed, 1 failed) and passes now (10 passed).

--- a/src/tallyfold/plane/directory/dispatch_service_shell.cpp
+++ b/src/tallyfold/plane/directory/dispatch_service_shell.cpp
@@ -95,19 +95,22 @@
 }
 
 std::vector<dispatch::engine_group> dispatch_service::groups_of_call(
-    const std::string& service, const backend_name& engine) const {
-    const auto known = services_.find(service);
+    const dispatch::place_release& release, const dispatch::released_call& call) const {
+    const auto known = services_.find(call.service);
     if (known != services_.end()) {
-        const auto group = known->second.group_of.find(engine);
+        const auto group = known->second.group_of.find(call.engine);
         if (group != known->second.group_of.end()) {
-            return {{service, group->second}};
+            return {{call.service, group->second}};
         }
     }
-    // Without an engine the call may be known to any dispatcher of the service.
+    // Without an engine the call may be known to any dispatcher of the service. The others must not
+    // get the message: the work of a withdrawn call would grow with the number of groups, and each
+    // of them would take the sender for a present process of its node.
     std::vector<dispatch::engine_group> groups;
-    for (const auto& entry : dispatchers_) {
-        if (service.empty() || entry.first.service == service) {
-            groups.push_back(entry.first);
+    for (const auto& [group, dispatcher] : dispatchers_) {
+        const bool matches = call.service.empty() || group.service == call.service;
+        if (matches && dispatcher.knows_call(release.node, release.process_id, call.call)) {
+            groups.push_back(group);
         }
     }
     return groups;
@@ -146,7 +149,7 @@
     channels_[release.node] = channel;
     std::map<dispatch::engine_group, dispatch::place_release> parts;
     for (const dispatch::released_call& call : release.calls) {
-        for (const dispatch::engine_group& group : groups_of_call(call.service, call.engine)) {
+        for (const dispatch::engine_group& group : groups_of_call(release, call)) {
             dispatch::place_release& part = parts[group];
             part.node = release.node;
             part.process_id = release.process_id;
--- a/src/tallyfold/plane/directory/dispatch_service_shell.hpp
+++ b/src/tallyfold/plane/directory/dispatch_service_shell.hpp
@@ -57,9 +57,9 @@
     void update_dispatcher(const dispatch::engine_group& group, dispatch::dispatcher& target);
     /// Dispatcher of the group, created when the service has engines; null otherwise.
     dispatch::dispatcher* dispatcher_for(const dispatch::engine_group& group);
-    /// Groups that may know of a call.
+    /// Groups that a released call may be known in.
     [[nodiscard]] std::vector<dispatch::engine_group> groups_of_call(
-        const std::string& service, const backend_name& engine) const;
+        const dispatch::place_release& release, const dispatch::released_call& call) const;
     void send(const std::vector<dispatch::addressed_answer>& answers);
     void record(const dispatch::addressed_answer& addressed);
     void note_fault(const node_name& from, dispatch::message_fault fault);
--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -105,6 +105,16 @@
     return known.current;
 }
 
+bool dispatcher::knows_call(const node_name& node, std::uint64_t process_id,
+                            call_number call) const {
+    const auto known = nodes_.find(node);
+    if (known == nodes_.end() || processes_[known->second.current].process_id != process_id) {
+        return false;
+    }
+    const call_key key{known->second.current, call};
+    return pending_.contains(key) || !ledger_.engine_of(key).empty();
+}
+
 void dispatcher::drop_process(std::uint32_t process) {
     ledger_.finish_process(process);
     std::vector<call_key> waiting;
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -85,6 +85,9 @@
     /// Ends leases and waits; to be called each 20 ms. @return grants for waiting calls
     std::vector<addressed_answer> tick(instant now);
 
+    /// True when a call of the node's present process runs or waits here.
+    [[nodiscard]] bool knows_call(const node_name& node, std::uint64_t process_id,
+                                  call_number call) const;
     /// Fault of the last message.
     [[nodiscard]] message_fault last_fault() const { return fault_; }
     [[nodiscard]] const group_room& room() const { return ledger_.room(); }
--- a/tests/plane/directory/dispatch_service_test.cpp
+++ b/tests/plane/directory/dispatch_service_test.cpp
@@ -127,14 +127,15 @@
         CPPUNIT_ASSERT_EQUAL(call, answers[before].call);
         return answers[before];
     }
-    void release(dispatch::call_number call, const std::string& service,
-                 const backend_name& engine) {
+    /// @param process of the forwarder that releases the call
+    void release(dispatch::call_number call, const std::string& service, const backend_name& engine,
+                 std::uint64_t process = 1) {
         dispatch::released_call ended;
         ended.call = call;
         ended.service = service;
         ended.outcome = engine.empty() ? release_outcome::not_sent : release_outcome::answered;
         ended.engine = engine;
-        link_->send(dispatch::place_release{"forwarder", 1, {ended}});
+        link_->send(dispatch::place_release{"forwarder", process, {ended}});
     }
     void renew(dispatch::call_number call, const backend_name& engine) {
         link_->send(dispatch::place_renewal{"forwarder", 1, {{call, "model", engine, 0, 20}}});
@@ -230,6 +231,7 @@
     CPPUNIT_TEST(engine_that_leaves_the_list_gets_no_calls);
     CPPUNIT_TEST(service_that_leaves_the_configuration_becomes_unknown);
     CPPUNIT_TEST(place_is_released_without_its_engine);
+    CPPUNIT_TEST(withdrawal_of_an_unknown_call_ends_no_other_process);
     CPPUNIT_TEST(renewed_calls_take_slots);
     CPPUNIT_TEST(programs_are_dispatched_by_their_group);
     CPPUNIT_TEST_SUITE_END();
@@ -335,6 +337,18 @@
         CPPUNIT_ASSERT(world.answer_to(4).outcome == place_outcome::granted);
     }
 
+    /// Guards against a withdrawal that goes to all groups of a service, and in each of them makes
+    /// its sender, a process of before, the present one, whose calls it ends.
+    void withdrawal_of_an_unknown_call_ends_no_other_process() {
+        dispatch_service_world world;
+        world.use_list(engines(1));
+        CPPUNIT_ASSERT(world.answer_to(1).outcome == place_outcome::granted);
+        world.release(9, "model", {}, 7);
+        CPPUNIT_ASSERT(world.answer_to(2).outcome == place_outcome::waiting);
+        world.release(1, "model", "engine-100");
+        CPPUNIT_ASSERT_EQUAL(backend_name("engine-100"), world.granted(2));
+    }
+
     /// Guards against a dispatcher that has restarted and grants slots which are taken.
     void renewed_calls_take_slots() {
         dispatch_service_world world;
