Dispatcher: request() in three functions

Change: decide() grants, queues or refuses a new call, and enqueue() the one that has to wait; no change of behaviour. Measured: the twelve test classes of plane/dispatch, dispatch_service, engine_speed and engine_pace pass.

--- a/src/tallyfold/plane/dispatch/dispatcher.cpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.cpp
@@ -367,26 +367,29 @@
     return addressed;
 }
 
-std::vector<addressed_answer> dispatcher::request(const place_request& request, instant now) {
-    fault_ = message_fault::none;
-    last_message_ = now;
-    std::vector<addressed_answer> answers;
-    if (!is_valid(request)) {
-        fault_ = message_fault::absurd_value;
-        return answers;
-    }
-    const auto process = process_of(request.node, request.process_id, now);
-    if (!process) {
-        return answers;
+void dispatcher::enqueue(const waiting_call& call, pending_request&& pending,
+                         std::vector<addressed_answer>& answers, instant now) {
+    const double slots = ledger_.room().slots;
+    queue_.set_capacity(call_ms_ > 0 ? slots * 1'000 / call_ms_ : 0);
+    if (const auto refusal = queue_.push(call, now)) {
+        answers.push_back(refuse(call, *refusal));
+        return;
     }
-    const call_key key{*process, request.call};
-    if (pending_.contains(key) || !ledger_.engine_of(key).empty()) {
-        answers.push_back(answer_known_call(key, place_request(request), now));
-        return answers;
+    pending_.emplace(call.key, std::move(pending));
+    ++waiting_for_[call.preferred];
+    grant_waiting(answers, now);
+    if (pending_.contains(call.key)) {
+        addressed_answer addressed = make_answer(call.key, place_outcome::waiting);
+        addressed.answer.expected_wait_ms = to_ms(queue_.expected_at_arrival(call.key));
+        answers.push_back(addressed);
     }
+}
+
+void dispatcher::decide(const call_key& key, const place_request& request,
+                        std::vector<addressed_answer>& answers, instant now) {
     if (!ledger_.has_engines()) {
         answers.push_back(make_answer(key, place_outcome::unknown_service));
-        return answers;
+        return;
     }
     if (!is_valid_weight(request.tenant_weight)) {
         fault_ = message_fault::absurd_value;
@@ -399,28 +402,35 @@
     pending_request pending = make_pending(request, now);
     if (const auto placed = place_at_once(pending, now)) {
         answers.push_back(grant(call, request, *placed, place_reason::none, now));
-        return answers;
+        return;
     }
     if (!ledger_.has_eligible_engine(question_of(request), now)) {
         // No end of a call would give it a slot; the forwarder has its own rules for that.
         answers.push_back(make_answer(key, place_outcome::unknown_service));
-        return answers;
+        return;
     }
     call.preferred = ledger_.position_of(pending.preferred);
-    const double slots = ledger_.room().slots;
-    queue_.set_capacity(call_ms_ > 0 ? slots * 1'000 / call_ms_ : 0);
-    if (const auto refusal = queue_.push(call, now)) {
-        answers.push_back(refuse(call, *refusal));
+    enqueue(call, std::move(pending), answers, now);
+}
+
+std::vector<addressed_answer> dispatcher::request(const place_request& request, instant now) {
+    fault_ = message_fault::none;
+    last_message_ = now;
+    std::vector<addressed_answer> answers;
+    if (!is_valid(request)) {
+        fault_ = message_fault::absurd_value;
         return answers;
     }
-    pending_.emplace(key, std::move(pending));
-    ++waiting_for_[call.preferred];
-    grant_waiting(answers, now);
-    if (pending_.contains(key)) {
-        addressed_answer addressed = make_answer(key, place_outcome::waiting);
-        addressed.answer.expected_wait_ms = to_ms(queue_.expected_at_arrival(key));
-        answers.push_back(addressed);
+    const auto process = process_of(request.node, request.process_id, now);
+    if (!process) {
+        return answers;
+    }
+    const call_key key{*process, request.call};
+    if (pending_.contains(key) || !ledger_.engine_of(key).empty()) {
+        answers.push_back(answer_known_call(key, place_request(request), now));
+        return answers;
     }
+    decide(key, request, answers, now);
     return answers;
 }
 
--- a/src/tallyfold/plane/dispatch/dispatcher.hpp
+++ b/src/tallyfold/plane/dispatch/dispatcher.hpp
@@ -139,6 +139,12 @@
     [[nodiscard]] static placement_question question_of(const place_request& request);
     [[nodiscard]] addressed_answer make_answer(const call_key& key, place_outcome outcome) const;
     addressed_answer answer_known_call(const call_key& key, place_request&& request, instant now);
+    /// Grants a new call a place, queues it or refuses it.
+    void decide(const call_key& key, const place_request& request,
+                std::vector<addressed_answer>& answers, instant now);
+    /// Queues a call that has to wait, or refuses it.
+    void enqueue(const waiting_call& call, pending_request&& pending,
+                 std::vector<addressed_answer>& answers, instant now);
     addressed_answer refuse(const waiting_call& call, const queue_refusal& refusal);
     /// Registers the call at the engine. @param arrived when its first request arrived
     addressed_answer grant(const waiting_call& call, const place_request& request,
