Forwarder: bound the event data that is kept of an answer

Cause: event_stream_reader kept the data of every answer until its end, and grew an incomplete line without a bound, so a stream that a caller does not read held as much memory as its back end had sent. Change: data is kept only for turns with a history, up to 4 MiB; an answer beyond that is broken off, since its turn can't be stored. An incomplete event of a resumable stream has the same bound. The piece that has been rendered is freed before its write.

--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -14,6 +14,10 @@
 /// one request.
 constexpr std::uint64_t max_buffered_answer_bytes = 64U << 10U;
 
+/// Bound of the event data that is kept for the history of a turn; the size of the largest request
+/// body by default, since the next turn sends the history as a part of its body.
+constexpr std::size_t max_kept_event_bytes = 4U << 20U;
+
 bool is_success(const http::message_head& head) {
     return head.status / 100 == 2;
 }
@@ -50,7 +54,11 @@
 
 answer_relay::answer_relay(forwarder_context& context, const forwarded_request& request,
                            caller_channel& caller, turn_session* turn)
-    : context_(context), request_(request), caller_(caller), turn_(turn) {}
+    : context_(context),
+      request_(request),
+      caller_(caller),
+      turn_(turn),
+      events_(turn != nullptr && request.route.keeps_history ? max_kept_event_bytes : 0) {}
 
 void answer_relay::record_first_byte(unsigned status, instant now) {
     status_ = status;
@@ -143,8 +151,8 @@
         if (resumable_stream && !retain_complete_events(*piece, complete)) {
             co_return relay_failure(failure_kind::event_missing);
         }
-        if (success) {
-            record_events(*piece, backend);
+        if (success && !record_events(*piece, backend)) {
+            co_return relay_failure(failure_kind::turn_end_unconfirmed);
         }
         if (complete && received_handler_) {
             received_handler_();
@@ -156,6 +164,8 @@
             }
         }
         outgoing += render_piece(*piece, complete);
+        // The caller may not read for long; the piece isn't needed any more.
+        std::string().swap(*piece);
         if (outgoing.empty()) {
             continue;
         }
@@ -202,12 +212,13 @@
     return true;
 }
 
-void answer_relay::record_events(const std::string& piece, const backend_name& backend) {
+bool answer_relay::record_events(const std::string& piece, const backend_name& backend) {
     events_.feed(piece);
     if (request_.service.is_engine) {
         pace_.record_events(context_.backends.pace_of(request_.service.name), backend,
                             events_.events(), http::steady_now());
     }
+    return !events_.overflowed();
 }
 
 asio::awaitable<bool> answer_relay::settle_turn(const backend_name& backend) {
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -74,7 +74,8 @@
     /// @return false when an event is missing in the stream
     bool retain_complete_events(std::string& piece, bool complete);
     /// Counts the events of a piece and updates the engine's pace.
-    void record_events(const std::string& piece, const backend_name& backend);
+    /// @return false when the events exceed what can be stored of a turn
+    bool record_events(const std::string& piece, const backend_name& backend);
     /// Stores the end of the turn durably, if one is open. @return false when that failed
     /// @param backend must outlive the call
     asio::awaitable<bool> settle_turn(const backend_name& backend);
--- a/src/tallyfold/plane/http/event_boundary_filter.cpp
+++ b/src/tallyfold/plane/http/event_boundary_filter.cpp
@@ -69,6 +69,10 @@
         rest.remove_prefix(end);
     }
     partial_ = std::string(rest);
+    if (partial_.size() > max_partial_bytes) {
+        std::string().swap(partial_);
+        in_order_ = false;
+    }
     return forwarded;
 }
 
--- a/src/tallyfold/plane/http/event_boundary_filter.hpp
+++ b/src/tallyfold/plane/http/event_boundary_filter.hpp
@@ -5,6 +5,7 @@
 ///
 /// Detects repeated and missing events by their identifiers, where these are numbers.
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -13,6 +14,9 @@
 
 class event_boundary_filter {
   public:
+    /// Bound of an incomplete event, which is held back. A longer event counts as missing.
+    static constexpr std::size_t max_partial_bytes = 4U << 20U;
+
     /// Adds input, which may be split at any byte. @return the events that are complete now and
     /// haven't been returned before
     std::string feed(std::string_view bytes);
--- a/tests/plane/http/message_parser_test.cpp
+++ b/tests/plane/http/message_parser_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(reports_head_over_size_limit);
     CPPUNIT_TEST(removes_hop_by_hop_fields);
     CPPUNIT_TEST(reads_events_split_at_any_byte);
+    CPPUNIT_TEST(event_data_and_lines_are_bounded);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t max_head_bytes = 16U << 10U;
@@ -100,7 +101,7 @@
         const std::string text =
             "id: 1\ndata: one\n\nid: 2\nx-weight-versions: 4\ndata: two\n\nid: 3\ndata: cut";
         for (std::size_t cut = 0; cut <= text.size(); ++cut) {
-            event_stream_reader reader;
+            event_stream_reader reader(64);
             reader.feed(text.substr(0, cut));
             reader.feed(text.substr(cut));
             CPPUNIT_ASSERT_EQUAL(std::string("one\ntwo\n"), reader.data());
@@ -108,6 +109,30 @@
             CPPUNIT_ASSERT(!reader.at_boundary());
         }
     }
+
+    /// Guards against answers that are collected in memory: lines without an end, and events of
+    /// which nothing is kept.
+    void event_data_and_lines_are_bounded() {
+        event_stream_reader counting(0);
+        event_stream_reader keeping(10);
+        for (int number = 0; number < 1'000; ++number) {
+            counting.feed("data: 0123456789\n\n");
+        }
+        keeping.feed("data: 012345\n\n");
+        CPPUNIT_ASSERT(!keeping.overflowed());
+        keeping.feed("data: 6789\n\n");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1'000}, counting.events());
+        CPPUNIT_ASSERT(!counting.overflowed());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, keeping.events());
+        CPPUNIT_ASSERT(keeping.overflowed());
+        const std::string part(1'000, 'x');
+        for (int number = 0; number < 1'000; ++number) {
+            counting.feed(part);
+            keeping.feed(part);
+        }
+        CPPUNIT_ASSERT(counting.held_bytes() < 100);
+        CPPUNIT_ASSERT(keeping.held_bytes() < 100);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(message_parser_test);
