--- a/src/tallyfold/plane/directory/dispatch_service_shell.hpp
+++ b/src/tallyfold/plane/directory/dispatch_service_shell.hpp
@@ -73,7 +73,7 @@
     std::map<std::string, service_engines> services_;
     std::map<dispatch::engine_group, dispatch::dispatcher> dispatchers_;
     std::map<node_name, std::weak_ptr<messaging::frame_channel>> channels_;
-    /// What services_ was built from.
+    /// Versions of the inputs that services_ was built from.
     discovery::list_fingerprint list_in_use_ = 0;
     std::uint64_t evacuations_in_use_ = 0;
     routing::configuration_version configuration_in_use_ = routing::no_version;
--- a/src/tallyfold/plane/dispatch/place_ledger.hpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.hpp
@@ -27,7 +27,7 @@
 /// the seconds for which a dead forwarder would otherwise hold slots.
 constexpr duration lease_time = std::chrono::milliseconds(2'000);
 
-/// What the choice of an engine depends on, besides the engines. Null lists are empty ones.
+/// A call that needs an engine. Null lists count as empty.
 struct placement_question {
     /// Zone of the forwarder.
     std::string zone;
@@ -55,7 +55,7 @@
     std::uint16_t route = 0;
 };
 
-/// What ended a call, as far as the ledger learns from it.
+/// End of a call, as far as the ledger learns from it.
 struct call_end {
     release_outcome outcome = release_outcome::not_sent;
     std::uint32_t generated_tokens = 0;
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -9,9 +9,8 @@
 namespace {
 
 /// Factor on the expected wait of all calls of a new program: later calls wait longer than the
-/// first one while load rises, and some wait far longer than the mean. In the load replay (12
-/// seeds, 2.5 times the load), 1, 2, 3 and 4 gave 467, 308, 246 and 191 ms to the first event at
-/// the 95th percentile; 4 refuses more programs of urgent routes.
+/// first one while load rises, and some wait far longer than the mean. Larger factors refuse
+/// more programs of urgent routes.
 constexpr double program_wait_factor = 3;
 /// Weight of a granted call in the averages that correct expected waits.
 constexpr double correction_weight = 0.02;
--- a/src/tallyfold/scheduling/engine_speed.hpp
+++ b/src/tallyfold/scheduling/engine_speed.hpp
@@ -16,7 +16,7 @@
 
 namespace tallyfold::scheduling {
 
-/// What one answered call showed of its engine.
+/// Observation of an engine by one answered call.
 struct speed_sample {
     /// Calls that ran at the engine when this one began, itself included.
     std::uint32_t running = 1;
--- a/tests/plane/dispatch/answer_length_test.cpp
+++ b/tests/plane/dispatch/answer_length_test.cpp
@@ -7,7 +7,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// What the ledger learns from answers whose length is unknown.
+/// Answers of unknown length and the expected length of an answer.
 class answer_length_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(answer_length_test);
     CPPUNIT_TEST(answers_without_events_do_not_count_as_empty);
--- a/tests/plane/dispatch/dispatcher_test.cpp
+++ b/tests/plane/dispatch/dispatcher_test.cpp
@@ -699,7 +699,7 @@
                     RC_ASSERT(target.ledger().running_at(each) == at_engine[each]);
                 }
             }
-            // What no message ends, leases and unrepeated requests do.
+            // Calls that no message ended are ended by their leases or leave the queue.
             for (int time = 0; time < 6'000; time += 20) {
                 target.tick(now + std::chrono::milliseconds(time));
             }
--- a/tests/plane/forwarding/dispatch_client_test.cpp
+++ b/tests/plane/forwarding/dispatch_client_test.cpp
@@ -295,7 +295,7 @@
         CPPUNIT_ASSERT_EQUAL(late.address(), test.acquire().decider);
     }
 
-    /// Guards against a running call that its dispatcher forgets.
+    /// Guards against a running call that its dispatcher no longer counts.
     void late_grant_of_a_reported_call_is_kept() {
         dispatch_world test(1);
         fake_dispatcher& node = test.node(0);
