--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Round trip between two zones, in milliseconds.
+/// Typical round trip between two zones of a region, in milliseconds; small against prefills.
 constexpr double zone_round_trip_ms = 2.8;
 /// Handshake of a new connection beyond its round trip, in milliseconds.
 constexpr double handshake_ms = 1;
