Dispatch: one word for a dispatcher, shared conversions of durations

A newcomer met two words for the node that dispatches a group: files, fields and a class said decider, events and documents say dispatcher. The C++ code says dispatcher now.

Four files had their own conversion between durations and fractional milliseconds; base/common/time.hpp has one of each. A request for a place is no longer called a question where it is built and sent, and record_granted says why only work of busy times counts against shares.

No behaviour changes; no test or check is altered but for the names.

--- a/src/tallyfold/base/common/time.hpp
+++ b/src/tallyfold/base/common/time.hpp
@@ -26,4 +26,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// `value` in milliseconds, with its fraction.
+constexpr double exact_milliseconds(duration value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// Duration of `value` milliseconds, rounded toward zero to microseconds.
+constexpr duration from_milliseconds(double value) {
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
+}
+
 }  // namespace tallyfold
--- a/src/tallyfold/plane/decisions/decider_choice.cpp
+++ b/src/tallyfold/plane/decisions/dispatcher_choice.cpp
@@ -1,15 +1,15 @@
-#include "tallyfold/plane/decisions/decider_choice.hpp"
+#include "tallyfold/plane/decisions/dispatcher_choice.hpp"
 
 #include <algorithm>
 
 namespace tallyfold::forwarding {
 
-bool decider_choice::is_silent(const node_name& node, instant now) const {
+bool dispatcher_choice::is_silent(const node_name& node, instant now) const {
     const auto found = silent_.find(node);
     return found != silent_.end() && now < found->second.until;
 }
 
-bool decider_choice::unanswered(const node_name& node, instant asked_at, instant now) {
+bool dispatcher_choice::unanswered(const node_name& node, instant asked_at, instant now) {
     const auto [found, is_new] = silent_.try_emplace(node);
     silence& known = found->second;
     if (!is_new) {
@@ -23,7 +23,7 @@
     return true;
 }
 
-bool decider_choice::answered(const node_name& node) {
+bool dispatcher_choice::answered(const node_name& node) {
     return silent_.erase(node) > 0;
 }
 
--- a/src/tallyfold/plane/decisions/decider_choice.hpp
+++ b/src/tallyfold/plane/decisions/dispatcher_choice.hpp
@@ -16,7 +16,7 @@
 
 namespace tallyfold::forwarding {
 
-class decider_choice {
+class dispatcher_choice {
   public:
     /// Delay before a silent node is asked again; doubles with each further silence.
     static constexpr duration first_retry_delay = std::chrono::seconds(1);
--- a/src/tallyfold/plane/dispatch/place_ledger.cpp
+++ b/src/tallyfold/plane/dispatch/place_ledger.cpp
@@ -32,14 +32,6 @@
 /// Weight of an ended call in the share of the longest answer that calls generate.
 constexpr double answer_share_weight = 0.02;
 
-double milliseconds(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
-duration from_milliseconds(double value) {
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
-}
-
 bool lists(const std::vector<backend_name>* names, const backend_name& name) {
     return names != nullptr && std::find(names->begin(), names->end(), name) != names->end();
 }
@@ -167,7 +159,7 @@
 double place_ledger::token_ms(const backend_name& engine, std::uint32_t running,
                               instant now) const {
     const double learned =
-        learns_speed_ ? milliseconds(speed_.token_time(engine, running, now)) : 0;
+        learns_speed_ ? exact_milliseconds(speed_.token_time(engine, running, now)) : 0;
     return learned > 0 ? learned : default_token_ms;
 }
 
@@ -179,8 +171,8 @@
     const double connect = lists(question.connected, member.name) ? 0 : handshake_ms + way;
     const auto uncached = static_cast<double>(question.prompt_tokens -
                                               std::min(cached_tokens, question.prompt_tokens));
-    const double prefill = uncached * milliseconds(speed_.prefill_time_per_token());
-    const double pending = std::max(0.0, milliseconds(use.prefilled_at - now));
+    const double prefill = uncached * exact_milliseconds(speed_.prefill_time_per_token());
+    const double pending = std::max(0.0, exact_milliseconds(use.prefilled_at - now));
     const double tokens = static_cast<double>(question.max_tokens) * answer_share_;
     return way + connect + pending + prefill * (1 + delay_of_running_call * use.running) +
            running_call_ms * use.running + tokens * token_ms(member.name, use.running + 1, now);
@@ -305,7 +297,8 @@
     use.tokens += size.tokens;
     ++room_.running;
     room_.tokens += size.tokens;
-    const double prefill_ms = size.uncached_tokens * milliseconds(speed_.prefill_time_per_token());
+    const double prefill_ms =
+        size.uncached_tokens * exact_milliseconds(speed_.prefill_time_per_token());
     use.prefilled_at = std::max(use.prefilled_at, now) + from_milliseconds(prefill_ms);
     found->second = {index, size, use.running, now, now + lease_time};
 }
@@ -365,7 +358,7 @@
     sample.first_event = ended.first_event;
     const double tokens_per_event = std::max(
         1.0, static_cast<double>(ended.generated_tokens) / static_cast<double>(ended.events));
-    sample.token_time = from_milliseconds(milliseconds(ended.gap) / tokens_per_event);
+    sample.token_time = from_milliseconds(exact_milliseconds(ended.gap) / tokens_per_event);
     speed_.record(engine, sample, now);
 }
 
--- a/src/tallyfold/plane/dispatch/program_needs.cpp
+++ b/src/tallyfold/plane/dispatch/program_needs.cpp
@@ -25,10 +25,6 @@
     value = value > 0 ? value + average_weight * (sample - value) : sample;
 }
 
-double milliseconds(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 }  // namespace
 
 const program_needs::route_statistics* program_needs::find(const std::string& route) const {
@@ -61,7 +57,7 @@
     if (call.used_tokens > 0 || !call.time_left || known.objective_ms <= 0) {
         return 0;
     }
-    const double ratio = milliseconds(*call.time_left) / known.objective_ms;
+    const double ratio = exact_milliseconds(*call.time_left) / known.objective_ms;
     return usual_calls(known) * std::clamp(ratio, 0.0, max_objective_ratio);
 }
 
@@ -77,7 +73,7 @@
     if (found != programs_.end()) {
         const duration step = call.arrived - found->second.started;
         if (step > duration::zero() && step <= max_step) {
-            average(known.step_ms, milliseconds(step));
+            average(known.step_ms, exact_milliseconds(step));
         }
         found->second.started = now;
     } else if (programs_.size() < max_programs) {
@@ -92,7 +88,7 @@
     }
     record_program(*known, call, now);
     if (call.used_tokens == 0 && call.time_left && *call.time_left > duration::zero()) {
-        average(known->objective_ms, milliseconds(*call.time_left));
+        average(known->objective_ms, exact_milliseconds(*call.time_left));
     }
     known->calls[position_of(*known, call.used_tokens)] += 1;
     known->total += 1;
@@ -110,7 +106,7 @@
         return;
     }
     average(known->tokens_per_call, static_cast<double>(generated));
-    average(known->call_ms, milliseconds(took));
+    average(known->call_ms, exact_milliseconds(took));
 }
 
 double program_needs::later_calls(const route_statistics& known, const program_call& call) const {
@@ -143,8 +139,7 @@
         return duration::zero();
     }
     const double step = std::max(known->step_ms, known->call_ms);
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-        known->call_ms + later_calls(*known, call) * step));
+    return from_milliseconds(known->call_ms + later_calls(*known, call) * step);
 }
 
 bool program_needs::is_runaway(const std::string& route, token_count used_tokens) const {
--- a/src/tallyfold/plane/dispatch/wait_queue.cpp
+++ b/src/tallyfold/plane/dispatch/wait_queue.cpp
@@ -17,10 +17,6 @@
 /// Upper bound of the correction, against averages of few calls.
 constexpr double max_correction = 4;
 
-double milliseconds(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 duration scaled(duration value, double factor) {
     return std::chrono::duration_cast<duration>(value * factor);
 }
@@ -29,15 +25,16 @@
 
 void wait_queue::record_granted(const waiting_call& call, instant now) {
     rates_.record_granted(call.priority, now);
+    // A slot that is granted while no call waits takes nothing from other tenants.
     if (!calls_.empty()) {
         shares_.record(call.tenant, call.tenant_weight, call.cost, now);
     }
     const auto queued = calls_.find(call.key);
     if (queued != calls_.end() && queued->second.estimate > duration::zero()) {
-        const double waited = milliseconds(now - call.arrived);
+        const double waited = exact_milliseconds(now - call.arrived);
         waited_ms_ += correction_weight * (waited - waited_ms_);
         estimated_ms_ +=
-            correction_weight * (milliseconds(queued->second.estimate) - estimated_ms_);
+            correction_weight * (exact_milliseconds(queued->second.estimate) - estimated_ms_);
     }
 }
 
@@ -212,10 +209,10 @@
             const std::size_t regular = queue.in_time.size() + queue.late.size();
             if (priority < call.priority) {
                 ahead += regular + queue.runaway.size();
-            } else if (const share_level level = level_of(tenant, now);
-                       call.runaway || level == own) {
+            } else if (const share_level share = level_of(tenant, now);
+                       call.runaway || share == own) {
                 ahead += calls_before(queue, call, is_late);
-            } else if (level < own) {
+            } else if (share < own) {
                 ahead += regular;
             }
         }
--- a/src/tallyfold/plane/forwarding/call_place_shell.cpp
+++ b/src/tallyfold/plane/forwarding/call_place_shell.cpp
@@ -33,7 +33,7 @@
     return request_.service.is_engine && context_.dispatch.is_enabled();
 }
 
-dispatch::place_request call_place::make_question(const selection_request& question) const {
+dispatch::place_request call_place::make_place_request(const selection_request& question) const {
     const instant now = http::steady_now();
     const request_metadata& facts = request_.facts;
     dispatch::place_request asked;
@@ -81,7 +81,7 @@
 }
 
 asio::awaitable<place_result> call_place::acquire(const selection_request& question) {
-    dispatch::place_request asked = make_question(question);
+    dispatch::place_request asked = make_place_request(question);
     asked.call = context_.dispatch.next_call();
     waiting_ = asked.call;
     const std::size_t engines = context_.backends.count(request_.service.name);
--- a/src/tallyfold/plane/forwarding/call_place_shell.hpp
+++ b/src/tallyfold/plane/forwarding/call_place_shell.hpp
@@ -38,7 +38,8 @@
                  token_count generated_tokens);
 
   private:
-    [[nodiscard]] dispatch::place_request make_question(const selection_request& question) const;
+    [[nodiscard]] dispatch::place_request make_place_request(
+        const selection_request& question) const;
 
     forwarder_context& context_;
     const forwarded_request& request_;
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.cpp
@@ -63,8 +63,8 @@
     return {service, dispatch::group_of_program(key, dispatch::group_count(engines))};
 }
 
-std::optional<node_name> dispatch_client::decider_of(const dispatch::engine_group& group,
-                                                     instant now) const {
+std::optional<node_name> dispatch_client::dispatcher_of(const dispatch::engine_group& group,
+                                                        instant now) const {
     const std::vector<node_name> order =
         dispatch::dispatch_order(group, directory_.addresses(), directory_.leader());
     return choice_.choose(
@@ -92,32 +92,31 @@
     const auto reliable = choice_.choose(order, now, [&](const node_name& node) {
         return !is_doubtful(node, group.service) && is_usable(node, group.service, now);
     });
-    return reliable ? reliable : decider_of(group, now);
+    return reliable ? reliable : dispatcher_of(group, now);
 }
 
-asio::awaitable<place_result> dispatch_client::acquire(dispatch::place_request& question,
+asio::awaitable<place_result> dispatch_client::acquire(dispatch::place_request& request,
                                                        std::size_t engines) {
     const instant began = http::steady_now();
-    const call_number call = question.call;
-    question.node = process_.settings().node;
-    question.process_id = process_id_;
-    const dispatch::engine_group group =
-        group_of(question.service, question.program, call, engines);
-    const auto decider = decider_of(group, began);
+    const call_number call = request.call;
+    request.node = process_.settings().node;
+    request.process_id = process_id_;
+    const dispatch::engine_group group = group_of(request.service, request.program, call, engines);
+    const auto dispatcher = dispatcher_of(group, began);
     place_result result;
-    if (!decider) {
+    if (!dispatcher) {
         metrics_.count_alone("no_dispatcher");
         result.call = call;
         co_return result;
     }
     waiting_call waiting(process_.loop());
-    waiting.decider = *decider;
-    waiting.service = question.service;
+    waiting.dispatcher = *dispatcher;
+    waiting.service = request.service;
     waiting_[call] = &waiting;
-    result = co_await wait_for_place(waiting, question, group);
+    result = co_await wait_for_place(waiting, request, group);
     waiting_.erase(call);
     result.call = call;
-    result.decider = waiting.decider;
+    result.dispatcher = waiting.dispatcher;
     co_return result;
 }
 
@@ -129,7 +128,7 @@
     instant asked = began;
     bool is_unanswered = true;
     duration answer_time{};
-    directory_.send_to(waiting.decider, request);
+    directory_.send_to(waiting.dispatcher, request);
     while (true) {
         const instant limit = asked + (is_unanswered ? answer_timeout : repeat_interval);
         const instant until = std::min(limit, std::max(end, asked + answer_timeout));
@@ -145,7 +144,7 @@
         without_place.answer_time = answer_time == duration::zero() ? now - began : answer_time;
         without_place.waited = now - began - without_place.answer_time;
         if (waiting.cancelled) {
-            withdraw(waiting.decider, request.call, request.service);
+            withdraw(waiting.dispatcher, request.call, request.service);
             co_return without_place;
         }
         if (waiting.answer && waiting.answer->outcome != dispatch::place_outcome::waiting) {
@@ -154,7 +153,7 @@
             const bool knows_service = waiting.answer->slots > 0;
             if (waiting.answer->outcome == dispatch::place_outcome::unknown_service &&
                 !knows_service) {
-                pass_over(choice_by_service_[group.service], waiting.decider, group, asked,
+                pass_over(choice_by_service_[group.service], waiting.dispatcher, group, asked,
                           "unknown_service");
             }
             co_return result;
@@ -164,20 +163,20 @@
             is_unanswered = false;
         }
         if (is_unanswered && now >= asked + answer_timeout) {
-            pass_over(choice_, waiting.decider, group, asked, "silent");
-            withdraw(waiting.decider, request.call, request.service);
+            pass_over(choice_, waiting.dispatcher, group, asked, "silent");
+            withdraw(waiting.dispatcher, request.call, request.service);
             metrics_.count_alone("silent");
             co_return without_place;
         }
         if (now >= end) {
-            withdraw(waiting.decider, request.call, request.service);
+            withdraw(waiting.dispatcher, request.call, request.service);
             metrics_.count_alone("longest_wait");
             co_return without_place;
         }
         if (!is_unanswered && now >= asked + repeat_interval) {
             asked = now;
             is_unanswered = true;
-            directory_.send_to(waiting.decider, request);
+            directory_.send_to(waiting.dispatcher, request);
         }
     }
 }
@@ -189,7 +188,7 @@
     result.reason = answer.reason;
     result.running = answer.running;
     result.slots = answer.slots;
-    result.decider = waiting.decider;
+    result.dispatcher = waiting.dispatcher;
     switch (answer.outcome) {
         case dispatch::place_outcome::granted:
             result.kind = answer.reason == dispatch::place_reason::longest_wait_reached
@@ -244,27 +243,27 @@
             logging::write_event(logging::event_id::dispatcher_regained, "peer=" + from);
         }
     }
-    if (found != waiting_.end() && found->second->decider == from) {
+    if (found != waiting_.end() && found->second->dispatcher == from) {
         found->second->answer = answer;
         found->second->timer.cancel();
         return;
     }
     const auto running = sent_.find(answer.call);
-    const bool is_known = running != sent_.end() && running->second.decider == from;
+    const bool is_known = running != sent_.end() && running->second.dispatcher == from;
     if (answer.outcome == dispatch::place_outcome::granted && !is_known) {
         // A grant that came too late: the call was decided otherwise, or has ended.
         withdraw(from, answer.call, {});
     }
 }
 
-void dispatch_client::pass_over(decider_choice& choice, const node_name& node,
+void dispatch_client::pass_over(dispatcher_choice& choice, const node_name& node,
                                 const dispatch::engine_group& group, instant asked_at,
                                 const std::string& reason) {
     const instant now = http::steady_now();
     if (!choice.unanswered(node, asked_at, now)) {
         return;
     }
-    const auto next = decider_of(group, now);
+    const auto next = dispatcher_of(group, now);
     logging::write_event(logging::event_id::dispatcher_lost,
                          "peer=" + node + " reason=" + reason + " service=" + group.service +
                              " group=" + std::to_string(group.index) +
@@ -273,13 +272,13 @@
     renew_leases();
 }
 
-void dispatch_client::withdraw(const node_name& decider, call_number call,
+void dispatch_client::withdraw(const node_name& dispatcher, call_number call,
                                const std::string& service) {
     dispatch::released_call ended;
     ended.call = call;
     ended.service = service;
-    directory_.send_to(decider, dispatch::place_release{
-                                    process_.settings().node, process_id_, {std::move(ended)}});
+    directory_.send_to(dispatcher, dispatch::place_release{
+                                       process_.settings().node, process_id_, {std::move(ended)}});
 }
 
 void dispatch_client::sent(const place_result& place, const std::string& service,
@@ -292,10 +291,10 @@
     running.sent_at = now;
     const bool has_place = place.kind == place_kind::granted || place.kind == place_kind::forced;
     if (has_place) {
-        running.decider = running.granted_by = place.decider;
-    } else if (const auto decider = renewal_target_of(running.group, now)) {
-        running.decider = *decider;
-        send_renewal(*decider, {running.call});
+        running.dispatcher = running.granted_by = place.dispatcher;
+    } else if (const auto dispatcher = renewal_target_of(running.group, now)) {
+        running.dispatcher = *dispatcher;
+        send_renewal(*dispatcher, {running.call});
     }
     sent_[place.call] = std::move(running);
 }
@@ -307,7 +306,7 @@
     }
     // The node that granted the place may dispatch again before the lease there expires.
     const sent_call& known = found->second;
-    for (const node_name& holder : std::set{known.granted_by, known.decider}) {
+    for (const node_name& holder : std::set{known.granted_by, known.dispatcher}) {
         if (!holder.empty()) {
             directory_.send_to(
                 holder, dispatch::place_release{process_.settings().node, process_id_, {ended}});
@@ -323,21 +322,21 @@
 
 void dispatch_client::renew_leases() {
     const instant now = http::steady_now();
-    std::map<dispatch::engine_group, std::optional<node_name>> deciders;
+    std::map<dispatch::engine_group, std::optional<node_name>> dispatchers;
     std::map<node_name, std::vector<dispatch::running_call>> renewals;
     for (auto& [number, running] : sent_) {
-        const auto [known, is_new] = deciders.try_emplace(running.group);
+        const auto [known, is_new] = dispatchers.try_emplace(running.group);
         if (is_new) {
             known->second = renewal_target_of(running.group, now);
         }
         if (!known->second) {
             continue;
         }
-        const bool is_new_to_decider =
-            running.decider != *known->second || reconnected_.contains(*known->second);
-        running.decider = *known->second;
-        if (is_new_to_decider || now - running.sent_at >= renewal_interval) {
-            renewals[running.decider].push_back(running.call);
+        const bool is_new_to_dispatcher =
+            running.dispatcher != *known->second || reconnected_.contains(*known->second);
+        running.dispatcher = *known->second;
+        if (is_new_to_dispatcher || now - running.sent_at >= renewal_interval) {
+            renewals[running.dispatcher].push_back(running.call);
         }
     }
     // The others have not negotiated their format yet, so nothing was sent to them.
--- a/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
+++ b/src/tallyfold/plane/forwarding/dispatch_client_shell.hpp
@@ -2,8 +2,8 @@
 /// @file
 /// Obtains places at engines from the directory nodes that dispatch them, releases places, and
 /// renews the leases of running calls. Owns the exchange of messages and the timers of waiting
-/// calls; decider_choice selects the node that is asked, directory_client provides the transport.
-/// Used on the loop thread only.
+/// calls; dispatcher_choice selects the node that is asked, directory_client provides the
+/// transport. Used on the loop thread only.
 ///
 /// A call without an answer in time is sent without a place (place_kind::alone): the forwarder
 /// selects the engine itself and reports the call, so that the dispatcher counts it.
@@ -15,7 +15,7 @@
 #include <set>
 #include <string>
 
-#include "tallyfold/plane/decisions/decider_choice.hpp"
+#include "tallyfold/plane/decisions/dispatcher_choice.hpp"
 #include "tallyfold/plane/decisions/place_kind.hpp"
 #include "tallyfold/plane/directory/directory_client_shell.hpp"
 #include "tallyfold/plane/dispatch/engine_groups.hpp"
@@ -39,7 +39,7 @@
     dispatch::place_reason reason = dispatch::place_reason::none;
     duration expected_wait{};
     duration retry_after{};
-    node_name decider;
+    node_name dispatcher;
     std::uint32_t running = 0;
     std::uint32_t slots = 0;
 };
@@ -55,10 +55,10 @@
     /// Number for a call, with which it is requested, reported and released.
     dispatch::call_number next_call() { return next_call_++; }
     /// Requests a place.
-    /// @param question with `call` from next_call(); `node` and `process_id` are set here. Must
+    /// @param request with `call` from next_call(); `node` and `process_id` are set here. Must
     /// outlive the operation
     /// @param engines number of engines of the service
-    asio::awaitable<place_result> acquire(dispatch::place_request& question, std::size_t engines);
+    asio::awaitable<place_result> acquire(dispatch::place_request& request, std::size_t engines);
     /// Ends the wait of a call whose caller has left; acquire() then returns `alone`.
     void cancel(dispatch::call_number call);
     /// Reports that a call is sent to an engine: with a place, or selected by this node.
@@ -68,7 +68,7 @@
               std::uint64_t program, std::uint32_t tokens, std::size_t engines);
     /// Gives back a granted place whose call is not sent.
     void give_back(const place_result& place, const std::string& service) {
-        withdraw(place.decider, place.call, service);
+        withdraw(place.dispatcher, place.call, service);
     }
     /// Releases the place of a call that was sent.
     void release(const dispatch::released_call& ended);
@@ -79,7 +79,7 @@
     struct waiting_call {
         explicit waiting_call(asio::io_context& loop) : timer(loop) {}
         asio::steady_timer timer;
-        node_name decider;
+        node_name dispatcher;
         std::string service;
         /// The latest answer that has not been handled.
         std::optional<dispatch::place_answer> answer;
@@ -91,7 +91,7 @@
         /// Node that granted the place; empty without one.
         node_name granted_by;
         /// Node that the lease is renewed at; empty while none knows of the call.
-        node_name decider;
+        node_name dispatcher;
         dispatch::running_call call;
         instant sent_at{};
     };
@@ -100,8 +100,8 @@
                                                          std::uint64_t program, call_number call,
                                                          std::size_t engines);
     /// Node to ask for a place.
-    [[nodiscard]] std::optional<node_name> decider_of(const dispatch::engine_group& group,
-                                                      instant now) const;
+    [[nodiscard]] std::optional<node_name> dispatcher_of(const dispatch::engine_group& group,
+                                                         instant now) const;
     /// Node to report running calls to: a node that has been silent gets them again only after an
     /// answer, unless there is no other.
     [[nodiscard]] std::optional<node_name> renewal_target_of(const dispatch::engine_group& group,
@@ -116,7 +116,7 @@
     /// it.
     /// @param choice `choice_`, or the service's one of `choice_by_service_`
     /// @param asked_at when the request was sent
-    void pass_over(decider_choice& choice, const node_name& node,
+    void pass_over(dispatcher_choice& choice, const node_name& node,
                    const dispatch::engine_group& group, instant asked_at,
                    const std::string& reason);
     /// True when the node can be asked for places of the service.
@@ -124,7 +124,7 @@
                                  instant now) const;
     /// True from a silence of the node until its next answer.
     [[nodiscard]] bool is_doubtful(const node_name& node, const std::string& service) const;
-    void withdraw(const node_name& decider, call_number call, const std::string& service);
+    void withdraw(const node_name& dispatcher, call_number call, const std::string& service);
     /// Renews the leases of calls that have run for some time, and reports the others where their
     /// dispatcher has changed.
     void renew_leases();
@@ -133,10 +133,10 @@
     net::node_process& process_;
     directory::directory_client& directory_;
     forwarder_metrics& metrics_;
-    decider_choice choice_;
+    dispatcher_choice choice_;
     /// Directory nodes that do not know the service. By service, since a service without engines
     /// must not keep the calls of others from their dispatchers.
-    std::map<std::string, decider_choice> choice_by_service_;
+    std::map<std::string, dispatcher_choice> choice_by_service_;
     std::uint64_t process_id_;
     call_number next_call_ = 1;
     std::map<call_number, waiting_call*> waiting_;
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -238,7 +238,7 @@
             " reason=" + std::string(dispatch::text_of(placed_.reason)) +
             " expected_wait_ms=" + std::to_string(to_milliseconds(placed_.expected_wait)) +
             " retry_after_ms=" + std::to_string(to_milliseconds(placed_.retry_after)) +
-            " peer=" + placed_.decider + " running=" + std::to_string(placed_.running) +
+            " peer=" + placed_.dispatcher + " running=" + std::to_string(placed_.running) +
             " slots=" + std::to_string(placed_.slots));
 }
 
--- a/src/tallyfold/scheduling/engine_pace.cpp
+++ b/src/tallyfold/scheduling/engine_pace.cpp
@@ -17,10 +17,6 @@
 constexpr double engine_average_weight = 0.2;
 constexpr double overall_average_weight = 0.05;
 
-double milliseconds(duration value) {
-    return std::chrono::duration<double, std::milli>(value).count();
-}
-
 /// Moves an estimate of the minimum towards a sample; 0 stands for no estimate.
 void track_minimum(double& value, double sample) {
     if (value <= 0) {
@@ -42,7 +38,7 @@
 
 void engine_pace::record_prompt_processed(token_count tokens, duration took) {
     if (tokens >= min_prompt_tokens && took > duration::zero()) {
-        track_minimum(read_ms_per_token_, milliseconds(took) / static_cast<double>(tokens));
+        track_minimum(read_ms_per_token_, exact_milliseconds(took) / static_cast<double>(tokens));
     }
 }
 
@@ -51,7 +47,7 @@
     if (events == 0 || took < duration::zero()) {
         return;
     }
-    const double gap = milliseconds(took) / static_cast<double>(events);
+    const double gap = exact_milliseconds(took) / static_cast<double>(events);
     engine_state& state = engines_[engine];
     const bool known = state.latest != instant{} && now - state.latest < sample_lifetime;
     state.gap_ms = known ? state.gap_ms + engine_average_weight * (gap - state.gap_ms) : gap;
@@ -68,7 +64,7 @@
     if (mean_gap <= duration::zero()) {
         return;
     }
-    const double gap = milliseconds(mean_gap);
+    const double gap = exact_milliseconds(mean_gap);
     track_minimum(idle_gap_ms_, gap);
     track_minimum(engines_[engine].idle_gap_ms, gap);
     average_gap_ms_ = average_gap_ms_ > 0
@@ -77,7 +73,7 @@
 }
 
 void engine_pace::record_call_end(duration took) {
-    const double time = std::max(0.0, milliseconds(took));
+    const double time = std::max(0.0, exact_milliseconds(took));
     call_ms_ = call_ms_ > 0 ? call_ms_ + overall_average_weight * (time - call_ms_) : time;
 }
 
--- a/tests/plane/decisions/decider_choice_test.cpp
+++ b/tests/plane/decisions/dispatcher_choice_test.cpp
@@ -1,4 +1,4 @@
-#include "tallyfold/plane/decisions/decider_choice.hpp"
+#include "tallyfold/plane/decisions/dispatcher_choice.hpp"
 
 #include "tests/support/suite.hpp"
 
@@ -8,8 +8,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-class decider_choice_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(decider_choice_test);
+class dispatcher_choice_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(dispatcher_choice_test);
     CPPUNIT_TEST(first_usable_node_is_chosen);
     CPPUNIT_TEST(silent_node_is_passed_over_until_its_delay_ends);
     CPPUNIT_TEST(delay_doubles_up_to_four_seconds);
@@ -24,17 +24,17 @@
     /// Time that a request was unanswered for.
     static constexpr duration timeout = milliseconds(40);
 
-    static node_name chosen(const decider_choice& choice, instant now) {
+    static node_name chosen(const dispatcher_choice& choice, instant now) {
         return choice.choose(order, now, [](const node_name&) { return true; }).value_or("");
     }
     /// Records a request that was sent `timeout` before `now`.
-    static bool fail(decider_choice& choice, const node_name& node, instant now) {
+    static bool fail(dispatcher_choice& choice, const node_name& node, instant now) {
         return choice.unanswered(node, now - timeout, now);
     }
 
     /// Guards against requests to nodes that are disconnected or of an earlier format.
     void first_usable_node_is_chosen() {
-        const decider_choice choice;
+        const dispatcher_choice choice;
         CPPUNIT_ASSERT_EQUAL(node_name("a"), chosen(choice, start));
         const auto without_first = [](const node_name& node) { return node != "a"; };
         CPPUNIT_ASSERT(choice.choose(order, start, without_first) == node_name("b"));
@@ -45,7 +45,7 @@
 
     /// Guards against each call waiting in vain for a node that is gone.
     void silent_node_is_passed_over_until_its_delay_ends() {
-        decider_choice choice;
+        dispatcher_choice choice;
         CPPUNIT_ASSERT(fail(choice, "a", start));
         CPPUNIT_ASSERT(choice.is_silent("a", start));
         CPPUNIT_ASSERT_EQUAL(node_name("b"), chosen(choice, start));
@@ -55,7 +55,7 @@
     }
 
     void delay_doubles_up_to_four_seconds() {
-        decider_choice choice;
+        dispatcher_choice choice;
         instant now = start;
         for (const int delay : {1, 2, 4, 4, 4}) {
             CPPUNIT_ASSERT(fail(choice, "a", now));
@@ -68,7 +68,7 @@
     }
 
     void calls_unanswered_together_count_as_one_silence() {
-        decider_choice choice;
+        dispatcher_choice choice;
         CPPUNIT_ASSERT(fail(choice, "a", start));
         for (int call = 1; call <= 39; ++call) {
             CPPUNIT_ASSERT(!fail(choice, "a", start + milliseconds(call)));
@@ -79,7 +79,7 @@
     /// Guards against a delay that reaches its maximum at the first silence: waiting calls repeat
     /// their requests every 200 ms, at different times.
     void calls_that_wait_on_during_the_delay_do_not_lengthen_it() {
-        decider_choice choice;
+        dispatcher_choice choice;
         CPPUNIT_ASSERT(fail(choice, "a", start));
         for (const int later : {60, 120, 239}) {
             CPPUNIT_ASSERT(!fail(choice, "a", start + milliseconds(later)));
@@ -88,7 +88,7 @@
     }
 
     void answer_ends_the_silence() {
-        decider_choice choice;
+        dispatcher_choice choice;
         CPPUNIT_ASSERT(!choice.answered("a"));
         fail(choice, "a", start);
         fail(choice, "a", start + seconds(2));
@@ -102,7 +102,7 @@
     }
 
     void nodes_are_silent_independently() {
-        decider_choice choice;
+        dispatcher_choice choice;
         fail(choice, "a", start);
         fail(choice, "b", start + milliseconds(500));
         CPPUNIT_ASSERT_EQUAL(node_name("c"), chosen(choice, start + milliseconds(600)));
@@ -112,6 +112,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(decider_choice_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatcher_choice_test);
 
 }  // namespace tallyfold::tests
--- a/tests/plane/forwarding/dispatch_client_test.cpp
+++ b/tests/plane/forwarding/dispatch_client_test.cpp
@@ -145,7 +145,7 @@
         CPPUNIT_ASSERT_EQUAL(backend_name("backend-0"), place.engine);
         CPPUNIT_ASSERT_EQUAL(token_count{5}, place.cached_tokens);
         CPPUNIT_ASSERT(place.waited == milliseconds(7));
-        CPPUNIT_ASSERT_EQUAL(test.node(0).address(), place.decider);
+        CPPUNIT_ASSERT_EQUAL(test.node(0).address(), place.dispatcher);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.node(0).requests.size());
         CPPUNIT_ASSERT_EQUAL(std::string("forwarder"), test.node(0).requests.front().node);
         CPPUNIT_ASSERT_EQUAL(place.call, test.node(0).requests.front().call);
@@ -179,7 +179,7 @@
         CPPUNIT_ASSERT(place.kind == place_kind::refused);
         CPPUNIT_ASSERT(place.reason == dispatch::place_reason::wait_too_long);
         CPPUNIT_ASSERT(place.retry_after == milliseconds(fake_dispatcher::retry_after_ms));
-        CPPUNIT_ASSERT_EQUAL(test.node(0).address(), place.decider);
+        CPPUNIT_ASSERT_EQUAL(test.node(0).address(), place.dispatcher);
     }
 
     /// Guards against calls without places while the first node in the order has just started and
@@ -230,7 +230,7 @@
             [&] { return test.node(0).was_released(place.call, release_outcome::not_sent); }));
         const place_result next = test.acquire();
         CPPUNIT_ASSERT(next.kind == place_kind::granted);
-        CPPUNIT_ASSERT_EQUAL(test.node(1).address(), next.decider);
+        CPPUNIT_ASSERT_EQUAL(test.node(1).address(), next.dispatcher);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, test.node(0).requests.size());
         test.finish(place);
         CPPUNIT_ASSERT(test.run_until(
@@ -269,11 +269,11 @@
         CPPUNIT_ASSERT(!first.has_renewed(running.call));
         // The next request tries the first node again; it is still silent, now for two seconds.
         CPPUNIT_ASSERT(test.acquire().kind == place_kind::alone);
-        CPPUNIT_ASSERT(test.acquire().decider == second.address());
+        CPPUNIT_ASSERT(test.acquire().dispatcher == second.address());
         first.reply = place_reply::grants;
         test.world.run_for(milliseconds(2'000));
         CPPUNIT_ASSERT(!first.has_renewed(running.call));
-        CPPUNIT_ASSERT(test.acquire().decider == first.address());
+        CPPUNIT_ASSERT(test.acquire().dispatcher == first.address());
         CPPUNIT_ASSERT(
             test.run_until([&] { return first.has_renewed(running.call); }, milliseconds(700)));
     }
@@ -292,7 +292,7 @@
         CPPUNIT_ASSERT(late.released.back().outcome == release_outcome::not_sent);
         // The answer ends the silence.
         late.reply = place_reply::grants;
-        CPPUNIT_ASSERT_EQUAL(late.address(), test.acquire().decider);
+        CPPUNIT_ASSERT_EQUAL(late.address(), test.acquire().dispatcher);
     }
 
     /// Guards against a running call that its dispatcher no longer counts.
@@ -323,7 +323,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, node.requests.size());
         CPPUNIT_ASSERT(took >= milliseconds(240));
         CPPUNIT_ASSERT(took < milliseconds(1'000));
-        CPPUNIT_ASSERT(test.acquire().decider == test.node(1).address());
+        CPPUNIT_ASSERT(test.acquire().dispatcher == test.node(1).address());
     }
 
     void cancelled_wait_is_withdrawn() {
