Log the software versions of back ends, and streams that callers resume

Cause: no log line or metric told at which software version a request ran, nor that a caller resumed a stream, so the hypotheses of the incident could not be told apart.

Change: the version of the list of back ends is kept in backend_member::variant, the text that listed back ends left empty before, so the bytes of the list are as they were. Event 3201 has backend_version, resumes and after_event; 3202 has backend_version.

No decision uses the new fields.

--- a/apps/stand_in_platform.cpp
+++ b/apps/stand_in_platform.cpp
@@ -33,7 +33,7 @@
     member.name = fields[1];
     member.address = fields[2];
     member.zone = fields[3];
-    member.model = fields[4];
+    member.variant = fields[4];
     member.slots = static_cast<std::uint32_t>(std::stoul(fields[5]));
     return member;
 }
--- a/sim/world_backends.cpp
+++ b/sim/world_backends.cpp
@@ -29,7 +29,7 @@
         member.leaving = leaving != leave_listed_at_.end() && leaving->second <= events_.now();
         if (dynamic_cast<const engine_node*>(node.get()) != nullptr) {
             member.kind = scheduling::backend_kind::engine;
-            member.model = settings_.engine.model;
+            member.variant = settings_.engine.model;
             member.slots = settings_.engine.batch_limit;
         } else if (const auto* service = dynamic_cast<const service_node*>(node.get())) {
             member.kind = service->kind;
--- a/src/tallyfold/plane/decisions/backend_selection.cpp
+++ b/src/tallyfold/plane/decisions/backend_selection.cpp
@@ -74,7 +74,8 @@
                                             : less_loaded_of_two(options, random);
     const selection_rule rule =
         by_object ? selection_rule::affinity_target : selection_rule::less_loaded_of_two;
-    return chosen_backend{chosen.member.name, chosen.member.address, 0, rule, accepted};
+    return chosen_backend{chosen.member.name, chosen.member.address, 0, rule,
+                          accepted,           chosen.member.variant};
 }
 
 std::optional<chosen_backend> backend_selector::place(const selection_request& question,
@@ -101,8 +102,12 @@
         return std::nullopt;
     }
     const backend_state* engine = state.pool.find(choice->engine);
-    return chosen_backend{choice->engine, engine->member.address, choice->cached_tokens,
-                          selection_rule::placement, backend_eligibility::distrusted};
+    return chosen_backend{choice->engine,
+                          engine->member.address,
+                          choice->cached_tokens,
+                          selection_rule::placement,
+                          backend_eligibility::distrusted,
+                          engine->member.variant};
 }
 
 std::pair<backend_selector::backend_list, backend_eligibility> backend_selector::candidates(
--- a/src/tallyfold/plane/decisions/backend_selection.hpp
+++ b/src/tallyfold/plane/decisions/backend_selection.hpp
@@ -75,6 +75,8 @@
     selection_rule rule = selection_rule::less_loaded_of_two;
     /// Most restricted eligibility that the candidate list admitted.
     backend_eligibility accepted_eligibility = backend_eligibility::distrusted;
+    /// Software version of the back end; empty when unknown.
+    std::string version = {};
 };
 
 /// State of the back ends of one service, as known to this node.
--- a/src/tallyfold/plane/forwarding/backend_registry.cpp
+++ b/src/tallyfold/plane/forwarding/backend_registry.cpp
@@ -116,8 +116,12 @@
     if (backend == nullptr || backend->leaving()) {
         return std::nullopt;
     }
-    return chosen_backend{name, backend->member.address, cached_tokens, selection_rule::dispatched,
-                          backend_eligibility::distrusted};
+    return chosen_backend{name,
+                          backend->member.address,
+                          cached_tokens,
+                          selection_rule::dispatched,
+                          backend_eligibility::distrusted,
+                          backend->member.variant};
 }
 
 std::size_t backend_registry::count(const std::string& service) const {
--- a/src/tallyfold/plane/forwarding/finished_request.cpp
+++ b/src/tallyfold/plane/forwarding/finished_request.cpp
@@ -60,6 +60,13 @@
     if (!finished.program.empty()) {
         add_field(line, "program", finished.program);
     }
+    if (!sending.backend_version.empty()) {
+        add_field(line, "backend_version", sending.backend_version);
+    }
+    if (!finished.resumed_request.empty() || !finished.last_event.empty()) {
+        add_field(line, "resumes", or_dash(finished.resumed_request));
+        add_field(line, "after_event", or_dash(finished.last_event));
+    }
     if (finished.turn) {
         add_turn_fields(line, *finished.turn, sending);
     }
--- a/src/tallyfold/plane/forwarding/finished_request.hpp
+++ b/src/tallyfold/plane/forwarding/finished_request.hpp
@@ -19,6 +19,8 @@
 struct send_statistics {
     /// Back end of the last attempt; empty without one.
     backend_name backend;
+    /// Its software version; empty when unknown.
+    std::string backend_version;
     /// Estimated number of prompt tokens cached by that back end.
     token_count cached_tokens = 0;
     std::uint32_t sends = 0;
@@ -63,6 +65,9 @@
     /// Empty when callers need no key.
     std::string tenant;
     std::string program;
+    /// The stream that a caller resumes, as in request_metadata; both empty for other requests.
+    std::string resumed_request;
+    std::string last_event;
     std::optional<finished_turn> turn;
     std::string reason;
 };
--- a/src/tallyfold/plane/forwarding/request_codec.hpp
+++ b/src/tallyfold/plane/forwarding/request_codec.hpp
@@ -34,6 +34,11 @@
     token_count max_tokens = 0;
     /// Request identifier of the preceding turn; empty for the first turn.
     std::string previous_turn;
+    /// Identifier of the request that brought the first event of the stream that this one resumes;
+    /// empty when it names none.
+    std::string resumed_request;
+    /// Identifier of the last event that the caller has of that stream; empty for a new stream.
+    std::string last_event;
     /// The caller's key; empty when there is none or more than one. Must not be logged or
     /// forwarded.
     std::string credential;
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -252,6 +252,8 @@
     finished.list_age = now - context_.backends.listed_at();
     finished.total = now - request_.received;
     finished.program = facts_.program;
+    finished.resumed_request = facts_.resumed_request;
+    finished.last_event = facts_.last_event;
     finished.reason = end_.reason;
     if (admission_.table()) {
         finished.version = admission_.table()->version();
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -128,6 +128,7 @@
 asio::awaitable<attempt_result> send_loop::attempt(chosen_backend backend) {
     ++statistics_.sends;
     statistics_.backend = backend.name;
+    statistics_.backend_version = backend.version;
     statistics_.cached_tokens = backend.cached_tokens;
     attempt_parameters parameters;
     parameters.backend = std::move(backend);
@@ -151,7 +152,7 @@
     context_.metrics.count_attempt_failure(reason);
     logging::write_event(logging::event_id::attempt_failed,
                          "request=" + request_.facts.request + " backend=" + backend.name +
-                             " reason=" + reason +
+                             " backend_version=" + backend.version + " reason=" + reason +
                              " end=" + std::to_string(static_cast<int>(failed.end)) +
                              " time_left_ms=" + std::to_string(to_milliseconds(time_left)));
     return policy_.after({failed.end, failed.connection_closed, answer_.progress(), time_left});
--- a/src/tallyfold/program_api/scheduler/backend_http_codec.cpp
+++ b/src/tallyfold/program_api/scheduler/backend_http_codec.cpp
@@ -117,7 +117,7 @@
         member.name = entry.at("name").get<std::string>();
         member.address = entry.at("address").get<std::string>();
         member.zone = entry.at("zone").get<std::string>();
-        member.model = entry.at("model").get<std::string>();
+        member.variant = entry.at("model").get<std::string>();
         member.slots = entry.at("slots").get<std::uint32_t>();
         member.leaving = entry.at("leaving").get<bool>();
         list.members.push_back(std::move(member));
--- a/src/tallyfold/scheduling/backend_pool.cpp
+++ b/src/tallyfold/scheduling/backend_pool.cpp
@@ -176,7 +176,7 @@
             break;
         }
         const backend_state& backend = backends_.at(name);
-        const bool fits = model.empty() || backend.member.model == model;
+        const bool fits = model.empty() || backend.member.variant == model;
         if (fits && available(backend, now)) {
             chosen.push_back(&backend);
         }
--- a/src/tallyfold/scheduling/backend_pool.hpp
+++ b/src/tallyfold/scheduling/backend_pool.hpp
@@ -25,8 +25,9 @@
     /// "ip:port" of its HTTP interface.
     std::string address;
     std::string zone;
-    /// Model that an engine has loaded; empty for other kinds.
-    std::string model;
+    /// What it runs, where back ends of a service may differ: the model that an engine has loaded,
+    /// or the software version of a listed back end. Empty when unknown.
+    std::string variant;
     /// Number of calls that it runs concurrently.
     std::uint32_t slots = 8;
     bool leaving = false;
@@ -36,7 +37,7 @@
     bool operator==(const backend_member&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
-        archive(name, kind, address, zone, model, slots, leaving, listed_only);
+        archive(name, kind, address, zone, variant, slots, leaving, listed_only);
     }
 };
 
--- a/src/tallyfold/scheduling/placement.cpp
+++ b/src/tallyfold/scheduling/placement.cpp
@@ -98,7 +98,7 @@
             position = all.begin();
         }
         const backend_state& engine = position->second;
-        const bool fits = model.empty() || engine.member.model == model;
+        const bool fits = model.empty() || engine.member.variant == model;
         if (fits && pool.available(engine, now)) {
             last_round_robin_ = position->first;
             return &engine;
@@ -119,7 +119,7 @@
     }
     std::vector<const backend_state*> engines;
     for (const backend_state* engine : *request.sample) {
-        const bool fits = request.model.empty() || engine->member.model == request.model;
+        const bool fits = request.model.empty() || engine->member.variant == request.model;
         if (fits && has_free_slot(*engine)) {
             engines.push_back(engine);
         }
@@ -139,7 +139,7 @@
     for (const cached_prefix& match : cache.find(*request.prompt)) {
         const backend_state* engine = pool.find(match.engine);
         const bool usable = engine != nullptr && pool.available(*engine, now) &&
-                            (request.model.empty() || engine->member.model == request.model);
+                            (request.model.empty() || engine->member.variant == request.model);
         if (usable) {
             options.push_back({engine, std::min(match.tokens, request.prompt_tokens)});
         }
--- a/stand_ins/backend_protocol.cpp
+++ b/stand_ins/backend_protocol.cpp
@@ -182,7 +182,7 @@
                         {"name", member.name},
                         {"address", member.address},
                         {"zone", member.zone},
-                        {"model", member.model},
+                        {"model", member.variant},
                         {"slots", member.slots},
                         {"leaving", member.leaving}});
     }
--- a/tests/platform/configuration_format_fixture_test.cpp
+++ b/tests/platform/configuration_format_fixture_test.cpp
@@ -221,6 +221,7 @@
         first.member.kind = scheduling::backend_kind::engine;
         first.member.address = "10.0.0.1:80";
         first.member.zone = "zone-a";
+        first.member.variant = "v1";
         first.member.slots = 12;
         first.member.leaving = true;
         first.member.listed_only = true;
@@ -230,6 +231,7 @@
         second.member.name = "i-2";
         second.member.address = "10.0.0.2:81";
         second.member.zone = "zone-b";
+        second.member.variant = "v2";
         second.member.slots = 1;
         second.member.listed_only = true;
         CPPUNIT_ASSERT(page->backends[1] == second);
