--- a/tests/platform/soak/connections.py
+++ b/tests/platform/soak/connections.py
@@ -102,6 +102,8 @@
         await self.writer.drain()
 
     def _broken_ending(self, attempt):
+        if attempt.was_dropped():
+            return Ending.DROPPED
         if attempt.status:
             return Ending.CUT
         return Ending.RESET if self.reader.was_reset else Ending.CLOSED
@@ -128,6 +130,8 @@
             while b"\n\n" in text:
                 event, text = text.split(b"\n\n", 1)
                 attempt.pieces.append(event.split(b"data: ", 1)[1].decode())
+                if attempt.was_dropped():
+                    raise ConnectionResetError
 
     def abort(self):
         self.writer.transport.abort()
--- a/tests/platform/soak/operator_calls.py
+++ b/tests/platform/soak/operator_calls.py
@@ -47,6 +47,8 @@
         self.changing = asyncio.Lock()
         #: Times of acknowledgement by path of those routes.
         self.added = {}
+        #: Whether the configuration has a route of resumable streams.
+        self.has_streams = False
         #: Callers of an unlimited tenant that call each route as soon as it is added.
         self.probers = []
         #: Caller that checks added and dropped routes once a change must be in force; may be None.
@@ -80,6 +82,9 @@
         routes = [route("turns", "/turns/", "streaming", "engines", 1),
                   route("look", "/look/", "idempotent", "apps", 3),
                   route("claim", "/claim/", "non_idempotent", "apps", 1)]
+        if self.has_streams:
+            routes.append({**route("streams", "/streams/", "streaming", "engines", 2),
+                           "Resumable": True})
         engine = {"Slots": self.slots, "KvCapacity": 100000, "Stride": TOKENS_PER_EVENT,
                   "Models": [{"Name": "m"}]}
         services = [{"Name": "engines", "HealthPath": "/health", "MaxConnections": 100,
--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -36,6 +36,10 @@
     parser.add_argument("--dispatch", action="store_true",
                         help="calls to engines ask a dispatcher for a place; faults also hit the "
                              "directory node that dispatches")
+    parser.add_argument("--versions", type=int, default=1,
+                        help="number of software versions that engines run side by side")
+    parser.add_argument("--stream-callers", type=int, default=0,
+                        help="callers of resumable streams, which resume interrupted ones")
     parser.add_argument("--network", type=int, default=0,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", default="", help="folder to which the logs are always copied")
