Soak: a refused attempt doesn't count as the end of a resumed stream

A 503 to a resumed stream, and a back end's 500, were taken for a complete answer, so streams_keep_their_version reported streams that had ended early and interrupted_streams_go_on counted refusals as streams that go on. Both count answers with 200 only.

--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -123,7 +123,8 @@
         services = [BackendService(name, "v1", -9.0) for name in ("a", "b")]
         refused = [self.stream_of(["v1.1"], [], []) for _ in range(stream_checks.MIN_RESUMED)]
         for stream in refused:
-            stream.attempts[-1].complete = False
+            for each in stream.attempts[1:]:
+                each.status, each.complete = 503, True
         check = stream_checks.interrupted_streams_go_on
         self.assertTrue(self.violations(check, streams=refused, backend_services=services))
         self.assertFalse(self.violations(check, streams=refused, backend_services=services[:1]))
--- a/tests/platform/soak/stream_checks.py
+++ b/tests/platform/soak/stream_checks.py
@@ -12,6 +12,10 @@
     return piece.split(".", 1)[0]
 
 
+def was_served(attempt):
+    return attempt.status == 200 and attempt.complete
+
+
 def streams_keep_their_version(history):
     """A stream has all events in order, each once, and all of one software version."""
     wrong = []
@@ -24,7 +28,7 @@
             wrong.append(f"{stream.first_request()} has events of {' and '.join(versions)}")
         if numbers != list(range(1, len(numbers) + 1)):
             wrong.append(f"{stream.first_request()} has events {numbers}")
-        if stream.attempts[-1].complete and len(numbers) != stream.count:
+        if was_served(stream.attempts[-1]) and len(numbers) != stream.count:
             wrong.append(f"{stream.first_request()} ended after {len(numbers)} of {stream.count}")
     return len(streams), wrong
 
@@ -54,7 +58,7 @@
             elif not received:
                 begun.append(bool(attempt.pieces))
             elif serving_backends(history, version_of(received[0]), attempt) >= 2:
-                resumed.append(bool(attempt.pieces) or attempt.complete)
+                resumed.append(bool(attempt.pieces) or was_served(attempt))
             received += attempt.pieces
     return resumed, begun
 
