Streams: records spread over a group, none resumed at a service without weight

Cause: records went to the first stores of a group's map for every stream, and a resumed stream could go to a service that its route lists with the weight 0.

Change: a stream's hash chooses the first store; such a service counts as replaced.

--- a/src/tallyfold/plane/decisions/stream_continuation.cpp
+++ b/src/tallyfold/plane/decisions/stream_continuation.cpp
@@ -23,8 +23,9 @@
             break;
     }
     const bool serves_route = std::any_of(
-        route.services.begin(), route.services.end(),
-        [&](const routing::weighted_service& part) { return part.service == looked_up.service; });
+        route.services.begin(), route.services.end(), [&](const routing::weighted_service& part) {
+            return part.service == looked_up.service && part.weight > 0;
+        });
     if (!serves_route) {
         return tl::unexpected(refusal::stream_service_replaced);
     }
--- a/src/tallyfold/plane/decisions/stream_continuation.hpp
+++ b/src/tallyfold/plane/decisions/stream_continuation.hpp
@@ -3,8 +3,8 @@
 /// Decides whether a request resumes a stream of an earlier one, and where it may: only at the
 /// service and the software version that generated the stream's first event. Pure functions.
 ///
-/// A version is never guessed. The list of back ends of this node may be older than the stream, so
-/// that it shows another version only.
+/// The version of a stream that the caller names is never inferred: the list of back ends of this
+/// node may be older than the stream and show another version only.
 
 #include <cstdint>
 #include <optional>
--- a/src/tallyfold/plane/streams/origin_client_shell.cpp
+++ b/src/tallyfold/plane/streams/origin_client_shell.cpp
@@ -4,6 +4,8 @@
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/use_awaitable.hpp>
 
+#include "tallyfold/base/common/hash.hpp"
+
 namespace tallyfold::streams {
 
 namespace {
@@ -29,11 +31,13 @@
     record.lifetime_ms = static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(to_milliseconds(lifetime), 0, UINT32_MAX));
     const std::vector<turns::store_member> members = stores_.members_for(stream);
-    std::size_t missing = members.size() / 2 + 1;
-    for (const turns::store_member& member : members) {
-        if (missing > 0 && stores_.send_message(member.id, record, required_format)) {
-            --missing;
-        }
+    const std::size_t majority = members.size() / 2 + 1;
+    // Starting at a different store for each stream spreads the records over the group.
+    const std::size_t first = stable_hash(stream) % std::max<std::size_t>(1, members.size());
+    std::size_t sent = 0;
+    for (std::size_t step = 0; step < members.size() && sent < majority; ++step) {
+        const turns::store_member& member = members[(first + step) % members.size()];
+        sent += stores_.send_message(member.id, record, required_format) ? 1 : 0;
     }
 }
 
--- a/tests/plane/decisions/stream_continuation_test.cpp
+++ b/tests/plane/decisions/stream_continuation_test.cpp
@@ -57,6 +57,8 @@
         routing::route route = resumable_route();
         route.services = {{"others"}, {"engines"}};
         CPPUNIT_ASSERT(origin_of_resumed(route, lookup_state::found, recorded).has_value());
+        route.services = {{"others"}, {"engines", 0}};
+        CPPUNIT_ASSERT(!origin_of_resumed(route, lookup_state::found, recorded));
         route.services = {{"others"}};
         CPPUNIT_ASSERT(origin_of_resumed(route, lookup_state::found, recorded).error() ==
                        refusal::stream_service_replaced);
