--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -92,6 +92,8 @@
     on_kept_connection: bool = False
     #: Pause in the middle of sending it, in seconds.
     sending_pause: float = 0.0
+    #: Whether it resumes a stream, so that its version decides where it goes, not a dispatcher.
+    resumes_stream: bool = False
     #: Number of events after which its connection breaks at the caller; 0 for never.
     dropped_after: int = 0
     #: Time at which the last byte was handed to the connection; None when it never was.
--- a/tests/platform/soak/stream_callers.py
+++ b/tests/platform/soak/stream_callers.py
@@ -33,6 +33,7 @@
             attempt = Attempt(self.draw_id(), "stream", "POST", target, b"stream", self.clock())
             if self.random.random() < DROPPED_SHARE:
                 attempt.dropped_after = self.random.randint(1, count)
+            attempt.resumes_stream = bool(stream.pieces())
             fields = self.program_fields(program) + self.resume_fields(stream)
             stream.attempts.append(attempt)
             await self.exchange(attempt, TIMEOUT_SECONDS, fields)
