--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -256,16 +256,21 @@
 
     counting_backend& add_backend(backend_behavior behavior, const std::string& version = {}) {
         running_backends_.push_back(std::make_unique<counting_backend>(process.loop(), behavior));
+        list_backend(running_backends_.back()->address(), version);
+        return *running_backends_.back();
+    }
+
+    /// Adds a back end that runs elsewhere to the list.
+    void list_backend(const std::string& address, const std::string& version = {}) {
         discovery::listed_backend listed;
         listed.service = "service";
         listed.member.name = "backend-" + std::to_string(listed_.size());
-        listed.member.address = running_backends_.back()->address();
+        listed.member.address = address;
         listed.member.zone = "zone";
         listed.member.listed_only = true;
         listed.member.variant = version;
         listed_.push_back(listed);
         backends.update(listed_, http::steady_now());
-        return *running_backends_.back();
     }
 
     /// Empties the list of back ends; those that run go on.
