--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -155,12 +155,13 @@
     const std::string reason = text_of(failed.failure);
     const duration time_left = request_.budget.left(http::steady_now());
     context_.metrics.count_attempt_failure(reason);
+    const std::string body_fields = failed.has_body ? answer_.body()->log_fields() : std::string{};
     logging::write_event(logging::event_id::attempt_failed,
                          "request=" + request_.facts.request + " backend=" + backend.name +
                              " backend_version=" + backend.version + " reason=" + reason +
                              " end=" + std::to_string(static_cast<int>(failed.end)) +
                              " time_left_ms=" + std::to_string(to_milliseconds(time_left)) +
-                             (failed.has_body ? " " + answer_.body()->log_fields() : ""));
+                             (body_fields.empty() ? "" : " ") + body_fields);
     return policy_.after({failed.end, failed.connection_closed, answer_.progress(), time_left});
 }
 
