An event stream that can't be whole breaks off for its caller

Cause: the relay took the end of a message for the end of its stream. An answer with neither length nor chunks ends with its connection, at whatever byte its back end fails, and got the last chunk. Change: the relay asks http::received_body whether the answer may be whole. If it isn't, the attempt fails as body_truncated: a resumable stream goes on at its back end after the last whole event, any other ends without the last chunk (a 502 while nothing was written), the turn is settled without a record, the place is released as failed and the back end's failure is counted. Position decides for all framings. Plain answers without a length are buffered up to 64 KiB like those with one, so a reset one can run again. The head waits for the first bytes that the caller is to get. The stand-in back ends of the request path send events on streaming routes now.

--- a/src/tallyfold/plane/decisions/attempt_failure.cpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.cpp
@@ -27,6 +27,8 @@
             return "surplus_answer";
         case failure_kind::too_many_unmatched_answers:
             return "surplus_answers";
+        case failure_kind::body_truncated:
+            return "body_truncated";
         case failure_kind::event_missing:
             return "event_missing";
         case failure_kind::turn_end_unconfirmed:
--- a/src/tallyfold/plane/decisions/attempt_failure.hpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.hpp
@@ -30,6 +30,8 @@
     unmatched_answer_incomplete,
     /// Too many answers to other requests preceded the expected one.
     too_many_unmatched_answers,
+    /// The body of the answer ended where it can't be whole.
+    body_truncated,
     /// An event is missing from the stream.
     event_missing,
     /// No majority of the stores confirmed the end of the turn.
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -22,10 +22,18 @@
     return head.status / 100 == 2;
 }
 
-bool fits_in_buffer(const http::message_head& head) {
-    return head.framing == http::body_framing::none ||
-           (head.framing == http::body_framing::length &&
-            head.content_length <= max_buffered_answer_bytes);
+/// False when the body is known to exceed the buffer, or may arrive piece by piece on purpose.
+bool may_fit_in_buffer(const http::message_head& head) {
+    switch (head.framing) {
+        case http::body_framing::none:
+        case http::body_framing::until_close:
+            return true;
+        case http::body_framing::length:
+            return head.content_length <= max_buffered_answer_bytes;
+        case http::body_framing::chunked:
+            break;
+    }
+    return false;
 }
 
 /// Result of an attempt whose connection failed inside the answer's body.
@@ -103,10 +111,17 @@
 asio::awaitable<attempt_result> answer_relay::relay(http::connection_pointer connection,
                                                     chosen_backend backend, instant until) {
     body_.emplace(connection->head(), request_.route.streaming);
-    if (fits_in_buffer(connection->head()) && !request_.route.streaming) {
-        co_return co_await relay_buffered(std::move(connection), until);
+    std::string received;
+    if (may_fit_in_buffer(connection->head()) && !request_.route.streaming) {
+        const auto whole = co_await read_into_buffer(connection, until, received);
+        if (!whole) {
+            co_return body_failure(whole.error());
+        }
+        if (*whole) {
+            co_return co_await write_buffered(std::move(connection), std::move(received));
+        }
     }
-    co_return co_await relay_stream(std::move(connection), std::move(backend));
+    co_return co_await relay_stream(std::move(connection), std::move(backend), std::move(received));
 }
 
 asio::awaitable<tl::expected<std::string, http::io_failure>> answer_relay::read_piece(
@@ -122,24 +137,28 @@
     co_return piece;
 }
 
-asio::awaitable<attempt_result> answer_relay::relay_buffered(http::connection_pointer connection,
-                                                             instant until) {
-    std::string body;
+asio::awaitable<tl::expected<bool, http::io_failure>> answer_relay::read_into_buffer(
+    http::connection_pointer connection, instant until, std::string& body) {
     do {
         auto piece = co_await read_piece(connection, until);
         if (!piece) {
-            co_return body_failure(piece.error());
+            co_return tl::unexpected(piece.error());
         }
         body += *piece;
-    } while (!connection->message_complete());
-    received_ = true;
-    if (received_handler_) {
-        received_handler_();
+    } while (!connection->message_complete() && body.size() <= max_buffered_answer_bytes);
+    co_return connection->message_complete();
+}
+
+asio::awaitable<attempt_result> answer_relay::write_buffered(http::connection_pointer connection,
+                                                             std::string body) {
+    const http::message_head& head = connection->head();
+    if (is_truncated_stream(head)) {
+        co_return relay_failure(failure_kind::body_truncated);
     }
+    mark_received();
     if (caller_.disconnected()) {
         co_return answered();
     }
-    const http::message_head& head = connection->head();
     const bool bodiless = head.framing == http::body_framing::none;
     const relayed_framing framing{false, body.size(), bodiless};
     std::string bytes = render_relayed_head(head, framing, caller_.announce_connection()) + body;
@@ -148,54 +167,94 @@
     co_return answered();
 }
 
+void answer_relay::mark_received() {
+    received_ = true;
+    if (received_handler_) {
+        received_handler_();
+    }
+}
+
 asio::awaitable<attempt_result> answer_relay::relay_stream(http::connection_pointer connection,
-                                                           chosen_backend backend) {
+                                                           chosen_backend backend,
+                                                           std::string received) {
     const http::message_head head = connection->head();
-    const bool success = is_success(head);
     std::string outgoing = begin_stream(head);
-    const bool resumable_stream = success && chunked_ && request_.route.resumable;
+    const bool resumable_stream = is_success(head) && chunked_ && request_.route.resumable;
     bool complete = false;
     received_ = false;
     while (!complete) {
-        auto piece = co_await read_piece(connection, request_.budget.deadline());
-        if (!piece) {
-            attempt_result result = body_failure(piece.error());
-            result.connection_closed = resumable_stream && !result.timed_out;
-            co_return result;
-        }
-        complete = connection->message_complete();
-        received_ = complete;
-        if (resumable_stream && !retain_complete_events(*piece, complete)) {
-            co_return relay_failure(failure_kind::event_missing);
-        }
-        if (success && !record_events(*piece, backend.name)) {
-            co_return relay_failure(failure_kind::turn_end_unconfirmed);
+        std::string piece;
+        piece.swap(received);
+        if (piece.empty()) {
+            auto read = co_await read_piece(connection, request_.budget.deadline());
+            if (!read) {
+                attempt_result result = body_failure(read.error());
+                result.connection_closed = resumable_stream && !result.timed_out;
+                co_return result;
+            }
+            piece.swap(*read);
         }
-        if (complete && received_handler_) {
-            received_handler_();
+        const bool ended = connection->message_complete();
+        const bool truncated = ended && is_truncated_stream(head);
+        complete = ended && !truncated;
+        const std::optional<failure_kind> failure =
+            co_await process_piece(piece, head, complete, backend.name);
+        if (failure) {
+            co_return relay_failure(*failure);
         }
-        if (complete && success) {
-            const bool settled = co_await settle_turn(backend.name);
-            if (!settled) {
-                co_return relay_failure(failure_kind::turn_end_unconfirmed);
-            }
+        if (truncated && !chunked_) {
+            // The caller must not receive as many bytes as its head announced.
+            piece.clear();
         }
-        outgoing += render_piece(*piece, complete);
+        outgoing += render_piece(piece, complete);
+        // The head waits for a part of the body, so that an answer without any can be retried.
+        const bool has_content = complete || !piece.empty();
         // The caller may not read for long; the piece isn't needed any more.
-        std::string().swap(*piece);
-        if (outgoing.empty()) {
-            continue;
+        std::string().swap(piece);
+        if (has_content) {
+            const bool written = co_await write_to_caller(std::move(outgoing), backend);
+            outgoing.clear();
+            if (!written) {
+                co_return relay_failure(failure_kind::client_disconnected);
+            }
         }
-        const bool written = co_await write_to_caller(std::move(outgoing), backend);
-        outgoing.clear();
-        if (!written) {
-            co_return relay_failure(failure_kind::client_disconnected);
+        if (truncated) {
+            attempt_result result = relay_failure(failure_kind::body_truncated);
+            result.connection_closed = resumable_stream;
+            co_return result;
         }
     }
     fully_relayed_ = true;
     co_return answered();
 }
 
+asio::awaitable<std::optional<failure_kind>> answer_relay::process_piece(
+    std::string& piece, const http::message_head& head, bool complete,
+    const backend_name& backend) {
+    const bool success = is_success(head);
+    if (success && chunked_ && request_.route.resumable &&
+        !retain_complete_events(piece, complete)) {
+        co_return failure_kind::event_missing;
+    }
+    if (success && !record_events(piece, backend)) {
+        co_return failure_kind::turn_end_unconfirmed;
+    }
+    if (complete) {
+        mark_received();
+    }
+    if (complete && success) {
+        const bool settled = co_await settle_turn(backend);
+        if (!settled) {
+            co_return failure_kind::turn_end_unconfirmed;
+        }
+    }
+    co_return std::nullopt;
+}
+
+bool answer_relay::is_truncated_stream(const http::message_head& head) const {
+    return is_success(head) && body_->completeness() == http::body_completeness::truncated;
+}
+
 asio::awaitable<bool> answer_relay::write_to_caller(std::string bytes,
                                                     const chosen_backend& backend) {
     if (!started_) {
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -3,7 +3,8 @@
 /// Relays back ends' answers to one caller, over all attempts of its request. Small answers are
 /// buffered, so that the request can be retried if one breaks off; others are streamed. An event
 /// stream of a resumable route may be continued by a further attempt. Settles the turn before the
-/// end of its answer is written. Used on the loop thread only.
+/// end of its answer is written, and writes that end only for a body which may be whole
+/// (http::received_body). Used on the loop thread only.
 
 #include <asio/awaitable.hpp>
 #include <functional>
@@ -72,10 +73,28 @@
     /// Reads the next piece of the answer's body.
     asio::awaitable<tl::expected<std::string, http::io_failure>> read_piece(
         http::connection_pointer connection, instant until);
-    asio::awaitable<attempt_result> relay_buffered(http::connection_pointer connection,
-                                                   instant until);
+    /// Reads the body into `body` until it is complete or exceeds the buffer.
+    /// @return whether it is complete
+    asio::awaitable<tl::expected<bool, http::io_failure>> read_into_buffer(
+        http::connection_pointer connection, instant until, std::string& body);
+    /// Writes an answer whose body was received to its end.
+    asio::awaitable<attempt_result> write_buffered(http::connection_pointer connection,
+                                                   std::string body);
+    /// @param received beginning of the body, which was read before
     asio::awaitable<attempt_result> relay_stream(http::connection_pointer connection,
-                                                 chosen_backend backend);
+                                                 chosen_backend backend, std::string received);
+    /// Reduces a piece of a stream to what the caller is to receive, and records it. Settles the
+    /// turn with the last piece.
+    /// @param piece, `head` and `backend` must outlive the call
+    /// @return why the stream can't go on; nothing when it can
+    asio::awaitable<std::optional<failure_kind>> process_piece(std::string& piece,
+                                                               const http::message_head& head,
+                                                               bool complete,
+                                                               const backend_name& backend);
+    /// True when a successful answer, whose body has ended, is an event stream that isn't whole.
+    [[nodiscard]] bool is_truncated_stream(const http::message_head& head) const;
+    /// Records that the whole answer was received.
+    void mark_received();
     /// Writes a part of a stream to the caller. @return false when the caller has left
     asio::awaitable<bool> write_to_caller(std::string bytes, const chosen_backend& backend);
     /// Prepares for the stream of one attempt. @return the head to write; empty when the caller has
--- a/tests/plane/decisions/request_texts_test.cpp
+++ b/tests/plane/decisions/request_texts_test.cpp
@@ -42,6 +42,7 @@
             {failure_kind::unsigned_answer, "unsigned_answer"},
             {failure_kind::unmatched_answer_incomplete, "surplus_answer"},
             {failure_kind::too_many_unmatched_answers, "surplus_answers"},
+            {failure_kind::body_truncated, "body_truncated"},
             {failure_kind::event_missing, "event_missing"},
             {failure_kind::turn_end_unconfirmed, "unsettled"},
             {failure_kind::client_disconnected, "caller_left"},
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -21,6 +21,7 @@
 
 #include "platform/names.hpp"
 #include "platform/replica_calls.hpp"
+#include "tallyfold/plane/forwarding/answer_rendering.hpp"
 #include "tallyfold/plane/forwarding/caller_listener_shell.hpp"
 #include "tallyfold/plane/forwarding/forwarder_context.hpp"
 #include "tests/support/suite.hpp"
@@ -81,6 +82,11 @@
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
 
   private:
+    /// True for the streaming routes of forwarder_world, whose answers are events.
+    static bool is_stream(const std::string& target) {
+        return target.starts_with("/turn/") || target.starts_with("/resumable/");
+    }
+
     void accept() {
         acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
             if (error) {
@@ -135,9 +141,10 @@
                 peer->next_message();
                 continue;
             }
+            const std::string body = is_stream(peer->head().target) ? "data: ok\r\n\r\n" : "ok";
             answer += behavior_ == backend_behavior::starts_answer
-                          ? "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
-                          : "Content-Length: 2\r\n\r\nok";
+                          ? "Transfer-Encoding: chunked\r\n\r\n" + forwarding::render_chunk(body)
+                          : "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             if (behavior_ != backend_behavior::silent) {
                 co_await peer->write(std::move(answer), limit);
             }
--- a/tests/plane/forwarding/truncated_answer_test.cpp
+++ b/tests/plane/forwarding/truncated_answer_test.cpp
@@ -145,13 +145,21 @@
         assert_broken_off(relay("turn", {chunked_stream(event(1) + "id: 2\ndata: x")}));
     }
 
-    void counted_stream_that_ends_inside_an_event_is_not_whole() {
-        const std::string body = event(1) + "id: 2\nda";
+    static outcome relay_counted_stream(const std::string& body) {
         const std::string fields =
             std::string(stream_fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        const outcome seen = relay("turn", {{fields, body, connection_end::kept_open}});
-        CPPUNIT_ASSERT(seen.reset);
-        CPPUNIT_ASSERT(!seen.text.ends_with(body));
+        return relay("turn", {{fields, body, connection_end::kept_open}});
+    }
+
+    void counted_stream_that_ends_inside_an_event_is_not_whole() {
+        // Read at once, so that nothing was written before the end was seen.
+        const outcome short_stream = relay_counted_stream(event(1) + "id: 2\nda");
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 502"), short_stream.text.substr(0, 12));
+        CPPUNIT_ASSERT(short_stream.text.find("data: x1") == std::string::npos);
+        const std::string body = "data: " + std::string(100'000, 'x') + "\n\nid: 2\nda";
+        const outcome long_stream = relay_counted_stream(body);
+        CPPUNIT_ASSERT(long_stream.reset);
+        CPPUNIT_ASSERT(!long_stream.text.ends_with("id: 2\nda"));
     }
 
     void stream_without_an_event_is_not_whole() {
