Program API: a stream that fails ends without [DONE] and without the last chunk

Callers saw: a stream that failed after its first piece ended with an error event, then [DONE] and the last chunk, like a whole answer. Cause: the gateway ended every stream in the same way; the same class as the truncated answers of the forwarding plane. Change: http_exchange::abort closes the connection behind the error event. [DONE] follows a whole answer only. The pinned form of a failed stream's end changes with it; the program API is not run in production, and its callers read the error event first. Measured: http_server_test::aborted_stream_is_not_framed_as_complete and program_answers_fixture_test pass; the latter's pinned form had [DONE] after the error before. The API's own back ends tell the end of a stream in an event of its own, and their other answers are JSON objects, so a connection that closes early never makes one whole there.

--- a/src/tallyfold/program_api/gateway/gateway_shell.cpp
+++ b/src/tallyfold/program_api/gateway/gateway_shell.cpp
@@ -182,7 +182,11 @@
             }
             start_stream(open);
             open.exchange->write(render_stream_end(open.request, answered.result));
-            open.exchange->finish();
+            if (ok) {
+                open.exchange->finish();
+            } else {
+                open.exchange->abort();
+            }
         } else {
             respond(*open.exchange, open.request, answered.result);
         }
--- a/src/tallyfold/program_api/gateway/queries/render_answer.cpp
+++ b/src/tallyfold/program_api/gateway/queries/render_answer.cpp
@@ -124,13 +124,13 @@
 
 std::string render_stream_end(const caller_request& request, const journal::outcome& result) {
     json body = completion_object(request, "chat.completion.chunk");
-    if (result.code == answer_code::ok) {
-        body["choices"] =
-            json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}});
-        body["usage"] = render_usage(result);
-    } else {
+    if (result.code != answer_code::ok) {
         body["error"] = render_error(result);
+        return "data: " + dump(body) + "\n\n";
     }
+    body["choices"] =
+        json::array({{{"index", 0}, {"delta", json::object()}, {"finish_reason", "stop"}}});
+    body["usage"] = render_usage(result);
     return "data: " + dump(body) + "\n\ndata: [DONE]\n\n";
 }
 
--- a/src/tallyfold/program_api/gateway/queries/render_answer.hpp
+++ b/src/tallyfold/program_api/gateway/queries/render_answer.hpp
@@ -17,7 +17,7 @@
 std::string render_answer(const caller_request& request, const journal::outcome& result);
 /// One server-sent event with a piece of a completion.
 std::string render_piece(const caller_request& request, const std::string& piece);
-/// Last events of a stream: usage or error, then [DONE].
+/// Last events of a stream: usage and [DONE], or the error, which no [DONE] follows.
 std::string render_stream_end(const caller_request& request, const journal::outcome& result);
 
 }  // namespace tallyfold::gateway
--- a/src/tallyfold/program_api/http/http_server.cpp
+++ b/src/tallyfold/program_api/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <restinio/all.hpp>
+#include <stdexcept>
 #include <thread>
 
 #include "tallyfold/program_api/transport/transport.hpp"
@@ -89,6 +90,19 @@
         });
     }
 
+    void abort() override {
+        post([this] {
+            if (stream_) {
+                // RESTinio has no call that closes a connection; it closes one whose notificator
+                // throws.
+                stream_->flush([](const auto& /*error*/) {
+                    throw std::runtime_error("the stream was aborted");
+                });
+                stream_.reset();
+            }
+        });
+    }
+
   private:
     template <class Action>
     void post(Action&& action) {
--- a/src/tallyfold/program_api/http/http_server.hpp
+++ b/src/tallyfold/program_api/http/http_server.hpp
@@ -28,7 +28,11 @@
     /// Starts a streamed response (chunked, text/event-stream).
     virtual void start_stream() = 0;
     virtual void write(std::string bytes) = 0;
+    /// Ends a streamed response.
     virtual void finish() = 0;
+    /// Closes the connection behind what was written, without the end of the streamed response: the
+    /// caller can't take it for a complete one.
+    virtual void abort() = 0;
 };
 
 using exchange_pointer = std::shared_ptr<http_exchange>;
