--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -4,6 +4,8 @@
 import json
 import random
 import re
+import socket
+import struct
 
 from .history import BackendService, Receipt, Run
 from .http_text import read_body, read_message_head
@@ -13,6 +15,8 @@
 SLOTS = 12
 #: Interval at which a working back end looks whether its connection was closed, in seconds.
 CLOSE_CHECK_SECONDS = 0.02
+#: Beginning of an event that a back end breaks off, at any byte.
+BROKEN_EVENT = b"id: 999\r\ndata: broken\n"
 
 
 def requested_work(target):
@@ -36,7 +40,7 @@
     FAILURE_MODES = ("cut", "lost", "slow", "surplus", "refuse", "error")
 
     def __init__(self, history, clock, name, service, address, engine, seed, slots=SLOTS,
-                 versions=1):
+                 versions=1, unframed_share=0.0):
         self.history = history
         self.clock = clock
         self.service = service
@@ -51,6 +55,12 @@
         #: Separate generator, so that the draws of versions don't alter the other draws of a seed.
         self.version_random = random.Random(f"version-{seed}")
         self.version = ""
+        #: Share of the answers with neither a length nor chunks, which end with their connection.
+        self.unframed_share = unframed_share
+        #: Separate generator, as for the versions.
+        self.framing_random = random.Random(f"framing-{seed}")
+        #: Writers of event streams under way that have neither a length nor chunks.
+        self.unframed_streams = set()
         self.name = name
         self.failure_mode = ""
         self.state = "ready"
@@ -90,8 +100,32 @@
         self.state = "gone"
         for received in (*self.current, *self.waiting):
             received.broke_off = True
+        for writer in list(self.unframed_streams):
+            self._break_off_inside_event(writer)
         for writer in list(self.connections):
-            writer.transport.abort()
+            if writer not in self.unframed_streams:
+                writer.transport.abort()
+        self.unframed_streams.clear()
+
+    @staticmethod
+    def _reset(writer):
+        """Ends a connection with a reset rather than a close."""
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                                   struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    def _break_off_inside_event(self, writer):
+        """Ends a connection so that its stream shows that it was broken off.
+
+        A close follows only a part of an event: behind a whole one it would be the end of the stream.
+        """
+        part = BROKEN_EVENT[:self.framing_random.randint(0, len(BROKEN_EVENT))]
+        if part:
+            writer.write(part)
+        if part and self.framing_random.random() < 0.5:
+            writer.close()
+        else:
+            self._reset(writer)
 
     async def _serve(self, reader, writer):
         self.connections.add(writer)
@@ -102,7 +136,9 @@
             pass
         finally:
             self.connections.discard(writer)
-            writer.transport.abort()
+            self.unframed_streams.discard(writer)
+            if not writer.is_closing():
+                writer.transport.abort()
 
     @staticmethod
     def _head(status, fields):
@@ -170,13 +206,18 @@
             return False
         run.status = 500 if failure == "error" else 200
         common_headers.append(("X-Response-Signature", f"{run.backend}.{run.request}"))
+        unframed = self.framing_random.random() < self.unframed_share
+        if unframed and self.framing_random.random() < 0.5:
+            common_headers.append(("Connection", "close"))
         if streams:
-            return await self._stream(run, common_headers, failure, reader, writer)
+            return await self._stream(run, common_headers, failure, unframed, reader, writer)
         run.pieces = [f"{run.backend}:{run.request}:" + "p" * self.random.randrange(800)]
         payload = run.pieces[0].encode()
         sent = payload[:len(payload) // 2] if failure == "cut" else payload
         run.complete = sent == payload
         run.broke_off = not run.complete
+        if unframed:
+            return await self._send_unframed(run, common_headers, sent, writer)
         writer.write(self._head(run.status, common_headers + [("Content-Length",
                                                                str(len(payload)))]) + sent)
         if failure == "surplus":
@@ -184,9 +225,22 @@
         await writer.drain()
         return run.complete
 
-    async def _stream(self, run, common_headers, failure, reader, writer):
+    async def _send_unframed(self, run, common_headers, sent, writer):
+        """Sends a plain answer without a length; only a reset tells that it isn't whole."""
+        writer.write(self._head(run.status, common_headers) + sent)
+        await writer.drain()
+        if run.complete:
+            writer.close()
+        else:
+            self._reset(writer)
+        return False
+
+    async def _stream(self, run, common_headers, failure, unframed, reader, writer):
+        framing = [] if unframed else [("Transfer-Encoding", "chunked")]
         writer.write(self._head(200, common_headers + [("Content-Type", "text/event-stream"),
-                                              ("Transfer-Encoding", "chunked")]))
+                                                       *framing]))
+        if unframed:
+            self.unframed_streams.add(writer)
         count = self.random.randint(2, 8)
         resumable = re.match(r"/streams/(\d+)/", run.target)
         if resumable:
@@ -194,15 +248,21 @@
         for number in range(run.last_event + 1, count + 1):
             if failure == "cut" and number == count:
                 run.broke_off = True
+                if unframed:
+                    self._break_off_inside_event(writer)
                 return False
             piece = (f"{run.version}.{number}" if resumable else
                      f"{run.request[:6]}-{number}-{self.random.randrange(1000)}")
             event = f"id: {number}\ndata: {piece}\n\n".encode()
             run.pieces.append(piece)
-            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            writer.write(event if unframed else b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
             await self._work(0.01 + requested_work(run.target) / count, reader)
         run.complete = True
+        if unframed:
+            self.unframed_streams.discard(writer)
+            writer.close()
+            return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -59,6 +59,16 @@
     return len(complete), wrong
 
 
+def broken_off_answers_are_not_whole(history):
+    """An answer that reaches its caller as a whole one was sent whole by a back end."""
+    runs = runs_by_request(history)
+    whole = [attempt for attempt in history.attempts if attempt.status == 200 and attempt.complete]
+    return len(whole), [f"{attempt.request} ({attempt.kind}) got {len(attempt.pieces)} pieces as a "
+                        f"whole answer, and no back end sent one"
+                        for attempt in whole
+                        if not any(run.complete for run in runs[attempt.request])]
+
+
 def streams_keep_their_order(history):
     """An interrupted stream consists of the first events of one run, without duplicates."""
     runs = runs_by_request(history)
@@ -294,7 +304,7 @@
 
 
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
-          streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
+          broken_off_answers_are_not_whole, streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
           proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve,
           work_ends, read_requests_are_answered, dispatchers_answer_in_time,
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -36,6 +36,16 @@
         for name, _, violations in checks.check_all(good):
             self.assertEqual([], violations, name)
 
+    def test_a_broken_off_answer_that_arrives_as_a_whole_one_is_found(self):
+        for kind in ("turn", "stream", "once"):
+            broken = [run(complete=False), run(complete=False)]
+            self.assertTrue(self.violations(checks.broken_off_answers_are_not_whole, runs=broken,
+                                            attempts=[attempt(kind=kind)]))
+            self.assertFalse(self.violations(checks.broken_off_answers_are_not_whole, runs=broken,
+                                             attempts=[attempt(kind=kind, complete=False)]))
+            self.assertFalse(self.violations(checks.broken_off_answers_are_not_whole,
+                                             runs=[*broken, run()], attempts=[attempt(kind=kind)]))
+
     def attempts_after_recovery(self, statuses, **fields):
         return [attempt(str(number), sent=30.0, status=status, tenant="open", **fields)
                 for number, status in enumerate(statuses)]
--- a/tests/platform/soak/connections.py
+++ b/tests/platform/soak/connections.py
@@ -114,8 +114,13 @@
         attempt.answered_id = headers.get("x-request-id", "")
         attempt.retry_after = headers.get("retry-after", "")
         self.closing = headers.get("connection", "").lower() == "close"
-        if headers.get("transfer-encoding") == "chunked":
+        is_chunked = headers.get("transfer-encoding") == "chunked"
+        if is_chunked and headers.get("content-type") == "text/event-stream":
             await self._read_events(attempt)
+        elif is_chunked:
+            body = b"".join([chunk async for chunk in read_chunks(self.reader)])
+            if attempt.status == 200:
+                attempt.pieces.append(body.decode())
         else:
             body = await read_body(self.reader, headers)
             if attempt.status == 200:
--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -40,6 +40,8 @@
                         help="number of software versions that engines run side by side")
     parser.add_argument("--stream-callers", type=int, default=0,
                         help="callers of resumable streams, which resume interrupted ones")
+    parser.add_argument("--unframed", type=float, default=0.0, metavar="SHARE",
+                        help="share of the answers with neither a length nor chunks")
     parser.add_argument("--network", type=int, default=0,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", default="", help="folder to which the logs are always copied")
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -66,11 +66,11 @@
                       options.dispatch)
     backends = [Backend(history, clock, f"engine-{number}", "engines",
                         (addresses.own(41 + number), 7700), True, generator.random(),
-                        options.slots, options.versions)
+                        options.slots, options.versions, options.unframed)
                 for number in range(ENGINES)]
     backends += [Backend(history, clock, f"app-{number}", "apps",
                          (addresses.own(51 + number), 7700), False, generator.random(),
-                         options.slots)
+                         options.slots, unframed_share=options.unframed)
                  for number in range(APPS)]
     for backend in backends:
         await backend.start()
