Truncated streams: charge no events that weren't relayed; errors have no position

Cause, found by reading: a stream with an announced length that ends inside an event is dropped whole when nothing was written yet, but its events had been counted, so a further attempt charged them to the program again; and a failed answer on a streaming route was logged as truncated when its body was no event stream. Change: what isn't relayed isn't recorded; only successful answers are read as event streams.

--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -151,14 +151,14 @@
 
 asio::awaitable<attempt_result> answer_relay::write_buffered(http::connection_pointer connection,
                                                              std::string body) {
-    const http::message_head& head = connection->head();
-    if (is_truncated_stream(head)) {
+    if (is_truncated()) {
         co_return relay_failure(failure_kind::body_truncated);
     }
     mark_received();
     if (caller_.disconnected()) {
         co_return answered();
     }
+    const http::message_head& head = connection->head();
     const bool bodiless = head.framing == http::body_framing::none;
     const relayed_framing framing{false, body.size(), bodiless};
     std::string bytes = render_relayed_head(head, framing, caller_.announce_connection()) + body;
@@ -195,17 +195,17 @@
             piece.swap(*read);
         }
         const bool ended = connection->message_complete();
-        const bool truncated = ended && is_truncated_stream(head);
+        const bool truncated = ended && is_truncated();
         complete = ended && !truncated;
+        if (truncated && !chunked_) {
+            // The caller must not receive as many bytes as its head announced.
+            piece.clear();
+        }
         const std::optional<failure_kind> failure =
             co_await process_piece(piece, head, complete, backend.name);
         if (failure) {
             co_return relay_failure(*failure);
         }
-        if (truncated && !chunked_) {
-            // The caller must not receive as many bytes as its head announced.
-            piece.clear();
-        }
         outgoing += render_piece(piece, complete);
         // The head waits for a part of the body, so that an answer without any can be retried.
         const bool has_content = complete || !piece.empty();
@@ -251,8 +251,8 @@
     co_return std::nullopt;
 }
 
-bool answer_relay::is_truncated_stream(const http::message_head& head) const {
-    return is_success(head) && body_->completeness() == http::body_completeness::truncated;
+bool answer_relay::is_truncated() const {
+    return body_->completeness() == http::body_completeness::truncated;
 }
 
 asio::awaitable<bool> answer_relay::write_to_caller(std::string bytes,
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -50,7 +50,7 @@
     /// turn is pending.
     [[nodiscard]] bool is_received() const { return received_; }
     /// True when the caller received only a part of an answer.
-    [[nodiscard]] bool is_truncated() const { return started_ && !fully_relayed_; }
+    [[nodiscard]] bool is_partly_relayed() const { return started_ && !fully_relayed_; }
     /// Body of the last answer that was read; nothing without one.
     [[nodiscard]] const std::optional<http::received_body>& body() const { return body_; }
     /// Status of the last relayed answer; 0 without one.
@@ -91,8 +91,8 @@
                                                                const http::message_head& head,
                                                                bool complete,
                                                                const backend_name& backend);
-    /// True when a successful answer, whose body has ended, is an event stream that isn't whole.
-    [[nodiscard]] bool is_truncated_stream(const http::message_head& head) const;
+    /// True when the body, whose end was read, can't be whole.
+    [[nodiscard]] bool is_truncated() const;
     /// Records that the whole answer was received.
     void mark_received();
     /// Writes a part of a stream to the caller. @return false when the caller has left
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -97,7 +97,7 @@
         co_return false;
     }
     log_finish();
-    if (answer_ && answer_->is_truncated()) {
+    if (answer_ && answer_->is_partly_relayed()) {
         caller_.abort();
         co_return false;
     }
--- a/src/tallyfold/plane/http/body_completeness.cpp
+++ b/src/tallyfold/plane/http/body_completeness.cpp
@@ -15,6 +15,9 @@
 }
 
 bool is_event_stream(const message_head& head, bool expected) {
+    if (head.status / 100 != 2) {
+        return false;
+    }
     constexpr std::string_view media_type = "text/event-stream";
     const std::string* type = head.headers.find("Content-Type");
     if (type == nullptr) {
--- a/src/tallyfold/plane/http/body_completeness.hpp
+++ b/src/tallyfold/plane/http/body_completeness.hpp
@@ -27,7 +27,7 @@
 /// Name of the completeness in log lines and metrics.
 [[nodiscard]] std::string_view name_of(body_completeness completeness);
 
-/// True when the body of the response is to be read as a sequence of events.
+/// True when the response is successful and its body is to be read as a sequence of events.
 /// @param expected whether the request asked for an event stream; decides for a response without a
 /// Content-Type
 [[nodiscard]] bool is_event_stream(const message_head& head, bool expected);
--- a/tests/plane/forwarding/truncated_answer_test.cpp
+++ b/tests/plane/forwarding/truncated_answer_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(resumable_stream_goes_on_without_the_incomplete_event);
     CPPUNIT_TEST(resumable_stream_breaks_off_when_its_continuations_do);
     CPPUNIT_TEST(history_has_no_turn_that_broke_off);
+    CPPUNIT_TEST(events_that_were_not_relayed_are_not_recorded);
     CPPUNIT_TEST(back_end_whose_answer_broke_off_counts_as_failed);
     CPPUNIT_TEST(plain_answer_that_ends_with_its_connection_is_whole);
     CPPUNIT_TEST(reset_plain_answer_runs_again);
@@ -145,19 +146,19 @@
         assert_broken_off(relay("turn", {chunked_stream(event(1) + "id: 2\ndata: x")}));
     }
 
-    static outcome relay_counted_stream(const std::string& body) {
+    static scripted_answer counted_stream(const std::string& body) {
         const std::string fields =
             std::string(stream_fields) + "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        return relay("turn", {{fields, body, connection_end::kept_open}});
+        return {fields, body, connection_end::kept_open};
     }
 
     void counted_stream_that_ends_inside_an_event_is_not_whole() {
         // Read at once, so that nothing was written before the end was seen.
-        const outcome short_stream = relay_counted_stream(event(1) + "id: 2\nda");
+        const outcome short_stream = relay("turn", {counted_stream(event(1) + "id: 2\nda")});
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 502"), short_stream.text.substr(0, 12));
         CPPUNIT_ASSERT(short_stream.text.find("data: x1") == std::string::npos);
         const std::string body = "data: " + std::string(100'000, 'x') + "\n\nid: 2\nda";
-        const outcome long_stream = relay_counted_stream(body);
+        const outcome long_stream = relay("turn", {counted_stream(body)});
         CPPUNIT_ASSERT(long_stream.reset);
         CPPUNIT_ASSERT(!long_stream.text.ends_with("id: 2\nda"));
     }
@@ -219,30 +220,41 @@
         return forwarder_world::own_address().to_string() + ":17181";
     }
 
-    /// Runs one turn. @return its settlement
-    static turns::turn_settlement settlement_after(const std::string& body) {
+    /// Runs one turn of a program with a budget at a service with two back ends.
+    /// @return its settlement
+    static turns::turn_settlement settlement_after(const std::string& route,
+                                                   std::vector<scripted_answer> answers) {
         forwarder_world world;
         settling_store store(world.process.loop(), store_address());
         world.apply_configuration();
         world.add_store(settling_store::id, store_address());
-        scripted_backend backend(world.process.loop(), {unframed(body, connection_end::closed)});
+        scripted_backend backend(world.process.loop(), std::move(answers));
+        world.list_backend(backend.address());
         world.list_backend(backend.address());
-        relay_through(world, backend, "turn", "X-Program-Id: p\r\n");
+        relay_through(world, backend, route, "X-Program-Id: p\r\nX-Token-Budget: 100\r\n");
         CPPUNIT_ASSERT(world.run_until([&] { return !store.settlements.empty(); }));
         return store.settlements.front();
     }
 
     void history_has_no_turn_that_broke_off() {
-        const turns::turn_settlement broken = settlement_after(event(1) + "id: 2\nda");
+        const turns::turn_settlement broken =
+            settlement_after("turn", {unframed(event(1) + "id: 2\nda", connection_end::closed)});
         CPPUNIT_ASSERT(!broken.record.has_value());
         CPPUNIT_ASSERT_EQUAL(token_count{1}, broken.tokens);
-        const turns::turn_settlement whole = settlement_after(event(1) + event(2));
+        const turns::turn_settlement whole =
+            settlement_after("turn", {unframed(event(1) + event(2), connection_end::closed)});
         CPPUNIT_ASSERT(whole.record.has_value());
         CPPUNIT_ASSERT_EQUAL(std::string("x1\nx2\n"), whole.record->output);
         CPPUNIT_ASSERT_EQUAL(token_count{2}, whole.tokens);
     }
 
-    /// Number of requests of 20 that two back ends get, the first of which breaks all streams off.
+    /// Guards against a program that is charged twice for events, of which it got none at first.
+    void events_that_were_not_relayed_are_not_recorded() {
+        const turns::turn_settlement settled = settlement_after(
+            "resumable", {counted_stream(event(1) + "id: 2"), counted_stream(event(1) + event(2))});
+        CPPUNIT_ASSERT_EQUAL(token_count{2}, settled.tokens);
+    }
+
     void back_end_whose_answer_broke_off_counts_as_failed() {
         forwarder_world world;
         world.apply_configuration();
--- a/tests/plane/http/body_completeness_test.cpp
+++ b/tests/plane/http/body_completeness_test.cpp
@@ -132,11 +132,16 @@
 
     void stream_is_told_by_its_content_type() {
         message_head head;
+        head.status = 200;
         CPPUNIT_ASSERT(is_event_stream(head, true));
         CPPUNIT_ASSERT(!is_event_stream(head, false));
         head.headers.add("content-type", "Text/Event-Stream ; charset=utf-8");
         CPPUNIT_ASSERT(is_event_stream(head, false));
+        message_head failed = head;
+        failed.status = 500;
+        CPPUNIT_ASSERT(!is_event_stream(failed, true));
         message_head json;
+        json.status = 200;
         json.headers.add("Content-Type", "application/json");
         CPPUNIT_ASSERT(!is_event_stream(json, true));
     }
