Log the content of requests whose attempts fail

Client attempts have identifiers of their own, so 3201 and 3202 couldn't show that one repeats another, nor how many back ends broke off under one request. Both get the key of the content: a hash of what a back end receives without what differs between attempts, computed once an attempt has failed. A histogram counts the sends of a client attempt.

--- a/src/tallyfold/plane/forwarding/finished_request.cpp
+++ b/src/tallyfold/plane/forwarding/finished_request.cpp
@@ -60,6 +60,9 @@
     if (!finished.program.empty()) {
         add_field(line, "program", finished.program);
     }
+    if (!sending.content.empty()) {
+        add_field(line, "content", sending.content);
+    }
     if (!sending.backend_version.empty()) {
         add_field(line, "backend_version", sending.backend_version);
     }
--- a/src/tallyfold/plane/forwarding/finished_request.hpp
+++ b/src/tallyfold/plane/forwarding/finished_request.hpp
@@ -28,6 +28,8 @@
     std::uint32_t resumes = 0;
     /// Number of back-off pauses after which all back ends became eligible again.
     std::uint32_t back_offs = 0;
+    /// Key of the request's content; empty when no attempt failed.
+    std::string content;
     /// Total time in the admission queue.
     duration waited{};
     /// How the last attempt got its place at an engine.
--- a/src/tallyfold/plane/forwarding/forwarded_request.hpp
+++ b/src/tallyfold/plane/forwarding/forwarded_request.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "tallyfold/plane/decisions/time_budget.hpp"
 #include "tallyfold/plane/forwarding/request_codec.hpp"
@@ -30,9 +31,15 @@
     std::string body;
     /// The caller's body without history, if the route keeps history; empty otherwise.
     std::string turn_input;
+    /// Number of bytes of history at the beginning of `body`.
+    std::size_t history_bytes = 0;
     /// Software version that a resumed stream has to go on at; nothing for a new one.
     std::optional<std::string> required_version = std::nullopt;
 
+    /// The caller's body, which follows the history.
+    [[nodiscard]] std::string_view caller_body() const {
+        return std::string_view(body).substr(history_bytes);
+    }
     [[nodiscard]] std::string tenant_name() const {
         return tenant != nullptr ? tenant->name : std::string{};
     }
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
@@ -14,6 +14,9 @@
 const prometheus::Histogram::BucketBoundaries place_buckets{0.0005, 0.001, 0.002, 0.004,
                                                             0.008,  0.016, 0.032, 0.064};
 
+/// Requests take one send, and a few with back ends that are full or fail.
+const prometheus::Histogram::BucketBoundaries send_buckets{0, 1, 2, 3, 4, 6, 8, 12, 16};
+
 }  // namespace
 
 forwarder_metrics::forwarder_metrics(prometheus::Registry& registry)
@@ -61,6 +64,8 @@
       place_(net::add_histogram(registry, "tallyfold_forwarder_place_seconds",
                                 "Time until a dispatcher answered a request for a place",
                                 place_buckets)),
+      sends_(net::add_histogram(registry, "tallyfold_forwarder_request_sends",
+                                "Sends to back ends that a request took", send_buckets)),
       slowdown_(net::add_gauge(registry, "tallyfold_forwarder_engine_slowdown",
                                "Times slower than on an idle engine that events come")),
       waiting_(net::add_gauge(registry, "tallyfold_forwarder_waiting_calls",
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
@@ -22,6 +22,8 @@
     /// Records the end of a request.
     /// @param outcome text of the request_finished event's outcome
     void record_request(const std::string& outcome, duration elapsed);
+    /// Records the number of sends to back ends that a request took.
+    void record_sends(std::uint32_t sends) { sends_.Observe(sends); }
     /// Records the time from the request's last byte to the answer's first byte.
     void record_first_byte_time(duration elapsed) { first_byte_.Observe(seconds(elapsed)); }
     /// Records the time that the stores took to begin or settle a turn.
@@ -68,6 +70,7 @@
     prometheus::Histogram& total_;
     prometheus::Histogram& wait_;
     prometheus::Histogram& place_;
+    prometheus::Histogram& sends_;
     prometheus::Gauge& slowdown_;
     prometheus::Gauge& waiting_;
 };
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -189,6 +189,7 @@
             time_budget(request_.received, facts_.caller_timeout, route_timeout),
             std::move(request_.body),
             {},
+            0,
             std::move(required_version)};
 }
 
@@ -243,6 +244,7 @@
         forwarded_->turn_input = forwarded_->body;
     }
     forwarded_->body = history + forwarded_->body;
+    forwarded_->history_bytes = history.size();
     co_return std::nullopt;
 }
 
@@ -305,6 +307,7 @@
     }
     if (send_loop_) {
         finished.sending = send_loop_->statistics();
+        context_.metrics.record_sends(finished.sending.sends);
     }
     if (turn_) {
         finished.turn = finished_turn{turn_->log_fields(), facts_.program_time_left,
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -6,6 +6,7 @@
 #include <asio/use_awaitable.hpp>
 
 #include "tallyfold/base/logging/event_log.hpp"
+#include "tallyfold/plane/forwarding/request_identity.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -36,6 +37,13 @@
     });
 }
 
+poison::content_key send_loop::content_key() {
+    if (!content_) {
+        content_ = content_key_of(request_);
+    }
+    return *content_;
+}
+
 void send_loop::abort_attempt() {
     if (attempt_) {
         attempt_->abort();
@@ -155,10 +163,12 @@
     const std::string reason = text_of(failed.failure);
     const duration time_left = request_.budget.left(http::steady_now());
     context_.metrics.count_attempt_failure(reason);
+    statistics_.content = poison::to_string(content_key());
     const std::string body_fields = failed.has_body ? answer_.body()->log_fields() : std::string{};
     logging::write_event(logging::event_id::attempt_failed,
-                         "request=" + request_.facts.request + " backend=" + backend.name +
-                             " backend_version=" + backend.version + " reason=" + reason +
+                         "request=" + request_.facts.request +
+                             " content=" + statistics_.content +
+                             " backend=" + backend.name + " backend_version=" + backend.version + " reason=" + reason +
                              " end=" + std::to_string(static_cast<int>(failed.end)) +
                              " time_left_ms=" + std::to_string(to_milliseconds(time_left)) +
                              (body_fields.empty() ? "" : " ") + body_fields);
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -13,6 +13,7 @@
 #include "tallyfold/plane/forwarding/backend_attempt_shell.hpp"
 #include "tallyfold/plane/forwarding/call_place_shell.hpp"
 #include "tallyfold/plane/forwarding/finished_request.hpp"
+#include "tallyfold/plane/poison/content_key.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -39,6 +40,8 @@
     [[nodiscard]] const send_statistics& statistics() const { return statistics_; }
 
   private:
+    /// Key of the request's content, computed on first use.
+    poison::content_key content_key();
     [[nodiscard]] selection_request make_selection_request() const;
     [[nodiscard]] std::int32_t urgency_of(const scheduling::call_features& call) const;
     /// Obtains a place of a dispatcher for the next attempt if one is needed, and waits for
@@ -78,6 +81,7 @@
     /// True while the call holds a slot of the admission queue.
     bool admitted_ = false;
     send_statistics statistics_;
+    std::optional<poison::content_key> content_;
 };
 
 }  // namespace tallyfold::forwarding
