--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -55,6 +55,8 @@
     breaks_stream,
     /// Sends one event of a stream, closes the connection and accepts no further one.
     dies_in_stream,
+    /// Closes the connection instead of an answer and accepts no further one.
+    ends,
 };
 
 /// A back end that counts the requests which reach it.
@@ -108,7 +110,10 @@
             }
             const std::string id = *peer->head().headers.find(platform::names::request_id);
             requests_.push_back(id);
-            if (behavior_ == backend_behavior::closes) {
+            if (behavior_ == backend_behavior::ends) {
+                acceptor_.close();
+            }
+            if (behavior_ == backend_behavior::closes || behavior_ == backend_behavior::ends) {
                 peer->close();
                 co_return;
             }
