Stop requests that end their back ends after three, at all forwarders

Callers saw a request end one back end after the other: a forwarder knows one client attempt, and each attempt has an identifier of its own, so every attempt was allowed all of its runs again; within one, resumes and refused connections count apart.

The request is now recognized by its content. An attempt whose connection broke is followed by a probe of its back end; if that has ended, the crash is recorded under the content, and reported to the directory nodes before the request goes on. They answer with what other forwarders reported, and tell all forwarders from the second crash on (format 6). Before each send, and before the turn begins, a request with three crashes one after the other is refused: 503, or 502 after a send.

--- a/src/tallyfold/base/protocol/format_version.hpp
+++ b/src/tallyfold/base/protocol/format_version.hpp
@@ -22,10 +22,12 @@
     v4 = 4,
     /// Adds the origins of resumable streams.
     v5 = 5,
+    /// Adds the crashes of back ends under requests.
+    v6 = 6,
 };
 
 constexpr format_version oldest_format = format_version::v1;
-constexpr format_version newest_format = format_version::v5;
+constexpr format_version newest_format = format_version::v6;
 
 inline std::string to_string(format_version version) {
     return std::to_string(static_cast<int>(version));
--- a/src/tallyfold/plane/decisions/attempt_failure.cpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.cpp
@@ -41,6 +41,8 @@
             return "not_executed";
         case failure_kind::shutdown:
             return "shutdown";
+        case failure_kind::poison_request:
+            return "poison_request";
         case failure_kind::none:
             break;
     }
@@ -49,6 +51,19 @@
 
 }  // namespace
 
+bool is_connection_loss(failure_kind kind) {
+    switch (kind) {
+        case failure_kind::write:
+        case failure_kind::answer_head:
+        case failure_kind::body:
+        case failure_kind::body_truncated:
+        case failure_kind::unmatched_answer_incomplete:
+            return true;
+        default:
+            return false;
+    }
+}
+
 std::string text_of(const attempt_failure& failure) {
     return std::string(text_of(failure.kind)) + std::string(failure.connection);
 }
--- a/src/tallyfold/plane/decisions/attempt_failure.hpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.hpp
@@ -44,6 +44,8 @@
     not_executed,
     /// The node reached the cut-off of its shutdown.
     shutdown,
+    /// Several back ends ended while they ran the request.
+    poison_request,
 };
 
 struct attempt_failure {
@@ -53,6 +55,9 @@
     std::string_view connection = {};
 };
 
+/// True when the connection failed after the request was sent, so that its back end may have ended.
+[[nodiscard]] bool is_connection_loss(failure_kind kind);
+
 /// Text of the failure in log lines, in the label of the attempt counter and in answers.
 [[nodiscard]] std::string text_of(const attempt_failure& failure);
 
--- a/src/tallyfold/plane/decisions/local_answer.cpp
+++ b/src/tallyfold/plane/decisions/local_answer.cpp
@@ -64,6 +64,14 @@
     return answer;
 }
 
+local_answer answer_to_poison_request(duration held) {
+    local_answer answer;
+    answer.status = 503;
+    answer.reason = text_of({failure_kind::poison_request});
+    answer.retry = retry_after{held};
+    return answer;
+}
+
 local_answer answer_without_place(dispatch::place_reason reason, duration retry_after) {
     local_answer answer;
     answer.status = 503;
--- a/src/tallyfold/plane/decisions/local_answer.hpp
+++ b/src/tallyfold/plane/decisions/local_answer.hpp
@@ -64,6 +64,9 @@
 /// @param decision a decision that grants no permit
 [[nodiscard]] local_answer answer_without_permit(const tenants::permit_decision& decision);
 
+/// Refuses a request under which several back ends ended.
+/// @param held time until it may be sent again
+[[nodiscard]] local_answer answer_to_poison_request(duration held);
 /// @param reason why the dispatcher refused the call a place at an engine
 /// @param retry_after expected time until there is room
 [[nodiscard]] local_answer answer_without_place(dispatch::place_reason reason,
--- a/src/tallyfold/plane/directory/directory_metrics.hpp
+++ b/src/tallyfold/plane/directory/directory_metrics.hpp
@@ -45,6 +45,11 @@
           nodes_in_fifth_format(
               net::add_gauge(registry, "tallyfold_directory_nodes_in_fifth_format",
                              "Nodes heard of lately that know the fifth form of messages")),
+          nodes_in_sixth_format(
+              net::add_gauge(registry, "tallyfold_directory_nodes_in_sixth_format",
+                             "Nodes heard of lately that know the sixth form of messages")),
+          crash_contents(net::add_gauge(registry, "tallyfold_directory_crash_contents",
+                                        "Contents of requests under which back ends ended lately")),
           is_halted(net::add_gauge(registry, "tallyfold_directory_stands_still",
                                    "1 while this node can't read what its group committed")) {}
 
@@ -61,6 +66,8 @@
             static_cast<double>(core.formats().count(format_version::v4, now)));
         nodes_in_fifth_format.Set(
             static_cast<double>(core.formats().count(format_version::v5, now)));
+        nodes_in_sixth_format.Set(
+            static_cast<double>(core.formats().count(format_version::v6, now)));
         is_halted.Set(core.is_halted() ? 1 : 0);
     }
 
@@ -77,6 +84,8 @@
     prometheus::Gauge& nodes_in_third_format;
     prometheus::Gauge& nodes_in_fourth_format;
     prometheus::Gauge& nodes_in_fifth_format;
+    prometheus::Gauge& nodes_in_sixth_format;
+    prometheus::Gauge& crash_contents;
     prometheus::Gauge& is_halted;
 };
 
--- a/src/tallyfold/plane/directory/directory_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_shell.cpp
@@ -3,6 +3,7 @@
 #include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/plane/directory/admin_api_shell.hpp"
 #include "tallyfold/plane/directory/backend_list_sharing_shell.hpp"
+#include "tallyfold/plane/directory/crash_sharing_shell.hpp"
 #include "tallyfold/plane/directory/directory_links_shell.hpp"
 #include "tallyfold/plane/directory/directory_metrics.hpp"
 #include "tallyfold/plane/directory/directory_replica_shell.hpp"
@@ -28,6 +29,8 @@
 /// Interval at which the propagation of the configuration is checked. A change takes 0.2 to 0.4 s
 /// to reach all nodes.
 constexpr duration propagation_check_interval = std::chrono::milliseconds(200);
+/// Interval at which expired crashes are removed, which visits all of them.
+constexpr duration crash_expiry_interval = std::chrono::seconds(5);
 /// Maximum size in bytes of an operator's request; four times the text of a configuration with
 /// 6,000 routes.
 constexpr std::size_t max_body_bytes = 8U << 20U;
@@ -60,6 +63,7 @@
     backend_list_sharing list_;
     propagation_monitor propagation_;
     report_service reports_;
+    crash_sharing crashes_;
     permit_lending permits_;
     dispatch_service dispatch_;
     admin_api admin_;
@@ -79,6 +83,7 @@
       list_(process_, lists, replica_.core()),
       propagation_(metrics_),
       reports_(metrics_, list_, propagation_),
+      crashes_(metrics_),
       permits_(process_.settings(), replica_.core()),
       dispatch_(process_, list_, replica_.core()),
       admin_(process_, codec, replica_.core(), [this] { replica_.run_work(); }),
@@ -117,12 +122,17 @@
     } else if (const auto* report = std::get_if<node_report>(&message)) {
         core.record_peer_format(report->node, channel->peer_format(), now);
         reports_.answer(core, channel, *report);
+        if (report->wants_list) {
+            crashes_.add_listener(channel, now);
+        }
     } else if (const auto* request = std::get_if<configuration_request>(&message)) {
         reports_.answer(core, channel, *request);
     } else if (const auto* request = std::get_if<discovery::list_request>(&message)) {
         reports_.answer(channel, *request);
     } else if (const auto* failure = std::get_if<discovery::failure_report>(&message)) {
         reports_.record_failure(*failure);
+    } else if (const auto* crash = std::get_if<poison::crash_report>(&message)) {
+        crashes_.receive(channel, *crash, now);
     } else if (const auto* spent = std::get_if<tenants::permit_report>(&message)) {
         channel->send(permits_.answer(*spent, now));
     } else if (const auto* request = std::get_if<dispatch::place_request>(&message)) {
@@ -191,6 +201,7 @@
     process_.run_every(list_request_interval, [this] { request_list_from_leader(); });
     process_.run_every(propagation_check_interval, [this] { check_propagation(); });
     process_.run_every(tick_interval, [this] { tick(); });
+    process_.run_every(crash_expiry_interval, [this] { crashes_.expire(http::steady_now()); });
 }
 
 int directory_node::run() {
--- a/src/tallyfold/plane/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_context.hpp
@@ -12,6 +12,7 @@
 #include "tallyfold/plane/forwarding/admission_queue_shell.hpp"
 #include "tallyfold/plane/forwarding/backend_registry.hpp"
 #include "tallyfold/plane/forwarding/connection_pool_shell.hpp"
+#include "tallyfold/plane/forwarding/crash_watch_shell.hpp"
 #include "tallyfold/plane/forwarding/dispatch_client_shell.hpp"
 #include "tallyfold/plane/forwarding/forwarder_metrics.hpp"
 #include "tallyfold/plane/forwarding/request_codec.hpp"
@@ -35,6 +36,8 @@
     forwarder_metrics& metrics;
     call_ranking& ranking;
     dispatch_client& dispatch;
+    poison::crash_client& crashes;
+    crash_watch& crash_evidence;
     routing::traffic_splitter splitter;
     /// Current configuration; a running request keeps the one it began with.
     std::shared_ptr<const routing::route_table> routes;
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.cpp
@@ -37,6 +37,10 @@
                    .Help("Calls that asked for a permit of their tenant, by outcome, and whether "
                          "the keeper had to be asked")
                    .Register(registry)),
+      crashes_(prometheus::BuildCounter()
+                   .Name("tallyfold_forwarder_backend_crashes_total")
+                   .Help("Back ends that ended under a request, once for each request, by evidence")
+                   .Register(registry)),
       alone_(prometheus::BuildCounter()
                  .Name("tallyfold_forwarder_place_alone_total")
                  .Help("Calls to engines that were sent without a place of a dispatcher, by reason")
@@ -49,6 +53,9 @@
                                     "New connections to back ends")),
       adopted_(net::add_counter(registry, "tallyfold_forwarder_adopted_lines_total",
                                 "Turns that go on with a line of another group of stores")),
+      poison_refusals_(
+          net::add_counter(registry, "tallyfold_forwarder_poison_refusals_total",
+                           "Requests not sent since several back ends ended under them")),
       first_byte_(net::add_histogram(registry, "tallyfold_forwarder_first_byte_seconds",
                                      "Time from a request's end to the first byte of its answer",
                                      latency_buckets)),
@@ -91,6 +98,10 @@
     resumed_streams_.Add({{"outcome", outcome}}).Increment();
 }
 
+void forwarder_metrics::count_crash(const std::string& evidence) {
+    crashes_.Add({{"evidence", evidence}}).Increment();
+}
+
 void forwarder_metrics::count_answer_end(http::body_completeness completeness) {
     if (completeness != http::body_completeness::whole) {
         answer_ends_.Add({{"body", std::string(http::name_of(completeness))}}).Increment();
--- a/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_metrics.hpp
@@ -50,6 +50,10 @@
     /// Counts a failed attempt.
     /// @param reason as in the attempt_failed event
     void count_attempt_failure(const std::string& reason);
+    /// Counts a back end that ended under a request. @param evidence as in the log event
+    void count_crash(const std::string& evidence);
+    /// Counts a request that was not sent, or not again, since several back ends ended under it.
+    void count_poison_refusal() { poison_refusals_.Increment(); }
     /// Counts the end of an answer's body, unless it is certainly whole.
     void count_answer_end(http::body_completeness completeness);
     /// Counts a permit decision of a call.
@@ -61,10 +65,12 @@
     prometheus::Family<prometheus::Counter>& failures_;
     prometheus::Family<prometheus::Counter>& answer_ends_;
     prometheus::Family<prometheus::Counter>& permits_;
+    prometheus::Family<prometheus::Counter>& crashes_;
     prometheus::Family<prometheus::Counter>& alone_;
     prometheus::Family<prometheus::Counter>& resumed_streams_;
     prometheus::Counter& connections_;
     prometheus::Counter& adopted_;
+    prometheus::Counter& poison_refusals_;
     prometheus::Histogram& first_byte_;
     prometheus::Histogram& store_;
     prometheus::Histogram& total_;
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -86,6 +86,8 @@
     instant started_at_;
     call_ranking ranking_;
     dispatch_client dispatch_;
+    poison::crash_client crashes_;
+    crash_watch crash_watch_;
     forwarder_context context_;
     caller_listener callers_;
     http::endpoint_server readiness_;
@@ -109,8 +111,11 @@
       poller_(process_, lists),
       started_at_(http::steady_now()),
       dispatch_(process_, directory_, metrics_),
-      context_{process_, codec,    directory_, quotas_, turns_,  origins_, backends_, connections_,
-               metrics_, ranking_, dispatch_,  {},      nullptr, {},       false},
+      crashes_(process_, directory_),
+      crash_watch_(process_, connections_, crashes_, metrics_),
+      context_{process_,     codec,        directory_, quotas_,  turns_,    origins_,
+               backends_,    connections_, metrics_,   ranking_, dispatch_, crashes_,
+               crash_watch_, {},           nullptr,    {},       false},
       callers_(context_),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
 
@@ -282,6 +287,7 @@
         {});
     quotas_.start();
     dispatch_.start();
+    crashes_.start();
     directory_.on_evacuated_zones([this](const std::vector<std::string>& zones) {
         backends_.set_evacuated_zones({zones.begin(), zones.end()});
         logging::write_event(logging::event_id::zone_evacuation_changed,
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -141,7 +141,12 @@
     }
     if (!refused) {
         forwarded_.emplace(make_forwarded_request());
-        refused = co_await begin_turn_and_take_permit();
+        poison_.emplace(context_, *forwarded_);
+        if (poison_->may_send()) {
+            refused = co_await begin_turn_and_take_permit();
+        } else {
+            refused = poison_->refuse(0);
+        }
     }
     if (refused) {
         co_await refuse(*refused);
@@ -252,7 +257,7 @@
     answer_.emplace(context_, *forwarded_, caller_, turn_ ? &*turn_ : nullptr,
                     stream_ ? &*stream_ : nullptr);
     const token_count used_tokens = turn_ ? turn_->used_tokens() : 0;
-    send_loop_.emplace(context_, *forwarded_, caller_, *answer_, used_tokens);
+    send_loop_.emplace(context_, *forwarded_, *poison_, caller_, *answer_, used_tokens);
     end_ = co_await send_loop_->run();
     if (end_.answer) {
         co_await caller_.write_answer(*end_.answer);
--- a/src/tallyfold/plane/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.hpp
@@ -18,6 +18,7 @@
 #include "tallyfold/plane/forwarding/caller_channel_shell.hpp"
 #include "tallyfold/plane/forwarding/cut_off_request.hpp"
 #include "tallyfold/plane/forwarding/forwarded_request.hpp"
+#include "tallyfold/plane/forwarding/poison_check_shell.hpp"
 #include "tallyfold/plane/forwarding/send_loop_shell.hpp"
 #include "tallyfold/plane/forwarding/stream_session_shell.hpp"
 #include "tallyfold/plane/forwarding/turn_session_shell.hpp"
@@ -87,6 +88,7 @@
     /// The following members are set as their stage is reached.
     std::optional<stream_session> stream_;
     std::optional<forwarded_request> forwarded_;
+    std::optional<poison_check> poison_;
     std::optional<turn_session> turn_;
     std::optional<answer_relay> answer_;
     std::optional<send_loop> send_loop_;
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -6,7 +6,6 @@
 #include <asio/use_awaitable.hpp>
 
 #include "tallyfold/base/logging/event_log.hpp"
-#include "tallyfold/plane/forwarding/request_identity.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -22,9 +21,11 @@
 }  // namespace
 
 send_loop::send_loop(forwarder_context& context, const forwarded_request& request,
-                     caller_channel& caller, answer_relay& answer, token_count used_tokens)
+                     poison_check& poison, caller_channel& caller, answer_relay& answer,
+                     token_count used_tokens)
     : context_(context),
       request_(request),
+      poison_(poison),
       caller_(caller),
       answer_(answer),
       policy_(make_retry_policy(context, request.route)),
@@ -37,13 +38,6 @@
     });
 }
 
-poison::content_key send_loop::content_key() {
-    if (!content_) {
-        content_ = content_key_of(request_);
-    }
-    return *content_;
-}
-
 void send_loop::abort_attempt() {
     if (attempt_) {
         attempt_->abort();
@@ -110,11 +104,18 @@
             question.tried.clear();
             continue;
         }
+        if (!poison_.may_send()) {
+            give_back_place();
+            co_return poison_result(last);
+        }
         question.tried.insert(backend->name);
+        const instant sent = http::steady_now();
         last = co_await attempt(*backend);
         if (last.end == attempt_end::answered) {
+            poison_.release();
             break;
         }
+        co_await examine(*backend, last, sent);
         if (answer_.progress() != answer_progress::none) {
             question.version = answer_.started_version();
         }
@@ -159,16 +160,49 @@
     co_return result;
 }
 
+asio::awaitable<void> send_loop::examine(chosen_backend backend, attempt_result failed,
+                                         instant sent) {
+    const bool may_have_ended = failed.end == attempt_end::may_have_run &&
+                                is_connection_loss(failed.failure.kind) && !caller_.disconnected();
+    if (!may_have_ended) {
+        co_return;
+    }
+    failed_run run;
+    run.request = request_.facts.request;
+    run.content = poison_.content();
+    run.backend = backend.name;
+    run.address = backend.address;
+    run.sent = sent;
+    run.failed = http::steady_now();
+    if (failed.timed_out) {
+        // Silence has used up the attempt's time already.
+        context_.crash_evidence.examine_later(std::move(run));
+    } else {
+        co_await context_.crash_evidence.examine(std::move(run));
+    }
+}
+
+request_result send_loop::poison_result(attempt_result last) {
+    const bool is_refused = !policy_.may_have_run() && answer_.progress() == answer_progress::none;
+    const local_answer refused = poison_.refuse(statistics_.sends);
+    if (is_refused) {
+        return {refused.outcome, refused.reason, refused};
+    }
+    last.failure.kind = failure_kind::poison_request;
+    last.timed_out = false;
+    return make_request_result(last);
+}
+
 next_step send_loop::handle_failure(const chosen_backend& backend, const attempt_result& failed) {
     const std::string reason = text_of(failed.failure);
     const duration time_left = request_.budget.left(http::steady_now());
     context_.metrics.count_attempt_failure(reason);
-    statistics_.content = poison::to_string(content_key());
+    statistics_.content = poison::to_string(poison_.content());
     const std::string body_fields = failed.has_body ? answer_.body()->log_fields() : std::string{};
     logging::write_event(logging::event_id::attempt_failed,
-                         "request=" + request_.facts.request +
-                             " content=" + statistics_.content +
-                             " backend=" + backend.name + " backend_version=" + backend.version + " reason=" + reason +
+                         "request=" + request_.facts.request + " content=" + statistics_.content +
+                             " backend=" + backend.name + " backend_version=" + backend.version +
+                             " reason=" + reason +
                              " end=" + std::to_string(static_cast<int>(failed.end)) +
                              " time_left_ms=" + std::to_string(to_milliseconds(time_left)) +
                              (body_fields.empty() ? "" : " ") + body_fields);
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -13,16 +13,16 @@
 #include "tallyfold/plane/forwarding/backend_attempt_shell.hpp"
 #include "tallyfold/plane/forwarding/call_place_shell.hpp"
 #include "tallyfold/plane/forwarding/finished_request.hpp"
-#include "tallyfold/plane/poison/content_key.hpp"
+#include "tallyfold/plane/forwarding/poison_check_shell.hpp"
 
 namespace tallyfold::forwarding {
 
 class send_loop {
   public:
-    /// @param request, `caller` and `answer` must outlive the loop
+    /// @param request, `poison`, `caller` and `answer` must outlive the loop
     /// @param used_tokens tokens that the program used before the request
-    send_loop(forwarder_context& context, const forwarded_request& request, caller_channel& caller,
-              answer_relay& answer, token_count used_tokens);
+    send_loop(forwarder_context& context, const forwarded_request& request, poison_check& poison,
+              caller_channel& caller, answer_relay& answer, token_count used_tokens);
 
     /// Must be called at most once, and be followed by leave_admission().
     /// @return the outcome, and the answer to write if none was relayed
@@ -40,8 +40,6 @@
     [[nodiscard]] const send_statistics& statistics() const { return statistics_; }
 
   private:
-    /// Key of the request's content, computed on first use.
-    poison::content_key content_key();
     [[nodiscard]] selection_request make_selection_request() const;
     [[nodiscard]] std::int32_t urgency_of(const scheduling::call_features& call) const;
     /// Obtains a place of a dispatcher for the next attempt if one is needed, and waits for
@@ -64,12 +62,17 @@
     /// when the request must not be retried
     asio::awaitable<bool> back_off();
     asio::awaitable<attempt_result> attempt(chosen_backend backend);
+    /// Finds out whether the back end ended under the request.
+    asio::awaitable<void> examine(chosen_backend backend, attempt_result failed, instant sent);
+    /// Result of a request that must not be sent, or not again, since back ends end under it.
+    [[nodiscard]] request_result poison_result(attempt_result last);
     /// Logs a failed attempt and determines the next step.
     next_step handle_failure(const chosen_backend& backend, const attempt_result& failed);
     [[nodiscard]] request_result make_request_result(const attempt_result& last) const;
 
     forwarder_context& context_;
     const forwarded_request& request_;
+    poison_check& poison_;
     caller_channel& caller_;
     answer_relay& answer_;
     retry_policy policy_;
@@ -81,7 +84,6 @@
     /// True while the call holds a slot of the admission queue.
     bool admitted_ = false;
     send_statistics statistics_;
-    std::optional<poison::content_key> content_;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/messaging/peer_message.hpp
+++ b/src/tallyfold/plane/messaging/peer_message.hpp
@@ -14,6 +14,7 @@
 #include "tallyfold/plane/directory/messages.hpp"
 #include "tallyfold/plane/discovery/list_messages.hpp"
 #include "tallyfold/plane/dispatch/messages.hpp"
+#include "tallyfold/plane/poison/messages.hpp"
 #include "tallyfold/plane/streams/messages.hpp"
 #include "tallyfold/plane/tenants/messages.hpp"
 #include "tallyfold/plane/turns/messages.hpp"
@@ -41,7 +42,8 @@
                  directory::configuration_part, discovery::list_status, discovery::list_request,
                  discovery::list_part, directory::evacuation_status, dispatch::place_request,
                  dispatch::place_answer, dispatch::place_release, dispatch::place_renewal,
-                 streams::origin_record, streams::origin_query, streams::origin_answer>;
+                 streams::origin_record, streams::origin_query, streams::origin_answer,
+                 poison::crash_report, poison::crash_status>;
 
 /// Limit of a frame's payload, far above the size of any valid message; longer frames are rejected.
 constexpr std::size_t max_frame_payload_bytes = 32U << 20U;
@@ -53,6 +55,7 @@
 constexpr std::size_t kinds_in_second_format = 19;
 constexpr std::size_t kinds_in_third_format = 23;
 constexpr std::size_t kinds_in_fourth_format = 27;
+constexpr std::size_t kinds_in_fifth_format = 30;
 
 /// Encodes a message as a frame in the newest format.
 std::string encode_frame(const peer_message& message);
--- a/tests/plane/directory/mixed_formats_test.cpp
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(stored_values_stay_in_third_format);
     CPPUNIT_TEST(earlier_formats_cannot_represent_dispatch_messages);
     CPPUNIT_TEST(earlier_formats_cannot_represent_origins_of_streams);
+    CPPUNIT_TEST(earlier_formats_cannot_represent_crashes);
     CPPUNIT_TEST_SUITE_END();
 
     static routing::configuration configuration_of(routing::configuration_version version,
@@ -259,6 +260,7 @@
         core.record_peer_format("d", format_version::v4, group.now());
         core.record_peer_format("e", format_version::v5, group.now());
         core.record_peer_format("f", format_version::v5, group.now());
+        core.record_peer_format("g", format_version::v6, group.now());
         prometheus::Registry registry;
         directory_metrics metrics(registry);
         metrics.observe(core, group.now());
@@ -267,6 +269,7 @@
         CPPUNIT_ASSERT_EQUAL(2.0, metrics.nodes_in_third_format.Value());
         CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_fourth_format.Value());
         CPPUNIT_ASSERT_EQUAL(2.0, metrics.nodes_in_fifth_format.Value());
+        CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_sixth_format.Value());
     }
 
     /// Guards against values that a build of format v3 cannot read, although nothing in them needs
@@ -310,6 +313,19 @@
         }
     }
 
+    void earlier_formats_cannot_represent_crashes() {
+        for (const messaging::peer_message& message :
+             {messaging::peer_message(poison::crash_report{}),
+              messaging::peer_message(poison::crash_status{})}) {
+            for (const format_version format :
+                 {format_version::v1, format_version::v2, format_version::v3, format_version::v4,
+                  format_version::v5}) {
+                CPPUNIT_ASSERT(!messaging::encode_frame(message, format));
+            }
+            CPPUNIT_ASSERT(messaging::encode_frame(message, format_version::v6).has_value());
+        }
+    }
+
     void stored_values_use_first_format_when_possible() {
         directory_state state;
         state.apply(replace_configuration{configuration_of(46, many_routes), "text"});
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -80,6 +80,15 @@
         behavior_ = backend_behavior::answers;
         release();
     }
+    /// Treats requests so from here on.
+    void behave(backend_behavior behavior) { behavior_ = behavior; }
+    /// Closes all connections and accepts no more.
+    void end() {
+        acceptor_.close();
+        for (const http::connection_pointer& peer : peers_) {
+            peer->abort();
+        }
+    }
     /// Identifiers of the requests read so far.
     [[nodiscard]] const std::vector<std::string>& requests() const { return requests_; }
 
@@ -96,6 +105,7 @@
             }
             auto peer = std::make_shared<http::connection>(std::move(socket),
                                                            http::message_kind::request, 64'000);
+            peers_.push_back(peer);
             asio::co_spawn(loop_, serve(std::move(peer)), asio::detached);
             accept();
         });
@@ -166,6 +176,7 @@
     asio::ip::tcp::acceptor acceptor_;
     backend_behavior behavior_;
     asio::steady_timer released_;
+    std::vector<http::connection_pointer> peers_;
     std::vector<std::string> requests_;
 };
 
@@ -218,7 +229,9 @@
 
 class forwarder_world {
   public:
-    explicit forwarder_world(settings::node_settings settings = forwarder_settings())
+    /// @param port of the callers' address; differs between worlds that exist at once
+    explicit forwarder_world(settings::node_settings settings = forwarder_settings(),
+                             std::uint16_t port = 17'180)
         : process(std::move(settings)),
           metrics(process.metrics()),
           backends("zone", 1),
@@ -227,10 +240,13 @@
           turns(process, [](const turns::store_map&) {}),
           origins(process, turns),
           dispatch(process, directory, metrics),
-          context{process, codec,   directory, quotas, turns,   origins, backends, connections,
-                  metrics, ranking, dispatch,  {},     nullptr, {},      false},
+          crashes(process, directory),
+          crash_watch(process, connections, crashes, metrics),
+          context{process,     codec,       directory, quotas,  turns,    origins,
+                  backends,    connections, metrics,   ranking, dispatch, crashes,
+                  crash_watch, {},          nullptr,   {},      false},
           callers(context) {
-        listen();
+        listen(port);
     }
 
     /// Puts a configuration into force with a repeatable and an at-most-once route, a stream that
@@ -266,6 +282,12 @@
         context.routes = std::make_shared<routing::route_table>(std::move(configuration));
     }
 
+    /// Lists the back ends of another world too.
+    void list_backends_of(const forwarder_world& other) {
+        listed_ = other.listed_;
+        backends.update(listed_, http::steady_now());
+    }
+
     counting_backend& add_backend(backend_behavior behavior, const std::string& version = {}) {
         running_backends_.push_back(std::make_unique<counting_backend>(process.loop(), behavior));
         list_backend(running_backends_.back()->address(), version);
@@ -359,12 +381,13 @@
     streams::origin_client origins;
     forwarding::call_ranking ranking;
     forwarding::dispatch_client dispatch;
+    poison::crash_client crashes;
+    forwarding::crash_watch crash_watch;
     forwarding::forwarder_context context;
     forwarding::caller_listener callers;
 
   private:
-    void listen() {
-        constexpr std::uint16_t port = 17'180;
+    void listen(std::uint16_t port) {
         const asio::ip::address_v4 address = own_address();
         endpoint_ = {address, port};
         const std::string problem = callers.start(address.to_string() + ":" + std::to_string(port));
--- a/tests/plane/forwarding/request_identity_test.cpp
+++ b/tests/plane/forwarding/request_identity_test.cpp
@@ -68,10 +68,9 @@
 
     void attempts_of_one_request_have_one_key() {
         const poison::content_key first = key({});
-        for (const char* name :
-             {platform::names::request_id, platform::names::deadline, platform::names::last_event,
-              platform::names::resumed_request, platform::names::program_deadline,
-              platform::names::program}) {
+        for (const char* name : {platform::names::request_id, platform::names::deadline,
+                                 platform::names::last_event, platform::names::resumed_request,
+                                 platform::names::program_deadline, platform::names::program}) {
             CPPUNIT_ASSERT_EQUAL_MESSAGE(name, first, key(with_field(name, "7")));
         }
     }
