Serve popular requests although back ends end under them

Once engines crashed in series, a stream that several callers ask for was refused to all of them: three crashes were known under its content, and no answer could release what isn't sent.

A content that was answered whole within 5 s has no crashes recorded, at the forwarder that relayed the answer and, once released, at the directory nodes. A series also ends after 20 s without a further send, crashes are known for a minute, and no client attempt ends more than three back ends whatever its content.

--- a/src/tallyfold/plane/directory/crash_relay.cpp
+++ b/src/tallyfold/plane/directory/crash_relay.cpp
@@ -34,16 +34,27 @@
     return true;
 }
 
+crash_relay::decision crash_relay::release(poison::content_key content, instant now) {
+    decision made;
+    const bool was_told = crashes_.consecutive(content, now) >= poison::told_crashes;
+    crashes_.release(content);
+    released_.record(content, now);
+    if (was_told) {
+        made.told.emplace();
+        made.told->contents.push_back({content, {}});
+    }
+    return made;
+}
+
 crash_relay::decision crash_relay::receive(const poison::crash_report& report, instant now) {
     const poison::content_key content = report.reported.content;
-    decision made;
     if (report.reported.crashes.empty()) {
-        const bool was_told = crashes_.consecutive(content, now) >= poison::told_crashes;
-        crashes_.release(content);
-        if (was_told) {
-            made.told.emplace();
-            made.told->contents.push_back({content, {}});
-        }
+        return release(content, now);
+    }
+    decision made;
+    if (released_.contains(content, now)) {
+        made.answer.report = report.report;
+        made.answer.contents.push_back({content, {}});
         return made;
     }
     const std::size_t before = crashes_.consecutive(content, now);
--- a/src/tallyfold/plane/directory/crash_relay.hpp
+++ b/src/tallyfold/plane/directory/crash_relay.hpp
@@ -1,12 +1,14 @@
 #pragma once
 /// @file
 /// A directory node's part in what nodes know of crashes: merges the reports of all forwarders,
-/// answers each with what is known of its content, and decides what all forwarders are told. In
-/// memory: after a restart the other directory nodes still know, and forwarders hold what they were
-/// told. Pure; crash_sharing sends the messages.
+/// answers each with what is known of its content, and decides what all forwarders are told.
+/// Remembers which contents were released, so that a popular one isn't held after the next crashes
+/// either. In memory: after a restart the other directory nodes still know, and forwarders hold
+/// what they were told. Pure; crash_sharing sends the messages.
 
 #include <optional>
 
+#include "tallyfold/plane/poison/answered_contents.hpp"
 #include "tallyfold/plane/poison/crash_table.hpp"
 #include "tallyfold/plane/poison/messages.hpp"
 
@@ -39,7 +41,11 @@
     /// True when a content with so many consecutive crashes may be told now.
     bool may_tell(std::size_t consecutive, instant now);
 
+    /// Forgets a content that some back end has answered.
+    decision release(poison::content_key content, instant now);
+
     poison::crash_table crashes_;
+    poison::answered_contents released_;
     /// Contents that may still be told, as of `refilled_at_`.
     double allowance_ = told_burst;
     instant refilled_at_{};
--- a/src/tallyfold/plane/forwarding/crash_watch_shell.cpp
+++ b/src/tallyfold/plane/forwarding/crash_watch_shell.cpp
@@ -36,17 +36,22 @@
                          poison::crash_client& crashes, forwarder_metrics& metrics)
     : process_(process), connections_(connections), crashes_(crashes), metrics_(metrics) {}
 
-asio::awaitable<void> crash_watch::examine(failed_run failed) {
+asio::awaitable<bool> crash_watch::examine(failed_run failed) {
     const auto evidence = co_await probe_backend(failed.backend, failed.address);
     if (evidence) {
         co_await record(std::move(failed), *evidence);
     } else {
         suspect(std::move(failed));
     }
+    co_return evidence.has_value();
+}
+
+asio::awaitable<void> crash_watch::examine_in_background(failed_run failed) {
+    co_await examine(std::move(failed));
 }
 
 void crash_watch::examine_later(failed_run failed) {
-    asio::co_spawn(process_.loop(), examine(std::move(failed)), asio::detached);
+    asio::co_spawn(process_.loop(), examine_in_background(std::move(failed)), asio::detached);
 }
 
 asio::awaitable<std::optional<crash_evidence>> crash_watch::probe_backend(backend_name backend,
--- a/src/tallyfold/plane/forwarding/crash_watch_shell.hpp
+++ b/src/tallyfold/plane/forwarding/crash_watch_shell.hpp
@@ -63,7 +63,8 @@
 
     /// Probes the back end, and records a crash if it has ended. Waits until the crash is known to
     /// the directory nodes, at most for the time limits of the probe and of a report.
-    asio::awaitable<void> examine(failed_run failed);
+    /// @return true if it has ended
+    asio::awaitable<bool> examine(failed_run failed);
     /// The same in the background, for an attempt whose request doesn't wait for it.
     void examine_later(failed_run failed);
     /// Evidence from other calls: a connection to the back end failed, or another incarnation
@@ -85,6 +86,7 @@
                                                                  std::string address);
     asio::awaitable<std::optional<crash_evidence>> connect_to(std::string address);
     asio::awaitable<void> record(failed_run failed, crash_evidence evidence);
+    asio::awaitable<void> examine_in_background(failed_run failed);
     void suspect(failed_run failed);
     void remove_old_suspicions(instant now);
 
--- a/src/tallyfold/plane/forwarding/poison_check_shell.cpp
+++ b/src/tallyfold/plane/forwarding/poison_check_shell.cpp
@@ -16,6 +16,9 @@
 }
 
 bool poison_check::may_send() {
+    if (ended_ >= poison::max_crashes) {
+        return false;
+    }
     const crash_table& crashes = context_.crashes.crashes();
     // Without crashes, no body is hashed.
     return crashes.empty() ||
@@ -43,15 +46,12 @@
     return answer_to_poison_request(crash_table::lifetime - (now - last));
 }
 
-void poison_check::release() {
-    const crash_table& crashes = context_.crashes.crashes();
-    if (crashes.empty() || crashes.find(content(), http::steady_now()) == nullptr) {
-        return;
+void poison_check::record_answer() {
+    if (context_.crashes.record_answer(content())) {
+        logging::write_event(logging::event_id::content_released,
+                             "request=" + request_.facts.request +
+                                 " content=" + poison::to_string(content()) + " reason=answered");
     }
-    context_.crashes.release(content());
-    logging::write_event(logging::event_id::content_released,
-                         "request=" + request_.facts.request +
-                             " content=" + poison::to_string(content()) + " reason=answered");
 }
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/poison_check_shell.hpp
+++ b/src/tallyfold/plane/forwarding/poison_check_shell.hpp
@@ -28,12 +28,16 @@
     /// @return the answer of a request that has not run
     local_answer refuse(std::uint32_t sends);
     /// Records that a back end has answered the request whole.
-    void release();
+    void record_answer();
+    /// Records that a back end ended under this client attempt.
+    void record_end() { ++ended_; }
 
   private:
     forwarder_context& context_;
     const forwarded_request& request_;
     std::optional<poison::content_key> content_;
+    /// Number of back ends that ended under this client attempt.
+    std::size_t ended_ = 0;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -112,7 +112,7 @@
         const instant sent = http::steady_now();
         last = co_await attempt(*backend);
         if (last.end == attempt_end::answered) {
-            poison_.release();
+            poison_.record_answer();
             break;
         }
         co_await examine(*backend, last, sent);
@@ -178,7 +178,10 @@
         // Silence has used up the attempt's time already.
         context_.crash_evidence.examine_later(std::move(run));
     } else {
-        co_await context_.crash_evidence.examine(std::move(run));
+        const bool ended = co_await context_.crash_evidence.examine(std::move(run));
+        if (ended) {
+            poison_.record_end();
+        }
     }
 }
 
@@ -188,7 +191,7 @@
     if (is_refused) {
         return {refused.outcome, refused.reason, refused};
     }
-    last.failure.kind = failure_kind::poison_request;
+    last.failure = {failure_kind::poison_request};
     last.timed_out = false;
     return make_request_result(last);
 }
--- a/src/tallyfold/plane/poison/crash_client_shell.cpp
+++ b/src/tallyfold/plane/poison/crash_client_shell.cpp
@@ -43,6 +43,10 @@
 asio::awaitable<report_outcome> crash_client::report(content_key content, crash added) {
     const instant now = steady_now();
     const instant deadline = now + report_timeout;
+    report_outcome outcome;
+    if (answered_.contains(content, now)) {
+        co_return outcome;
+    }
     crashes_.record(content, added, now);
     crash_report report;
     report.report = next_report_++;
@@ -50,7 +54,6 @@
     const auto pending = std::make_shared<pending_report>(process_.loop());
     pending->unanswered = send(report);
     pending->majority = pending->unanswered.empty() ? 0 : pending->unanswered.size() / 2 + 1;
-    report_outcome outcome;
     outcome.told = pending->unanswered.size();
     reports_[report.report] = pending;
     while (pending->answered < pending->majority && steady_now() < deadline) {
@@ -64,12 +67,19 @@
     co_return outcome;
 }
 
-void crash_client::release(content_key content) {
-    if (crashes_.release(content)) {
-        crash_report report;
-        report.reported.content = content;
-        send(report);
+bool crash_client::record_answer(content_key content) {
+    answered_.record(content, steady_now());
+    const bool known = crashes_.release(content);
+    if (known) {
+        send_release(content);
     }
+    return known;
+}
+
+void crash_client::send_release(content_key content) {
+    crash_report report;
+    report.reported.content = content;
+    send(report);
 }
 
 void crash_client::on_status(const node_name& from, const crash_status& status) {
@@ -87,6 +97,11 @@
 void crash_client::merge(const content_crashes& told, instant now) {
     if (told.crashes.empty()) {
         crashes_.release(told.content);
+        return;
+    }
+    if (answered_.contains(told.content, now)) {
+        send_release(told.content);
+        return;
     }
     for (const aged_crash& received : told.crashes) {
         crashes_.record(told.content, from_aged(received, now), now);
--- a/src/tallyfold/plane/poison/crash_client_shell.hpp
+++ b/src/tallyfold/plane/poison/crash_client_shell.hpp
@@ -4,6 +4,9 @@
 /// crashes, and what the directory nodes tell. Owns the table and the reports under way. Runs on
 /// the loop thread.
 ///
+/// A content that this node has seen answered a short time ago is popular rather than fatal: its
+/// crashes aren't recorded, and the other nodes are told to forget them.
+///
 /// A forwarder that reaches no directory node goes on with what it knows itself.
 
 #include <asio/awaitable.hpp>
@@ -13,6 +16,7 @@
 #include <set>
 
 #include "tallyfold/plane/directory/directory_client_shell.hpp"
+#include "tallyfold/plane/poison/answered_contents.hpp"
 #include "tallyfold/plane/poison/crash_table.hpp"
 #include "tallyfold/plane/poison/messages.hpp"
 #include "tallyfold/plane/process/node_process_shell.hpp"
@@ -38,11 +42,14 @@
 
     /// Receives the directory nodes' messages, and forgets old crashes from now on.
     void start();
-    /// Records a crash and reports it. Waits until a majority of the directory nodes has answered
-    /// with what it knows of the content, or until the time limit.
+    /// Records a crash and reports it, unless the content was answered a short time ago. Waits
+    /// until a majority of the directory nodes has answered with what it knows of the content, or
+    /// until the time limit.
     asio::awaitable<report_outcome> report(content_key content, crash added);
-    /// Forgets a content that a back end has answered whole, here and at the other nodes.
-    void release(content_key content);
+    /// Records that a back end has answered a request of the content whole. Its crashes are
+    /// forgotten, here and at the other nodes.
+    /// @return true when crashes were known
+    bool record_answer(content_key content);
     [[nodiscard]] const crash_table& crashes() const { return crashes_; }
 
   private:
@@ -56,12 +63,15 @@
 
     void on_status(const node_name& from, const crash_status& status);
     void merge(const content_crashes& told, instant now);
+    /// Tells the other nodes to forget a content.
+    void send_release(content_key content);
     /// Sends to the directory nodes that support the format. @return their addresses
     std::set<node_name> send(const crash_report& report);
 
     net::node_process& process_;
     directory::directory_client& directory_;
     crash_table crashes_;
+    answered_contents answered_;
     std::map<report_number, std::shared_ptr<pending_report>> reports_;
     report_number next_report_ = 1;
 };
--- a/src/tallyfold/plane/poison/crash_history.hpp
+++ b/src/tallyfold/plane/poison/crash_history.hpp
@@ -2,9 +2,10 @@
 /// @file
 /// Back ends that ended while they had a request of one content. Pure.
 ///
-/// Ends that overlap count as one: when a zone loses power, all back ends that have the same
-/// popular request end together, which says nothing about the request. A request that ends each
-/// back end which runs it is sent again only after the end before.
+/// Only ends in series count: each request sent after the end before, and not long after it. When a
+/// zone loses power, all back ends that have the same popular request end together, which says
+/// nothing about the request; a request that ends each back end which runs it is sent again only
+/// after the end before, and callers send again within seconds.
 
 #include <cstddef>
 #include <vector>
@@ -29,12 +30,14 @@
     /// Maximum number of crashes that are kept. Only the longest series matters, and a request is
     /// not sent again after a few.
     static constexpr std::size_t max_kept = 8;
+    /// Maximum time from a crash to the next send in a series; longer than callers pause between
+    /// their attempts, and programs until they send a turn again.
+    static constexpr duration max_gap = std::chrono::seconds(20);
 
     /// Adds a crash. Reports of the same end by several nodes or for several requests count once.
     /// @return true when it was not known
     bool add(const crash& added);
-    /// Number of crashes in the longest series, in which each request was sent after the crash
-    /// before.
+    /// Number of crashes in the longest series.
     [[nodiscard]] std::size_t consecutive() const { return series().size(); }
     /// All crashes, by the time at which the back ends ended.
     [[nodiscard]] const std::vector<crash>& all() const { return crashes_; }
@@ -42,6 +45,7 @@
     [[nodiscard]] instant last() const { return crashes_.back().ended; }
 
   private:
+    /// The longest series, the latest one if several are as long.
     [[nodiscard]] std::vector<crash> series() const;
 
     std::vector<crash> crashes_;
--- a/src/tallyfold/plane/poison/crash_table.hpp
+++ b/src/tallyfold/plane/poison/crash_table.hpp
@@ -21,8 +21,9 @@
 
 class crash_table {
   public:
-    /// Time after the last crash for which a content is known.
-    static constexpr duration lifetime = std::chrono::minutes(2);
+    /// Time after the last crash for which a content is known. Longer than callers wait for an
+    /// answer.
+    static constexpr duration lifetime = std::chrono::minutes(1);
     /// Maximum number of contents, some hundred bytes each.
     static constexpr std::size_t max_contents = 4'096;
 
