Program API: end a call after three engines were lost under it

A model call was begun at four engines, whatever became of them; the scheduler counted attempts alone.

lost_runs_test: four engines began the call before, three now; a call that engines fail by themselves is begun four times as before.

--- a/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
+++ b/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
@@ -63,6 +63,9 @@
         return;
     }
     release_slot(*call);
+    if (failed.kind != failure_kind::failed) {
+        ++call->lost_runs;
+    }
     if (call->request.kind != call_kind::model) {
         event(event_id::outcome_open, describe(failed.key) + " backend=" + call->target);
         start_resolving(*call, now);
@@ -142,7 +145,8 @@
     const configuration::class_settings* settings =
         program == nullptr ? nullptr : configuration().program_class(program->program_class);
     const std::string class_name = program == nullptr ? std::string{} : program->program_class;
-    const bool attempts_left = call.attempt < settings_.attempt_limit;
+    const bool attempts_left = call.attempt < settings_.attempt_limit &&
+                               call.lost_runs < settings_.lost_run_limit;
     const bool allowed = settings != nullptr && attempts_left &&
                          (call.skip_retry_budget || retry_budgets_[class_name].try_spend());
     if (allowed) {
--- a/src/tallyfold/program_api/scheduler/commands/call_commands.cpp
+++ b/src/tallyfold/program_api/scheduler/commands/call_commands.cpp
@@ -210,6 +210,9 @@
         active.attempt = record->second.attempt;
         active.maybe_ran = record->second.maybe_ran || open;
         active.target = record->second.target;
+        // The journal doesn't tell which of the attempts were lost, so all of them count.
+        const std::uint32_t ended_attempts = active.attempt - (open ? 1 : 0);
+        active.lost_runs = record->second.maybe_ran ? ended_attempts : 0;
     } else {
         add_pause(program.id, now);
     }
--- a/src/tallyfold/program_api/scheduler/scheduler_core.hpp
+++ b/src/tallyfold/program_api/scheduler/scheduler_core.hpp
@@ -54,6 +54,9 @@
     duration request_start_window = std::chrono::milliseconds(1000);
     /// Maximum number of attempts per call.
     std::uint32_t attempt_limit = 4;
+    /// Maximum number of attempts whose back end was lost while it ran the call: a call that ends
+    /// its back ends must not reach one after the other.
+    std::uint32_t lost_run_limit = 3;
     std::uint64_t seed = 0;
 };
 
@@ -171,6 +174,8 @@
         /// True after the attempt is known to have started.
         bool start_confirmed = false;
         std::uint32_t resumes = 0;
+        /// Number of attempts whose back end was lost while it may have run the call.
+        std::uint32_t lost_runs = 0;
         std::uint32_t seal_tries = 0;
         /// Result code for the waiters if the failed attempt cannot be retried.
         journal::answer_code failure = journal::answer_code::backend_failed;
