Wait for a shared probe without a timer each; log what directory nodes tell

Each request that waited for another one's probe set the timer anew, which woke all the others: requests whose connections broke at once kept the loop busy until the probe had ended. Found by reading. Directory nodes log each content that they tell (2310), and the detector of crashes has a name that says what it does.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -52,6 +52,7 @@
         {event_id::configuration_fetch_failed, event_level::warning, "configuration_fetch_failed"},
         {event_id::configuration_spread, event_level::info, "configuration_spread"},
         {event_id::zone_evacuation_changed, event_level::info, "zone_evacuation_changed"},
+        {event_id::crashes_told, event_level::warning, "crashes_told"},
         {event_id::admin_request, event_level::info, "admin_request"},
         {event_id::admin_denied, event_level::warning, "admin_denied"},
         {event_id::call_refused, event_level::info, "call_refused"},
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -58,6 +58,7 @@
     configuration_fetch_failed = 2307,
     configuration_spread = 2308,
     zone_evacuation_changed = 2309,
+    crashes_told = 2310,
     admin_request = 2401,
     admin_denied = 2402,
     call_refused = 3001,
--- a/src/tallyfold/plane/directory/crash_sharing_shell.cpp
+++ b/src/tallyfold/plane/directory/crash_sharing_shell.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/plane/directory/crash_sharing_shell.hpp"
 
+#include "tallyfold/base/logging/event_log.hpp"
+
 namespace tallyfold::directory {
 
 namespace {
@@ -24,11 +26,7 @@
     const crash_relay::decision decision = relay_.receive(report, now);
     metrics_.crash_contents.Set(static_cast<double>(relay_.crashes().size()));
     if (decision.told) {
-        for (const auto& [address, listener] : listeners_) {
-            if (const messaging::channel_pointer told = listener.lock()) {
-                told->send(*decision.told);
-            }
-        }
+        tell(*decision.told, now);
     }
     // After the other forwarders: the request goes on, perhaps at one of them, once this arrives.
     if (report.report != 0) {
@@ -36,6 +34,21 @@
     }
 }
 
+void crash_sharing::tell(const poison::crash_status& status, instant now) {
+    std::size_t told = 0;
+    for (const auto& [address, listener] : listeners_) {
+        if (const messaging::channel_pointer channel = listener.lock()) {
+            channel->send(status);
+            ++told;
+        }
+    }
+    const poison::content_key content = status.contents.front().content;
+    logging::write_event(logging::event_id::crashes_told,
+                         "content=" + poison::to_string(content) + " consecutive=" +
+                             std::to_string(relay_.crashes().consecutive(content, now)) +
+                             " forwarders=" + std::to_string(told));
+}
+
 void crash_sharing::expire(instant now) {
     relay_.expire(now);
     std::erase_if(listeners_, [](const auto& entry) {
--- a/src/tallyfold/plane/directory/crash_sharing_shell.hpp
+++ b/src/tallyfold/plane/directory/crash_sharing_shell.hpp
@@ -26,6 +26,9 @@
     void expire(instant now);
 
   private:
+    /// Tells all listeners what is known of one content.
+    void tell(const poison::crash_status& status, instant now);
+
     directory_metrics& metrics_;
     crash_relay relay_;
     std::map<const messaging::frame_channel*, std::weak_ptr<messaging::frame_channel>> listeners_;
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -66,10 +66,10 @@
         result.failure = {failure_kind::connect, http::name_of(connected.error())};
         context_.backends.unreachable(request_.service.name, parameters_.backend.name,
                                       http::steady_now());
-        context_.crash_evidence.on_ended(parameters_.backend.name,
-                                         connected.error() == http::io_failure::timed_out
-                                             ? crash_evidence::connect_timed_out
-                                             : crash_evidence::connect_failed);
+        context_.crash_detection.on_ended(parameters_.backend.name,
+                                          connected.error() == http::io_failure::timed_out
+                                              ? crash_evidence::connect_timed_out
+                                              : crash_evidence::connect_failed);
         co_return nullptr;
     }
     co_return opened;
@@ -165,8 +165,8 @@
     if (facts.wrong_incarnation) {
         result.failure.kind = failure_kind::other_incarnation;
         context_.backends.incarnation_replaced(request_.service.name, parameters_.backend.name);
-        context_.crash_evidence.on_ended(parameters_.backend.name,
-                                         crash_evidence::other_incarnation);
+        context_.crash_detection.on_ended(parameters_.backend.name,
+                                          crash_evidence::other_incarnation);
         connection_->close();
         co_return result;
     }
@@ -217,7 +217,7 @@
 }
 
 void backend_attempt::finish_answered(const answer_metadata& facts) {
-    context_.crash_evidence.on_answered(parameters_.backend.name, call_.started_at);
+    context_.crash_detection.on_answered(parameters_.backend.name, call_.started_at);
     const bool server_error = connection_->head().status / 100 == 5;
     if (server_error) {
         record_failure();
--- a/src/tallyfold/plane/forwarding/crash_watch_shell.cpp
+++ b/src/tallyfold/plane/forwarding/crash_detector_shell.cpp
@@ -1,4 +1,4 @@
-#include "tallyfold/plane/forwarding/crash_watch_shell.hpp"
+#include "tallyfold/plane/forwarding/crash_detector_shell.hpp"
 
 #include <asio/co_spawn.hpp>
 #include <asio/detached.hpp>
@@ -14,10 +14,6 @@
 /// Nothing is read from a probe's connection before a request is sent over it.
 constexpr std::size_t max_answer_head_bytes = 64U << 10U;
 
-std::chrono::steady_clock::time_point clock_time(instant at) {
-    return std::chrono::steady_clock::time_point(at.time_since_epoch());
-}
-
 }  // namespace
 
 std::string_view text_of(crash_evidence evidence) {
@@ -32,11 +28,11 @@
     return "other_incarnation";
 }
 
-crash_watch::crash_watch(net::node_process& process, connection_pool& connections,
-                         poison::crash_client& crashes, forwarder_metrics& metrics)
+crash_detector::crash_detector(net::node_process& process, connection_pool& connections,
+                               poison::crash_client& crashes, forwarder_metrics& metrics)
     : process_(process), connections_(connections), crashes_(crashes), metrics_(metrics) {}
 
-asio::awaitable<bool> crash_watch::examine(failed_run failed) {
+asio::awaitable<bool> crash_detector::examine(failed_run failed) {
     const auto evidence = co_await probe_backend(failed.backend, failed.address);
     if (evidence) {
         co_await record(std::move(failed), *evidence);
@@ -46,22 +42,21 @@
     co_return evidence.has_value();
 }
 
-asio::awaitable<void> crash_watch::examine_in_background(failed_run failed) {
+asio::awaitable<void> crash_detector::examine_in_background(failed_run failed) {
     co_await examine(std::move(failed));
 }
 
-void crash_watch::examine_later(failed_run failed) {
+void crash_detector::examine_later(failed_run failed) {
     asio::co_spawn(process_.loop(), examine_in_background(std::move(failed)), asio::detached);
 }
 
-asio::awaitable<std::optional<crash_evidence>> crash_watch::probe_backend(backend_name backend,
-                                                                          std::string address) {
+asio::awaitable<std::optional<crash_evidence>> crash_detector::probe_backend(backend_name backend,
+                                                                             std::string address) {
     const auto running = probes_.find(backend);
     if (running != probes_.end()) {
         const std::shared_ptr<probe> shared = running->second;
         while (!shared->done) {
-            shared->timer.expires_at(clock_time(steady_now() + probe_timeout));
-            co_await shared->timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
+            co_await shared->ended.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
         }
         co_return shared->evidence;
     }
@@ -69,12 +64,12 @@
     probes_[backend] = started;
     started->evidence = co_await connect_to(std::move(address));
     started->done = true;
-    started->timer.cancel();
+    started->ended.cancel();
     probes_.erase(backend);
     co_return started->evidence;
 }
 
-asio::awaitable<std::optional<crash_evidence>> crash_watch::connect_to(std::string address) {
+asio::awaitable<std::optional<crash_evidence>> crash_detector::connect_to(std::string address) {
     const auto opened =
         std::make_shared<http::connection>(asio::ip::tcp::socket(process_.loop()),
                                            http::message_kind::response, max_answer_head_bytes);
@@ -89,7 +84,7 @@
                                                                : crash_evidence::connect_failed;
 }
 
-asio::awaitable<void> crash_watch::record(failed_run failed, crash_evidence evidence) {
+asio::awaitable<void> crash_detector::record(failed_run failed, crash_evidence evidence) {
     const instant started = steady_now();
     poison::crash ended{failed.backend, failed.sent, failed.failed};
     const poison::report_outcome outcome =
@@ -111,7 +106,7 @@
     }
 }
 
-void crash_watch::suspect(failed_run failed) {
+void crash_detector::suspect(failed_run failed) {
     remove_old_suspicions(steady_now());
     if (suspicion_count_ < max_suspicions) {
         ++suspicion_count_;
@@ -119,7 +114,7 @@
     }
 }
 
-void crash_watch::remove_old_suspicions(instant now) {
+void crash_detector::remove_old_suspicions(instant now) {
     for (auto entry = suspicions_.begin(); entry != suspicions_.end();) {
         suspicion_count_ -= std::erase_if(entry->second, [&](const failed_run& failed) {
             return now - failed.failed > suspicion_lifetime;
@@ -128,7 +123,7 @@
     }
 }
 
-void crash_watch::on_ended(const backend_name& backend, crash_evidence evidence) {
+void crash_detector::on_ended(const backend_name& backend, crash_evidence evidence) {
     remove_old_suspicions(steady_now());
     const auto found = suspicions_.find(backend);
     if (found == suspicions_.end()) {
@@ -142,7 +137,7 @@
     }
 }
 
-void crash_watch::on_answered(const backend_name& backend, instant sent) {
+void crash_detector::on_answered(const backend_name& backend, instant sent) {
     const auto found = suspicions_.find(backend);
     if (found == suspicions_.end()) {
         return;
--- a/src/tallyfold/plane/forwarding/crash_watch_shell.hpp
+++ b/src/tallyfold/plane/forwarding/crash_detector_shell.hpp
@@ -45,7 +45,7 @@
     instant failed{};
 };
 
-class crash_watch {
+class crash_detector {
   public:
     /// Time limit of a probe; some dozen round trips between zones. A back end that accepts no
     /// connection for as long is gone or cut off.
@@ -58,8 +58,8 @@
     /// Maximum number of suspicions; further failed attempts get only the evidence of the probe.
     static constexpr std::size_t max_suspicions = 512;
 
-    crash_watch(net::node_process& process, connection_pool& connections,
-                poison::crash_client& crashes, forwarder_metrics& metrics);
+    crash_detector(net::node_process& process, connection_pool& connections,
+                   poison::crash_client& crashes, forwarder_metrics& metrics);
 
     /// Probes the back end, and records a crash if it has ended. Waits until the crash is known to
     /// the directory nodes, at most for the time limits of the probe and of a report.
@@ -76,8 +76,10 @@
   private:
     /// Result of probing one back end, shared by all requests whose attempts fail there at once.
     struct probe {
-        explicit probe(asio::io_context& loop) : timer(loop) {}
-        asio::steady_timer timer;
+        explicit probe(asio::io_context& loop)
+            : ended(loop, asio::steady_timer::time_point::max()) {}
+        /// Cancelled when the probe has ended.
+        asio::steady_timer ended;
         bool done = false;
         std::optional<crash_evidence> evidence;
     };
--- a/src/tallyfold/plane/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_context.hpp
@@ -12,7 +12,7 @@
 #include "tallyfold/plane/forwarding/admission_queue_shell.hpp"
 #include "tallyfold/plane/forwarding/backend_registry.hpp"
 #include "tallyfold/plane/forwarding/connection_pool_shell.hpp"
-#include "tallyfold/plane/forwarding/crash_watch_shell.hpp"
+#include "tallyfold/plane/forwarding/crash_detector_shell.hpp"
 #include "tallyfold/plane/forwarding/dispatch_client_shell.hpp"
 #include "tallyfold/plane/forwarding/forwarder_metrics.hpp"
 #include "tallyfold/plane/forwarding/request_codec.hpp"
@@ -37,7 +37,7 @@
     call_ranking& ranking;
     dispatch_client& dispatch;
     poison::crash_client& crashes;
-    crash_watch& crash_evidence;
+    crash_detector& crash_detection;
     routing::traffic_splitter splitter;
     /// Current configuration; a running request keeps the one it began with.
     std::shared_ptr<const routing::route_table> routes;
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -87,7 +87,7 @@
     call_ranking ranking_;
     dispatch_client dispatch_;
     poison::crash_client crashes_;
-    crash_watch crash_watch_;
+    crash_detector crash_detector_;
     forwarder_context context_;
     caller_listener callers_;
     http::endpoint_server readiness_;
@@ -112,10 +112,10 @@
       started_at_(http::steady_now()),
       dispatch_(process_, directory_, metrics_),
       crashes_(process_, directory_),
-      crash_watch_(process_, connections_, crashes_, metrics_),
-      context_{process_,     codec,        directory_, quotas_,  turns_,    origins_,
-               backends_,    connections_, metrics_,   ranking_, dispatch_, crashes_,
-               crash_watch_, {},           nullptr,    {},       false},
+      crash_detector_(process_, connections_, crashes_, metrics_),
+      context_{process_,        codec,        directory_, quotas_,  turns_,    origins_,
+               backends_,       connections_, metrics_,   ranking_, dispatch_, crashes_,
+               crash_detector_, {},           nullptr,    {},       false},
       callers_(context_),
       readiness_(process_.loop(), settings.readiness_address, 0) {}
 
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -176,9 +176,9 @@
     run.failed = http::steady_now();
     if (failed.timed_out) {
         // Silence has used up the attempt's time already.
-        context_.crash_evidence.examine_later(std::move(run));
+        context_.crash_detection.examine_later(std::move(run));
     } else {
-        const bool ended = co_await context_.crash_evidence.examine(std::move(run));
+        const bool ended = co_await context_.crash_detection.examine(std::move(run));
         if (ended) {
             poison_.record_end();
         }
--- a/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
+++ b/src/tallyfold/program_api/scheduler/commands/attempt_failure.cpp
@@ -145,8 +145,8 @@
     const configuration::class_settings* settings =
         program == nullptr ? nullptr : configuration().program_class(program->program_class);
     const std::string class_name = program == nullptr ? std::string{} : program->program_class;
-    const bool attempts_left = call.attempt < settings_.attempt_limit &&
-                               call.lost_runs < settings_.lost_run_limit;
+    const bool attempts_left =
+        call.attempt < settings_.attempt_limit && call.lost_runs < settings_.lost_run_limit;
     const bool allowed = settings != nullptr && attempts_left &&
                          (call.skip_retry_budget || retry_budgets_[class_name].try_spend());
     if (allowed) {
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -241,10 +241,10 @@
           origins(process, turns),
           dispatch(process, directory, metrics),
           crashes(process, directory),
-          crash_watch(process, connections, crashes, metrics),
-          context{process,     codec,       directory, quotas,  turns,    origins,
-                  backends,    connections, metrics,   ranking, dispatch, crashes,
-                  crash_watch, {},          nullptr,   {},      false},
+          detector(process, connections, crashes, metrics),
+          context{process,  codec,       directory, quotas,  turns,    origins,
+                  backends, connections, metrics,   ranking, dispatch, crashes,
+                  detector, {},          nullptr,   {},      false},
           callers(context) {
         listen(port);
     }
@@ -382,7 +382,7 @@
     forwarding::call_ranking ranking;
     forwarding::dispatch_client dispatch;
     poison::crash_client crashes;
-    forwarding::crash_watch crash_watch;
+    forwarding::crash_detector detector;
     forwarding::forwarder_context context;
     forwarding::caller_listener callers;
 
--- a/tests/plane/forwarding/poison_request_test.cpp
+++ b/tests/plane/forwarding/poison_request_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(back_ends_that_end_together_count_once);
     CPPUNIT_TEST(popular_request_is_served_although_back_ends_end_under_it);
     CPPUNIT_TEST(popular_request_ends_three_back_ends_of_one_attempt_at_most);
+    CPPUNIT_TEST(calls_that_break_at_once_wait_for_one_probe);
     CPPUNIT_TEST(end_that_shows_later_counts);
     CPPUNIT_TEST(forwarders_share_what_they_saw);
     CPPUNIT_TEST(forwarder_that_joins_later_is_told);
@@ -215,6 +216,34 @@
         CPPUNIT_ASSERT(requests_at(backends) <= before + max_ended);
     }
 
+    void calls_that_break_at_once_wait_for_one_probe() {
+        forwarder_world world;
+        world.apply_configuration();
+        constexpr std::size_t calls = 40;
+        counting_backend& backend = world.add_backend(backend_behavior::silent);
+        std::vector<std::unique_ptr<raw_caller>> callers;
+        for (std::size_t number = 0; number < calls; ++number) {
+            callers.push_back(world.connect());
+            callers.back()->send(forwarder_world::request("once/" + std::to_string(number), "r"));
+        }
+        CPPUNIT_ASSERT(world.run_until([&] { return backend.requests().size() == calls; }));
+        const double connections = connections_opened(world);
+        backend.end();
+        CPPUNIT_ASSERT(world.run_until([&] { return world.callers.active_request_count() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(calls, world.crashes.crashes().size());
+        CPPUNIT_ASSERT(connections_opened(world) - connections < calls / 2.0);
+    }
+
+    /// Number of connections to back ends that the forwarder has begun to open.
+    static double connections_opened(forwarder_world& world) {
+        for (const prometheus::MetricFamily& family : world.process.metrics().Collect()) {
+            if (family.name == "tallyfold_forwarder_backend_connections_total") {
+                return family.metric.front().counter.value;
+            }
+        }
+        return 0;
+    }
+
     void end_that_shows_later_counts() {
         forwarder_world world;
         world.apply_configuration();
