Take no reset connect for the end of a back end

Full back ends reset new connections as well, so an innocent request that met three of them would have been refused. Found by reading. Only a refused connect, one that isn't accepted in time, or another incarnation counts.

--- a/src/tallyfold/plane/directory/crash_relay.hpp
+++ b/src/tallyfold/plane/directory/crash_relay.hpp
@@ -16,9 +16,9 @@
 
 class crash_relay {
   public:
-    /// Contents that are told below poison::max_crashes, at first and a second. Bounds the messages
-    /// while many back ends end; nodes that aren't told learn of the crashes from the answers to
-    /// their own reports.
+    /// Number of contents below poison::max_crashes that are told at once, and that each second
+    /// adds. Bounds the messages while many back ends end; nodes that aren't told learn of the
+    /// crashes from the answers to their own reports.
     static constexpr double told_burst = 20;
     static constexpr double told_per_second = 1;
     /// Maximum number of contents in one message, some hundred bytes each.
@@ -37,13 +37,12 @@
     [[nodiscard]] const poison::crash_table& crashes() const { return crashes_; }
 
   private:
+    /// Forgets a content that some back end has answered.
+    decision release(poison::content_key content, instant now);
     [[nodiscard]] poison::crash_status status_of(poison::content_key content, instant now) const;
     /// True when a content with so many consecutive crashes may be told now.
     bool may_tell(std::size_t consecutive, instant now);
 
-    /// Forgets a content that some back end has answered.
-    decision release(poison::content_key content, instant now);
-
     poison::crash_table crashes_;
     poison::answered_contents released_;
     /// Contents that may still be told, as of `refilled_at_`.
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -66,10 +66,7 @@
         result.failure = {failure_kind::connect, http::name_of(connected.error())};
         context_.backends.unreachable(request_.service.name, parameters_.backend.name,
                                       http::steady_now());
-        context_.crash_detection.on_ended(parameters_.backend.name,
-                                          connected.error() == http::io_failure::timed_out
-                                              ? crash_evidence::connect_timed_out
-                                              : crash_evidence::connect_failed);
+        context_.crash_detection.on_connect_failed(parameters_.backend.name, connected.error());
         co_return nullptr;
     }
     co_return opened;
@@ -165,8 +162,7 @@
     if (facts.wrong_incarnation) {
         result.failure.kind = failure_kind::other_incarnation;
         context_.backends.incarnation_replaced(request_.service.name, parameters_.backend.name);
-        context_.crash_detection.on_ended(parameters_.backend.name,
-                                          crash_evidence::other_incarnation);
+        context_.crash_detection.on_replaced(parameters_.backend.name);
         connection_->close();
         co_return result;
     }
--- a/src/tallyfold/plane/forwarding/crash_detector_shell.cpp
+++ b/src/tallyfold/plane/forwarding/crash_detector_shell.cpp
@@ -18,8 +18,8 @@
 
 std::string_view text_of(crash_evidence evidence) {
     switch (evidence) {
-        case crash_evidence::connect_failed:
-            return "connect_failed";
+        case crash_evidence::connect_refused:
+            return "connect_refused";
         case crash_evidence::connect_timed_out:
             return "connect_timed_out";
         case crash_evidence::other_incarnation:
@@ -28,6 +28,17 @@
     return "other_incarnation";
 }
 
+std::optional<crash_evidence> evidence_of(http::io_failure connect_failure) {
+    switch (connect_failure) {
+        case http::io_failure::refused:
+            return crash_evidence::connect_refused;
+        case http::io_failure::timed_out:
+            return crash_evidence::connect_timed_out;
+        default:
+            return std::nullopt;
+    }
+}
+
 crash_detector::crash_detector(net::node_process& process, connection_pool& connections,
                                poison::crash_client& crashes, forwarder_metrics& metrics)
     : process_(process), connections_(connections), crashes_(crashes), metrics_(metrics) {}
@@ -80,8 +91,7 @@
         connections_.put(address, opened, std::nullopt, steady_now());
         co_return std::nullopt;
     }
-    co_return connected.error() == http::io_failure::timed_out ? crash_evidence::connect_timed_out
-                                                               : crash_evidence::connect_failed;
+    co_return evidence_of(connected.error());
 }
 
 asio::awaitable<void> crash_detector::record(failed_run failed, crash_evidence evidence) {
@@ -123,7 +133,17 @@
     }
 }
 
-void crash_detector::on_ended(const backend_name& backend, crash_evidence evidence) {
+void crash_detector::on_connect_failed(const backend_name& backend, http::io_failure failure) {
+    if (const auto evidence = evidence_of(failure)) {
+        confirm(backend, *evidence);
+    }
+}
+
+void crash_detector::on_replaced(const backend_name& backend) {
+    confirm(backend, crash_evidence::other_incarnation);
+}
+
+void crash_detector::confirm(const backend_name& backend, crash_evidence evidence) {
     remove_old_suspicions(steady_now());
     const auto found = suspicions_.find(backend);
     if (found == suspicions_.end()) {
--- a/src/tallyfold/plane/forwarding/crash_detector_shell.hpp
+++ b/src/tallyfold/plane/forwarding/crash_detector_shell.hpp
@@ -25,13 +25,15 @@
 
 /// Why a back end counts as ended.
 enum class crash_evidence : std::uint8_t {
-    connect_failed,
+    connect_refused,
     connect_timed_out,
     /// Another incarnation answers at its address.
     other_incarnation,
 };
 
 [[nodiscard]] std::string_view text_of(crash_evidence evidence);
+/// What a failed connect shows; nothing for a reset, which full back ends send too.
+[[nodiscard]] std::optional<crash_evidence> evidence_of(http::io_failure connect_failure);
 
 /// An attempt under which a back end may have ended.
 struct failed_run {
@@ -67,9 +69,10 @@
     asio::awaitable<bool> examine(failed_run failed);
     /// The same in the background, for an attempt whose request doesn't wait for it.
     void examine_later(failed_run failed);
-    /// Evidence from other calls: a connection to the back end failed, or another incarnation
+    /// Evidence from other calls: connecting to the back end failed, or another incarnation
     /// answered.
-    void on_ended(const backend_name& backend, crash_evidence evidence);
+    void on_connect_failed(const backend_name& backend, http::io_failure failure);
+    void on_replaced(const backend_name& backend);
     /// A call that was sent at this time was answered, so the back end has not ended before.
     void on_answered(const backend_name& backend, instant sent);
 
@@ -90,6 +93,8 @@
     asio::awaitable<void> record(failed_run failed, crash_evidence evidence);
     asio::awaitable<void> examine_in_background(failed_run failed);
     void suspect(failed_run failed);
+    /// Records crashes under the failed attempts that wait for evidence about the back end.
+    void confirm(const backend_name& backend, crash_evidence evidence);
     void remove_old_suspicions(instant now);
 
     net::node_process& process_;
--- a/src/tallyfold/plane/poison/content_key.hpp
+++ b/src/tallyfold/plane/poison/content_key.hpp
@@ -30,7 +30,7 @@
 
 [[nodiscard]] content_key key_of(const request_content& content);
 
-/// The key in log lines and in the administration API: 16 hexadecimal digits.
+/// The key in log lines: 16 hexadecimal digits.
 [[nodiscard]] std::string to_string(content_key key);
 
 }  // namespace tallyfold::poison
