--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -140,8 +140,10 @@
     @staticmethod
     def _reset(writer):
         """Ends a connection with a reset rather than a close."""
-        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                                   struct.pack("ii", 1, 0))
+        connection = writer.get_extra_info("socket")
+        if connection.fileno() >= 0:
+            # The forwarder hasn't closed it before.
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
     def _break_off_inside_event(self, writer):
