--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 
-from .history import BackendService, Receipt, Run
+from .history import BackendService, End, Receipt, Run
 from .http_text import read_body, read_message_head
 
 TOKENS_PER_EVENT = 9
@@ -19,6 +19,20 @@
 BROKEN_EVENT = b"id: 999\r\ndata: broken\n"
 
 
+#: Time for which a back end that ended under a request stays away, in seconds.
+RESTART_SECONDS = (0.3, 1.0)
+#: Time for which a plain request that ends its back end would be worked on, in seconds.
+FATAL_WORK_SECONDS = 5.0
+#: Number of events of a stream that ends its back end; more than it generates until then.
+FATAL_EVENTS = 60
+
+
+def fatal_after(target):
+    """Returns the seconds after which a target like /look/fatal/20 ends its back end, or None."""
+    match = re.search(r"/fatal/(\d+)$", target)
+    return int(match[1]) / 1000 if match else None
+
+
 def requested_work(target):
     """Returns the seconds of work that a target like /look/work/2500 asks for; 0 without any."""
     match = re.search(r"/work/(\d+)$", target)
@@ -59,6 +73,8 @@
         self.unframed_share = unframed_share
         #: Separate generator, as for the versions.
         self.framing_random = random.Random(f"framing-{seed}")
+        #: Separate generator, as for the versions.
+        self.fatal_random = random.Random(f"fatal-{seed}")
         #: Writers of event streams under way that have neither a length nor chunks.
         self.unframed_streams = set()
         self.name = name
@@ -76,6 +92,9 @@
         return f"i-{self.name}-{self.incarnation}"
 
     async def start(self):
+        if self.state == "ready" and self.server is not None and self.server.is_serving():
+            # It came back by itself after a request had ended it.
+            return
         self.incarnation += 1
         self.state = "ready"
         self.version = f"v{self.version_random.randint(1, self.versions)}"
@@ -100,6 +119,7 @@
         self.state = "gone"
         for received in (*self.current, *self.waiting):
             received.broke_off = True
+            self.history.ends.append(End(received.request, self.instance, self.clock()))
         for writer in list(self.unframed_streams):
             self._break_off_inside_event(writer)
         for writer in list(self.connections):
@@ -107,6 +127,16 @@
                 writer.transport.abort()
         self.unframed_streams.clear()
 
+    async def _end_under(self, run, seconds):
+        """Ends while it works on the request, and comes back after a while."""
+        await asyncio.sleep(seconds)
+        if run not in self.current:
+            return
+        await self.crash()
+        await asyncio.sleep(self.fatal_random.uniform(*RESTART_SECONDS))
+        if self.state == "gone":
+            await self.start()
+
     @staticmethod
     def _reset(writer):
         """Ends a connection with a reset rather than a close."""
@@ -198,6 +228,10 @@
 
     async def _run(self, run, common_headers, failure, reader, writer):
         seconds = requested_work(run.target)
+        fatal = fatal_after(run.target)
+        if fatal is not None:
+            asyncio.ensure_future(self._end_under(run, fatal))
+            failure, seconds = "", 0.0 if self.engine else FATAL_WORK_SECONDS
         streams = self.engine and failure != "error"
         await self._work(self.random.uniform(0.005, 0.04) + (0.8 if failure == "slow" else 0)
                          + (0 if streams else seconds), reader)
@@ -242,6 +276,8 @@
         if unframed:
             self.unframed_streams.add(writer)
         count = self.random.randint(2, 8)
+        if fatal_after(run.target) is not None:
+            count = FATAL_EVENTS
         resumable = re.match(r"/streams/(\d+)/", run.target)
         if resumable:
             count = int(resumable[1])
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from . import checks, dispatch_checks, stream_checks
+from . import checks, dispatch_checks, fatal_checks, stream_checks
 from .dispatch_watch import parse_fields, parse_metrics, parse_placement
-from .history import (Attempt, BackendService, ConfigurationChange, ConfigurationRead, DispatcherLoss, Ending,
+from .history import (Attempt, BackendService, ConfigurationChange, ConfigurationRead, DispatcherLoss, End, Ending,
                       FaultInterval, History, Placement, PlacesLeft, PlannedStop, ProcessExit,
                       Receipt, RouteProbe, RouteTimeout, Run, SettingsReload, Stall, Stream)
 
@@ -527,5 +527,49 @@
         self.assertEqual((7.0, {"running": 3, "waiting": 1}), parse_metrics(text))
 
 
+class FatalChecksTest(unittest.TestCase):
+    @staticmethod
+    def violations(check, **records):
+        return check(History(**records))[1]
+
+    @staticmethod
+    def fatal(number, sent, ended=None, **fields):
+        return attempt(f"r{number}", kind="fatal", target="/look/fatal/5", body=b"x", sent=sent,
+                       ended=sent + 0.1 if ended is None else ended, forwarder="127.0.0.1", **fields)
+
+    def sends_after_the_third_end(self, count, ends=3, **records):
+        attempts = [self.fatal(number, float(10 + number)) for number in range(count)]
+        return self.violations(
+            fatal_checks.requests_end_three_back_ends_at_most, attempts=attempts,
+            receipts=[Receipt(f"r{number}", f"b{number}", 10.01 + number) for number in range(count)],
+            ends=[End(f"r{number}", f"b{number}", 10.02 + number) for number in range(ends)],
+            forwarder_at={"127.0.0.1": "f"}, directory=["d"], stores=["s"], **records)
+
+    def test_sends_after_the_third_end_are_found(self):
+        self.assertTrue(self.sends_after_the_third_end(4))
+        self.assertFalse(self.sends_after_the_third_end(3))
+        self.assertFalse(self.sends_after_the_third_end(4, ends=2))
+
+    def test_back_end_that_ends_under_two_attempts_counts_once(self):
+        attempts = [self.fatal(number, float(10 + number)) for number in range(4)]
+        ends = [End("r0", "b0", 10.02), End("r1", "b0", 10.02), End("r2", "b2", 12.02)]
+        self.assertFalse(self.violations(
+            fatal_checks.requests_end_three_back_ends_at_most, attempts=attempts, ends=ends,
+            receipts=[Receipt("r3", "b3", 13.01)], forwarder_at={"127.0.0.1": "f"}))
+
+    def test_nodes_out_of_touch_may_not_know(self):
+        fault = FaultInterval("d", 9.5, 9.9)
+        self.assertFalse(self.sends_after_the_third_end(4, fault_intervals=[fault]))
+
+    def test_refused_requests_that_end_no_back_end_are_found(self):
+        def found(refused):
+            others = [attempt(f"o{number}") for number in range(100)]
+            return self.violations(
+                fatal_checks.other_requests_are_not_refused, poison_refusals=refused,
+                attempts=[self.fatal(0, 10.0)] + others)
+        self.assertTrue(found(["o1", "o2"]))
+        self.assertFalse(found(["o1", "r0", "r0", "r0"]))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -61,6 +61,15 @@
     broke_off: bool = False
 
 
+@dataclass
+class End:
+    """A request that a back end had, running or waiting, when it ended."""
+
+    request: str
+    backend: str
+    at: float
+
+
 @dataclass
 class Attempt:
     """A request of a caller and its answer."""
@@ -265,6 +274,9 @@
 
     runs: list = field(default_factory=list)
     receipts: list = field(default_factory=list)
+    ends: list = field(default_factory=list)
+    #: Requests that forwarders refused to send since back ends had ended under them.
+    poison_refusals: list = field(default_factory=list)
     attempts: list = field(default_factory=list)
     streams: list = field(default_factory=list)
     backend_services: list = field(default_factory=list)
--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -42,6 +42,8 @@
                         help="callers of resumable streams, which resume interrupted ones")
     parser.add_argument("--unframed", type=float, default=0.0, metavar="SHARE",
                         help="share of the answers with neither a length nor chunks")
+    parser.add_argument("--fatal-callers", type=int, default=0,
+                        help="callers whose requests end each back end that runs them")
     parser.add_argument("--network", type=int, default=0,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", default="", help="folder to which the logs are always copied")
