--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -159,7 +159,7 @@
                 method, path, _ = first.split(" ", 2)
                 body = await read_body(reader, headers)
                 await self.handle(connection, method, path, headers, body)
-        except (OSError, asyncio.IncompleteReadError, ValueError):
+        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
@@ -305,7 +305,7 @@
                 writer.write(render_head("HTTP/1.1 200 OK", [("Content-Type", "application/json"),
                                                              ("Content-Length", str(len(body)))]) + body)
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
 
     async def start(self, configuration):
