--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -252,7 +252,7 @@
         with (self.fleet.work / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(PROGRAMS / f"tallyfold-{self.program}"), "--settings", str(path), stdout=log, stderr=log, cwd=ROOT,
-                env={key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ})
+                env={key: os.environ[key] for key in ("PATH", "HOME", "LANG", "ASAN_OPTIONS", "UBSAN_OPTIONS") if key in os.environ})
         self.fleet.record.write("start", node=self.name, pid=self.process.pid)
 
     def running(self):
