review: a store is retired though too few remain, and no loss is repaired any more

What is broken: RECOVER (and LOST). With three store machines left, one in place of a machine that is gone for good, an order to empty one is answered with 200 instead of 409. It never ends, and the group of stores is never repaired again: after the loss of one more disk, and then of another one in a final fault, no turn is served any more, though three store machines run.

Code at fault: store_planner::may_retire counts nodes by heartbeats of any age, so a machine that is gone for good counts as one that remains. has_too_few_members then stops each change of the group, begin_change, continue_change and recover_from_survivors alike.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,94 +1,146 @@
-"""A surplus copy of a rejection arrives in the place of the answer to the next request on its connection."""
+"""A store machine may be retired though too few would remain; after that, the group of stores is never repaired."""
 import asyncio
-import collections
+import json
 import pathlib
-import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from fleet import HOST, TROUBLE, Client, Fleet, Replica, run_case
+from fleet import HOST, TROUBLE, Client, Fleet, Replica, render_head, run_case
 
 CASE = pathlib.Path(__file__).resolve().parent
-#: Share of the answers that are sent twice, for how long, how often and the pauses between; the site file's garble
-#: 'extra late' has 0.03 and 5 s.
-SHARE, FIRST_S, FOR_S, TIMES, PAUSE_S = 0.03, 2.0, 5.0, 3, 4.0
-FORWARDERS, CLIENTS = 9, 18
+EVENTS, EVENT_S = 3, 0.01
+CATCH_UP_S, RECOVERY_S, LAST_S = 4.4, 12.0, 4.0
+CONFIGURATION = {
+    "Version": 1,
+    "Routes": [{"Name": "r", "Hostname": HOST, "PathPrefix": "/chat/", "Type": "streaming", "TimeoutMs": 4000,
+                "TargetLatencyMs": 250, "Priority": 1, "Service": "lm", "MaxAttempts": 1, "KeepsHistory": True,
+                "RetentionS": 60.0, "SessionAffinity": True, "Resumable": False, "TargetGapMs": 200}],
+    "Services": [{"Name": "lm", "HealthPath": "/health", "MaxConnections": 170, "Protocol": "h1", "Tls": False,
+                  "Engine": {"Slots": 12, "KvCapacity": 139361, "KvTokenBytes": 131072, "BandwidthMbps": 1100000.0,
+                             "Backups": True, "Stride": 9, "most": 12, "PinMs": 4000.0, "HoldMs": 2000.0,
+                             "handle_s": 5.0, "Models": [{"Name": "m"}]}}],
+    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
 
 
-class SurplusReplica(Replica):
-    """Sends some whole answers twice; the copy comes late, in the place of the next answer on the connection."""
+class Engine(Replica):
+    async def work(self, connection, method, path, headers, body):
+        request = headers["x-request-id"]
+        writer = connection["writer"]
+        writer.write(render_head("HTTP/1.1 200 OK", [
+            ("X-Request-Id", request), ("X-Response-Signature", f"sig.{request}"), ("X-Weight-Versions", "1"),
+            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
 
-    def __init__(self, *arguments, faulty, **options):
-        super().__init__(*arguments, **options)
-        self.faulty = faulty
-        self.random = random.Random(self.name)
+    async def respond(self, connection, request, result):
+        pass
 
-    async def work(self, connection, method, path, headers, body):
-        await asyncio.sleep(0.03)
-        return b"quoted"
-
-    async def send(self, connection, request, status, headers, body):
-        fields = [("X-Request-Id", request), *headers, ("Content-Length", str(len(body)))]
-        head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n"
-        whole = head.encode() + body
-        surplus = connection.pop("surplus", None)
-        if surplus is not None:
-            self.fleet.record.write("surplus", replica=self.name, of=surplus[0], status=surplus[1], before=request)
-            connection["writer"].write(surplus[2])
-        connection["writer"].write(whole)
-        active = TROUBLE and self.faulty and self.fleet.in_trouble()
-        if surplus is None and active and self.random.random() < SHARE:
-            connection["surplus"] = (request, status, whole)
-        await connection["writer"].drain()
+
+class Turns:
+    """Sends turns over all forwarders in turn, and keeps what was answered and run."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.count = 0
+        #: Sent at, whether it was answered whole with 200, and the request, by kind.
+        self.sent = {"first": [], "next": []}
+
+    async def send(self, kind, program, previous):
+        self.count += 1
+        request = f"{kind}-{self.count}"
+        forwarders = self.fleet.of("forwarder")
+        forwarder = forwarders[self.count % len(forwarders)]
+        headers = [("Host", HOST), ("X-Request-Id", request), ("X-Deadline-Ms", "4000"), ("X-Program-Id", program),
+                   ("X-Session-Id", program), ("X-Program-Deadline-Ms", "90000"), ("X-Token-Budget", "100000"),
+                   ("X-Model", "m"), ("X-Token-Usage", "100,27"), ("X-Prefix-Hash", f"{self.count:x}:100")]
+        if previous:
+            headers.append(("X-Previous-Turn", previous))
+        at = self.fleet.record.now()
+        self.fleet.record.write("send", request=request, program=program, previous=previous or "-", to=forwarder.name)
+        answer = await Client(forwarder.address, self.fleet.front_port).request("POST", "/chat/1", headers, b"text", limit=6)
+        served = answer.whole and answer.status == 200
+        self.fleet.record.write("answer", request=request, status=answer.status, whole=answer.whole, error=answer.error)
+        self.sent[kind].append((at, served, request))
+        return request if served else None
+
+    async def stream_of_first_turns(self):
+        while True:
+            await self.send("first", f"p{self.count}", None)
+            await asyncio.sleep(0.3)
 
 
 async def main():
-    fleet = Fleet(CASE, forwarders=FORWARDERS)
-    start = None
-
-    def in_trouble():
-        since = -1 if start is None else fleet.record.now() - start - FIRST_S
-        return 0 <= since < TIMES * (FOR_S + PAUSE_S) and since % (FOR_S + PAUSE_S) < FOR_S
-
-    fleet.in_trouble = in_trouble
-    # 1 of 2 replicas: the site file's garble 'extra late' strikes a share of 0.6.
-    fleet.replicas = [SurplusReplica(fleet, f"i-app-{number}", "app", slots=4, queue=2, faulty=number < 1)
-                      for number in range(2)]
-    answers = {}
+    fleet = Fleet(CASE, forwarders=3, stores=4)
+    fleet.replicas = [Engine(fleet, f"i-lm-{number}", "lm", slots=12, queue=12) for number in range(3)]
+    one, two, three, four = fleet.of("turn-store")
+    fleet.nodes.remove(four)
+    turns = Turns(fleet)
+    others = []
     try:
-        await fleet.start({
-            "Version": 1,
-            "Routes": [{"Name": "r", "Hostname": HOST, "PathPrefix": "/quote/", "Type": "non_idempotent",
-                        "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 2, "Service": "app", "MaxAttempts": 1}],
-            "Services": [{"Name": "app", "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": False}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
-        start = fleet.record.now()
-        end = start + FIRST_S + TIMES * (FOR_S + PAUSE_S)
-
-        async def client(number):
-            forwarder = fleet.of("forwarder")[number % FORWARDERS]
-            count = 0
-            while fleet.record.now() < end:
-                count += 1
-                request = f"c{number}-{count}"
-                fleet.record.write("send", request=request, to=forwarder.name)
-                answer = await Client(forwarder.address, fleet.front_port).request(
-                    "POST", "/quote/1", [("Host", HOST), ("X-Request-Id", request), ("X-Deadline-Ms", "3000")], b"quote")
-                answers[request] = answer
-                fleet.record.write("answer", request=request, status=answer.status, whole=answer.whole, error=answer.error)
-                if answer.status != 200:
-                    await asyncio.sleep(float(answer.headers.get("retry-after", "0.05")))
-
-        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-        await asyncio.sleep(0.5)
+        await fleet.start(CONFIGURATION)
+        await asyncio.sleep(4)
+        others = [asyncio.ensure_future(turns.stream_of_first_turns()) for _ in range(4)]
+        conversation = await turns.send("next", "conversation", None)
+
+        # The third store machine is gone for good; an empty one comes 1 s later at another address.
+        await three.kill()
+        three.wipe()
+        await asyncio.sleep(1)
+        fleet.nodes.append(four)
+        await four.start()
+        await asyncio.sleep(14)
+        conversation = await turns.send("next", "conversation", conversation) or conversation
+
+        # Three store machines are left. The operator asks to empty one of them.
+        if TROUBLE:
+            answer = await fleet.operator("POST", f"/v1/retire/{one.name}/start", json.dumps({"DurationS": 10}).encode())
+            print(f"retire {one.name}: {answer.status}")
+        await asyncio.sleep(4)
+
+        # The second store machine loses its disk, and is back after 2 s.
+        await two.kill()
+        two.wipe()
+        await asyncio.sleep(2)
+        await two.start()
+        await asyncio.sleep(CATCH_UP_S + 3)
+        conversation = await turns.send("next", "conversation", conversation) or conversation
+
+        # The final fault: one machine loses its disk, and is back after 1 s.
+        final = fleet.record.now()
+        await four.kill()
+        four.wipe()
+        await asyncio.sleep(1)
+        await four.start()
+        back = fleet.record.now()
+        end = back + RECOVERY_S + LAST_S + 2
+        while fleet.record.now() < end:
+            conversation = await turns.send("next", "conversation", conversation) or conversation
+            await asyncio.sleep(0.3)
+        if TROUBLE:
+            answer = await fleet.operator("GET", f"/v1/retire/{one.name}/describe")
+            print(f"retire {one.name}: {answer.body.decode()}")
     finally:
+        for each in others:
+            each.cancel()
         await fleet.stop()
-    runs = collections.Counter(request for _, request, _ in fleet.runs)
-    violations = [f"TWICE: {request} ran {count} times" for request, count in runs.items() if count > 1]
-    violations += [f"REFUSED: {request} ran, and was answered with {answer.status}" for request, answer in answers.items()
-                   if answer.status in (429, 503, 408, 421) and runs[request]]
-    statuses = collections.Counter(answer.status for answer in answers.values())
-    print(f"requests: {len(answers)}, answers by status: {dict(statuses)}, runs: {len(fleet.runs)}")
+    ran = {request for _, request, _ in fleet.runs}
+    everything = turns.sent["first"] + turns.sent["next"]
+    before = [served for at, served, _ in everything if at < final]
+    after = [served for at, served, _ in everything if at > back + RECOVERY_S]
+    last = [request for at, _, request in turns.sent["next"] if at > end - LAST_S]
+    reached = [request for request in last if request in ran]
+    print(f"turns served before the final fault: {sum(before)} of {len(before)}; later than {RECOVERY_S:.0f} s after the return: "
+          f"{sum(after)} of {len(after)}; of the conversation in the last {LAST_S:.0f} s {len(reached)} of {len(last)} reached a replica")
+    violations = []
+    if last and not reached:
+        violations.append(f"LOST: no turn that continues {conversation} reached a replica in the last {LAST_S:.0f} s")
+    if sum(before) >= len(before) / 4 and sum(after) < len(after) / 4:
+        violations.append(f"RECOVER: {sum(after)} of {len(after)} turns served")
     return violations
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,119 +1,94 @@
-"""A conversation whose turns hold more than 8 MiB together is never continued."""
+"""A surplus copy of a rejection arrives in the place of the answer to the next request on its connection."""
 import asyncio
 import collections
-import hashlib
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
-from fleet import HOST, TROUBLE, Client, Fleet, Replica, render_head, run_case
+from fleet import HOST, TROUBLE, Client, Fleet, Replica, run_case
 
 CASE = pathlib.Path(__file__).resolve().parent
-#: Input of each turn; MaxBodyBytes, the limit of the pages, is 4,194,304.
-INPUT_BYTES = (900 if TROUBLE else 90) * 1024
-TURNS, TRIES = 10, 8
-EVENTS, EVENT_S = 4, 0.01
-CONFIGURATION = {
-    "Version": 1,
-    "Routes": [{"Name": "r", "Hostname": HOST, "PathPrefix": "/chat/", "Type": "streaming", "TimeoutMs": 4000,
-                "TargetLatencyMs": 250, "Priority": 1, "Service": "lm", "MaxAttempts": 1, "KeepsHistory": True,
-                "RetentionS": 60.0, "SessionAffinity": True, "Resumable": False, "TargetGapMs": 200}],
-    "Services": [{"Name": "lm", "HealthPath": "/health", "MaxConnections": 170, "Protocol": "h1", "Tls": False,
-                  "Engine": {"Slots": 12, "KvCapacity": 139361, "KvTokenBytes": 131072, "BandwidthMbps": 1100000.0,
-                             "Backups": True, "Stride": 9, "most": 12, "PinMs": 4000.0, "HoldMs": 2000.0,
-                             "handle_s": 5.0, "Models": [{"Name": "m"}]}}],
-    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+#: Share of the answers that are sent twice, for how long, how often and the pauses between; the site file's garble
+#: 'extra late' has 0.03 and 5 s.
+SHARE, FIRST_S, FOR_S, TIMES, PAUSE_S = 0.03, 2.0, 5.0, 4, 4.0
+FORWARDERS, CLIENTS = 9, 18
 
 
-class Engine(Replica):
-    async def work(self, connection, method, path, headers, body):
-        request = headers["x-request-id"]
-        self.fleet.record.write("got", request=request, bytes=len(body), sha256=hashlib.sha256(body).hexdigest()[:16])
-        self.fleet.bodies[request] = hashlib.sha256(body).hexdigest()
-        writer = connection["writer"]
-        writer.write(render_head("HTTP/1.1 200 OK", [
-            ("X-Request-Id", request), ("X-Response-Signature", f"sig.{request}"), ("X-Weight-Versions", "1"),
-            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]))
-        for number in range(1, EVENTS + 1):
-            await asyncio.sleep(EVENT_S)
-            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
+class SurplusReplica(Replica):
+    """Sends some whole answers twice; the copy comes late, in the place of the next answer on the connection."""
 
-    async def respond(self, connection, request, result):
-        pass
+    def __init__(self, *arguments, faulty, **options):
+        super().__init__(*arguments, **options)
+        self.faulty = faulty
+        self.random = random.Random(self.name)
 
+    async def work(self, connection, method, path, headers, body):
+        await asyncio.sleep(0.03)
+        return b"quoted"
 
-async def turn(fleet, forwarder, program, request, previous, body):
-    headers = [("Host", HOST), ("X-Request-Id", request), ("X-Deadline-Ms", "4000"), ("X-Program-Id", program),
-               ("X-Session-Id", program), ("X-Program-Deadline-Ms", "30000"), ("X-Token-Budget", "100000"), ("X-Model", "m"),
-               ("X-Token-Usage", "1000,36"), ("X-Prefix-Hash", f"{abs(hash(program)) % 0xffffffff:x}:1000")]
-    if previous:
-        headers.append(("X-Previous-Turn", previous))
-    fleet.record.write("send", request=request, program=program, previous=previous or "-", bytes=len(body), to=forwarder.name)
-    answer = await Client(forwarder.address, fleet.front_port).request("POST", "/chat/1", headers, body, limit=10)
-    fleet.record.write("answer", request=request, status=answer.status, whole=answer.whole, error=answer.error,
-                       body=answer.body[:60])
-    return answer
+    async def send(self, connection, request, status, headers, body):
+        fields = [("X-Request-Id", request), *headers, ("Content-Length", str(len(body)))]
+        head = f"HTTP/1.1 {status} Status\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n"
+        whole = head.encode() + body
+        surplus = connection.pop("surplus", None)
+        if surplus is not None:
+            self.fleet.record.write("surplus", replica=self.name, of=surplus[0], status=surplus[1], before=request)
+            connection["writer"].write(surplus[2])
+        connection["writer"].write(whole)
+        active = TROUBLE and self.faulty and self.fleet.in_trouble()
+        if surplus is None and active and self.random.random() < SHARE:
+            connection["surplus"] = (request, status, whole)
+        await connection["writer"].drain()
 
 
 async def main():
-    fleet = Fleet(CASE, forwarders=3)
-    fleet.bodies = {}
-    fleet.replicas = [Engine(fleet, f"i-lm-{number}", "lm", slots=12, queue=12) for number in range(4)]
-    first_turns = []
+    fleet = Fleet(CASE, forwarders=FORWARDERS)
+    start = None
+
+    def in_trouble():
+        since = -1 if start is None else fleet.record.now() - start - FIRST_S
+        return 0 <= since < TIMES * (FOR_S + PAUSE_S) and since % (FOR_S + PAUSE_S) < FOR_S
+
+    fleet.in_trouble = in_trouble
+    # 1 of 2 replicas: the site file's garble 'extra late' strikes a share of 0.6.
+    fleet.replicas = [SurplusReplica(fleet, f"i-app-{number}", "app", slots=4, queue=2, faulty=number < 1)
+                      for number in range(2)]
+    answers = {}
     try:
-        await fleet.start(CONFIGURATION)
-        # The machines are in touch ContactMs (3 s) after their start.
-        await asyncio.sleep(3.5)
-        forwarders = fleet.of("forwarder")
-        stop = asyncio.Event()
+        await fleet.start({
+            "Version": 1,
+            "Routes": [{"Name": "r", "Hostname": HOST, "PathPrefix": "/quote/", "Type": "non_idempotent",
+                        "TimeoutMs": 3000, "TargetLatencyMs": 500, "Priority": 2, "Service": "app", "MaxAttempts": 1}],
+            "Services": [{"Name": "app", "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": False}],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}})
+        start = fleet.record.now()
+        end = start + FIRST_S + TIMES * (FOR_S + PAUSE_S)
 
-        async def other_programs(number):
-            """Sends the first turn of one program after the other."""
+        async def client(number):
+            forwarder = fleet.of("forwarder")[number % FORWARDERS]
             count = 0
-            while not stop.is_set():
+            while fleet.record.now() < end:
                 count += 1
-                request = f"first-{number}-{count}"
-                await turn(fleet, forwarders[number % 3], f"p{number}-{count}", request, None, b"hello")
-                first_turns.append(request)
-                await asyncio.sleep(0.2)
+                request = f"c{number}-{count}"
+                fleet.record.write("send", request=request, to=forwarder.name)
+                answer = await Client(forwarder.address, fleet.front_port).request(
+                    "POST", "/quote/1", [("Host", HOST), ("X-Request-Id", request), ("X-Deadline-Ms", "3000")], b"quote")
+                answers[request] = answer
+                fleet.record.write("answer", request=request, status=answer.status, whole=answer.whole, error=answer.error)
+                if answer.status != 200:
+                    await asyncio.sleep(float(answer.headers.get("retry-after", "0.05")))
 
-        others = [asyncio.ensure_future(other_programs(number)) for number in range(6)]
-        await asyncio.sleep(1)
-        previous, expected = None, b""
-        for number in range(1, TURNS + 1):
-            request = f"turn-{number}"
-            text = bytes([64 + number]) * INPUT_BYTES
-            answer = await turn(fleet, forwarders[number % 3], "conversation", request, previous, text)
-            if not (answer.whole and answer.status == 200):
-                # Each of these is a try to continue a turn that was answered whole.
-                break
-            previous = request
-            expected += text + b"".join(f"{request} {event}\n".encode() for event in range(1, EVENTS + 1))
-        answered_at = fleet.record.now()
-        tries = []
-        for number in range(TRIES):
-            request = f"try-{number + 1}"
-            answer = await turn(fleet, forwarders[number % 3], "conversation", request, previous, b"and now?")
-            tries.append((request, answer.status))
-            await asyncio.sleep(0.3)
-        took = fleet.record.now() - answered_at
-        stop.set()
-        await asyncio.gather(*others)
+        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
+        await asyncio.sleep(0.5)
     finally:
         await fleet.stop()
-    served = sum(request in fleet.bodies for request in first_turns) / len(first_turns)
-    reached = [request for request, _ in tries if request in fleet.bodies]
-    print(f"history of {previous}: {len(expected)} bytes; tries: {[status for _, status in tries]} in {took:.1f} s, "
-          f"{len(reached)} reached a replica; first turns of others: {len(first_turns)}, {served:.3f} of them reached one")
-    violations = []
-    if not reached and took < 30 and served >= 0.9:
-        violations.append(f"LOST: none of {TRIES} tries to continue {previous} reached a replica")
-    whole = hashlib.sha256(expected + b"and now?").hexdigest()
-    violations += [f"UNASKED: {request} ran with another body" for request in reached if fleet.bodies[request] != whole]
+    runs = collections.Counter(request for _, request, _ in fleet.runs)
+    violations = [f"TWICE: {request} ran {count} times" for request, count in runs.items() if count > 1]
+    violations += [f"REFUSED: {request} ran, and was answered with {answer.status}" for request, answer in answers.items()
+                   if answer.status in (429, 503, 408, 421) and runs[request]]
+    statuses = collections.Counter(answer.status for answer in answers.values())
+    print(f"requests: {len(answers)}, answers by status: {dict(statuses)}, runs: {len(fleet.runs)}")
     return violations
 
 
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -367,7 +367,7 @@
     """Runs the coroutine function; exits with 1 when it returns violations, 0 without, 2 when it can't run."""
     try:
         violations = asyncio.run(asyncio.wait_for(main(), 115))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # An unexpected end of the case must not pass for a broken rule.
         print(f"can't run: {error!r}")
         sys.exit(2)
     for violation in violations:
