--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,8 @@
 CASE = pathlib.Path(__file__).resolve().parent
 #: Share of the answers that are sent twice, for how long, how often and the pauses between; the site file's garble
 #: 'extra late' has 0.03 and 5 s.
-SHARE, FIRST_S, FOR_S, TIMES, PAUSE_S = 0.03, 2.0, 5.0, 4, 4.0
-FORWARDERS, CLIENTS = 9, 18
+SHARE, FIRST_S, FOR_S, TIMES, PAUSE_S = 0.03, 2.0, 5.0, 2, 2.0
+FORWARDERS, CLIENTS = 16, 32
 
 
 class SurplusReplica(Replica):
@@ -24,7 +24,7 @@
         self.random = random.Random(self.name)
 
     async def work(self, connection, method, path, headers, body):
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(0.026)
         return b"quoted"
 
     async def send(self, connection, request, status, headers, body):
@@ -52,7 +52,7 @@
 
     fleet.in_trouble = in_trouble
     # 1 of 2 replicas: the site file's garble 'extra late' strikes a share of 0.6.
-    fleet.replicas = [SurplusReplica(fleet, f"i-app-{number}", "app", slots=4, queue=2, faulty=number < 1)
+    fleet.replicas = [SurplusReplica(fleet, f"i-app-{number}", "app", slots=6, queue=1, faulty=number < 1)
                       for number in range(2)]
     answers = {}
     try:
