--- a/review/lib-2/small_plane.py
+++ b/review/lib-2/small_plane.py
@@ -356,20 +356,21 @@
 def play(folder, case):
     """Runs `await case(plane)`, which returns True when the rule was broken. Exits with 1, 0 or 2."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    plane = Plane(folder)
+    status, plane = 2, None
 
     async def run():
         async with asyncio.timeout(110):
             return await case(plane)
 
-    status = 2
     try:
+        plane = Plane(folder)
         status = 1 if asyncio.run(run()) else 0
         plane.record("RULE BROKEN" if status else "the rule held")
-    except CannotRun as reason:
-        plane.record(f"the case could not run: {reason}")
-    except Exception as reason:  # a fault of the stand-ins is no result
-        plane.record(f"the case could not run: {reason!r}")
+    except Exception as reason:  # what the case needs is missing, or a fault of the stand-ins: no result
+        status = 2
+        report = plane.record if plane else print
+        report(f"the case could not run: {reason if isinstance(reason, CannotRun) else repr(reason)}")
     finally:
-        plane.stop()
+        if plane:
+            plane.stop()
     sys.exit(status)
