Groups of stores return to their size after a recovery

Callers saw: after disks lost in series, the programs of one group got 503 for good although enough stores ran, because another group held eight.

Cause: while a group recovers, each new plan adds members to `current`, and choose_members() dropped surplus members only if they were silent. So live ones stayed for good, and the other groups found no spare.

Change: drop_surplus() removes members beyond the size: those that are not live first, then those of the fullest zone.

--- a/src/tallyfold/plane/directory/group_members.cpp
+++ b/src/tallyfold/plane/directory/group_members.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace tallyfold::directory {
 
@@ -119,12 +120,21 @@
     }
 }
 
-/// Removes silent members while the group exceeds its size.
+/// Removes members while the group exceeds its size: those that are not live first, then those of
+/// the zone with the most members.
 void drop_surplus(const store_view& view, store_list& members) {
-    for (auto member = members.begin(); member != members.end();) {
-        const bool is_surplus = members.size() > view.settings().group_size();
-        const bool is_dropped = is_surplus && view.is_silent(member->id);
-        member = is_dropped ? members.erase(member) : member + 1;
+    const auto zone_size = [&](const store_member& member) {
+        return std::count_if(members.begin(), members.end(),
+                             [&](const store_member& other) { return other.zone == member.zone; });
+    };
+    while (members.size() > view.settings().group_size()) {
+        const auto surplus =
+            std::max_element(members.begin(), members.end(),
+                             [&](const store_member& one, const store_member& other) {
+                                 return std::make_pair(!view.is_live(one.id), zone_size(one)) <
+                                        std::make_pair(!view.is_live(other.id), zone_size(other));
+                             });
+        members.erase(surplus);
     }
 }
 
--- a/tests/plane/directory/store_planner_test.cpp
+++ b/tests/plane/directory/store_planner_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(groups_never_choose_the_same_store);
     CPPUNIT_TEST(group_does_not_shrink_without_spare_store);
     CPPUNIT_TEST(spare_store_can_be_retired);
+    CPPUNIT_TEST(group_returns_to_its_size_after_a_recovery);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
@@ -697,6 +698,28 @@
         }
         CPPUNIT_ASSERT_EQUAL(6, retired_count);
     }
+
+    // Guards against a group that keeps all members which its recovery added, so that another group
+    // finds no store to replace a lost member.
+    void group_returns_to_its_size_after_a_recovery() {
+        std::vector<store_member> four = three_stores();
+        four.push_back(member(4, "4"));
+        four.back().zone = "other";
+        directory_state state;
+        store_map recovered{1, four, {}};
+        recovered.after_loss = true;
+        state.apply(change_store_groups{{recovered}});
+        store_planner planner({});
+        planner.start(at(0));
+        for (const store_member& store : four) {
+            report(planner, store, at(3000));
+        }
+        const auto map = planned_map(planner, state, at(3000));
+        CPPUNIT_ASSERT(map.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, map->next.size());
+        // The zone with one member keeps it.
+        CPPUNIT_ASSERT(has_id(map->next, 4));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_planner_test);
