Stores fetch what they missed from the other members of their group

Cause: a write is complete at a majority, and nothing brought it to a member that was down, cut off or whose disk refused it: only a joining store copied. The turns stayed on two stores of three, and went with a removed machine and one lost disk.

Change: each member compares itself with each other one every second and fetches what it lacks (group_repair, repair_client, change_order). A store lists what changed since it was last asked: nine bytes a request. Copied changes carry the retention that remains, so that stores don't keep expired turns alive for each other. New messages, format v7; members of an earlier build are not asked. Gauges, event 2115.

Why it works: a hole is found from the other side, whatever made it, two seconds after the write or the return, plus the copy.

The in-series simulation counted a turn as safe on any disk.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -39,6 +39,7 @@
         {event_id::format_awaited, event_level::warning, "format_awaited"},
         {event_id::voters_silent, event_level::warning, "voters_silent"},
         {event_id::store_groups_unrepaired, event_level::warning, "store_groups_unrepaired"},
+        {event_id::store_repaired, event_level::info, "store_repaired"},
         {event_id::shard_assigned, event_level::info, "shard_assigned"},
         {event_id::shard_released, event_level::info, "shard_released"},
         {event_id::shard_loaded, event_level::info, "shard_loaded"},
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -46,6 +46,7 @@
     format_awaited = 2112,
     voters_silent = 2113,
     store_groups_unrepaired = 2114,
+    store_repaired = 2115,
     shard_assigned = 2201,
     shard_released = 2202,
     shard_loaded = 2203,
--- a/src/tallyfold/base/protocol/format_version.hpp
+++ b/src/tallyfold/base/protocol/format_version.hpp
@@ -24,10 +24,12 @@
     v5 = 5,
     /// Adds the crashes of back ends under requests.
     v6 = 6,
+    /// Adds the comparison of the members of a store group.
+    v7 = 7,
 };
 
 constexpr format_version oldest_format = format_version::v1;
-constexpr format_version newest_format = format_version::v6;
+constexpr format_version newest_format = format_version::v7;
 
 inline std::string to_string(format_version version) {
     return std::to_string(static_cast<int>(version));
--- a/src/tallyfold/plane/directory/directory_metrics.hpp
+++ b/src/tallyfold/plane/directory/directory_metrics.hpp
@@ -48,6 +48,9 @@
           nodes_in_sixth_format(
               net::add_gauge(registry, "tallyfold_directory_nodes_in_sixth_format",
                              "Nodes heard of lately that know the sixth form of messages")),
+          nodes_in_seventh_format(
+              net::add_gauge(registry, "tallyfold_directory_nodes_in_seventh_format",
+                             "Nodes heard of lately that know the seventh form of messages")),
           crash_contents(net::add_gauge(registry, "tallyfold_directory_crash_contents",
                                         "Contents of requests under which back ends ended lately")),
           unrepaired_store_groups(
@@ -72,6 +75,8 @@
             static_cast<double>(core.formats().count(format_version::v5, now)));
         nodes_in_sixth_format.Set(
             static_cast<double>(core.formats().count(format_version::v6, now)));
+        nodes_in_seventh_format.Set(
+            static_cast<double>(core.formats().count(format_version::v7, now)));
         unrepaired_store_groups.Set(static_cast<double>(core.unrepaired_group_count()));
         is_halted.Set(core.is_halted() ? 1 : 0);
     }
@@ -90,6 +95,7 @@
     prometheus::Gauge& nodes_in_fourth_format;
     prometheus::Gauge& nodes_in_fifth_format;
     prometheus::Gauge& nodes_in_sixth_format;
+    prometheus::Gauge& nodes_in_seventh_format;
     prometheus::Gauge& crash_contents;
     prometheus::Gauge& unrepaired_store_groups;
     prometheus::Gauge& is_halted;
--- a/src/tallyfold/plane/messaging/peer_message.cpp
+++ b/src/tallyfold/plane/messaging/peer_message.cpp
@@ -31,6 +31,8 @@
         case protocol::format_version::v5:
             return kinds_in_fifth_format;
         case protocol::format_version::v6:
+            return kinds_in_sixth_format;
+        case protocol::format_version::v7:
             break;
     }
     return std::variant_size_v<peer_message>;
--- a/src/tallyfold/plane/messaging/peer_message.hpp
+++ b/src/tallyfold/plane/messaging/peer_message.hpp
@@ -43,7 +43,8 @@
                  discovery::list_part, directory::evacuation_status, dispatch::place_request,
                  dispatch::place_answer, dispatch::place_release, dispatch::place_renewal,
                  streams::origin_record, streams::origin_query, streams::origin_answer,
-                 poison::crash_report, poison::crash_status>;
+                 poison::crash_report, poison::crash_status, turns::comparison_request,
+                 turns::comparison_reply, turns::records_request, turns::records_reply>;
 
 /// Limit of a frame's payload, far above the size of any valid message; longer frames are rejected.
 constexpr std::size_t max_frame_payload_bytes = 32U << 20U;
@@ -56,6 +57,7 @@
 constexpr std::size_t kinds_in_third_format = 23;
 constexpr std::size_t kinds_in_fourth_format = 27;
 constexpr std::size_t kinds_in_fifth_format = 30;
+constexpr std::size_t kinds_in_sixth_format = 32;
 
 /// Encodes a message as a frame in the newest format.
 std::string encode_frame(const peer_message& message);
--- a/src/tallyfold/plane/turns/messages.hpp
+++ b/src/tallyfold/plane/turns/messages.hpp
@@ -176,4 +176,71 @@
     }
 };
 
+/// Position in a store's change_order.
+struct change_position {
+    /// Identifies the process that numbered the changes; 0 for none.
+    std::uint64_t incarnation = 0;
+    change_sequence sequence = 0;
+
+    bool operator==(const change_position&) const = default;
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(incarnation, sequence);
+    }
+};
+
+/// Asks another member of the group which requests changed there. Since format v7.
+struct comparison_request {
+    operation_number operation = 0;
+    group_number group = 0;
+    group_number group_count = 0;
+    /// The reply begins after this position; with the first change when another process numbered
+    /// it.
+    change_position after;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(operation, group, group_count, after);
+    }
+};
+
+struct comparison_reply {
+    operation_number operation = 0;
+    store_id store = 0;
+    std::vector<request_summary> changed;
+    /// Position at which the next comparison begins.
+    change_position position;
+    /// False when more changes follow at once.
+    bool complete = true;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(operation, store, changed, position, complete);
+    }
+};
+
+/// Asks another member of the group for the requests that this store lacks. Since format v7.
+struct records_request {
+    operation_number operation = 0;
+    std::vector<request_key> keys;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(operation, keys);
+    }
+};
+
+struct records_reply {
+    operation_number operation = 0;
+    store_id store = 0;
+    std::vector<turn_change> changes;
+    /// Number of keys that the reply covers, counted from the first.
+    std::uint32_t covered = 0;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+        archive(operation, store, changes, covered);
+    }
+};
+
 }  // namespace tallyfold::turns
--- a/src/tallyfold/plane/turns/store_folder_shell.cpp
+++ b/src/tallyfold/plane/turns/store_folder_shell.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-/// A random 64-bit identity; 0 means that there is none. Two of them do not collide in practice.
-store_id random_identity() {
+/// A random 64-bit identity of a disk or a process; 0 means that there is none. Two of them do not
+/// collide in practice.
+std::uint64_t random_identity() {
     std::random_device source;
     const std::uint64_t high = source();
     return std::max<std::uint64_t>(1, (high << 32U) ^ source());
@@ -69,7 +70,7 @@
     if (!map) {
         return std::nullopt;
     }
-    store_fsm state(opened->identity(), *map, std::move(recovered));
+    store_fsm state(opened->identity(), *map, std::move(recovered), random_identity());
     log_opened(*opened, state.turns(),
                "programs=" + std::to_string(state.turns().program_count()) +
                    " cut_bytes=" + std::to_string(opened->truncated_bytes()));
--- a/src/tallyfold/plane/turns/store_fsm.cpp
+++ b/src/tallyfold/plane/turns/store_fsm.cpp
@@ -1,6 +1,7 @@
 #include "tallyfold/plane/turns/store_fsm.hpp"
 
 #include <algorithm>
+#include <type_traits>
 
 #include "tallyfold/plane/turns/store_rules.hpp"
 
@@ -11,11 +12,22 @@
 /// Approximate size of the texts in one page of a copy, in bytes. Small, so that a page does not
 /// delay other requests for long.
 constexpr std::size_t copy_page_bytes = 128U << 10U;
+/// Maximum number of changes that one comparison reads; 9 bytes each in the reply.
+constexpr std::size_t max_compared_changes = 4'096;
+
+/// True for messages whose changes were copied from another store.
+template <class Message>
+constexpr bool is_copied =
+    std::is_same_v<Message, copy_reply> || std::is_same_v<Message, records_reply>;
 
 }  // namespace
 
-store_fsm::store_fsm(store_id self, const store_map& stored_map, turn_table recovered)
-    : self_(self), turns_(std::move(recovered)), durable_epoch_(stored_map.epoch) {
+store_fsm::store_fsm(store_id self, const store_map& stored_map, turn_table recovered,
+                     std::uint64_t incarnation)
+    : self_(self),
+      incarnation_(incarnation),
+      turns_(std::move(recovered)),
+      durable_epoch_(stored_map.epoch) {
     adopt_newer_map(stored_map);
     map_write_pending_ = false;
 }
@@ -71,10 +83,39 @@
     return {};
 }
 
+std::vector<addressed_reply> store_fsm::receive(peer_token from, const comparison_request& request,
+                                                instant now) const {
+    comparison_reply reply;
+    reply.operation = request.operation;
+    reply.store = self_;
+    const bool is_known_order = request.after.incarnation == incarnation_;
+    summary_filter filter;
+    filter.group = request.group;
+    filter.group_count = std::max<group_number>(1, request.group_count);
+    filter.changed_until = now - comparison_lag;
+    filter.now = now;
+    filter.limit = max_compared_changes;
+    summary_page page = turns_.changed_after(is_known_order ? request.after.sequence : 0, filter);
+    reply.changed = std::move(page.changed);
+    reply.position = {incarnation_, page.position};
+    reply.complete = page.complete;
+    return {{from, std::move(reply)}};
+}
+
+std::vector<addressed_reply> store_fsm::receive(peer_token from, const records_request& request,
+                                                instant now) const {
+    record_page page = turns_.records_of(request.keys, copy_page_bytes, now);
+    return {{from, records_reply{request.operation, self_, std::move(page.changes), page.covered}}};
+}
+
 void store_fsm::receive(const copy_reply& reply) {
     queue_.push_back({0, reply});
 }
 
+void store_fsm::receive(const records_reply& reply) {
+    queue_.push_back({0, reply});
+}
+
 bool store_fsm::adopt_newer_map(const store_map& map) {
     if (map.epoch <= map_.epoch) {
         return false;
@@ -93,6 +134,9 @@
 }
 
 bool store_fsm::learn_table(const store_table& table) {
+    if (table.known()) {
+        group_count_ = static_cast<group_number>(table.groups.size());
+    }
     std::vector<const store_map*> concerning;
     for (const store_map& map : table.groups) {
         if (concerns_store(map, self_, map_)) {
@@ -110,15 +154,19 @@
     return newer;
 }
 
-void store_fsm::append_changes(const queued_message& work,
-                               std::vector<turn_change>& changes) const {
-    if (const auto* begin = std::get_if<begin_request>(&work.body)) {
-        changes.emplace_back(begin->reservation);
-    } else if (const auto* settle = std::get_if<settle_request>(&work.body)) {
-        changes.emplace_back(settle->settlement);
-    } else if (const auto* copy = std::get_if<copy_reply>(&work.body)) {
-        changes.insert(changes.end(), copy->changes.begin(), copy->changes.end());
-    }
+void store_fsm::append_changes(const queued_message& work, std::vector<turn_change>& changes) {
+    std::visit(
+        [&changes](const auto& body) {
+            using message = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<message, begin_request>) {
+                changes.emplace_back(body.reservation);
+            } else if constexpr (std::is_same_v<message, settle_request>) {
+                changes.emplace_back(body.settlement);
+            } else if constexpr (is_copied<message>) {
+                changes.insert(changes.end(), body.changes.begin(), body.changes.end());
+            }
+        },
+        work.body);
 }
 
 store_write store_fsm::begin_write() {
@@ -157,11 +205,11 @@
     return reply;
 }
 
-copy_reply store_fsm::answer(const copy_request& request) const {
+copy_reply store_fsm::answer(const copy_request& request, instant now) const {
     copy_reply reply;
     reply.store = self_;
     reply.epoch = request.map.epoch;
-    change_page page = turns_.page_after(request.after, request.held, copy_page_bytes);
+    change_page page = turns_.page_after(request.after, request.held, copy_page_bytes, now);
     reply.changes = std::move(page.changes);
     reply.next = std::move(page.next);
     return reply;
@@ -184,12 +232,18 @@
 
 void store_fsm::apply_batch(const std::vector<queued_message>& batch, instant now) {
     durable_epoch_ = std::max(durable_epoch_, writing_epoch_);
-    std::vector<turn_change> changes;
     for (const queued_message& work : batch) {
+        std::vector<turn_change> changes;
         append_changes(work, changes);
-    }
-    for (const turn_change& change : changes) {
-        turns_.apply(change, now);
+        const bool copied = std::visit(
+            [](const auto& body) { return is_copied<std::decay_t<decltype(body)>>; }, work.body);
+        for (const turn_change& change : changes) {
+            if (copied) {
+                turns_.apply_copy(change, now);
+            } else {
+                turns_.apply(change, now);
+            }
+        }
     }
 }
 
@@ -209,10 +263,10 @@
             replies.push_back({work.from, settle_reply{settle->operation, self_, durable, {}}});
         } else if (const auto* copy = std::get_if<copy_request>(&work.body)) {
             if (may_send_copy(durable_epoch_, copy->map.epoch)) {
-                replies.push_back({work.from, answer(*copy)});
+                replies.push_back({work.from, answer(*copy, now)});
             }
-        } else if (durable) {
-            on_copy_page(std::get<copy_reply>(work.body));
+        } else if (const auto* page = std::get_if<copy_reply>(&work.body); durable && page) {
+            on_copy_page(*page);
         }
     }
     return replies;
--- a/src/tallyfold/plane/turns/store_fsm.hpp
+++ b/src/tallyfold/plane/turns/store_fsm.hpp
@@ -5,7 +5,8 @@
 /// on it.
 ///
 /// Owns the turns and ledgers in memory, the map in force, and the progress of a copy. store_rules
-/// decides which requests are refused, copy_progress when a copy is complete.
+/// decides which requests are refused, copy_progress when a copy is complete, group_repair what is
+/// fetched from the other members.
 
 #include <cstdint>
 #include <optional>
@@ -20,10 +21,15 @@
 
 namespace tallyfold::turns {
 
+/// Age at which a change is compared with other members. Requests that are still under way to some
+/// of them are younger.
+constexpr duration comparison_lag = std::chrono::seconds(1);
+
 /// Identifies the connection of a request, for its reply.
 using peer_token = std::uint64_t;
 
-using store_reply = std::variant<begin_reply, history_reply, settle_reply, copy_reply, find_reply>;
+using store_reply = std::variant<begin_reply, history_reply, settle_reply, copy_reply, find_reply,
+                                 comparison_reply, records_reply>;
 
 struct addressed_reply {
     peer_token to = 0;
@@ -49,7 +55,9 @@
   public:
     /// @param stored_map the map read from the disk; epoch 0 for none
     /// @param recovered the turns and ledgers read from the disk
-    store_fsm(store_id self, const store_map& stored_map, turn_table recovered);
+    /// @param incarnation identifies this process among all that have run on the disk
+    store_fsm(store_id self, const store_map& stored_map, turn_table recovered,
+              std::uint64_t incarnation);
 
     /// Handles a request. @return replies that depend on no write; finish_write() returns the
     /// others
@@ -58,8 +66,15 @@
     std::vector<addressed_reply> receive(peer_token from, const history_request& request) const;
     std::vector<addressed_reply> receive(peer_token from, const find_request& request) const;
     std::vector<addressed_reply> receive(peer_token from, const copy_request& request);
+    /// @param now changes of the last comparison_lag are left for a later comparison
+    std::vector<addressed_reply> receive(peer_token from, const comparison_request& request,
+                                         instant now) const;
+    std::vector<addressed_reply> receive(peer_token from, const records_request& request,
+                                         instant now) const;
     /// Queues a page of the copy that this store fetches.
     void receive(const copy_reply& reply);
+    /// Queues records that another member of the group sent.
+    void receive(const records_reply& reply);
     /// Adopts a newer map of the group that this store belongs or belonged to. @return true when it
     /// was newer
     bool adopt_newer_map(const store_map& map);
@@ -83,6 +98,8 @@
     /// Epoch of the newest map for which this store has completed a copy; 0 for none.
     [[nodiscard]] map_epoch copied_epoch() const { return copied_epoch_; }
     [[nodiscard]] const store_map& map() const { return map_; }
+    /// Number of groups; 0 while the directory has not sent the whole table.
+    [[nodiscard]] group_number group_count() const { return group_count_; }
     [[nodiscard]] store_id self() const { return self_; }
     [[nodiscard]] const turn_table& turns() const { return turns_; }
     /// Removes turns and ledgers whose retention ended more than `margin` ago.
@@ -92,7 +109,7 @@
     /// A request, or a page of a copy.
     struct queued_message {
         peer_token from = 0;
-        std::variant<begin_request, settle_request, copy_request, copy_reply> body;
+        std::variant<begin_request, settle_request, copy_request, copy_reply, records_reply> body;
     };
 
     /// Maximum number of prompt prefixes in prompt_holders_; bounds its memory.
@@ -104,15 +121,17 @@
     [[nodiscard]] std::vector<store_map> newer_map_than(map_epoch epoch) const;
     [[nodiscard]] std::vector<scheduling::cached_prefix> holders_of(
         const std::vector<scheduling::prefix_point>& prompt) const;
-    void append_changes(const queued_message& work, std::vector<turn_change>& changes) const;
+    static void append_changes(const queued_message& work, std::vector<turn_change>& changes);
     /// Applies the changes of a batch that has become durable.
     void apply_batch(const std::vector<queued_message>& batch, instant now);
     [[nodiscard]] begin_reply answer(const begin_request& request, bool durable) const;
-    [[nodiscard]] copy_reply answer(const copy_request& request) const;
+    [[nodiscard]] copy_reply answer(const copy_request& request, instant now) const;
     void on_copy_page(const copy_reply& reply);
 
     store_id self_;
+    std::uint64_t incarnation_;
     store_map map_;
+    group_number group_count_ = 0;
     turn_table turns_;
     /// True when the map in force has not been handed out for writing yet.
     bool map_write_pending_ = false;
--- a/src/tallyfold/plane/turns/store_writer_shell.cpp
+++ b/src/tallyfold/plane/turns/store_writer_shell.cpp
@@ -56,8 +56,8 @@
 }
 
 bool store_writer::begin_segment(const turn_table& turns) {
-    const auto rotated = log_.rotate([&turns](const std::string& after) {
-        return turns.page_after(after, {}, segment_page_bytes);
+    const auto rotated = log_.rotate([&turns, now = steady_now()](const std::string& after) {
+        return turns.page_after(after, {}, segment_page_bytes, now);
     });
     if (!rotated) {
         report_failure(rotated.error());
--- a/src/tallyfold/plane/turns/turn_store_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_store_shell.cpp
@@ -14,6 +14,7 @@
 #include "tallyfold/plane/process/node_process_shell.hpp"
 #include "tallyfold/plane/streams/origin_table.hpp"
 #include "tallyfold/plane/turns/copy_client_shell.hpp"
+#include "tallyfold/plane/turns/repair_client_shell.hpp"
 #include "tallyfold/plane/turns/store_folder_shell.hpp"
 #include "tallyfold/plane/turns/store_writer_shell.hpp"
 
@@ -30,6 +31,8 @@
 constexpr duration repair_interval = std::chrono::milliseconds(500);
 /// Interval of timeout checks; well below copy_timeout::min_timeout.
 constexpr duration copy_check_interval = std::chrono::milliseconds(100);
+/// Interval at which due requests of the repair are sent.
+constexpr duration repair_check_interval = std::chrono::milliseconds(100);
 /// Interval of reports to the directory; well below the time after which a store counts as silent.
 constexpr duration report_interval = std::chrono::milliseconds(300);
 /// Time that requests are still served after a stop was requested, so that pending writes end and
@@ -59,6 +62,8 @@
     void write_queued();
     void log_completed_copy();
     void on_store_table(const store_table& stores);
+    /// Sends the repair's next request if it is due, and updates the gauges of the repair.
+    void continue_repair();
     [[nodiscard]] directory::store_report describe() const;
 
     net::node_process& process_;
@@ -67,6 +72,7 @@
     store_fsm store_;
     store_writer writer_;
     copy_client copy_;
+    repair_client repair_;
     streams::origin_table origins_;
     /// True while a write is scheduled.
     bool write_scheduled_ = false;
@@ -76,6 +82,9 @@
     map_epoch logged_copy_epoch_ = 0;
     prometheus::Counter& changes_;
     prometheus::Gauge& bytes_;
+    prometheus::Gauge& missing_requests_;
+    prometheus::Gauge& oldest_comparison_;
+    prometheus::Counter& repaired_requests_;
     prometheus::Gauge& stream_origins_;
 };
 
@@ -86,10 +95,20 @@
       store_(std::move(opened.state)),
       writer_(std::move(opened.log), process_.metrics()),
       copy_(process_.loop(), store_, [this] { schedule_write(); }),
+      repair_(process_.loop(), store_, [this] { schedule_write(); }),
       changes_(net::add_counter(process_.metrics(), "tallyfold_store_changes_total",
                                 "Reservations and settlements taken")),
       bytes_(net::add_gauge(process_.metrics(), "tallyfold_store_turn_bytes",
                             "Bytes of the turns that are kept")),
+      missing_requests_(net::add_gauge(process_.metrics(), "tallyfold_store_missing_requests",
+                                       "Requests that another member holds and that are not "
+                                       "fetched yet")),
+      oldest_comparison_(net::add_gauge(process_.metrics(),
+                                        "tallyfold_store_oldest_comparison_seconds",
+                                        "Longest time since a complete comparison with a member")),
+      repaired_requests_(net::add_counter(process_.metrics(),
+                                          "tallyfold_store_repaired_requests_total",
+                                          "Missed requests that were fetched from members")),
       stream_origins_(net::add_gauge(process_.metrics(), "tallyfold_store_stream_origins",
                                      "Resumable streams whose origin is known")) {}
 
@@ -118,6 +137,12 @@
     if (const auto* copy = std::get_if<copy_request>(&message)) {
         return store_.receive(from, *copy);
     }
+    if (const auto* comparison = std::get_if<comparison_request>(&message)) {
+        return store_.receive(from, *comparison, steady_now());
+    }
+    if (const auto* records = std::get_if<records_request>(&message)) {
+        return store_.receive(from, *records, steady_now());
+    }
     // Not a request to a store, so there is no reply.
     reply_channels_.erase(from);
     return {};
@@ -149,6 +174,7 @@
     const std::vector<addressed_reply> replies = dispatch(from, message);
     if (store_.map().epoch > epoch) {
         directory_.merge_map(store_.map());
+        repair_.update_group();
     }
     send(replies);
     schedule_write();
@@ -197,6 +223,7 @@
         reply_channels_.clear();
     }
     copy_.on_page_written();
+    repair_.on_written();
     log_completed_copy();
 }
 
@@ -217,6 +244,17 @@
     }
     schedule_write();
     copy_.request_page();
+    repair_.update_group();
+}
+
+void store_node::continue_repair() {
+    repair_.send_due_request();
+    const group_repair& repair = repair_.repair();
+    missing_requests_.Set(static_cast<double>(repair.missing_count()));
+    repaired_requests_.Increment(static_cast<double>(repair.repaired_count()) -
+                                 repaired_requests_.Value());
+    oldest_comparison_.Set(
+        std::chrono::duration<double>(repair.oldest_comparison(steady_now())).count());
 }
 
 int store_node::run() {
@@ -236,6 +274,7 @@
     process_.run_every(expiry_interval, [this] { store_.expire(steady_now(), expiry_margin); });
     process_.run_every(repair_interval, [this] { writer_.repair(store_.turns()); });
     process_.run_every(copy_check_interval, [this] { copy_.check_timeout(); });
+    process_.run_every(repair_check_interval, [this] { continue_repair(); });
     return process_.run([this] { process_.run_after(stop_delay, [this] { process_.finish(); }); },
                         [this](const settings::node_settings& settings) {
                             directory_.add_seeds(settings.seed_directories());
--- a/src/tallyfold/plane/turns/types.cpp
+++ b/src/tallyfold/plane/turns/types.cpp
@@ -78,8 +78,12 @@
     return recovering() ? current.size() : current.size() - majority + 1;
 }
 
+group_number group_of_program(const std::string& program, std::size_t group_count) {
+    return static_cast<group_number>(stable_hash(program) % group_count);
+}
+
 group_number store_table::group_of(const std::string& program) const {
-    return static_cast<group_number>(stable_hash(program) % groups.size());
+    return group_of_program(program, groups.size());
 }
 
 bool store_table::contains(store_id id) const {
--- a/src/tallyfold/plane/turns/types.hpp
+++ b/src/tallyfold/plane/turns/types.hpp
@@ -169,6 +169,9 @@
     }
 };
 
+/// Group that stores a program's turns and its ledger. `group_count` must not be 0.
+[[nodiscard]] group_number group_of_program(const std::string& program, std::size_t group_count);
+
 /// All groups of stores. A program's identifier determines its group permanently: once the groups
 /// are formed, their number never changes, only their members do.
 struct store_table {
--- a/tests/plane/directory/mixed_formats_test.cpp
+++ b/tests/plane/directory/mixed_formats_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(earlier_formats_cannot_represent_dispatch_messages);
     CPPUNIT_TEST(earlier_formats_cannot_represent_origins_of_streams);
     CPPUNIT_TEST(earlier_formats_cannot_represent_crashes);
+    CPPUNIT_TEST(earlier_formats_cannot_represent_comparisons_of_stores);
     CPPUNIT_TEST_SUITE_END();
 
     static routing::configuration configuration_of(routing::configuration_version version,
@@ -261,6 +262,7 @@
         core.record_peer_format("e", format_version::v5, group.now());
         core.record_peer_format("f", format_version::v5, group.now());
         core.record_peer_format("g", format_version::v6, group.now());
+        core.record_peer_format("h", format_version::v7, group.now());
         prometheus::Registry registry;
         directory_metrics metrics(registry);
         metrics.observe(core, group.now());
@@ -270,6 +272,7 @@
         CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_fourth_format.Value());
         CPPUNIT_ASSERT_EQUAL(2.0, metrics.nodes_in_fifth_format.Value());
         CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_sixth_format.Value());
+        CPPUNIT_ASSERT_EQUAL(1.0, metrics.nodes_in_seventh_format.Value());
     }
 
     /// Guards against values that a build of format v3 cannot read, although nothing in them needs
@@ -326,6 +329,21 @@
         }
     }
 
+    void earlier_formats_cannot_represent_comparisons_of_stores() {
+        for (const messaging::peer_message& message :
+             {messaging::peer_message(turns::comparison_request{}),
+              messaging::peer_message(turns::comparison_reply{}),
+              messaging::peer_message(turns::records_request{}),
+              messaging::peer_message(turns::records_reply{})}) {
+            for (const format_version format :
+                 {format_version::v1, format_version::v2, format_version::v3, format_version::v4,
+                  format_version::v5, format_version::v6}) {
+                CPPUNIT_ASSERT(!messaging::encode_frame(message, format));
+            }
+            CPPUNIT_ASSERT(messaging::encode_frame(message, format_version::v7).has_value());
+        }
+    }
+
     void stored_values_use_first_format_when_possible() {
         directory_state state;
         state.apply(replace_configuration{configuration_of(46, many_routes), "text"});
--- /dev/null
+++ b/tests/plane/turns/separate_losses_simulation_test.cpp
@@ -0,0 +1,56 @@
+#include "tests/support/separate_losses_world.hpp"
+#include "tests/support/suite.hpp"
+
+namespace tallyfold::tests {
+
+/// Simulates losses of stores that are a catch-up time apart, as deployments have to bear them.
+class separate_losses_simulation_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(separate_losses_simulation_test);
+    CPPUNIT_TEST(members_hold_what_they_missed_once_they_have_caught_up);
+    CPPUNIT_TEST(members_of_several_groups_hold_what_they_missed);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct totals {
+        int losses = 0;
+        int replacements = 0;
+        std::size_t settled = 0;
+    };
+
+    static totals run_seeds(std::uint64_t seeds, std::size_t machines, std::uint32_t losses_borne,
+                            drawn_losses drawn) {
+        totals sum;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            separate_losses_world world(seed, machines, losses_borne, drawn);
+            world.run(std::chrono::seconds(40));
+            world.recover();
+            const std::string run = "seed " + std::to_string(seed) + ", " + world.describe_groups();
+            CPPUNIT_ASSERT_MESSAGE(run, world.serves_new_programs());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(run, std::size_t{0}, world.lost_turns().size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(run, 0, world.members_behind());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(run, 0, world.forwarder().false_unknowns());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(run, 0, world.forwarder().overdrawn());
+            sum.losses += world.losses();
+            sum.replacements += world.replacements();
+            sum.settled += world.forwarder().settled().size();
+        }
+        return sum;
+    }
+
+    // Guards against members that never fetch the turns settled while they were down or cut off, so
+    // that these stay on a bare majority for as long as they are kept.
+    void members_hold_what_they_missed_once_they_have_caught_up() {
+        const totals sum = run_seeds(40, 3, 1, drawn_losses::of_returning_machines);
+        CPPUNIT_ASSERT(sum.losses > 200);
+        CPPUNIT_ASSERT(sum.settled > 3'000);
+    }
+
+    void members_of_several_groups_hold_what_they_missed() {
+        const totals sum = run_seeds(20, 9, 1, drawn_losses::of_returning_machines);
+        CPPUNIT_ASSERT(sum.losses > 100);
+        CPPUNIT_ASSERT(sum.settled > 1'000);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(separate_losses_simulation_test);
+
+}  // namespace tallyfold::tests
--- a/tests/plane/turns/store_fsm_test.cpp
+++ b/tests/plane/turns/store_fsm_test.cpp
@@ -16,7 +16,7 @@
     CPPUNIT_TEST(a_store_answers_whether_it_holds_a_turn);
     CPPUNIT_TEST_SUITE_END();
 
-    static store_fsm store() { return {1, store_map{}, turn_table{}}; }
+    static store_fsm store() { return {1, store_map{}, turn_table{}, 1}; }
 
     static void settle(store_fsm& store, const std::string& engine, token_count tokens) {
         settle_request request;
--- a/tests/plane/turns/turn_log_test.cpp
+++ b/tests/plane/turns/turn_log_test.cpp
@@ -74,7 +74,7 @@
             turn_table empty;
             turn_log log = open(empty);
             CPPUNIT_ASSERT(log.rotate([&table](const std::string& after) {
-                                  return table.page_after(after, {}, 2'000);
+                                  return table.page_after(after, {}, 2'000, {});
                               })
                                .has_value());
             CPPUNIT_ASSERT(log.append({turn("late", 10)}).has_value());
@@ -98,7 +98,7 @@
             table.apply(turn("first", 10), {});
             folder.refuse_syncs(true);
             CPPUNIT_ASSERT(!log.rotate([&table](const std::string& after) {
-                                   return table.page_after(after, {}, 2'000);
+                                   return table.page_after(after, {}, 2'000, {});
                                })
                                 .has_value());
             folder.refuse_syncs(false);
--- a/tests/plane/turns/turn_table_test.cpp
+++ b/tests/plane/turns/turn_table_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(a_copied_adopted_turn_keeps_the_cost_in_later_pages);
     CPPUNIT_TEST(a_copy_contains_the_record_of_a_turn_whose_cost_is_held);
     CPPUNIT_TEST(a_copy_contains_the_cost_of_a_turn_whose_record_is_held);
+    CPPUNIT_TEST(a_page_carries_the_retention_that_remains);
+    CPPUNIT_TEST(changes_are_listed_in_pages);
+    CPPUNIT_TEST(expired_requests_leave_the_order_of_changes);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int seconds) { return instant(std::chrono::seconds(seconds)); }
@@ -75,7 +78,7 @@
         table.apply(answered_turn("b", "a"), at(0));
         turn_table rebuilt;
         constexpr std::size_t one_page = 1U << 20U;
-        for (const turn_change& change : table.page_after("", {}, one_page).changes) {
+        for (const turn_change& change : table.page_after("", {}, one_page, at(0)).changes) {
             rebuilt.apply(change, at(0));
         }
         CPPUNIT_ASSERT(table.ledger_of("program") == rebuilt.ledger_of("program"));
@@ -92,7 +95,7 @@
         std::set<std::string> copied;
         int pages = 0;
         do {
-            const change_page page = table.page_after(next, {"b"}, 1);
+            const change_page page = table.page_after(next, {"b"}, 1, at(0));
             for (const turn_change& change : page.changes) {
                 copied.insert(std::get<turn_settlement>(change).request);
             }
@@ -111,7 +114,7 @@
         table.apply(own, at(0));
         CPPUNIT_ASSERT(table.history_up_to("c").missing.empty());
         turn_table copy;
-        for (const turn_change& change : table.page_after("", {}, 1U << 20U).changes) {
+        for (const turn_change& change : table.page_after("", {}, 1U << 20U, at(0)).changes) {
             copy.apply(change, at(0));
         }
         CPPUNIT_ASSERT(copy.history_up_to("c").missing.empty());
@@ -127,7 +130,7 @@
         own.adopted = {{"a", "", "in-a", "out-a"}};
         table.apply(own, at(0));
         turn_table copy;
-        for (const turn_change& change : table.page_after("", {}, 1U << 20U).changes) {
+        for (const turn_change& change : table.page_after("", {}, 1U << 20U, at(0)).changes) {
             copy.apply(change, at(0));
         }
         CPPUNIT_ASSERT_EQUAL(token_count{40}, copy.ledger_of("other").at("a").tokens);
@@ -144,7 +147,8 @@
     }
     /// Copies what `target` lacks of `source`.
     static void copy(const turn_table& source, turn_table& target) {
-        const change_page page = source.page_after("", target.complete_requests(), 1U << 20U);
+        const change_page page =
+            source.page_after("", target.complete_requests(), 1U << 20U, at(0));
         for (const turn_change& change : page.changes) {
             target.apply(change, at(0));
         }
@@ -206,6 +210,48 @@
         copy(target, rebuilt);
         CPPUNIT_ASSERT_EQUAL(token_count{40}, rebuilt.ledger_of("other").at("a").tokens);
     }
+
+    void a_page_carries_the_retention_that_remains() {
+        turn_table table;
+        table.apply(answered_turn("a", ""), at(0));
+        const change_page page = table.page_after("", {}, 1U << 20U, at(50));
+        const auto& copied = std::get<turn_settlement>(page.changes.front());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{10'000}, copied.retention_ms);
+    }
+
+    static summary_filter all_changes(std::size_t limit) {
+        summary_filter filter;
+        filter.changed_until = at(60);
+        filter.limit = limit;
+        return filter;
+    }
+
+    void changes_are_listed_in_pages() {
+        turn_table table;
+        for (const char* request : {"a", "b", "c"}) {
+            table.apply(answered_turn(request, ""), at(0));
+        }
+        const summary_page first = table.changed_after(0, all_changes(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.changed.size());
+        CPPUNIT_ASSERT(!first.complete);
+        const summary_page second = table.changed_after(first.position, all_changes(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.changed.size());
+        CPPUNIT_ASSERT(second.complete);
+        CPPUNIT_ASSERT(second.changed.front().key == key_of("c"));
+        CPPUNIT_ASSERT(second.changed.front().settled && second.changed.front().has_record);
+    }
+
+    void expired_requests_leave_the_order_of_changes() {
+        turn_table table;
+        turn_settlement other = answered_turn("a", "");
+        other.program = "other";
+        table.apply(other, at(0));
+        table.apply(answered_turn("b", ""), at(50));
+        table.expire(at(70), duration::zero());
+        const summary_page page = table.changed_after(0, all_changes(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, page.changed.size());
+        CPPUNIT_ASSERT(page.changed.front().key == key_of("b"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(turn_table_test);
--- a/tests/support/final_fault_world.hpp
+++ b/tests/support/final_fault_world.hpp
@@ -6,19 +6,17 @@
 
 #include <chrono>
 #include <map>
-#include <set>
 #include <vector>
 
-#include "tests/support/store_world.hpp"
+#include "tests/support/timed_store_world.hpp"
 
 namespace tallyfold::tests {
 
-class final_fault_world : public store_world {
+class final_fault_world : public timed_store_world {
   public:
     final_fault_world(std::uint64_t seed, std::size_t machine_count, std::uint32_t losses_borne,
                       injected_defect fault = injected_defect::nothing)
-        : store_world(seed, machine_count, fault, disk_losses::in_series, losses_borne),
-          starts_at_(machine_count) {}
+        : timed_store_world(seed, machine_count, losses_borne, fault) {}
 
     void run_to_final_fault() {
         const instant end = now_ + std::chrono::milliseconds(random_.between(2'000, 25'000));
@@ -42,104 +40,10 @@
     [[nodiscard]] bool ended_in_change() const { return ended_in_change_; }
     [[nodiscard]] bool ended_during_copy() const { return ended_during_copy_; }
     [[nodiscard]] bool ended_during_settlement() const { return ended_during_settlement_; }
-    /// Number of recoveries of a group that had lost a majority.
-    [[nodiscard]] int recoveries() const { return recoveries_; }
-    /// Describes the groups' maps, for the report of a failed run.
-    [[nodiscard]] std::string describe_groups() const {
-        std::string text;
-        for (const turns::store_map& map : state_.stores().groups) {
-            text += turns::describe(map) + "; ";
-        }
-        return text;
-    }
 
   private:
     static constexpr duration catch_up_time = std::chrono::seconds(6);
     static constexpr duration recovery_time = std::chrono::seconds(15);
-    static constexpr duration report_interval = std::chrono::milliseconds(300);
-    static constexpr duration plan_interval = std::chrono::milliseconds(100);
-
-    [[nodiscard]] bool directory_works() const { return now_ >= directory_back_at_; }
-
-    void start_due_machines() {
-        for (std::size_t number = 0; number < fleet_.size(); ++number) {
-            if (!fleet_.machine(number).store && now_ >= starts_at_[number]) {
-                fleet_.start(number);
-            }
-        }
-    }
-
-    void step() {
-        now_ += std::chrono::milliseconds(random_.between(5, 15));
-        start_due_machines();
-        act_as_directory();
-        for (std::size_t number = 0; number < fleet_.size(); ++number) {
-            if (random_.chance(0.5)) {
-                fleet_.flush(number);
-            }
-            // Slow enough for a change to be open for a second or more.
-            if (random_.chance(0.05)) {
-                fleet_.continue_copy(number);
-            }
-        }
-        act_as_forwarder();
-        fleet_.deliver_some(random_.below(40 * groups()));
-    }
-
-    void act_as_directory() {
-        if (!directory_works()) {
-            return;
-        }
-        if (now_ >= report_at_) {
-            report_at_ = now_ + report_interval;
-            report_all();
-            deliver_tables();
-        }
-        if (now_ >= plan_at_) {
-            plan_at_ = now_ + plan_interval;
-            const std::set<turns::map_epoch> before = recovering_epochs();
-            plan();
-            recoveries_ += recovering_epochs() == before ? 0 : 1;
-        }
-    }
-
-    [[nodiscard]] std::set<turns::map_epoch> recovering_epochs() const {
-        std::set<turns::map_epoch> epochs;
-        for (const turns::store_map& map : state_.stores().groups) {
-            if (map.after_loss && map.changing()) {
-                epochs.insert(map.epoch);
-            }
-        }
-        return epochs;
-    }
-
-    void deliver_tables() {
-        for (std::size_t number = 0; number < fleet_.size(); ++number) {
-            if (fleet_.machine(number).store && random_.chance(0.8)) {
-                fleet_.machine(number).store->learn_table(state_.stores());
-            }
-        }
-        if (random_.chance(0.5) || !forwarder_.has_group_maps()) {
-            forwarder_.learn_table(state_.stores());
-        }
-    }
-
-    void act_as_forwarder() {
-        if (!forwarder_.has_group_maps()) {
-            return;
-        }
-        if (random_.chance(0.25)) {
-            forwarder_.begin_turn();
-        }
-        for (int attempt = 0; attempt < 3; ++attempt) {
-            if (forwarder_.has_unfinished_begins()) {
-                forwarder_.continue_random_begin();
-            }
-            if (forwarder_.has_unfinished_settlements() && random_.chance(0.5)) {
-                forwarder_.resend_random_settlement();
-            }
-        }
-    }
 
     [[nodiscard]] bool is_catching_up(instant returned) const {
         return now_ < std::max(returned, directory_back_at_) + catch_up_time;
@@ -174,11 +78,6 @@
         }
     }
 
-    [[nodiscard]] instant later(std::uint64_t least_ms, std::uint64_t most_ms) {
-        return now_ + std::chrono::milliseconds(
-                          random_.between(static_cast<int>(least_ms), static_cast<int>(most_ms)));
-    }
-
     void cause_faults() {
         if (random_.chance(0.02) && may_lose_disks(1)) {
             for (const std::size_t number : choose_lost_disks(1 + random_.below(losses_borne_))) {
@@ -243,13 +142,8 @@
         return lost;
     }
 
-    std::vector<instant> starts_at_;
     /// Times at which the machines that lost their disks return.
     std::map<std::size_t, instant> loss_returns_;
-    instant directory_back_at_{};
-    instant report_at_{};
-    instant plan_at_{};
-    int recoveries_ = 0;
     bool ended_in_change_ = false;
     bool ended_during_copy_ = false;
     bool ended_during_settlement_ = false;
--- a/tests/support/store_fleet.hpp
+++ b/tests/support/store_fleet.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "tallyfold/base/common/random.hpp"
+#include "tallyfold/plane/turns/group_repair.hpp"
 #include "tallyfold/plane/turns/store_fsm.hpp"
 
 namespace tallyfold::tests {
@@ -22,7 +23,10 @@
     std::vector<turns::turn_change> disk;
     turns::store_map durable_map;
     std::unique_ptr<turns::store_fsm> store;
+    std::unique_ptr<turns::group_repair> repair;
     bool removed = false;
+    /// Messages to and from the machine are lost.
+    bool is_cut_off = false;
 };
 
 class store_fleet {
@@ -31,12 +35,19 @@
     store_fleet(std::size_t machine_count, random_source& random, const instant& now)
         : random_(random), now_(now) {
         for (std::size_t number = 0; number < machine_count; ++number) {
-            machines_.emplace_back();
-            wipe_disk(number);
-            start(number);
+            add_machine();
         }
     }
 
+    /// Adds a machine with an empty disk and starts its store. @return the machine's number
+    std::size_t add_machine() {
+        machines_.emplace_back();
+        const std::size_t number = machines_.size() - 1;
+        wipe_disk(number);
+        start(number);
+        return number;
+    }
+
     static std::string node_of(std::size_t number) { return "node-" + std::to_string(number); }
 
     [[nodiscard]] std::size_t size() const { return machines_.size(); }
@@ -67,8 +78,9 @@
         for (const turns::turn_change& change : started.disk) {
             recovered.apply(change, now_);
         }
-        started.store = std::make_unique<turns::store_fsm>(started.identity, started.durable_map,
-                                                           std::move(recovered));
+        started.store = std::make_unique<turns::store_fsm>(
+            started.identity, started.durable_map, std::move(recovered), ++last_incarnation_);
+        started.repair = std::make_unique<turns::group_repair>(started.identity);
     }
 
     void flush(std::size_t number) {
@@ -84,6 +96,7 @@
         for (turns::addressed_reply& reply : writer.store->finish_write(true, now_)) {
             deliver_reply(std::move(reply));
         }
+        writer.repair->on_records_written(writer.store->turns(), now_);
     }
 
     /// Sends a request to the member's address; the store running there on arrival receives it.
@@ -94,19 +107,19 @@
         network_.push_back(
             [this, number, request = std::move(request), receiver = std::move(receiver)] {
                 store_machine& target = machines_[number];
-                if (!target.store) {
+                if (!target.store || target.is_cut_off) {
                     return;
                 }
                 const turns::peer_token token = ++last_token_;
                 receivers_[token] = receiver;
-                for (turns::addressed_reply& reply : target.store->receive(token, request)) {
+                for (turns::addressed_reply& reply : receive(*target.store, token, request)) {
                     deliver_reply(std::move(reply));
                 }
             });
     }
 
     void continue_copy(std::size_t number) {
-        if (!machines_[number].store) {
+        if (!machines_[number].store || machines_[number].is_cut_off) {
             return;
         }
         const turns::store_id asking = machines_[number].identity;
@@ -125,13 +138,46 @@
         }
     }
 
+    /// Sends the next request of the machine's repair if one is due.
+    void continue_repair(std::size_t number) {
+        store_machine& asker = machines_[number];
+        if (!asker.store || asker.is_cut_off) {
+            return;
+        }
+        asker.repair->set_group(asker.store->map(), asker.store->group_count(), now_);
+        const auto reachable = [this](const turns::store_member& member) {
+            const store_machine& target = machine_at(member);
+            return target.store != nullptr && !target.is_cut_off;
+        };
+        const auto order = asker.repair->next(reachable, now_);
+        if (!order.has_value()) {
+            return;
+        }
+        const turns::store_fsm* asking = asker.store.get();
+        const auto receive_reply = [this, number, asking](const turns::store_reply& body) {
+            store_machine& receiver = machines_[number];
+            if (receiver.store.get() != asking) {
+                return;
+            }
+            if (const auto* compared = std::get_if<turns::comparison_reply>(&body)) {
+                receiver.repair->on_reply(*compared, receiver.store->turns(), now_);
+            } else if (const auto* records = std::get_if<turns::records_reply>(&body)) {
+                if (receiver.repair->on_reply(*records, now_)) {
+                    receiver.store->receive(*records);
+                }
+            }
+        };
+        std::visit([&](const auto& request) { send(order->source, request, receive_reply); },
+                   order->request);
+    }
+
     /// Delivers up to `count` messages in random order; some are dropped.
-    void deliver_some(std::size_t count) {
+    void deliver_some(std::size_t count, double drop_chance = 0.2) {
         for (std::size_t delivered = 0; delivered < count && !network_.empty(); ++delivered) {
             const std::size_t pick = random_.below(network_.size());
             const std::function<void()> message = std::move(network_[pick]);
             network_.erase(network_.begin() + static_cast<std::ptrdiff_t>(pick));
-            if (!random_.chance(0.2)) {
+            if (!random_.chance(drop_chance)) {
                 message();
             }
         }
@@ -177,6 +223,16 @@
     }
 
   private:
+    template <class Request>
+    std::vector<turns::addressed_reply> receive(turns::store_fsm& store, turns::peer_token token,
+                                                const Request& request) {
+        if constexpr (requires { store.receive(token, request, now_); }) {
+            return store.receive(token, request, now_);
+        } else {
+            return store.receive(token, request);
+        }
+    }
+
     void deliver_reply(turns::addressed_reply reply) {
         const auto receiver = receivers_.find(reply.to);
         if (receiver == receivers_.end()) {
@@ -190,6 +246,7 @@
     const instant& now_;
     std::vector<store_machine> machines_;
     turns::store_id last_identity_ = 100;
+    std::uint64_t last_incarnation_ = 0;
     turns::peer_token last_token_ = 0;
     std::vector<std::function<void()>> network_;
     std::map<turns::peer_token, std::function<void(const turns::store_reply&)>> receivers_;
--- a/tests/support/store_world.hpp
+++ b/tests/support/store_world.hpp
@@ -21,7 +21,8 @@
     /// Only when every group is complete again after the previous loss.
     one_at_a_time,
     /// At any time, also during a membership change, as long as each acknowledged turn and each
-    /// admitted request is on the disk of another machine. Power losses of all machines occur too.
+    /// admitted request is on the disk of another member of a group. Power losses of all machines
+    /// occur too.
     in_series,
 };
 
@@ -110,7 +111,7 @@
 
     void report(std::size_t number) {
         const store_machine& reporting = fleet_.machine(number);
-        if (!reporting.store) {
+        if (!reporting.store || reporting.is_cut_off) {
             return;
         }
         const bool claims =
@@ -151,12 +152,22 @@
         return true;
     }
 
-    /// @return whether every admitted request and settled turn is also on another machine's disk
+    /// @return whether the disk is a member of a group, also one listed as unreachable. A joining
+    /// store is no member before its change ends: the change may be planned anew without it.
+    [[nodiscard]] bool is_member(turns::store_id disk) const {
+        const auto& groups = state_.stores().groups;
+        return std::any_of(groups.begin(), groups.end(), [&](const turns::store_map& map) {
+            return directory::has_id(map.current, disk) || directory::has_id(map.absent, disk);
+        });
+    }
+
+    /// @return whether every admitted request and settled turn is also on the disk of another
+    /// member. The disk of a store that left its group does not count: no group reads it any more.
     [[nodiscard]] bool data_survives_loss_of(std::size_t number) const {
         std::set<std::string> requests;
         std::set<std::string> turns;
         for (std::size_t other = 0; other < fleet_.size(); ++other) {
-            if (other != number) {
+            if (other != number && is_member(fleet_.machine(other).identity)) {
                 requests.merge(fleet_.requests_on(other));
                 turns.merge(fleet_.turns_on(other));
             }
@@ -222,8 +233,10 @@
     void remove_retired_machines() {
         for (std::size_t number = 0; number < fleet_.size(); ++number) {
             store_machine& emptied = fleet_.machine(number);
+            // A group also copies from a member that is listed as absent.
             const bool done = state_.retired().contains(emptied.identity) &&
-                              !state_.stores().contains(emptied.identity);
+                              !state_.stores().contains(emptied.identity) &&
+                              !is_member(emptied.identity);
             if (done && !emptied.removed) {
                 emptied.removed = true;
                 emptied.store.reset();
@@ -249,6 +262,7 @@
             forwarder_.resend_random_settlement();
         } else if (choice < 80) {
             fleet_.continue_copy(number);
+            fleet_.continue_repair(number);
         } else if (choice < 88) {
             report(number);
         } else if (choice < 92) {
@@ -279,6 +293,7 @@
             }
             fleet_.machine(number).store->learn_table(state_.stores());
             fleet_.continue_copy(number);
+            fleet_.continue_repair(number);
         }
         fleet_.deliver_all();
         for (std::size_t number = 0; number < fleet_.size(); ++number) {
@@ -332,6 +347,9 @@
             now_ += std::chrono::milliseconds(20);
             for (const turns::addressed_request& asked :
                  checked.take_due_requests(now_, state_.stores(), choose)) {
+                if (!fleet_.machine_at(asked.store).store) {
+                    continue;
+                }
                 std::visit(
                     [&](const auto& body) {
                         if constexpr (requires { checked.on_reply(body); }) {
