A spare copies as soon as a member of its group stops reporting

Cause: a member was replaced only after six seconds without a report. Its machine counts as lost until its successor has run for the catch-up time, 4.3 s and more on the deployments, so the next loss met a group of two, whose change then waited for a machine that never comes back.

Change: the change is planned once a member hasn't reported for 1.5 s, ends when the spare holds a whole copy, and is withdrawn if all members of before return first. A stopping store reports no more. Changes that collect what survived a lost majority are not withdrawn.

Why it works: the successor is a member two to three seconds after the end of its predecessor, within the catch-up time. Withdrawing is safe: each write under the change has a majority of the current members.

Tests: three in store_planner_test; in separate_losses_simulation_test machines are removed too.

The store simulation let a store report once a second on average, so that stores counted as gone; it reports at about the product's interval now.

--- a/src/tallyfold/plane/directory/group_members.cpp
+++ b/src/tallyfold/plane/directory/group_members.cpp
@@ -111,10 +111,12 @@
     }
 }
 
-/// Replaces silent members by stores of `available`, which are removed from it.
-void replace_silent(const store_view& view, store_list& members, store_list& available) {
+/// Replaces the members for which `is_missing` is true by stores of `available`, which are removed
+/// from it.
+template <class Predicate>
+void replace_missing(store_list& members, store_list& available, const Predicate& is_missing) {
     for (store_member& member : members) {
-        if (view.is_silent(member.id) && !available.empty()) {
+        if (is_missing(member) && !available.empty()) {
             member = take_best_for_zone_spread(available, members);
         }
     }
@@ -144,7 +146,10 @@
     store_list members = remaining_members(view, map);
     store_list candidates = candidates_for(view, map, members);
     fill_up(view, members, candidates);
-    replace_silent(view, members, candidates);
+    // A machine that is gone for good looks like one that restarts. Until a spare has copied, the
+    // group tolerates one loss less; if the member returns first, the change is withdrawn.
+    replace_missing(members, candidates,
+                    [&](const store_member& member) { return !view.is_live(member.id); });
     // Tolerating the losses takes precedence over retiring a store.
     store_list retained = retained_stores(view, map);
     const auto first_silent =
@@ -153,7 +158,8 @@
     store_list silent_retained(first_silent, retained.end());
     retained.erase(first_silent, retained.end());
     fill_up(view, members, retained);
-    replace_silent(view, members, retained);
+    replace_missing(members, retained,
+                    [&](const store_member& member) { return view.is_silent(member.id); });
     fill_up(view, members, silent_retained);
     drop_surplus(view, members);
     return members;
@@ -208,6 +214,16 @@
            static_cast<std::size_t>(complete_copies) >= needed;
 }
 
+bool is_needless_change(const store_view& view, const store_map& map) {
+    const auto can_stay = [&](const store_member& member) {
+        return view.is_live(member.id) && !view.is_retired(member.id) && !view.is_replaced(member);
+    };
+    // After a loss, an open change also collects what the survivors hold.
+    return !map.after_loss && map.absent.empty() &&
+           map.current.size() == view.settings().group_size() &&
+           std::all_of(map.current.begin(), map.current.end(), can_stay);
+}
+
 std::optional<store_map> continue_change(const store_view& view, const store_map& map) {
     if (has_enough_copies(view, map)) {
         return with_members(map, map.next, {});
@@ -216,10 +232,14 @@
     const auto cannot_copy = [&](const store_member& member) {
         return !view.has_copied(member, map) && !view.is_live(member.id);
     };
-    if (!view.has_observed_all_stores() ||
-        std::none_of(map.next.begin(), map.next.end(), cannot_copy)) {
+    if (!view.has_observed_all_stores()) {
         return std::nullopt;
     }
+    if (std::none_of(map.next.begin(), map.next.end(), cannot_copy)) {
+        return is_needless_change(view, map)
+                   ? std::optional<store_map>(with_members(map, map.current, {}))
+                   : std::nullopt;
+    }
     store_list members = choose_members(view, map);
     if (has_too_few_members(view, members, map) || same_members(members, map.next)) {
         return std::nullopt;
--- a/src/tallyfold/plane/directory/group_members.hpp
+++ b/src/tallyfold/plane/directory/group_members.hpp
@@ -5,6 +5,9 @@
 ///
 /// - A group has 2f+1 members to tolerate f losses, spread over zones.
 /// - Other stores are spares without a group. They replace lost or retired members.
+/// - A spare begins to copy as soon as a member stops reporting, and takes its place once it holds
+/// a
+///   complete copy. If the member returns earlier, the change is withdrawn.
 /// - Without a spare, a retired member remains and the group is still repaired after losses; the
 ///   member leaves once a successor is available.
 
@@ -20,9 +23,9 @@
 [[nodiscard]] std::optional<change_store_groups> form_groups(const store_view& view);
 
 /// The members that the group should have: the current ones, without replaced and retired disks.
-/// Live spare stores fill up the group and replace silent members; retired members do so where
-/// there are too few spares. The result is smaller than the group size when those don't suffice
-/// either.
+/// Live spare stores fill up the group and replace members that are not live; retired members
+/// replace silent ones where there are too few spares. The result is smaller than the group size
+/// when those don't suffice either.
 [[nodiscard]] store_list choose_members(const store_view& view, const turns::store_map& map);
 
 /// What a group lacks while there are too few live stores to repair it.
@@ -53,8 +56,12 @@
 /// enough of the new members that every majority of them includes one.
 [[nodiscard]] bool has_enough_copies(const store_view& view, const turns::store_map& map);
 
-/// Completes an open change that has enough copies, or restarts it when a joining store stopped
-/// reporting before it had copied. Empty while the change has to wait.
+/// True when all members that an open change was to replace have returned, so that the change can
+/// be withdrawn: every write under it is on a majority of the current members.
+[[nodiscard]] bool is_needless_change(const store_view& view, const turns::store_map& map);
+
+/// Completes an open change that has enough copies, withdraws a needless one, or restarts it when a
+/// joining store stopped reporting before it had copied. Empty while the change has to wait.
 [[nodiscard]] std::optional<turns::store_map> continue_change(const store_view& view,
                                                               const turns::store_map& map);
 
--- a/src/tallyfold/plane/directory/store_view.hpp
+++ b/src/tallyfold/plane/directory/store_view.hpp
@@ -18,11 +18,11 @@
 struct store_planner_settings {
     /// Number of simultaneous store losses to tolerate; setting `losses_borne`.
     std::uint32_t losses = 1;
-    /// Silence after which a store is replaced if there is a spare. Longer than a restart, since
-    /// each replacement copies a group's turns.
+    /// Silence after which a group may go on without what only this store holds, and after which a
+    /// retired store may take its place. Longer than a restart.
     duration silence_timeout = std::chrono::seconds(6);
-    /// A store counts as live for this long after its last report. A new leader waits as long
-    /// before it judges which stores are silent.
+    /// A store counts as live for this long after its last report; then a spare begins to copy in
+    /// its place. A new leader waits as long before it judges which stores are live.
     duration live_timeout = std::chrono::milliseconds(1500);
     /// Longest retention of a turn at any store; afterwards, all turns on a lost disk have expired.
     /// store_planner::update_incomplete_groups() sets it from the configuration before each plan;
@@ -66,7 +66,7 @@
 
     /// True when the store has reported within `live_timeout`.
     [[nodiscard]] bool is_live(turns::store_id id) const;
-    /// True when the store has not reported for `silence_timeout`, so that a spare may replace it.
+    /// True when the store has not reported for `silence_timeout`.
     [[nodiscard]] bool is_silent(turns::store_id id) const;
     /// Time since the store's last report, or since leadership began when it has not reported.
     [[nodiscard]] duration age_of_report(turns::store_id id) const;
--- a/src/tallyfold/plane/turns/turn_store_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_store_shell.cpp
@@ -64,7 +64,8 @@
     void on_store_table(const store_table& stores);
     /// Sends the repair's next request if it is due, and updates the gauges of the repair.
     void continue_repair();
-    [[nodiscard]] directory::store_report describe() const;
+    /// This store's report to the directory; empty while it stops.
+    [[nodiscard]] std::vector<directory::store_report> describe() const;
 
     net::node_process& process_;
     directory::directory_client directory_;
@@ -76,6 +77,8 @@
     streams::origin_table origins_;
     /// True while a write is scheduled.
     bool write_scheduled_ = false;
+    /// True once a stop was requested.
+    bool stopping_ = false;
     /// Channels of the requests that have no reply yet.
     std::map<peer_token, messaging::channel_pointer> reply_channels_;
     peer_token next_token_ = 1;
@@ -112,10 +115,14 @@
       stream_origins_(net::add_gauge(process_.metrics(), "tallyfold_store_stream_origins",
                                      "Resumable streams whose origin is known")) {}
 
-directory::store_report store_node::describe() const {
+std::vector<directory::store_report> store_node::describe() const {
+    // A stopping store does not report, so that a spare begins to copy in its place without delay.
+    if (stopping_) {
+        return {};
+    }
     const settings::node_settings& settings = process_.settings();
-    return {{writer_.identity(), settings.node, settings.store_address(), settings.zone},
-            store_.copied_epoch()};
+    return {{{writer_.identity(), settings.node, settings.store_address(), settings.zone},
+             store_.copied_epoch()}};
 }
 
 std::vector<addressed_reply> store_node::dispatch(peer_token from,
@@ -267,7 +274,7 @@
     }
     directory_.start([](const directory::configuration_pointer&) {},
                      [this](const store_table& stores) { on_store_table(stores); },
-                     [this] { return std::vector<directory::store_report>{describe()}; });
+                     [this] { return describe(); });
     if (store_.map().epoch > 0) {
         directory_.merge_map(store_.map());
     }
@@ -275,10 +282,14 @@
     process_.run_every(repair_interval, [this] { writer_.repair(store_.turns()); });
     process_.run_every(copy_check_interval, [this] { copy_.check_timeout(); });
     process_.run_every(repair_check_interval, [this] { continue_repair(); });
-    return process_.run([this] { process_.run_after(stop_delay, [this] { process_.finish(); }); },
-                        [this](const settings::node_settings& settings) {
-                            directory_.add_seeds(settings.seed_directories());
-                        });
+    return process_.run(
+        [this] {
+            stopping_ = true;
+            process_.run_after(stop_delay, [this] { process_.finish(); });
+        },
+        [this](const settings::node_settings& settings) {
+            directory_.add_seeds(settings.seed_directories());
+        });
 }
 
 }  // namespace
--- a/tests/plane/directory/store_planner_test.cpp
+++ b/tests/plane/directory/store_planner_test.cpp
@@ -45,6 +45,9 @@
     CPPUNIT_TEST(group_does_not_shrink_without_spare_store);
     CPPUNIT_TEST(spare_store_can_be_retired);
     CPPUNIT_TEST(group_returns_to_its_size_after_a_recovery);
+    CPPUNIT_TEST(spare_store_copies_as_soon_as_a_member_stops_reporting);
+    CPPUNIT_TEST(change_is_withdrawn_when_the_member_returns_before_the_copy);
+    CPPUNIT_TEST(change_that_collects_survivors_is_not_withdrawn);
     CPPUNIT_TEST_SUITE_END();
 
     static instant at(int milliseconds) { return instant(std::chrono::milliseconds(milliseconds)); }
@@ -720,6 +723,50 @@
         // The zone with one member keeps it.
         CPPUNIT_ASSERT(has_id(map->next, 4));
     }
+
+    /// Reports of all members and of a spare, the last of the third member at `away_since`.
+    static void report_with_member_away(store_planner& planner, int away_since, int now) {
+        planner.start(at(0));
+        report(planner, three_stores()[2], at(away_since));
+        report(planner, three_stores()[0], at(now));
+        report(planner, three_stores()[1], at(now));
+        report(planner, member(4, "4"), at(now));
+    }
+
+    // Guards against a group that bears no further loss for six seconds after a machine was
+    // removed, although its successor runs.
+    void spare_store_copies_as_soon_as_a_member_stops_reporting() {
+        store_planner planner({});
+        report_with_member_away(planner, 3000, 4400);
+        CPPUNIT_ASSERT(!planner.plan(state_with_map(three_stores()), at(4400)).has_value());
+        report_with_member_away(planner, 3000, 4600);
+        const auto map = planned_map(planner, state_with_map(three_stores()), at(4600));
+        CPPUNIT_ASSERT(map.has_value() && map->current == three_stores());
+        const std::vector<store_member> next{three_stores()[0], three_stores()[1], member(4, "4")};
+        CPPUNIT_ASSERT(same_members(map->next, next));
+    }
+
+    void change_is_withdrawn_when_the_member_returns_before_the_copy() {
+        const std::vector<store_member> next{three_stores()[0], three_stores()[1], member(4, "4")};
+        store_planner planner({});
+        report_with_member_away(planner, 3000, 5000);
+        CPPUNIT_ASSERT(!planner.plan(state_with_map(three_stores(), next), at(5000)).has_value());
+        report(planner, three_stores()[2], at(5000));
+        const auto map = planned_map(planner, state_with_map(three_stores(), next), at(5000));
+        CPPUNIT_ASSERT(map.has_value() && !map->changing());
+        CPPUNIT_ASSERT(map->current == three_stores());
+    }
+
+    void change_that_collects_survivors_is_not_withdrawn() {
+        directory_state state;
+        const std::vector<store_member> next{three_stores()[0], three_stores()[1], member(4, "4")};
+        store_map collecting{1, three_stores(), next};
+        collecting.after_loss = true;
+        state.apply(change_store_groups{{collecting}});
+        store_planner planner({});
+        report_with_member_away(planner, 5000, 5000);
+        CPPUNIT_ASSERT(!planner.plan(state, at(5000)).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_planner_test);
--- a/tests/plane/turns/separate_losses_simulation_test.cpp
+++ b/tests/plane/turns/separate_losses_simulation_test.cpp
@@ -8,6 +8,9 @@
     CPPUNIT_TEST_SUITE(separate_losses_simulation_test);
     CPPUNIT_TEST(members_hold_what_they_missed_once_they_have_caught_up);
     CPPUNIT_TEST(members_of_several_groups_hold_what_they_missed);
+    CPPUNIT_TEST(groups_bear_a_loss_once_a_removed_machine_has_a_successor);
+    CPPUNIT_TEST(several_groups_bear_losses_and_removed_machines);
+    CPPUNIT_TEST(groups_of_five_bear_losses_and_removed_machines);
     CPPUNIT_TEST_SUITE_END();
 
     struct totals {
@@ -49,6 +52,27 @@
         CPPUNIT_ASSERT(sum.losses > 100);
         CPPUNIT_ASSERT(sum.settled > 1'000);
     }
+
+    // Guards against groups that wait so long before they replace a removed machine that the next
+    // loss meets too few members.
+    void groups_bear_a_loss_once_a_removed_machine_has_a_successor() {
+        const totals sum = run_seeds(60, 3, 1, drawn_losses::of_any_machine);
+        CPPUNIT_ASSERT(sum.losses > 300);
+        CPPUNIT_ASSERT(sum.replacements > 100);
+        CPPUNIT_ASSERT(sum.settled > 3'000);
+    }
+
+    void several_groups_bear_losses_and_removed_machines() {
+        const totals sum = run_seeds(20, 9, 1, drawn_losses::of_any_machine);
+        CPPUNIT_ASSERT(sum.replacements > 30);
+        CPPUNIT_ASSERT(sum.settled > 1'000);
+    }
+
+    void groups_of_five_bear_losses_and_removed_machines() {
+        const totals sum = run_seeds(20, 5, 2, drawn_losses::of_any_machine);
+        CPPUNIT_ASSERT(sum.replacements > 30);
+        CPPUNIT_ASSERT(sum.settled > 1'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(separate_losses_simulation_test);
--- a/tests/support/store_world.hpp
+++ b/tests/support/store_world.hpp
@@ -127,6 +127,16 @@
         }
     }
 
+    /// Reports at about the product's interval of 300 ms: a store that reports more seldom would
+    /// count as gone.
+    void report_some() {
+        for (std::size_t number = 0; number < fleet_.size(); ++number) {
+            if (random_.chance(0.3)) {
+                report(number);
+            }
+        }
+    }
+
     void plan() {
         // Exceeds the retention of the simulated turns.
         planner_.update_incomplete_groups(state_, std::chrono::seconds(75), now_);
@@ -264,7 +274,7 @@
             fleet_.continue_copy(number);
             fleet_.continue_repair(number);
         } else if (choice < 88) {
-            report(number);
+            report_some();
         } else if (choice < 92) {
             plan();
             remove_retired_machines();
