Deadlines also end reads while bytes keep coming

Callers saw: a back end that sends bytes without end, at line speed, held a request beyond X-Deadline-Ms for as long as it sent; a rejection with such a body likewise, though reading it is limited to 20 ms. The connection stayed open and the process read on.

Cause: the deadline of a read is a timer that cancels the socket's pending operation. A read that finds bytes ready completes first, and each read started a timer of its own, so none ever expired.

Evidence: endless_answer_test on the code before: endless_body_at_line_speed_ends_at_the_deadline and endless_rejection_does_not_hold_the_request did not end in 20 s.

Change: after its deadline a connection reads 256 KB of a message at most. Why not nothing: an answer that arrived in time is still delivered when this process was frozen meanwhile.

--- a/src/tallyfold/plane/http/connection_shell.cpp
+++ b/src/tallyfold/plane/http/connection_shell.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t read_size = 16U << 10U;
 /// Time after which unacknowledged data closes the connection; allows several retransmissions.
 constexpr duration unacknowledged_timeout = std::chrono::milliseconds(2'500);
+/// Maximum number of bytes of one message that are read after a deadline. An answer that arrived in
+/// time is still read whole, after a freeze of this process for example, while a peer that sends
+/// without end is not read for longer.
+constexpr std::size_t max_late_bytes = 256U << 10U;
 /// Completion token that returns the error code and the result as a tuple instead of throwing.
 constexpr auto as_result_tuple = asio::experimental::as_tuple(asio::use_awaitable);
 
@@ -123,6 +127,11 @@
 
 asio::awaitable<tl::expected<void, io_failure>> connection::read_some(instant deadline) {
     const auto self = shared_from_this();
+    // The deadline's timer ends only a read that has to wait for bytes.
+    const bool is_late = steady_now() >= deadline;
+    if (is_late && late_bytes_ >= max_late_bytes) {
+        co_return tl::unexpected(io_failure::timed_out);
+    }
     std::array<char, read_size> buffer;
     start_deadline(deadline);
     const auto [error, count] = co_await socket_.async_read_some(
@@ -131,6 +140,7 @@
     if (error) {
         co_return tl::unexpected(failure_of(error));
     }
+    late_bytes_ += is_late ? count : 0;
     input_.append(buffer.data(), count);
     co_return tl::expected<void, io_failure>{};
 }
--- a/src/tallyfold/plane/http/connection_shell.hpp
+++ b/src/tallyfold/plane/http/connection_shell.hpp
@@ -62,7 +62,10 @@
     [[nodiscard]] bool message_started() const { return parser_.started() || !input_.empty(); }
     [[nodiscard]] bool message_complete() const { return parser_.complete(); }
     /// Resets the parser for the next message.
-    void next_message() { parser_.next_message(); }
+    void next_message() {
+        parser_.next_message();
+        late_bytes_ = 0;
+    }
 
     /// Calls `closed` at most once, when the peer closes the connection while no read is pending.
     void notify_on_close(std::function<void()> closed);
@@ -89,6 +92,8 @@
     std::string input_;
     std::uint64_t close_watch_id_ = 0;
     std::uint64_t deadline_id_ = 0;
+    /// Bytes of the current message that were read after the deadline of the read.
+    std::size_t late_bytes_ = 0;
     bool expired_ = false;
 };
 
