An endless surplus answer no longer holds a request until its deadline

Callers saw: a back end that answered another request's identifier with a body without end held the request until its deadline, 504 at the end.

Cause: read_matching_head() reads the body of a skipped answer to its end, limited by the attempt's deadline alone.

Change: after 8 MB the connection is given up and the attempt fails, so a repeatable request goes on elsewhere. Surplus answers of usual size are skipped as before (surplus_answer_test).

--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -12,6 +12,9 @@
 /// Maximum number of answers to other requests that are skipped before the expected one.
 /// Tolerates duplicate answers, but not a connection that is out of sync.
 constexpr int max_unmatched_answers = 2;
+/// Maximum size in bytes of the body of a skipped answer; far above usual answers. A longer one
+/// may never end.
+constexpr std::size_t max_unmatched_body_bytes = 8U << 20U;
 /// Time limit for reading the rest of a rejection. A new connection costs less than a longer wait.
 constexpr duration drain_timeout = std::chrono::milliseconds(20);
 
@@ -159,11 +162,16 @@
 }
 
 asio::awaitable<bool> backend_attempt::drain_body(instant until) {
+    std::size_t drained = 0;
     while (!connection_->message_complete()) {
         const auto piece = co_await connection_->read_body_chunk(until);
         if (!piece) {
             co_return false;
         }
+        drained += piece->size();
+        if (drained > max_unmatched_body_bytes) {
+            co_return false;
+        }
     }
     co_return true;
 }
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
@@ -50,7 +50,8 @@
                                              attempt_result& result);
     /// Records an answer to another request.
     void log_unmatched_answer(const answer_metadata& facts) const;
-    /// Reads and discards the rest of an answer. @return false when reading failed
+    /// Reads and discards the rest of an answer. @return false when reading failed, or the answer
+    /// is too long
     asio::awaitable<bool> drain_body(instant until);
     /// Handles an answer which proves that the back end did not run the request.
     asio::awaitable<attempt_result> handle_rejection(answer_metadata facts);
--- a/tests/plane/forwarding/endless_answer_test.cpp
+++ b/tests/plane/forwarding/endless_answer_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr const char* head_start =
     "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: ID\r\n";
+constexpr const char* other_head =
+    "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Request-Id: other\r\n";
 constexpr duration deadline = std::chrono::milliseconds(1'500);
 /// For answers whose bytes reach the caller, which keeps them.
 constexpr duration short_deadline = std::chrono::milliseconds(300);
@@ -32,6 +34,7 @@
     CPPUNIT_TEST(endless_head_fails_at_its_size_limit);
     CPPUNIT_TEST(endless_head_that_comes_slowly_fails_in_time);
     CPPUNIT_TEST(endless_interim_answers_fail);
+    CPPUNIT_TEST(endless_answer_to_another_request_does_not_hold_the_request);
     CPPUNIT_TEST(endless_chunk_extension_fails_at_its_size_limit);
     CPPUNIT_TEST(endless_trailer_fails_at_its_size_limit);
     CPPUNIT_TEST(endless_body_ends_at_the_deadline);
@@ -126,6 +129,16 @@
         check_early_failure(seen, "502");
     }
 
+    void endless_answer_to_another_request_does_not_hold_the_request() {
+        const outcome closing =
+            relay("once", std::string(other_head) + "\r\n", std::string(16'000, 'x'));
+        check_early_failure(closing, "502");
+        const outcome chunked =
+            relay("once", std::string(other_head) + "Transfer-Encoding: chunked\r\n\r\n",
+                  "3e8\r\n" + std::string(1000, 'x') + "\r\n");
+        check_early_failure(chunked, "502");
+    }
+
     void endless_chunk_extension_fails_at_its_size_limit() {
         const outcome seen =
             relay("once", std::string(head_start) + "Transfer-Encoding: chunked\r\n\r\n5;x=",
