The list of back ends is given up when a page has no end

Seen by: the node that polls the list. A page without end was kept in memory for the 900 ms that it may take: 272 MB in list_poller_test, where the machines have some 256 MB.

Change: a page over 4 MB fails, as any other unreadable page does: the connection is closed, and the last list stays in use.

Test: list_poller_test::a_page_without_end_is_given_up_at_its_size_limit, 272 MB sent before, less than 16 MB now.

--- a/src/tallyfold/plane/discovery/list_poller_shell.cpp
+++ b/src/tallyfold/plane/discovery/list_poller_shell.cpp
@@ -29,6 +29,8 @@
 constexpr duration poll_timeout = std::chrono::seconds(6);
 /// Maximum size of a response's head in bytes; the usual limit of HTTP servers.
 constexpr std::size_t max_head_bytes = 16U << 10U;
+/// Maximum size of a page in bytes. A page has some dozen entries of a few hundred bytes.
+constexpr std::size_t max_page_bytes = 4U << 20U;
 /// Maximum offset between the nodes' polls, in milliseconds; each node derives its offset from its
 /// name.
 constexpr std::uint64_t max_offset_ms = 400;
@@ -107,6 +109,9 @@
             co_return tl::unexpected("read: " + std::string(http::name_of(piece.error())));
         }
         response.body += *piece;
+        if (response.body.size() > max_page_bytes) {
+            co_return tl::unexpected(std::string("read: the page is too large"));
+        }
     } while (!connection_->message_complete());
     response.status = connection_->head().status;
     response.retry_after = retry_after_of(connection_->head());
