A joining store leaves what it lacks to its copy

Change: only members of `current` compare with each other. A joining store begins once its change has ended.

--- a/src/tallyfold/plane/turns/group_repair.cpp
+++ b/src/tallyfold/plane/turns/group_repair.cpp
@@ -8,11 +8,15 @@
 void group_repair::set_group(const store_map& map, group_number group_count, instant now) {
     group_ = map.group;
     group_count_ = group_count;
-    members_.clear();
-    // A store that left the group, or never was in one, has nothing to repair.
-    if (map.contains(self_)) {
-        members_ = map.all();
-        std::erase_if(members_, [this](const store_member& member) { return member.id == self_; });
+    members_ = map.current;
+    const auto self =
+        std::find_if(members_.begin(), members_.end(),
+                     [this](const store_member& member) { return member.id == self_; });
+    if (self == members_.end()) {
+        // A joining store copies everything once; a store outside the group has nothing to repair.
+        members_.clear();
+    } else {
+        members_.erase(self);
     }
     std::erase_if(progress_,
                   [this](const auto& entry) { return find_member(entry.first) == nullptr; });
--- a/src/tallyfold/plane/turns/group_repair.hpp
+++ b/src/tallyfold/plane/turns/group_repair.hpp
@@ -54,7 +54,7 @@
     /// Handles the end of a write that may include the records received last.
     void on_records_written(const turn_table& table, instant now);
 
-    /// Members of the group other than this store.
+    /// Members of the group other than this store; empty while this store is joining.
     [[nodiscard]] const std::vector<store_member>& members() const { return members_; }
     /// Requests known to be missing here and not fetched yet.
     [[nodiscard]] std::size_t missing_count() const { return missing_.size(); }
--- a/tests/plane/turns/group_repair_test.cpp
+++ b/tests/plane/turns/group_repair_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_restarted_member_lists_everything_again);
     CPPUNIT_TEST(a_refused_write_is_repaired_in_a_later_round);
     CPPUNIT_TEST(a_member_that_does_not_reply_is_skipped);
+    CPPUNIT_TEST(a_joining_store_leaves_the_copy_to_the_change_of_members);
     CPPUNIT_TEST(programs_of_other_groups_are_not_compared);
     CPPUNIT_TEST(expired_turns_are_not_copied_back_and_forth);
     CPPUNIT_TEST_SUITE_END();
@@ -184,6 +185,21 @@
         CPPUNIT_ASSERT(repair.oldest_comparison(at(400)) == std::chrono::milliseconds(400));
     }
 
+    // Guards against a joining store that fetches all turns twice.
+    void a_joining_store_leaves_the_copy_to_the_change_of_members() {
+        store_map map = group_of_two();
+        map.next = map.current;
+        map.next.front() = {3, "c", "10.0.0.3:1", ""};
+        group_repair joining(3);
+        joining.set_group(map, 1, at(0));
+        const auto reachable = [](const store_member&) { return true; };
+        CPPUNIT_ASSERT(!joining.next(reachable, at(0)).has_value());
+        std::swap(map.current, map.next);
+        map.next.clear();
+        joining.set_group(map, 1, at(1'000));
+        CPPUNIT_ASSERT_EQUAL(store_id{2}, joining.next(reachable, at(1'000))->source.id);
+    }
+
     void programs_of_other_groups_are_not_compared() {
         pair_of_stores stores;
         std::string other = "p";
