Read as a newcomer: one limit named for what it bounds, plainer branches

max_discarded_body_bytes bounds every body that is read to be discarded, a rejection's too; append_changes() and apply_batch() branch by message as the rest of the file does. No change of behaviour.

--- a/src/tallyfold/plane/directory/group_members.hpp
+++ b/src/tallyfold/plane/directory/group_members.hpp
@@ -5,9 +5,8 @@
 ///
 /// - A group has 2f+1 members to tolerate f losses, spread over zones.
 /// - Other stores are spares without a group. They replace lost or retired members.
-/// - A spare begins to copy as soon as a member stops reporting, and takes its place once it holds
-/// a
-///   complete copy. If the member returns earlier, the change is withdrawn.
+/// - A spare begins to copy as soon as a member stops reporting, and takes the member's place once
+///   it holds a complete copy. If the member returns earlier, the change is withdrawn.
 /// - Without a spare, a retired member remains and the group is still repaired after losses; the
 ///   member leaves once a successor is available.
 
--- a/src/tallyfold/plane/discovery/list_poller_shell.cpp
+++ b/src/tallyfold/plane/discovery/list_poller_shell.cpp
@@ -29,7 +29,7 @@
 constexpr duration poll_timeout = std::chrono::seconds(6);
 /// Maximum size of a response's head in bytes; the usual limit of HTTP servers.
 constexpr std::size_t max_head_bytes = 16U << 10U;
-/// Maximum size of a page in bytes. A page has some dozen entries of a few hundred bytes.
+/// Maximum size of a page in bytes. A longer one may never end.
 constexpr std::size_t max_page_bytes = 4U << 20U;
 /// Maximum offset between the nodes' polls, in milliseconds; each node derives its offset from its
 /// name.
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -12,9 +12,8 @@
 /// Maximum number of answers to other requests that are skipped before the expected one.
 /// Tolerates duplicate answers, but not a connection that is out of sync.
 constexpr int max_unmatched_answers = 2;
-/// Maximum size in bytes of the body of a skipped answer; far above usual answers. A longer one
-/// may never end.
-constexpr std::size_t max_unmatched_body_bytes = 8U << 20U;
+/// Maximum size in bytes of a body that is read only to be discarded. A longer one may never end.
+constexpr std::size_t max_discarded_body_bytes = 8U << 20U;
 /// Time limit for reading the rest of a rejection. A new connection costs less than a longer wait.
 constexpr duration drain_timeout = std::chrono::milliseconds(20);
 
@@ -169,7 +168,7 @@
             co_return false;
         }
         drained += piece->size();
-        if (drained > max_unmatched_body_bytes) {
+        if (drained > max_discarded_body_bytes) {
             co_return false;
         }
     }
--- a/src/tallyfold/plane/turns/store_fsm.cpp
+++ b/src/tallyfold/plane/turns/store_fsm.cpp
@@ -1,7 +1,6 @@
 #include "tallyfold/plane/turns/store_fsm.hpp"
 
 #include <algorithm>
-#include <type_traits>
 
 #include "tallyfold/plane/turns/store_rules.hpp"
 
@@ -15,11 +14,6 @@
 /// Maximum number of changes that one comparison reads; 9 bytes each in the reply.
 constexpr std::size_t max_compared_changes = 4'096;
 
-/// True for messages whose changes were copied from another store.
-template <class Message>
-constexpr bool is_copied =
-    std::is_same_v<Message, copy_reply> || std::is_same_v<Message, records_reply>;
-
 }  // namespace
 
 store_fsm::store_fsm(store_id self, const store_map& stored_map, turn_table recovered,
@@ -155,18 +149,15 @@
 }
 
 void store_fsm::append_changes(const queued_message& work, std::vector<turn_change>& changes) {
-    std::visit(
-        [&changes](const auto& body) {
-            using message = std::decay_t<decltype(body)>;
-            if constexpr (std::is_same_v<message, begin_request>) {
-                changes.emplace_back(body.reservation);
-            } else if constexpr (std::is_same_v<message, settle_request>) {
-                changes.emplace_back(body.settlement);
-            } else if constexpr (is_copied<message>) {
-                changes.insert(changes.end(), body.changes.begin(), body.changes.end());
-            }
-        },
-        work.body);
+    if (const auto* begin = std::get_if<begin_request>(&work.body)) {
+        changes.emplace_back(begin->reservation);
+    } else if (const auto* settle = std::get_if<settle_request>(&work.body)) {
+        changes.emplace_back(settle->settlement);
+    } else if (const auto* copy = std::get_if<copy_reply>(&work.body)) {
+        changes.insert(changes.end(), copy->changes.begin(), copy->changes.end());
+    } else if (const auto* records = std::get_if<records_reply>(&work.body)) {
+        changes.insert(changes.end(), records->changes.begin(), records->changes.end());
+    }
 }
 
 store_write store_fsm::begin_write() {
@@ -235,10 +226,10 @@
     for (const queued_message& work : batch) {
         std::vector<turn_change> changes;
         append_changes(work, changes);
-        const bool copied = std::visit(
-            [](const auto& body) { return is_copied<std::decay_t<decltype(body)>>; }, work.body);
+        const bool is_copy = std::holds_alternative<copy_reply>(work.body) ||
+                             std::holds_alternative<records_reply>(work.body);
         for (const turn_change& change : changes) {
-            if (copied) {
+            if (is_copy) {
                 turns_.apply_copy(change, now);
             } else {
                 turns_.apply(change, now);
