--- a/tests/plane/forwarding/endless_server.hpp
+++ b/tests/plane/forwarding/endless_server.hpp
@@ -3,8 +3,6 @@
 /// A server that answers each request with a given beginning and then with the same bytes again and
 /// again, until its peer closes the connection.
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -12,28 +10,22 @@
 #include <utility>
 
 #include "platform/names.hpp"
-#include "tallyfold/plane/http/connection_shell.hpp"
+#include "tests/plane/forwarding/loopback_server.hpp"
 
 namespace tallyfold::tests {
 
-class endless_server {
+class endless_server : public loopback_server {
   public:
     /// @param beginning of each answer; "ID" stands for the request's identifier
     /// @param repeated bytes sent after it without end
     /// @param pause between two repetitions; zero sends at line speed
     endless_server(asio::io_context& loop, std::string beginning, std::string repeated,
                    duration pause = duration::zero())
-        : loop_(loop),
-          acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        : loopback_server(loop),
           beginning_(std::move(beginning)),
           repeated_(std::move(repeated)),
-          pause_(pause) {
-        accept();
-    }
+          pause_(pause) {}
 
-    [[nodiscard]] std::string address() const {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-    }
     [[nodiscard]] int requests() const { return requests_; }
     /// Connections that have not been closed by the peer after a request.
     [[nodiscard]] int open_connections() const { return open_; }
@@ -41,19 +33,7 @@
     [[nodiscard]] std::size_t sent_bytes() const { return sent_; }
 
   private:
-    void accept() {
-        acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            auto peer = std::make_shared<http::connection>(std::move(socket),
-                                                           http::message_kind::request, 64'000);
-            asio::co_spawn(loop_, serve(std::move(peer)), asio::detached);
-            accept();
-        });
-    }
-
-    asio::awaitable<void> serve(http::connection_pointer peer) {
+    asio::awaitable<void> serve(http::connection_pointer peer) override {
         const instant limit = http::steady_now() + std::chrono::seconds(60);
         const auto head = co_await peer->read_head(limit);
         if (!head) {
@@ -67,7 +47,7 @@
         if (id != nullptr && place != std::string::npos) {
             bytes.replace(place, 2, *id);
         }
-        asio::steady_timer timer(loop_);
+        asio::steady_timer timer(loop());
         while (true) {
             const std::size_t size = bytes.size();
             const auto written = co_await peer->write(std::move(bytes), limit);
@@ -84,8 +64,6 @@
         --open_;
     }
 
-    asio::io_context& loop_;
-    asio::ip::tcp::acceptor acceptor_;
     std::string beginning_;
     std::string repeated_;
     duration pause_;
--- a/tests/plane/forwarding/scripted_backend.hpp
+++ b/tests/plane/forwarding/scripted_backend.hpp
@@ -3,8 +3,6 @@
 /// A back end that answers its requests one after the other with given bytes, and ends their
 /// connections in a given way.
 
-#include <asio/co_spawn.hpp>
-#include <asio/detached.hpp>
 #include <asio/experimental/as_tuple.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/use_awaitable.hpp>
@@ -12,7 +10,7 @@
 #include <vector>
 
 #include "platform/names.hpp"
-#include "tallyfold/plane/http/connection_shell.hpp"
+#include "tests/plane/forwarding/loopback_server.hpp"
 
 namespace tallyfold::tests {
 
@@ -26,19 +24,12 @@
     connection_end end = connection_end::kept_open;
 };
 
-class scripted_backend {
+class scripted_backend : public loopback_server {
   public:
     /// @param answers one for each request; the last one also for all further requests
     scripted_backend(asio::io_context& loop, std::vector<scripted_answer> answers)
-        : loop_(loop),
-          acceptor_(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-          answers_(std::move(answers)) {
-        accept();
-    }
+        : loopback_server(loop), answers_(std::move(answers)) {}
 
-    [[nodiscard]] std::string address() const {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-    }
     /// Last event named by each request read so far; empty for a request that names none.
     [[nodiscard]] const std::vector<std::string>& resumed_after() const { return resumed_after_; }
 
@@ -47,19 +38,7 @@
     /// are read apart.
     static constexpr auto end_delay = std::chrono::milliseconds(5);
 
-    void accept() {
-        acceptor_.async_accept([this](const std::error_code& error, asio::ip::tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            auto peer = std::make_shared<http::connection>(std::move(socket),
-                                                           http::message_kind::request, 64'000);
-            asio::co_spawn(loop_, serve(std::move(peer)), asio::detached);
-            accept();
-        });
-    }
-
-    asio::awaitable<void> serve(http::connection_pointer peer) {
+    asio::awaitable<void> serve(http::connection_pointer peer) override {
         while (true) {
             const instant limit = http::steady_now() + std::chrono::seconds(60);
             const auto head = co_await peer->read_head(limit);
@@ -76,7 +55,7 @@
                                 answer.fields + "\r\n" + answer.body;
             co_await peer->write(std::move(bytes), limit);
             if (answer.end != connection_end::kept_open) {
-                asio::steady_timer timer(loop_, end_delay);
+                asio::steady_timer timer(loop(), end_delay);
                 co_await timer.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
                 if (answer.end == connection_end::reset) {
                     peer->abort();
@@ -89,8 +68,6 @@
         }
     }
 
-    asio::io_context& loop_;
-    asio::ip::tcp::acceptor acceptor_;
     std::vector<scripted_answer> answers_;
     std::vector<std::string> resumed_after_;
 };
--- a/tests/plane/turns/separate_losses_simulation_test.cpp
+++ b/tests/plane/turns/separate_losses_simulation_test.cpp
@@ -13,17 +13,24 @@
     CPPUNIT_TEST(groups_of_five_bear_losses_and_removed_machines);
     CPPUNIT_TEST_SUITE_END();
 
-    struct totals {
+    struct deployment {
+        std::size_t machines = 0;
+        std::uint32_t losses_borne = 1;
+        drawn_losses drawn = drawn_losses::of_any_machine;
+    };
+    /// Guards against runs in which too little happens.
+    struct least_totals {
         int losses = 0;
         int replacements = 0;
         std::size_t settled = 0;
     };
 
-    static totals run_seeds(std::uint64_t seeds, std::size_t machines, std::uint32_t losses_borne,
-                            drawn_losses drawn) {
-        totals sum;
+    static void check_seeds(std::uint64_t seeds, const deployment& simulated,
+                            const least_totals& least) {
+        least_totals sum;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            separate_losses_world world(seed, machines, losses_borne, drawn);
+            separate_losses_world world(seed, simulated.machines, simulated.losses_borne,
+                                        simulated.drawn);
             world.run(std::chrono::seconds(40));
             world.recover();
             const std::string run = "seed " + std::to_string(seed) + ", " + world.describe_groups();
@@ -36,42 +43,33 @@
             sum.replacements += world.replacements();
             sum.settled += world.forwarder().settled().size();
         }
-        return sum;
+        CPPUNIT_ASSERT(sum.losses > least.losses);
+        CPPUNIT_ASSERT(sum.replacements >= least.replacements);
+        CPPUNIT_ASSERT(sum.settled > least.settled);
     }
 
     // Guards against members that never fetch the turns settled while they were down or cut off, so
     // that these stay on a bare majority for as long as they are kept.
     void members_hold_what_they_missed_once_they_have_caught_up() {
-        const totals sum = run_seeds(40, 3, 1, drawn_losses::of_returning_machines);
-        CPPUNIT_ASSERT(sum.losses > 200);
-        CPPUNIT_ASSERT(sum.settled > 3'000);
+        check_seeds(40, {3, 1, drawn_losses::of_returning_machines}, {200, 0, 3'000});
     }
 
     void members_of_several_groups_hold_what_they_missed() {
-        const totals sum = run_seeds(20, 9, 1, drawn_losses::of_returning_machines);
-        CPPUNIT_ASSERT(sum.losses > 100);
-        CPPUNIT_ASSERT(sum.settled > 1'000);
+        check_seeds(20, {9, 1, drawn_losses::of_returning_machines}, {100, 0, 1'000});
     }
 
     // Guards against groups that wait so long before they replace a removed machine that the next
     // loss meets too few members.
     void groups_bear_a_loss_once_a_removed_machine_has_a_successor() {
-        const totals sum = run_seeds(60, 3, 1, drawn_losses::of_any_machine);
-        CPPUNIT_ASSERT(sum.losses > 300);
-        CPPUNIT_ASSERT(sum.replacements > 100);
-        CPPUNIT_ASSERT(sum.settled > 3'000);
+        check_seeds(60, {3, 1, drawn_losses::of_any_machine}, {300, 101, 3'000});
     }
 
     void several_groups_bear_losses_and_removed_machines() {
-        const totals sum = run_seeds(20, 9, 1, drawn_losses::of_any_machine);
-        CPPUNIT_ASSERT(sum.replacements > 30);
-        CPPUNIT_ASSERT(sum.settled > 1'000);
+        check_seeds(20, {9, 1, drawn_losses::of_any_machine}, {100, 31, 1'000});
     }
 
     void groups_of_five_bear_losses_and_removed_machines() {
-        const totals sum = run_seeds(20, 5, 2, drawn_losses::of_any_machine);
-        CPPUNIT_ASSERT(sum.replacements > 30);
-        CPPUNIT_ASSERT(sum.settled > 1'000);
+        check_seeds(20, {5, 2, drawn_losses::of_any_machine}, {100, 31, 1'000});
     }
 };
 
--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -4,6 +4,7 @@
 
 from .dispatch_checks import (calls_are_dispatched, calls_do_not_wait_for_lost_dispatchers,
                               dispatchers_answer_in_time, places_are_returned)
+from .faults import CATCH_UP_SECONDS
 from .fatal_checks import other_requests_are_not_refused, requests_end_three_back_ends_at_most
 from .loss_checks import read_requests_are_answered
 from .queries import CONFIGURATION_BOUND, CONTACT_SECONDS, had_no_fault, runs_by_request
@@ -118,6 +119,16 @@
     return len(continuing) + len(history.continued), wrong
 
 
+def members_hold_what_they_missed(history):
+    """A store holds what it missed once the time to catch up has passed since the last loss."""
+    wrong = [f"{state.store} at {state.at:.1f} s: missing {state.missing}, last comparison "
+             f"{state.oldest_comparison} s ago"
+             for state in history.member_states
+             if state.missing is None or state.missing > 0
+             or state.oldest_comparison > CATCH_UP_SECONDS]
+    return len(history.member_states), wrong
+
+
 def budgets_hold(history):
     """A program generates at most its budget plus the maximum of one turn, in tokens."""
     tokens = defaultdict(int)
@@ -320,7 +331,8 @@
 
 
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
-          broken_off_answers_are_not_whole, streams_keep_their_order, bodies_arrive_unchanged, history_is_kept, budgets_hold,
+          broken_off_answers_are_not_whole, streams_keep_their_order, bodies_arrive_unchanged, history_is_kept,
+          members_hold_what_they_missed, budgets_hold,
           configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
           proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve,
           work_ends, read_requests_are_answered, dispatchers_answer_in_time,
--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -127,8 +127,10 @@
                 settings.write(f"quota_window_seconds = {QUOTA_WINDOW}\n"
                                f"quota_overshoot = {QUOTA_OVERSHOOT}\n"
                                f"quota_slack = {QUOTA_SLACK}\n")
+                if self.cluster.metrics:
+                    settings.write(f"metrics_port = {METRICS_PORT}\n")
                 if self.cluster.dispatch:
-                    settings.write(f"dispatch_from_nodes = 1\nmetrics_port = {METRICS_PORT}\n")
+                    settings.write("dispatch_from_nodes = 1\n")
         # A running process must not read a part of the file.
         written.replace(path)
         return path
@@ -226,10 +228,13 @@
 class Cluster:
     """Directory nodes, turn stores and forwarders: three of each unless `sizes` says otherwise."""
 
-    def __init__(self, history, clock, build, work, addresses, sizes=None, dispatch=False):
+    def __init__(self, history, clock, build, work, addresses, sizes=None, dispatch=False,
+                 metrics=False):
         self.addresses = addresses
         #: Whether calls to engines get their places from dispatchers.
         self.dispatch = dispatch
+        #: Whether all processes serve their metrics.
+        self.metrics = metrics or dispatch
         self.sizes = sizes or Sizes()
         self.history = history
         self.clock = clock
@@ -242,6 +247,8 @@
         for program, first in addresses.FIRST.items():
             count = min(self.sizes.of(program), addresses.MOST[program])
             self.nodes += [Node(self, program, number, first + number) for number in range(count)]
+        #: Number of the next store that is added.
+        self.added_stores = len(self.nodes_of("turn-store"))
 
     def stores_needed(self):
         """Returns the number of stores that the groups need."""
@@ -251,6 +258,23 @@
     def nodes_of(self, program):
         return [node for node in self.nodes if node.program == program]
 
+    async def add_store(self):
+        """Starts a store on a new machine, at an address that no other one has had."""
+        number = self.added_stores
+        self.added_stores += 1
+        node = Node(self, "turn-store", number, self.addresses.FIRST["turn-store"] + number)
+        # Only the first start of the whole system forms groups.
+        node.starts = 1
+        self.nodes.append(node)
+        await node.link.start()
+        await node.start()
+        return node
+
+    def remove(self, node):
+        """Removes a machine whose process has ended, with its disk."""
+        node.wipe()
+        self.nodes.remove(node)
+
     async def start(self):
         for node in self.nodes:
             if node.program != "forwarder":
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -284,6 +284,18 @@
     waiting: int
 
 
+@dataclass
+class MemberState:
+    """What a store said about the requests that it missed, when it had to have caught up."""
+
+    store: str
+    at: float
+    #: Requests that other members hold and this store lacks; None when the store didn't tell.
+    missing: float | None
+    #: Longest time since a complete comparison with another member, in seconds.
+    oldest_comparison: float | None
+
+
 @dataclass
 class History:
     """All records of a soak."""
@@ -338,3 +350,5 @@
     places_abandoned: int | None = None
     #: Places left at the end; None for a directory node whose metrics could not be read.
     places_left: list = field(default_factory=list)
+    #: MemberState of each store after each loss of a store.
+    member_states: list = field(default_factory=list)
--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -20,6 +20,9 @@
     parser.add_argument("--disks-in-series", action="store_true",
                         help="disks may be lost before a copy is complete: turns may be lost, but "
                              "service must recover")
+    parser.add_argument("--store-losses", action="store_true",
+                        help="stores are restarted, cut off, replaced and wiped, one as soon as the "
+                             "last one has caught up; --kinds has to spare machines with a disk")
     parser.add_argument("--kinds", default="", help="comma-separated kinds of faults; all when empty")
     parser.add_argument("--planned", action="store_true",
                         help="planned work only: stops, reloads and configuration changes")
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -33,6 +33,7 @@
 from .slow_machines import slow_forwarders
 from .stall_monitor import record_stalls
 from .steady_callers import SteadyCaller
+from .store_losses import StoreLosses
 from .stream_callers import StreamCaller
 from .stream_checks import describe_streams
 from .tenants import TENANTS, KeyRing, NoKeys
@@ -66,7 +67,7 @@
     history = History()
     addresses = Addresses(options.network)
     cluster = Cluster(history, clock, options.build, work, addresses, options.sizes,
-                      options.dispatch)
+                      options.dispatch, options.store_losses)
     backends = [Backend(history, clock, f"engine-{number}", "engines",
                         (addresses.own(41 + number), 7700), True, generator.random(),
                         options.slots, options.versions, options.unframed, options.late_copies)
@@ -146,11 +147,17 @@
     work_tasks = [asyncio.ensure_future(caller.run()) for caller in callers]
     work_tasks.append(asyncio.ensure_future(operator.run()))
     fault_task = asyncio.ensure_future(faults.run()) if inject_faults else None
+    store_losses = StoreLosses(faults)
+    losses_task = asyncio.ensure_future(store_losses.run()) if options.store_losses else None
     if options.upgrade_from:
         upgrade = Upgrade(cluster, options.upgrade_from, faults, f"upgrade-{options.seed}")
         await upgrade.play(options.upgrade_plan, options.upgrade_faults)
     else:
         await asyncio.sleep(options.seconds)
+    if losses_task is not None:
+        # The last fault of the run follows the last loss as the others do.
+        store_losses.stopping = True
+        await losses_task
     if fault_task is not None:
         await faults.close(options.final_disk_loss)
         await fault_task
