A request that has run is no longer refused between its attempts

Callers saw: 503 "shutdown" from a stopping forwarder for requests that a back end had been running.

Cause: whether a request may have run was put together from the open attempt and the failed attempts that retry_policy had counted. Between the two, while the send loop examines whether the back end ended (up to 260 ms), neither knew of the run. The cut-off of a stop answered 503, and the permit went back.

Change: execution_record, one for each request. A send is recorded before its first byte and withdrawn only by that back end's statement that it did not run the request. The cut-off, the permit and all answers of the send loop ask it; no step of the loop can be caught in between.

The checks of retry_policy_test that asked may_have_run() ask counted_runs(), one of them now for the exact number.

--- a/src/tallyfold/plane/decisions/retry_policy.cpp
+++ b/src/tallyfold/plane/decisions/retry_policy.cpp
@@ -55,7 +55,7 @@
     const duration pause = std::chrono::duration_cast<duration>(std::min(base_pause, max_back_off) *
                                                                 (0.5 + jitter / 2));
     const bool nothing_sent = sends_ == 0;
-    if (nothing_sent || may_have_run() || time_left - pause < min_time_after_back_off) {
+    if (nothing_sent || counted_runs() > 0 || time_left - pause < min_time_after_back_off) {
         return std::nullopt;
     }
     ++back_offs_;
--- a/src/tallyfold/plane/decisions/retry_policy.hpp
+++ b/src/tallyfold/plane/decisions/retry_policy.hpp
@@ -50,7 +50,7 @@
     /// Send the request to the same back end, which continues the stream where it broke off or
     /// restarts it.
     resume,
-    /// Answer the caller; may_have_run() determines the status.
+    /// Answer the caller.
     give_up,
 };
 
@@ -87,8 +87,9 @@
     /// True if a retry is allowed after an attempt that may have run.
     [[nodiscard]] bool may_retry_run() const { return repeatable_ && runs_ + 1 < max_runs_; }
     [[nodiscard]] bool repeatable() const { return repeatable_; }
-    /// True if any attempt may have run, including resumed ones.
-    [[nodiscard]] bool may_have_run() const { return runs_ + resumes_ > 0; }
+    /// Number of failed attempts that may have run, including resumed ones. It lacks an attempt
+    /// that has not been recorded yet, so execution_record alone tells whether the request ran.
+    [[nodiscard]] std::uint32_t counted_runs() const { return runs_ + resumes_; }
 
   private:
     /// Step that the attempts so far allow, regardless of the answer that was sent to the caller.
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -20,10 +20,11 @@
 }  // namespace
 
 backend_attempt::backend_attempt(forwarder_context& context, const forwarded_request& request,
-                                 caller_channel& caller, answer_relay& answer,
-                                 attempt_parameters parameters)
+                                 execution_record& execution, caller_channel& caller,
+                                 answer_relay& answer, attempt_parameters parameters)
     : context_(context),
       request_(request),
+      execution_(execution),
       caller_(caller),
       answer_(answer),
       parameters_(std::move(parameters)) {}
@@ -96,9 +97,8 @@
     }
     std::string bytes = render_request(time_left);
     const instant until = request_.budget.attempt_deadline(now, parameters_.reserves_retry_time);
-    // From here on the back end may have received the request.
     result.end = attempt_end::may_have_run;
-    may_have_run_ = true;
+    execution_.begin_send();
     const auto written =
         co_await connection_->send(request_.facts.request, std::move(bytes), until);
     if (!written) {
@@ -178,7 +178,7 @@
 asio::awaitable<attempt_result> backend_attempt::handle_rejection(answer_metadata facts) {
     attempt_result result;
     result.end = attempt_end::not_run;
-    may_have_run_ = false;
+    execution_.withdraw_send();
     if (facts.wrong_incarnation) {
         result.failure.kind = failure_kind::other_incarnation;
         context_.backends.incarnation_replaced(request_.service.name, parameters_.backend.name);
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.hpp
@@ -7,6 +7,7 @@
 #include <asio/awaitable.hpp>
 #include <string>
 
+#include "tallyfold/plane/decisions/execution_record.hpp"
 #include "tallyfold/plane/forwarding/answer_relay_shell.hpp"
 #include "tallyfold/plane/forwarding/attempt_result.hpp"
 #include "tallyfold/plane/forwarding/caller_channel_shell.hpp"
@@ -25,17 +26,15 @@
 
 class backend_attempt {
   public:
-    /// @param request, `caller` and `answer` must outlive the attempt
+    /// @param request, `execution`, `caller` and `answer` must outlive the attempt
     backend_attempt(forwarder_context& context, const forwarded_request& request,
-                    caller_channel& caller, answer_relay& answer, attempt_parameters parameters);
+                    execution_record& execution, caller_channel& caller, answer_relay& answer,
+                    attempt_parameters parameters);
 
     /// Runs the attempt. Must be called at most once.
     asio::awaitable<attempt_result> run();
     /// Cancels a running attempt by aborting its connection.
     void abort();
-    /// True once bytes of the request may have reached the back end, unless it has proved that it
-    /// did not run the request.
-    [[nodiscard]] bool may_have_run() const { return may_have_run_; }
 
   private:
     /// Takes an idle connection from the pool or opens a new one.
@@ -69,12 +68,12 @@
 
     forwarder_context& context_;
     const forwarded_request& request_;
+    execution_record& execution_;
     caller_channel& caller_;
     answer_relay& answer_;
     attempt_parameters parameters_;
     backend_connection_pointer connection_;
     backend_call call_;
-    bool may_have_run_ = false;
 };
 
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -37,7 +37,7 @@
 
 pending_request_state request_relay::pending_state() const {
     pending_request_state pending;
-    pending.may_have_run = send_loop_ && send_loop_->may_have_run();
+    pending.may_have_run = execution_.may_have_run();
     pending.client_disconnected = caller_.disconnected();
     pending.answer_started = caller_.answer_started();
     pending.answer_complete = caller_.local_answer_started() || (answer_ && answer_->is_received());
@@ -257,7 +257,7 @@
     answer_.emplace(context_, *forwarded_, caller_, turn_ ? &*turn_ : nullptr,
                     stream_ ? &*stream_ : nullptr);
     const token_count used_tokens = turn_ ? turn_->used_tokens() : 0;
-    send_loop_.emplace(context_, *forwarded_, *poison_, caller_, *answer_, used_tokens);
+    send_loop_.emplace(context_, *forwarded_, execution_, *poison_, caller_, *answer_, used_tokens);
     end_ = co_await send_loop_->run();
     if (end_.answer) {
         co_await caller_.write_answer(*end_.answer);
@@ -271,9 +271,7 @@
 }
 
 void request_relay::release_reservations() {
-    const bool ran =
-        end_.outcome == request_outcome::answered || (send_loop_ && send_loop_->may_have_run());
-    if (!ran) {
+    if (!execution_.may_have_run()) {
         admission_.return_permit();
     }
     caller_.cancel_close_notification();
--- a/src/tallyfold/plane/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.hpp
@@ -83,6 +83,7 @@
     forwarder_context& context_;
     caller_request request_;
     request_metadata facts_;
+    execution_record execution_;
     caller_channel caller_;
     caller_admission admission_;
     /// The following members are set as their stage is reached.
--- a/src/tallyfold/plane/forwarding/send_loop_shell.cpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.cpp
@@ -21,10 +21,11 @@
 }  // namespace
 
 send_loop::send_loop(forwarder_context& context, const forwarded_request& request,
-                     poison_check& poison, caller_channel& caller, answer_relay& answer,
-                     token_count used_tokens)
+                     execution_record& execution, poison_check& poison, caller_channel& caller,
+                     answer_relay& answer, token_count used_tokens)
     : context_(context),
       request_(request),
+      execution_(execution),
       poison_(poison),
       caller_(caller),
       answer_(answer),
@@ -151,7 +152,7 @@
     if (placed_.kind != place_kind::none) {
         place_.sent(placed_, statistics_.backend);
     }
-    attempt_.emplace(context_, request_, caller_, answer_, std::move(parameters));
+    attempt_.emplace(context_, request_, execution_, caller_, answer_, std::move(parameters));
     const attempt_result result = co_await attempt_->run();
     attempt_.reset();
     const bool failed = result.end == attempt_end::may_have_run && !caller_.disconnected();
@@ -186,7 +187,8 @@
 }
 
 request_result send_loop::poison_result(attempt_result last) {
-    const bool is_refused = !policy_.may_have_run() && answer_.progress() == answer_progress::none;
+    const bool is_refused =
+        !execution_.may_have_run() && answer_.progress() == answer_progress::none;
     const local_answer refused = poison_.refuse(statistics_.sends);
     if (is_refused) {
         return {refused.outcome, refused.reason, refused};
@@ -217,7 +219,7 @@
     ended.answered = last.end == attempt_end::answered;
     ended.client_disconnected = caller_.disconnected();
     ended.answer_started = answer_.progress() != answer_progress::none;
-    ended.may_have_run = policy_.may_have_run();
+    ended.may_have_run = execution_.may_have_run();
     ended.failure = last.failure;
     ended.timed_out = last.timed_out;
     return result_after(ended);
@@ -332,7 +334,8 @@
 asio::awaitable<bool> send_loop::back_off() {
     const duration time_left = request_.budget.left(http::steady_now());
     const auto pause = policy_.back_off(time_left, context_.backends.draw_jitter());
-    if (!pause || context_.is_disabled(settings::mechanism::back_off)) {
+    if (execution_.may_have_run() || !pause ||
+        context_.is_disabled(settings::mechanism::back_off)) {
         co_return false;
     }
     ++statistics_.back_offs;
--- a/src/tallyfold/plane/forwarding/send_loop_shell.hpp
+++ b/src/tallyfold/plane/forwarding/send_loop_shell.hpp
@@ -7,6 +7,7 @@
 #include <asio/awaitable.hpp>
 #include <optional>
 
+#include "tallyfold/plane/decisions/execution_record.hpp"
 #include "tallyfold/plane/decisions/local_answer.hpp"
 #include "tallyfold/plane/decisions/retry_policy.hpp"
 #include "tallyfold/plane/forwarding/answer_relay_shell.hpp"
@@ -19,10 +20,11 @@
 
 class send_loop {
   public:
-    /// @param request, `poison`, `caller` and `answer` must outlive the loop
+    /// @param request, `execution`, `poison`, `caller` and `answer` must outlive the loop
     /// @param used_tokens tokens that the program used before the request
-    send_loop(forwarder_context& context, const forwarded_request& request, poison_check& poison,
-              caller_channel& caller, answer_relay& answer, token_count used_tokens);
+    send_loop(forwarder_context& context, const forwarded_request& request,
+              execution_record& execution, poison_check& poison, caller_channel& caller,
+              answer_relay& answer, token_count used_tokens);
 
     /// Must be called at most once, and be followed by leave_admission().
     /// @return the outcome, and the answer to write if none was relayed
@@ -32,10 +34,6 @@
     /// Releases the admission slot, if held, so that the next waiting call can be sent.
     void leave_admission();
 
-    /// True if an attempt, ended or in progress, may have run the request.
-    [[nodiscard]] bool may_have_run() const {
-        return policy_.may_have_run() || (attempt_ && attempt_->may_have_run());
-    }
     [[nodiscard]] bool has_open_attempt() const { return attempt_.has_value(); }
     [[nodiscard]] const send_statistics& statistics() const { return statistics_; }
 
@@ -72,6 +70,7 @@
 
     forwarder_context& context_;
     const forwarded_request& request_;
+    execution_record& execution_;
     poison_check& poison_;
     caller_channel& caller_;
     answer_relay& answer_;
--- a/tests/plane/decisions/retry_policy_test.cpp
+++ b/tests/plane/decisions/retry_policy_test.cpp
@@ -32,12 +32,12 @@
 
     static void assert_refuses(const retry_policy& policy, next_step step) {
         CPPUNIT_ASSERT(step == next_step::give_up);
-        CPPUNIT_ASSERT(!policy.may_have_run());
+        CPPUNIT_ASSERT(policy.counted_runs() == 0);
     }
 
     static void assert_fails(const retry_policy& policy, next_step step) {
         CPPUNIT_ASSERT(step == next_step::give_up);
-        CPPUNIT_ASSERT(policy.may_have_run());
+        CPPUNIT_ASSERT(policy.counted_runs() > 0);
     }
 
     void a_non_repeatable_request_fails_after_its_first_run() {
@@ -96,7 +96,7 @@
     void a_resumed_stream_counts_as_possibly_run() {
         retry_policy policy(true, 1, true);
         CPPUNIT_ASSERT(after(policy, attempt_end::may_have_run, second, true) == next_step::resume);
-        CPPUNIT_ASSERT(policy.may_have_run());
+        CPPUNIT_ASSERT(policy.counted_runs() > 0);
         CPPUNIT_ASSERT(!policy.back_off(second, 0.5));
         assert_fails(policy, after(policy, attempt_end::not_run, duration::zero()));
     }
@@ -168,7 +168,7 @@
                 runs += end == attempt_end::may_have_run ? 1 : 0;
                 ++sends;
                 step = after(policy, end, second, *rc::gen::arbitrary<bool>());
-                RC_ASSERT(policy.may_have_run() == (runs > 0));
+                RC_ASSERT(policy.counted_runs() == runs);
             }
             RC_ASSERT(step == next_step::give_up);
             RC_ASSERT(sends <= retry_policy::max_sends_per_round);
--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -57,6 +57,10 @@
     dies_in_stream,
     /// Closes the connection instead of an answer and accepts no further one.
     ends,
+    /// Resets the connection instead of an answer; further connection attempts get no reply.
+    loses_power,
+    /// Sends the head of a rejection and a part of its body.
+    rejects_partly,
 };
 
 /// A back end that counts the requests which reach it.
@@ -111,6 +115,19 @@
         });
     }
 
+    /// Fills the queue of new connections, so that the kernel drops further SYN packets.
+    void stop_replying() {
+        constexpr int least_backlog = 0;
+        constexpr int enough_connections = 4;
+        acceptor_.cancel();
+        acceptor_.listen(least_backlog);
+        for (int count = 0; count < enough_connections; ++count) {
+            fillers_.emplace_back(loop_, asio::ip::tcp::v4());
+            fillers_.back().async_connect(acceptor_.local_endpoint(),
+                                          [](const std::error_code&) {});
+        }
+    }
+
     asio::awaitable<void> serve(http::connection_pointer peer) {
         while (true) {
             const instant limit = http::steady_now() + std::chrono::seconds(60);
@@ -127,6 +144,11 @@
                 peer->close();
                 co_return;
             }
+            if (behavior_ == backend_behavior::loses_power) {
+                stop_replying();
+                peer->abort();
+                co_return;
+            }
             if (behavior_ == backend_behavior::holds) {
                 co_await released_.async_wait(asio::experimental::as_tuple(asio::use_awaitable));
             }
@@ -135,6 +157,13 @@
                 answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\n";
             }
             answer += "X-Request-Id: " + id + "\r\n";
+            if (behavior_ == backend_behavior::rejects_partly) {
+                answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: full\r\nX-Request-Id: " + id +
+                         "\r\nContent-Length: 9\r\n\r\nfull";
+                co_await peer->write(std::move(answer), limit);
+                peer->next_message();
+                continue;
+            }
             if (behavior_ == backend_behavior::dies_in_stream) {
                 answer += "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n";
                 co_await peer->write(std::move(answer), limit);
@@ -177,6 +206,7 @@
     backend_behavior behavior_;
     asio::steady_timer released_;
     std::vector<http::connection_pointer> peers_;
+    std::vector<asio::ip::tcp::socket> fillers_;
     std::vector<std::string> requests_;
 };
 
@@ -362,6 +392,12 @@
         process.loop().poll();
     }
 
+    /// Runs one handler of the loop. @return false when none was ready within the limit
+    bool run_one_handler(duration limit) {
+        process.loop().restart();
+        return process.loop().run_one_for(limit) > 0;
+    }
+
     /// A loopback address that no other process uses: it contains the process's number.
     static asio::ip::address_v4 own_address() {
         constexpr std::uint32_t loopback_network = 127U << 24U;
