Resumed streams go on only at the version that a store knows of

Cause: the version of such a stream was inferred from the list of back ends. One version in the list is no proof: the stream's own may have left a moment ago, or the list may be older than the stream. Also, a lookup ended at the first store with a record, so two origins under one identifier were told as the one that came first.

Change: origins are recorded by the request's identifier and by the content that all attempts of a caller have in common. A request that names no stream is looked up by its content; unknown is refused. A lookup counts a record once each majority of the stores has a member that has answered. Messages and formats stay as they were.

The text "the stream is not named, and several versions serve" is no longer sent.

--- a/src/tallyfold/plane/decisions/local_answer.cpp
+++ b/src/tallyfold/plane/decisions/local_answer.cpp
@@ -39,8 +39,6 @@
             return {503, "the stores did not tell the stream's version in time", recovery};
         case refusal::ambiguous_stream:
             return {503, "the stream's identifier was used twice", never};
-        case refusal::unnamed_stream:
-            return {503, "the stream is not named, and several versions serve", soon};
         case refusal::stream_service_replaced:
             return {503, "the route has no longer the service that began the stream", soon};
         case refusal::stream_version_gone:
--- a/src/tallyfold/plane/decisions/local_answer.hpp
+++ b/src/tallyfold/plane/decisions/local_answer.hpp
@@ -42,10 +42,8 @@
     unknown_stream,
     /// The stores did not tell the stream's version in time.
     stream_lookup_timeout,
-    /// Callers used the stream's identifier for streams of different versions.
+    /// Streams of different versions have the identifier, or the content, of this one.
     ambiguous_stream,
-    /// The caller does not name the stream, and back ends of several versions serve.
-    unnamed_stream,
     /// The route has no longer the service that began the stream.
     stream_service_replaced,
     /// No back end of the stream's version is listed.
--- a/src/tallyfold/plane/decisions/stream_continuation.cpp
+++ b/src/tallyfold/plane/decisions/stream_continuation.cpp
@@ -32,14 +32,4 @@
     return looked_up;
 }
 
-tl::expected<streams::stream_origin, refusal> origin_of_unnamed(
-    const routing::route& route, const std::vector<std::string>& versions) {
-    const bool is_certain =
-        route.services.size() == 1 && versions.size() == 1 && !versions.front().empty();
-    if (!is_certain) {
-        return tl::unexpected(refusal::unnamed_stream);
-    }
-    return streams::stream_origin{route.services.front().service, versions.front()};
-}
-
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/decisions/stream_continuation.hpp
+++ b/src/tallyfold/plane/decisions/stream_continuation.hpp
@@ -3,8 +3,8 @@
 /// Decides whether a request resumes a stream of an earlier one, and where it may: only at the
 /// service and the software version that generated the stream's first event. Pure functions.
 ///
-/// The version of a stream that the caller names is never inferred: the list of back ends of this
-/// node may be older than the stream and show another version only.
+/// The version of a stream is never inferred from the list of back ends: the version that began it
+/// may have left the list a moment ago, or the list may be older than the stream.
 
 #include <cstdint>
 #include <optional>
@@ -35,10 +35,4 @@
     const routing::route& route, streams::lookup_state state,
     const streams::stream_origin& looked_up);
 
-/// Origin of a stream whose request the caller doesn't name: known only while all back ends of the
-/// route's service have the same version.
-/// @param versions the versions of the service's back ends, each once; empty texts for unknown ones
-[[nodiscard]] tl::expected<streams::stream_origin, refusal> origin_of_unnamed(
-    const routing::route& route, const std::vector<std::string>& versions);
-
 }  // namespace tallyfold::forwarding
--- a/src/tallyfold/plane/forwarding/request_identity.cpp
+++ b/src/tallyfold/plane/forwarding/request_identity.cpp
@@ -3,16 +3,21 @@
 namespace tallyfold::forwarding {
 
 poison::content_key content_key_of(const forwarded_request& request) {
-    const std::string tenant = request.tenant_name();
-    const std::string* host = request.head.headers.find("Host");
+    return content_key_of(request.head, request.facts, request.tenant_name(),
+                          request.caller_body());
+}
+
+poison::content_key content_key_of(const http::message_head& head, const request_metadata& facts,
+                                   std::string_view tenant, std::string_view body) {
+    const std::string* host = head.headers.find("Host");
     poison::request_content content;
     content.tenant = tenant;
-    content.method = request.head.method;
+    content.method = head.method;
     content.host = host != nullptr ? std::string_view(*host) : std::string_view{};
-    content.target = request.head.target;
-    content.previous_turn = request.facts.previous_turn;
-    content.prompt = request.facts.prompt.empty() ? 0 : request.facts.prompt.back().hash;
-    content.body = request.caller_body();
+    content.target = head.target;
+    content.previous_turn = facts.previous_turn;
+    content.prompt = facts.prompt.empty() ? 0 : facts.prompt.back().hash;
+    content.body = body;
     return poison::key_of(content);
 }
 
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -9,6 +9,7 @@
 #include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/plane/decisions/time_budget.hpp"
 #include "tallyfold/plane/forwarding/finished_request.hpp"
+#include "tallyfold/plane/forwarding/request_identity.hpp"
 
 namespace tallyfold::forwarding {
 
@@ -162,8 +163,10 @@
         co_return std::nullopt;
     }
     const routing::tenant* tenant = admission_.tenant();
-    stream_.emplace(context_, facts_, route, tenant != nullptr ? tenant->name : std::string{},
-                    request_.received);
+    const std::string tenant_name = tenant != nullptr ? tenant->name : std::string{};
+    const poison::content_key content =
+        content_key_of(request_.head, facts_, tenant_name, request_.body);
+    stream_.emplace(context_, facts_, content, route, tenant_name, request_.received);
     std::optional<local_answer> refused = co_await stream_->find_origin();
     co_return refused;
 }
--- a/src/tallyfold/plane/forwarding/stream_session_shell.cpp
+++ b/src/tallyfold/plane/forwarding/stream_session_shell.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/use_awaitable.hpp>
 
+#include "tallyfold/base/common/hash.hpp"
 #include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/plane/decisions/time_budget.hpp"
 
@@ -19,9 +20,14 @@
 }  // namespace
 
 stream_session::stream_session(forwarder_context& context, const request_metadata& facts,
-                               const routing::route& route, const tenants::tenant_name& tenant,
-                               instant received)
-    : context_(context), facts_(facts), route_(route), scope_(tenant), received_(received) {}
+                               poison::content_key content, const routing::route& route,
+                               const tenants::tenant_name& tenant, instant received)
+    : context_(context),
+      facts_(facts),
+      content_(content),
+      route_(route),
+      scope_(tenant),
+      received_(received) {}
 
 asio::awaitable<std::optional<local_answer>> stream_session::find_origin() {
     if (!resumes_stream(route_, {facts_.resumed_request, facts_.last_event})) {
@@ -41,20 +47,20 @@
 }
 
 asio::awaitable<tl::expected<streams::stream_origin, refusal>> stream_session::determine_origin() {
-    if (facts_.resumed_request.empty()) {
-        co_return infer();
-    }
     if (!context_.turns.has_store_table()) {
         co_return tl::unexpected(refusal::no_store);
     }
-    lookup_ = co_await context_.origins.find(scope_.scoped(facts_.resumed_request),
-                                             http::steady_now() + lookup_timeout);
+    const bool is_named = !facts_.resumed_request.empty();
+    lookup_ = co_await context_.origins.find(
+        scope_.scoped(is_named ? facts_.resumed_request : content_name()),
+        http::steady_now() + lookup_timeout);
     co_return origin_of_resumed(route_, lookup_.state, lookup_.origin);
 }
 
-tl::expected<streams::stream_origin, refusal> stream_session::infer() const {
-    const std::string service = route_.services.empty() ? "" : route_.services.front().service;
-    return origin_of_unnamed(route_, context_.backends.versions_of(service));
+streams::stream_id stream_session::content_name() const {
+    // Requests of two programs may have the same content.
+    const std::uint64_t hash = combine_hash(content_, stable_hash(facts_.program));
+    return std::string("#").append(poison::to_string(hash));
 }
 
 bool stream_session::is_served(const streams::stream_origin& origin) const {
@@ -75,11 +81,13 @@
     recorded_ = true;
     const std::string& named = facts_.resumed_request;
     const std::string& stream = named.empty() ? facts_.request : named;
-    const bool can_be_known =
-        !stream.empty() && !origin.version.empty() && context_.turns.has_store_table();
-    if (can_be_known) {
+    if (origin.version.empty() || !context_.turns.has_store_table()) {
+        return;
+    }
+    if (!stream.empty()) {
         context_.origins.record(scope_.scoped(stream), origin, lifetime());
     }
+    context_.origins.record(scope_.scoped(content_name()), origin, lifetime());
 }
 
 void stream_session::log_decision(const tl::expected<streams::stream_origin, refusal>& decided,
@@ -90,6 +98,7 @@
         logging::event_id::stream_resumed,
         "request=" + facts_.request +
             " stream=" + (facts_.resumed_request.empty() ? "-" : facts_.resumed_request) +
+            " content=" + poison::to_string(content_) +
             " after_event=" + (facts_.last_event.empty() ? "-" : facts_.last_event) +
             " route=" + route_.name + " service=" + (decided ? decided->service : "-") +
             " backend_version=" + (decided ? decided->version : "-") +
--- a/src/tallyfold/plane/streams/origin_client_shell.cpp
+++ b/src/tallyfold/plane/streams/origin_client_shell.cpp
@@ -16,6 +16,11 @@
 /// between zones.
 constexpr duration resend_interval = std::chrono::milliseconds(60);
 
+/// Number of stores that a record is sent to.
+std::size_t copies_among(std::size_t stores) {
+    return stores / 2 + 1;
+}
+
 }  // namespace
 
 origin_client::origin_client(net::node_process& process, turns::turn_client& stores)
@@ -31,11 +36,11 @@
     record.lifetime_ms = static_cast<std::uint32_t>(
         std::clamp<std::int64_t>(to_milliseconds(lifetime), 0, UINT32_MAX));
     const std::vector<turns::store_member> members = stores_.members_for(stream);
-    const std::size_t majority = members.size() / 2 + 1;
+    const std::size_t copies = copies_among(members.size());
     // Starting at a different store for each stream spreads the records over the group.
     const std::size_t first = stable_hash(stream) % std::max<std::size_t>(1, members.size());
     std::size_t sent = 0;
-    for (std::size_t step = 0; step < members.size() && sent < majority; ++step) {
+    for (std::size_t step = 0; step < members.size() && sent < copies; ++step) {
         const turns::store_member& member = members[(first + step) % members.size()];
         sent += stores_.send_message(member.id, record, required_format) ? 1 : 0;
     }
@@ -60,7 +65,8 @@
     for (const turns::store_member& member : stores_.members_for(query.stream)) {
         stores.insert(member.id);
     }
-    const auto pending = std::make_shared<pending_lookup>(process_.loop(), stores);
+    const std::size_t copies = copies_among(stores.size());
+    const auto pending = std::make_shared<pending_lookup>(process_.loop(), stores, copies);
     lookups_[query.query] = pending;
     instant next_send{};
     while (pending->lookup.state() == lookup_state::undecided) {
--- a/src/tallyfold/plane/streams/origin_client_shell.hpp
+++ b/src/tallyfold/plane/streams/origin_client_shell.hpp
@@ -42,8 +42,8 @@
 
   private:
     struct pending_lookup {
-        pending_lookup(asio::io_context& loop, std::set<turns::store_id> stores)
-            : timer(loop), lookup(std::move(stores)) {}
+        pending_lookup(asio::io_context& loop, std::set<turns::store_id> stores, std::size_t copies)
+            : timer(loop), lookup(std::move(stores), copies) {}
         asio::steady_timer timer;
         origin_lookup lookup;
     };
--- a/src/tallyfold/plane/streams/origin_lookup.cpp
+++ b/src/tallyfold/plane/streams/origin_lookup.cpp
@@ -11,7 +11,7 @@
     if (origins_.size() > 1) {
         return lookup_state::ambiguous;
     }
-    if (origins_.size() == 1) {
+    if (origins_.size() == 1 && unanswered_.size() <= max_unanswered_) {
         return lookup_state::found;
     }
     return unanswered_.empty() ? lookup_state::unknown : lookup_state::undecided;
--- a/src/tallyfold/plane/streams/origin_lookup.hpp
+++ b/src/tallyfold/plane/streams/origin_lookup.hpp
@@ -3,6 +3,7 @@
 /// Lookup of one stream's origin at the stores of its group: merges their answers and decides when
 /// they suffice. Pure; origin_client sends the queries.
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -13,19 +14,23 @@
 namespace tallyfold::streams {
 
 enum class lookup_state : std::uint8_t {
-    /// Too few stores have answered.
+    /// A store that has not answered may have a record of another origin, or the only one.
     undecided,
     found,
     /// No store has a record.
     unknown,
-    /// Callers used the identifier for streams of different origins.
+    /// Streams of different origins have the identifier.
     ambiguous,
 };
 
 class origin_lookup {
   public:
     /// @param stores stores that may have a record
-    explicit origin_lookup(std::set<turns::store_id> stores) : unanswered_(std::move(stores)) {}
+    /// @param copies number of these stores that a record is sent to, at least 1
+    origin_lookup(std::set<turns::store_id> stores, std::size_t copies)
+        : unanswered_(std::move(stores)),
+          // So many that one of them answers, whichever stores a record went to.
+          max_unanswered_(copies - 1) {}
 
     void on_answer(turns::store_id store, const std::vector<stream_origin>& origins);
 
@@ -36,6 +41,7 @@
 
   private:
     std::set<turns::store_id> unanswered_;
+    std::size_t max_unanswered_;
     std::set<stream_origin> origins_;
 };
 
--- a/tests/plane/decisions/stream_continuation_test.cpp
+++ b/tests/plane/decisions/stream_continuation_test.cpp
@@ -14,7 +14,6 @@
     CPPUNIT_TEST(a_stream_goes_on_at_its_recorded_origin);
     CPPUNIT_TEST(a_stream_of_unknown_origin_is_refused);
     CPPUNIT_TEST(a_stream_of_a_replaced_service_is_refused);
-    CPPUNIT_TEST(an_unnamed_stream_goes_on_only_if_one_version_is_known);
     CPPUNIT_TEST(refusals_promise_that_nothing_ran);
     CPPUNIT_TEST_SUITE_END();
 
@@ -64,21 +63,10 @@
                        refusal::stream_service_replaced);
     }
 
-    void an_unnamed_stream_goes_on_only_if_one_version_is_known() {
-        routing::route route = resumable_route();
-        CPPUNIT_ASSERT(origin_of_unnamed(route, {"v1"}).value() == recorded);
-        for (const std::vector<std::string>& versions :
-             {std::vector<std::string>{}, {""}, {"", "v1"}, {"v1", "v2"}}) {
-            CPPUNIT_ASSERT(origin_of_unnamed(route, versions).error() == refusal::unnamed_stream);
-        }
-        route.services = {{"engines"}, {"others"}};
-        CPPUNIT_ASSERT(!origin_of_unnamed(route, {"v1"}));
-    }
-
     void refusals_promise_that_nothing_ran() {
-        for (const refusal why : {refusal::unknown_stream, refusal::stream_lookup_timeout,
-                                  refusal::ambiguous_stream, refusal::unnamed_stream,
-                                  refusal::stream_service_replaced, refusal::stream_version_gone}) {
+        for (const refusal why :
+             {refusal::unknown_stream, refusal::stream_lookup_timeout, refusal::ambiguous_stream,
+              refusal::stream_service_replaced, refusal::stream_version_gone}) {
             const local_answer answer = answer_to(why);
             CPPUNIT_ASSERT_EQUAL(503U, answer.status);
             CPPUNIT_ASSERT(answer.outcome == request_outcome::refused);
--- a/tests/plane/forwarding/stream_resume_test.cpp
+++ b/tests/plane/forwarding/stream_resume_test.cpp
@@ -44,7 +44,12 @@
     CPPUNIT_TEST(stream_of_unknown_origin_is_refused);
     CPPUNIT_TEST(stream_is_refused_while_stores_are_silent);
     CPPUNIT_TEST(stream_whose_version_has_left_is_refused);
-    CPPUNIT_TEST(unnamed_stream_goes_on_while_one_version_is_listed);
+    CPPUNIT_TEST(unnamed_stream_does_not_go_on_at_the_version_that_replaced_its_own);
+    CPPUNIT_TEST(unnamed_stream_does_not_go_on_at_the_only_version_of_an_older_list);
+    CPPUNIT_TEST(unnamed_stream_goes_on_at_its_own_version_beside_others);
+    CPPUNIT_TEST(unnamed_streams_of_equal_content_are_told_apart_by_their_programs);
+    CPPUNIT_TEST(unnamed_streams_of_equal_content_and_several_versions_are_refused);
+    CPPUNIT_TEST(unnamed_stream_of_unknown_origin_is_refused);
     CPPUNIT_TEST(broken_stream_does_not_go_on_at_another_version);
     CPPUNIT_TEST(broken_stream_goes_on_at_another_back_end_of_its_version);
     CPPUNIT_TEST_SUITE_END();
@@ -120,16 +125,95 @@
         CPPUNIT_ASSERT(backend.requests().empty());
     }
 
-    void unnamed_stream_goes_on_while_one_version_is_listed() {
-        forwarder_world world;
-        world.apply_configuration();
-        counting_backend& first = world.add_backend(backend_behavior::answers, "v1");
-        const std::string resumes = "Last-Event-Id: 3\r\n";
-        CPPUNIT_ASSERT(has_text(answer_of(world, "a", resumes, "200 OK"), "200 OK"));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.requests().size());
-        world.add_backend(backend_behavior::answers, "v2");
-        CPPUNIT_ASSERT(has_text(answer_of(world, "b", resumes, "503"), " 503 "));
+    /// A forwarder, and a store that knows the origins of streams.
+    struct resume_world {
+        forwarder_world forwarder;
+        origin_store store;
+
+        resume_world() : store(forwarder.process.loop(), store_address()) {
+            forwarder.apply_configuration();
+            forwarder.add_store(origin_store::id, store_address());
+        }
+        counting_backend& add_backend(const std::string& version) {
+            return forwarder.add_backend(backend_behavior::starts_answer, version);
+        }
+        /// Begins a stream, which the store then knows.
+        void begin(const std::string& id, const std::string& headers = {}) {
+            CPPUNIT_ASSERT(has_text(answer_of(forwarder, id, headers, "data: ok"), "data: ok"));
+        }
+        /// Resumes a stream without naming it. @return true when it goes on
+        bool resume(const std::string& id, const std::string& headers = {}) {
+            const std::string answer =
+                answer_of(forwarder, id, headers + "Last-Event-Id: 1\r\n", "HTTP/1.1 ");
+            return has_text(answer, "200 OK");
+        }
+    };
+
+    void unnamed_stream_does_not_go_on_at_the_version_that_replaced_its_own() {
+        resume_world world;
+        world.add_backend("v1");
+        world.begin("begun");
+        world.forwarder.remove_backends();
+        counting_backend& successor = world.add_backend("v2");
+        CPPUNIT_ASSERT(!world.resume("resumed"));
+        CPPUNIT_ASSERT(successor.requests().empty());
+    }
+
+    void unnamed_stream_does_not_go_on_at_the_only_version_of_an_older_list() {
+        resume_world world;
+        world.add_backend("v2");
+        world.begin("begun");
+        // The list that another forwarder polled before v2 came.
+        world.forwarder.remove_backends();
+        counting_backend& predecessor = world.add_backend("v1");
+        CPPUNIT_ASSERT(!world.resume("resumed"));
+        CPPUNIT_ASSERT(predecessor.requests().empty());
+    }
+
+    void unnamed_stream_goes_on_at_its_own_version_beside_others() {
+        resume_world world;
+        counting_backend& own = world.add_backend("v1");
+        world.begin("begun");
+        counting_backend& other = world.add_backend("v2");
+        for (const char* id : {"a", "b", "c", "d"}) {
+            CPPUNIT_ASSERT(world.resume(id));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, own.requests().size());
+        CPPUNIT_ASSERT(other.requests().empty());
+    }
+
+    void unnamed_streams_of_equal_content_are_told_apart_by_their_programs() {
+        resume_world world;
+        counting_backend& first = world.add_backend("v1");
+        world.begin("begun-1", "X-Program-Id: p1\r\n");
+        world.forwarder.remove_backends();
+        counting_backend& second = world.add_backend("v2");
+        world.begin("begun-2", "X-Program-Id: p2\r\n");
+        CPPUNIT_ASSERT(!world.resume("resumed-1", "X-Program-Id: p1\r\n"));
+        CPPUNIT_ASSERT(world.resume("resumed-2", "X-Program-Id: p2\r\n"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.requests().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.requests().size());
+    }
+
+    void unnamed_streams_of_equal_content_and_several_versions_are_refused() {
+        resume_world world;
+        world.add_backend("v1");
+        world.begin("begun-1");
+        world.forwarder.remove_backends();
+        counting_backend& second = world.add_backend("v2");
+        world.begin("begun-2");
+        CPPUNIT_ASSERT(!world.resume("resumed"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, second.requests().size());
+    }
+
+    void unnamed_stream_of_unknown_origin_is_refused() {
+        resume_world world;
+        counting_backend& backend = world.add_backend("v1");
+        const instant began = http::steady_now();
+        CPPUNIT_ASSERT(!world.resume("resumed"));
+        // All stores have answered, so nothing is waited for.
+        CPPUNIT_ASSERT(http::steady_now() - began < std::chrono::milliseconds(300));
+        CPPUNIT_ASSERT(backend.requests().empty());
     }
 
     /// Streams from a back end that dies, then from one of `version`. @return requests that the
