Lookups of resumed streams no longer free their identifier twice

Callers saw: every request of a forwarder that had ended, since it ended with "double free or corruption" as soon as callers resumed streams.

GCC 12 destroys such a conditional temporary twice.

Change: the name is a variable before the co_await.

--- a/src/tallyfold/plane/forwarding/stream_session_shell.cpp
+++ b/src/tallyfold/plane/forwarding/stream_session_shell.cpp
@@ -51,9 +51,10 @@
         co_return tl::unexpected(refusal::no_store);
     }
     const bool is_named = !facts_.resumed_request.empty();
-    lookup_ = co_await context_.origins.find(
-        scope_.scoped(is_named ? facts_.resumed_request : content_name()),
-        http::steady_now() + lookup_timeout);
+    // Not within the co_await expression: GCC 12 destroys such a conditional temporary twice.
+    const std::string name = is_named ? facts_.resumed_request : content_name();
+    lookup_ =
+        co_await context_.origins.find(scope_.scoped(name), http::steady_now() + lookup_timeout);
     co_return origin_of_resumed(route_, lookup_.state, lookup_.origin);
 }
 
--- a/tests/plane/forwarding/stream_resume_test.cpp
+++ b/tests/plane/forwarding/stream_resume_test.cpp
@@ -41,6 +41,7 @@
 class stream_resume_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(stream_resume_test);
     CPPUNIT_TEST(resumed_stream_reaches_only_the_version_that_began_it);
+    CPPUNIT_TEST(stream_with_an_identifier_on_the_heap_is_looked_up);
     CPPUNIT_TEST(stream_of_unknown_origin_is_refused);
     CPPUNIT_TEST(stream_is_refused_while_stores_are_silent);
     CPPUNIT_TEST(stream_whose_version_has_left_is_refused);
@@ -91,6 +92,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{20}, second.requests().size());
     }
 
+    /// Guards against a temporary that a coroutine frees twice, which short identifiers don't show.
+    void stream_with_an_identifier_on_the_heap_is_looked_up() {
+        forwarder_world world;
+        origin_store store(world.process.loop(), store_address());
+        world.apply_configuration();
+        world.add_store(origin_store::id, store_address());
+        world.add_backend(backend_behavior::starts_answer, "v1");
+        const std::string begun(64, 'b');
+        store.table.record({begun, {"service", "v1"}, 60'000}, http::steady_now());
+        const std::string answer =
+            answer_of(world, "resumed", "Resumes: " + begun + "\r\nLast-Event-Id: 3\r\n", "200 OK");
+        CPPUNIT_ASSERT(has_text(answer, "200 OK"));
+    }
+
     void stream_of_unknown_origin_is_refused() {
         forwarder_world world;
         origin_store store(world.process.loop(), store_address());
