Tests: a cut-off keeps the permit of a request that ran

Change: not_run_promise_test cuts off a request of a tenant with a single permit, once while its back end is examined and once in a back-off, and asks whether another call gets the permit.

--- a/tests/plane/forwarding/forwarder_world.hpp
+++ b/tests/plane/forwarding/forwarder_world.hpp
@@ -285,6 +285,8 @@
         routing::configuration configuration;
         configuration.limits.idle_timeout_ms = idle_ms;
         configuration.version = ++version_;
+        configuration.tenants = configured_tenants;
+        quotas.use(configured_tenants);
         configuration.services.push_back({"service", "/health", 9, serves_engines});
         routing::route repeatable;
         repeatable.name = "repeatable";
@@ -404,6 +406,8 @@
         return asio::ip::address_v4(loopback_network | static_cast<std::uint32_t>(::getpid()));
     }
 
+    /// Tenants of the configuration; without any, callers need no key.
+    std::vector<routing::tenant> configured_tenants;
     /// True when the back ends of the configuration are engines.
     bool serves_engines = false;
     net::node_process process;
--- a/tests/plane/forwarding/not_run_promise_test.cpp
+++ b/tests/plane/forwarding/not_run_promise_test.cpp
@@ -118,6 +118,8 @@
     CPPUNIT_TEST(request_that_ran_is_not_promised_otherwise_while_its_back_end_is_examined);
     CPPUNIT_TEST(request_cut_off_at_any_point_gets_a_true_answer);
     CPPUNIT_TEST(request_of_a_caller_that_left_is_not_sent_again);
+    CPPUNIT_TEST(request_that_ran_keeps_its_permit_at_a_cut_off);
+    CPPUNIT_TEST(request_that_did_not_run_returns_its_permit_at_a_cut_off);
     CPPUNIT_TEST_SUITE_END();
 
     /// Ends the request after one handler, two handlers and so on.
@@ -171,6 +173,45 @@
             play(each, request_end::caller_closes);
         }
     }
+
+    /// Cuts off a request of a tenant with a single permit. @return whether the permit is free then
+    static bool frees_permit(backend_behavior behavior) {
+        settings::node_settings settings = forwarder_settings();
+        settings.quota_window = std::chrono::seconds(5);
+        settings.quota_lease = std::chrono::seconds(2);
+        forwarder_world world(settings);
+        routing::tenant tenant;
+        tenant.name = "tenant";
+        tenant.keys = {"key"};
+        tenant.rate_per_second = 1;
+        world.configured_tenants = {tenant};
+        world.apply_configuration();
+        const counting_backend& backend = world.add_backend(behavior);
+        const auto caller = world.connect();
+        caller->send(forwarder_world::request("once", request_id, "X-Credential: key\r\n"));
+        CPPUNIT_ASSERT(world.run_until([&] { return !backend.requests().empty(); }));
+        // The request is examined, or waits to be sent again.
+        world.remove_backends();
+        world.run_for(std::chrono::milliseconds(20));
+        world.cut_off();
+        CPPUNIT_ASSERT(world.run_until([&] { return world.callers.active_request_count() == 0; }));
+        std::optional<tenants::permit_state> state;
+        asio::co_spawn(world.process.loop(),
+                       world.quotas.acquire(tenant.name, tenants::permit_need::running_program),
+                       [&](const std::exception_ptr&, const tenants::permit_decision& decision) {
+                           state = decision.state;
+                       });
+        CPPUNIT_ASSERT(world.run_until([&] { return state.has_value(); }));
+        return *state == tenants::permit_state::granted;
+    }
+
+    void request_that_ran_keeps_its_permit_at_a_cut_off() {
+        CPPUNIT_ASSERT(!frees_permit(backend_behavior::loses_power));
+    }
+
+    void request_that_did_not_run_returns_its_permit_at_a_cut_off() {
+        CPPUNIT_ASSERT(frees_permit(backend_behavior::rejects));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(not_run_promise_test);
