Operators', readiness and metrics connections are bounded as well

Callers saw: 400 connections without a byte at the readiness port took all 256 descriptors, so that no platform could ask; operators' half configurations took 514 MB of a directory node that has 64.

Cause: endpoint_server had a limit for one body and none for their sum or for connections, and accepted again at once after a failed accept, which keeps the loop busy while there are no descriptors.

--- a/src/tallyfold/plane/directory/directory_shell.cpp
+++ b/src/tallyfold/plane/directory/directory_shell.cpp
@@ -87,8 +87,9 @@
       permits_(process_.settings(), replica_.core()),
       dispatch_(process_, list_, replica_.core()),
       admin_(process_, codec, replica_.core(), [this] { replica_.run_work(); }),
-      peers_(process_.loop(), settings.directory_listener()),
-      operators_(process_.loop(), settings.operators_address, max_body_bytes) {}
+      peers_(process_.loop(), settings.directory_listener(), &process_.clients()),
+      operators_(process_.loop(), settings.operators_address, max_body_bytes, process_.clients(),
+                 resources::client_group::operators) {}
 
 replica_handlers directory_node::make_replica_handlers() {
     replica_handlers handlers;
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -117,7 +117,8 @@
                backends_,       connections_, metrics_,   ranking_, dispatch_, crashes_,
                crash_detector_, {},           nullptr,    {},       false},
       callers_(context_),
-      readiness_(process_.loop(), settings.readiness_address, 0) {}
+      readiness_(process_.loop(), settings.readiness_address, 0, process_.clients(),
+                 resources::client_group::readiness) {}
 
 bool forwarder_node::ready() const {
     return context_.routes && backends_.has_backend_list() && turns_.has_store_table() &&
--- a/src/tallyfold/plane/process/node_process_shell.cpp
+++ b/src/tallyfold/plane/process/node_process_shell.cpp
@@ -116,9 +116,11 @@
     wait_for_signals();
     run_every(log_flush_interval, [] { logging::flush_bounded_log(); });
     run_every(settings_check_interval, [this] { check_settings_file(false); });
+    run_every(memory_check_interval, [this] { clients_.update(); });
     if (settings_.metrics_port != 0) {
         metrics_server_ = std::make_unique<http::endpoint_server>(
-            loop_, join_address(settings_.listen_ip, settings_.metrics_port), 0);
+            loop_, join_address(settings_.listen_ip, settings_.metrics_port), 0, clients_,
+            resources::client_group::metrics);
         const std::string problem = metrics_server_->start(
             [this](const http::endpoint_request&) { return render_metrics(); });
         if (!problem.empty()) {
