Half messages between nodes are bounded

Seen: 20 half frames of 31 MiB at the port between nodes took 656 MB of a store or a directory node that has 64; 400 connections took all 256 descriptors.

Cause: a frame's limit of 32 MiB held for each of any number of connections of strangers; a failed accept was retried at once.

Change: a message above 64 KiB reserves its length before it is read on, and reading pauses without room; one that makes no progress gives way, and so does a connection that has sent no whole message. No message changes.

--- a/src/tallyfold/plane/messaging/frame_channel_shell.cpp
+++ b/src/tallyfold/plane/messaging/frame_channel_shell.cpp
@@ -10,7 +10,8 @@
 
 namespace tallyfold::messaging {
 
-frame_channel::frame_channel(asio::ip::tcp::socket socket) : socket_(std::move(socket)) {}
+frame_channel::frame_channel(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket)), reserve_timer_(socket_.get_executor()) {}
 
 void frame_channel::start(message_handler on_message, close_handler on_close) {
     on_message_ = std::move(on_message);
@@ -27,12 +28,51 @@
                 return;
             }
             self->input_.append(self->buffer_.data(), count);
+            if (self->session_) {
+                self->session_->record_bytes(count);
+            }
             if (self->process_frames() && self->open()) {
-                self->read_more();
+                self->read_when_reserved();
             }
         });
 }
 
+std::size_t frame_channel::partial_frame_bytes() const {
+    std::uint32_t length = 0;
+    if (input_.size() < sizeof(length)) {
+        return 0;
+    }
+    std::memcpy(&length, input_.data(), sizeof(length));
+    return frame_header_size + length;
+}
+
+bool frame_channel::reserve_partial_frame() {
+    const std::size_t frame_bytes = partial_frame_bytes();
+    const bool large = frame_bytes > max_unreserved_bytes;
+    const std::uint64_t connection_bytes =
+        resources::client_registry::connection_bytes + sizeof(frame_channel);
+    if (!session_->reserve(connection_bytes + (large ? frame_copies * frame_bytes : 0))) {
+        return false;
+    }
+    if (large) {
+        input_.reserve(frame_bytes);
+    }
+    return true;
+}
+
+void frame_channel::read_when_reserved() {
+    if (!session_ || reserve_partial_frame()) {
+        read_more();
+        return;
+    }
+    reserve_timer_.expires_after(reserve_interval);
+    reserve_timer_.async_wait([self = shared_from_this()](const std::error_code& cancelled) {
+        if (!cancelled && self->open()) {
+            self->read_when_reserved();
+        }
+    });
+}
+
 bool frame_channel::process_frames() {
     std::size_t offset = 0;
     while (input_.size() - offset >= frame_header_size) {
@@ -53,9 +93,29 @@
         }
     }
     input_.erase(0, offset);
+    if (input_.empty() && input_.capacity() > max_unreserved_bytes) {
+        std::string().swap(input_);
+    }
+    update_stage(offset > 0);
     return true;
 }
 
+void frame_channel::update_stage(bool message_ended) {
+    if (!session_) {
+        return;
+    }
+    has_sent_message_ = has_sent_message_ || message_ended;
+    // What has sent a whole message is a node, which gives way only for a large one that it
+    // doesn't end.
+    const bool settled = has_sent_message_ && partial_frame_bytes() <= max_unreserved_bytes;
+    const auto stage =
+        settled ? resources::client_stage::serving : resources::client_stage::reading;
+    if (stage != stage_) {
+        stage_ = stage;
+        session_->set_stage(stage);
+    }
+}
+
 void frame_channel::process_frame(std::string_view payload) {
     const auto message = decode_payload(payload, negotiation_.receive_format());
     if (!message) {
--- a/src/tallyfold/plane/messaging/frame_channel_shell.hpp
+++ b/src/tallyfold/plane/messaging/frame_channel_shell.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -16,6 +17,7 @@
 #include <string_view>
 
 #include "tallyfold/plane/messaging/format_negotiation.hpp"
+#include "tallyfold/plane/resources/client_registry_shell.hpp"
 
 namespace tallyfold::messaging {
 
@@ -26,6 +28,9 @@
 
     explicit frame_channel(asio::ip::tcp::socket socket);
 
+    /// Reserves the memory of large incoming messages from a budget; reading waits until there is
+    /// room. Called before start().
+    void use_budget(resources::client_session_pointer session) { session_ = std::move(session); }
     /// Starts reading. Both handlers may be called until close().
     void start(message_handler on_message, close_handler on_close);
     /// Starts the format negotiation; called by the side that has connected.
@@ -42,6 +47,14 @@
 
   private:
     void read_more();
+    /// Tells the budget what the peer does. @param message_ended a whole message was just read
+    void update_stage(bool message_ended);
+    /// Reads on once there is room for the frame that has begun to arrive.
+    void read_when_reserved();
+    /// Reserves memory for the frame that has begun to arrive. @return false when there is no room
+    [[nodiscard]] bool reserve_partial_frame();
+    /// Size of the frame at the beginning of the input, with its header; 0 while it is unknown.
+    [[nodiscard]] std::size_t partial_frame_bytes() const;
     bool process_frames();
     void process_frame(std::string_view payload);
     void on_format_offer(const format_offer& offer);
@@ -57,6 +70,12 @@
     /// Limit of the bytes queued for one peer. Beyond it the peer has stopped reading, and the
     /// memory of a node has to serve many peers.
     static constexpr std::size_t max_queued_bytes = 8U << 20U;
+    /// A message up to this size needs no reservation of its own, in bytes.
+    static constexpr std::size_t max_unreserved_bytes = 64U << 10U;
+    /// Copies of an incoming message: its frame, and what its handler keeps.
+    static constexpr std::uint64_t frame_copies = 2;
+    /// Interval at which a reservation that found no room is tried again.
+    static constexpr duration reserve_interval = std::chrono::milliseconds(20);
     /// Maximum number of bytes per read.
     static constexpr std::size_t read_size = 16U << 10U;
 
@@ -68,6 +87,12 @@
     std::deque<std::string> output_;
     std::size_t queued_bytes_ = 0;
     format_negotiation negotiation_;
+    /// Null without a budget.
+    resources::client_session_pointer session_;
+    resources::client_stage stage_ = resources::client_stage::connected;
+    bool has_sent_message_ = false;
+    /// Retries a reservation that found no room.
+    asio::steady_timer reserve_timer_;
     std::uint64_t skipped_ = 0;
     std::uint64_t withheld_ = 0;
     bool writing_ = false;
--- a/src/tallyfold/plane/messaging/peer_link_shell.cpp
+++ b/src/tallyfold/plane/messaging/peer_link_shell.cpp
@@ -1,5 +1,6 @@
 #include "tallyfold/plane/messaging/peer_link_shell.hpp"
 
+#include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/base/net/socket_address.hpp"
 #include "tallyfold/base/net/tcp_sockets_shell.hpp"
 
@@ -140,8 +141,13 @@
     }
 }
 
-peer_server::peer_server(asio::io_context& loop, std::string address)
-    : loop_(loop), address_(std::move(address)), acceptor_(loop) {}
+peer_server::peer_server(asio::io_context& loop, std::string address,
+                         resources::client_registry* clients)
+    : loop_(loop),
+      address_(std::move(address)),
+      clients_(clients),
+      acceptor_(loop),
+      accept_timer_(loop) {}
 
 std::string peer_server::start(message_handler on_message) {
     on_message_ = std::move(on_message);
@@ -157,20 +163,50 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
-        if (!error) {
-            configure_socket(socket);
-            auto channel = std::make_shared<frame_channel>(std::move(socket));
-            std::weak_ptr<frame_channel> weak = channel;
-            channel->start(
-                [this, weak](const peer_message& message) {
-                    if (const auto open = weak.lock()) {
-                        on_message_(open, message);
-                    }
-                },
-                nullptr);
+        if (error) {
+            retry_accept(error);
+            return;
         }
+        admit(std::move(socket));
         accept();
     });
 }
 
+void peer_server::retry_accept(const std::error_code& error) {
+    logging::write_event(logging::event_id::accept_failed, "reason=\"" + error.message() + "\"");
+    accept_timer_.expires_after(net::accept_retry_delay);
+    accept_timer_.async_wait([this](const std::error_code& cancelled) {
+        if (!cancelled) {
+            accept();
+        }
+    });
+}
+
+void peer_server::admit(asio::ip::tcp::socket socket) {
+    configure_socket(socket);
+    auto channel = std::make_shared<frame_channel>(std::move(socket));
+    const std::weak_ptr<frame_channel> weak = channel;
+    if (clients_ != nullptr) {
+        auto session = clients_->admit(resources::client_group::peers,
+                                       [weak](resources::eviction, resources::client_stage) {
+                                           if (const auto open = weak.lock()) {
+                                               open->close();
+                                           }
+                                           return true;
+                                       });
+        if (!session) {
+            channel->close();
+            return;
+        }
+        channel->use_budget(std::move(session));
+    }
+    channel->start(
+        [this, weak](const peer_message& message) {
+            if (const auto open = weak.lock()) {
+                on_message_(open, message);
+            }
+        },
+        nullptr);
+}
+
 }  // namespace tallyfold::messaging
--- a/src/tallyfold/plane/messaging/peer_link_shell.hpp
+++ b/src/tallyfold/plane/messaging/peer_link_shell.hpp
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "tallyfold/plane/messaging/frame_channel_shell.hpp"
+#include "tallyfold/plane/resources/client_registry_shell.hpp"
 
 namespace tallyfold::messaging {
 
@@ -71,16 +72,24 @@
         std::function<void(const channel_pointer& channel, const peer_message&)>;
 
     /// @param address "ip:port" to listen on
-    peer_server(asio::io_context& loop, std::string address);
+    /// @param clients bounds the connections and the memory of their messages; may be null
+    peer_server(asio::io_context& loop, std::string address,
+                resources::client_registry* clients = nullptr);
     /// @return an error text, or empty
     std::string start(message_handler on_message);
 
   private:
     void accept();
+    /// Accepts again after a delay.
+    void retry_accept(const std::error_code& error);
+    /// Serves a new connection, unless there is no room for it.
+    void admit(asio::ip::tcp::socket socket);
 
     asio::io_context& loop_;
     std::string address_;
+    resources::client_registry* clients_;
     asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer accept_timer_;
     message_handler on_message_;
 };
 
--- a/src/tallyfold/plane/turns/turn_store_shell.cpp
+++ b/src/tallyfold/plane/turns/turn_store_shell.cpp
@@ -94,7 +94,7 @@
 store_node::store_node(net::node_process& process, opened_store opened)
     : process_(process),
       directory_(process_, {report_interval, true, false}),
-      peers_(process_.loop(), process_.settings().store_listener()),
+      peers_(process_.loop(), process_.settings().store_listener(), &process_.clients()),
       store_(std::move(opened.state)),
       writer_(std::move(opened.log), process_.metrics()),
       copy_(process_.loop(), store_, [this] { schedule_write(); }),
