--- a/tests/platform/soak/checks.py
+++ b/tests/platform/soak/checks.py
@@ -157,6 +157,13 @@
     return len(history.reads) + (newest is not None), wrong
 
 
+def processes_stay_within_their_memory(history):
+    """No process takes more memory than it was told, whatever its clients send."""
+    wrong = [f"{peak.process} took {peak.bytes} of {peak.bound} bytes at {peak.at:.2f}"
+             for peak in history.memory_peaks if peak.bytes > peak.bound]
+    return len(history.memory_peaks), wrong
+
+
 def processes_stay_up(history):
     """A process ends only when it is killed, or with code 0 after a request to stop."""
     wrong = [f"{process_exit.process} ended with {process_exit.code} at {process_exit.at:.2f}"
@@ -333,7 +340,7 @@
 CHECKS = [at_most_once, refused_never_ran, refusals_say_when, answers_are_their_own,
           broken_off_answers_are_not_whole, streams_keep_their_order, bodies_arrive_unchanged, history_is_kept,
           members_hold_what_they_missed, budgets_hold,
-          configurations_never_revert, processes_stay_up, keys_stay_inside, strangers_never_run,
+          configurations_never_revert, processes_stay_up, processes_stay_within_their_memory, keys_stay_inside, strangers_never_run,
           proper_keys_are_let_in, added_routes_are_known, others_turns_are_unknown, limits_hold, service_returns, changes_are_in_force, planned_rolls_serve,
           work_ends, read_requests_are_answered, dispatchers_answer_in_time,
           calls_do_not_wait_for_lost_dispatchers, calls_are_dispatched, places_are_returned,
--- a/tests/platform/soak/checks_test.py
+++ b/tests/platform/soak/checks_test.py
@@ -5,7 +5,7 @@
 from . import checks, dispatch_checks, fatal_checks, stream_checks
 from .dispatch_watch import parse_fields, parse_metrics, parse_placement
 from .history import (Attempt, BackendService, ConfigurationChange, ConfigurationRead, DispatcherLoss, End, Ending,
-                      FaultInterval, History, Placement, PlacesLeft, PlannedStop, ProcessExit,
+                      FaultInterval, History, MemoryPeak, Placement, PlacesLeft, PlannedStop, ProcessExit,
                       Receipt, RetirementOrder, RouteProbe, RouteTimeout, Run, SettingsReload, Stall, Stream)
 
 
@@ -294,6 +294,12 @@
                                         process_exits=[ProcessExit("p", 1, 139, False)]))
 
 
+    def test_a_process_that_takes_too_much_memory_is_found(self):
+        check = checks.processes_stay_within_their_memory
+        self.assertTrue(self.violations(check, memory_peaks=[MemoryPeak("p", 1, 101, 100)]))
+        self.assertFalse(self.violations(check, memory_peaks=[MemoryPeak("p", 1, 100, 100)]))
+
+
 class ReadRequestsAreAnsweredTest(unittest.TestCase):
     """A request at 20.0 whose forwarder got SIGTERM at 18.0, unless a test says otherwise."""
 
--- a/tests/platform/soak/cluster.py
+++ b/tests/platform/soak/cluster.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import resource
 import shutil
 import signal
@@ -16,6 +17,8 @@
 DIRECTORY_PORT, STORE_PORT, OPERATORS_PORT = 7601, 7602, 7603
 CALLERS_PORT, READINESS_PORT, METRICS_PORT, LIST_PORT = 7604, 7605, 7606, 7609
 GRACE_SECONDS = 8
+#: Memory that each process is told, in MB.
+MEMORY_MB = 96
 #: Values between which a changed settings file alternates.
 ACKNOWLEDGE_MS = (4000, 3900)
 
@@ -104,6 +107,16 @@
             log.seek(log_offset)
             return b"name=process_started" in log.read()
 
+    def peak_memory(self):
+        """Returns the maximum of the process's resident bytes; None when it doesn't run."""
+        if not self.running:
+            return None
+        with contextlib.suppress(OSError):
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+            match = re.search(r"^VmHWM:\s+(\d+) kB", status, re.M)
+            return int(match[1]) * 1024 if match else None
+        return None
+
     def write_settings(self):
         seeds = ", ".join(f'"{node.relayed}:{OPERATORS_PORT}"'
                           for node in self.cluster.nodes_of("directory"))
@@ -124,7 +137,8 @@
         if self.build == self.cluster.build:
             # An earlier build rejects a file with unknown settings.
             with written.open("a") as settings:
-                settings.write(f"quota_window_seconds = {QUOTA_WINDOW}\n"
+                settings.write(f"memory_mb = {MEMORY_MB}\n"
+                               f"quota_window_seconds = {QUOTA_WINDOW}\n"
                                f"quota_overshoot = {QUOTA_OVERSHOOT}\n"
                                f"quota_slack = {QUOTA_SLACK}\n")
                 if self.cluster.metrics:
--- a/tests/platform/soak/history.py
+++ b/tests/platform/soak/history.py
@@ -165,6 +165,16 @@
     acknowledged: float
 
 
+@dataclass
+class MemoryPeak:
+    """The maximum of a process's resident bytes after a crowd, and their bound."""
+
+    process: str
+    at: float
+    bytes: int
+    bound: int
+
+
 @dataclass
 class ProcessExit:
     """The end of a process."""
@@ -311,6 +321,7 @@
     reads: list = field(default_factory=list)
     changes: list = field(default_factory=list)
     process_exits: list = field(default_factory=list)
+    memory_peaks: list = field(default_factory=list)
     fault_intervals: list = field(default_factory=list)
     stalls: list = field(default_factory=list)
     planned_stops: list = field(default_factory=list)
--- a/tests/platform/soak/options.py
+++ b/tests/platform/soak/options.py
@@ -55,6 +55,8 @@
                              "stores that are replaced by others")
     parser.add_argument("--fatal-callers", type=int, default=0,
                         help="callers whose requests end each back end that runs them")
+    parser.add_argument("--crowds", action="store_true",
+                        help="crowds of clients that send half messages, beside the other faults")
     parser.add_argument("--network", type=int, default=0,
                         help="second octet of the loopback addresses; differs for concurrent runs")
     parser.add_argument("--keep", default="", help="folder to which the logs are always copied")
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -19,6 +19,7 @@
 from .backends import Backend, BackendList
 from .callers import Caller
 from .cluster import CALLERS_PORT, LIST_PORT, OPERATORS_PORT, Addresses, Cluster
+from .crowd_faults import CrowdFaults
 from .cut_off_faults import CutOffFaults
 from .dispatch_faults import DispatchFaults
 from .dispatch_watch import (GAUGE_SECONDS, READ_SECONDS, DispatchWatch, describe_dispatch,
@@ -225,6 +226,10 @@
     if options.retirements:
         faults.kinds = faults.kinds + RETIREMENT_WEIGHT * planned.retirement_kinds
     every_kind = every_kind + planned.retirement_kinds
+    crowds = CrowdFaults(faults)
+    if options.crowds:
+        faults.kinds = faults.kinds + crowds.kinds
+    every_kind = every_kind + crowds.kinds
     every_kind = every_kind + VersionFaults(faults).kinds + CutOffFaults(faults, operator).kinds
     if options.dispatch:
         dispatch = DispatchFaults(faults, watch)
