Refused heads are logged; memory is returned by a command of its own

Cause: a head that found no room wrote no client_refused line, and callers returned memory through reserve(), which could make others give way for a connection that had given way itself.

Change: reserve_head() counts the refusal; client_session::shrink() only returns.

--- a/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.cpp
@@ -127,8 +127,7 @@
             break;
         }
         caller->next_message();
-        // A smaller reservation is always granted.
-        (void)client->reserve(resources::client_registry::connection_bytes);
+        client->shrink(resources::client_registry::connection_bytes);
         client->set_stage(resources::client_stage::kept);
     }
     caller->close();
@@ -185,11 +184,9 @@
                                                  caller_request& request) {
     const duration head_timeout = std::chrono::milliseconds(bounds.header_timeout_ms);
     // The connection owns the handler, so it must not own the connection.
-    caller->on_read([reader = caller.get(), client = request.client](std::size_t count) {
+    caller->on_read([this, reader = caller.get(), client = request.client](std::size_t count) {
         client->record_bytes(count);
-        return reader->head_complete() ||
-               client->reserve(resources::client_registry::connection_bytes +
-                               reader->head_memory());
+        return reader->head_complete() || reserve_head(*client, reader->head_memory());
     });
     const auto head = co_await caller->read_head(http::steady_now() + head_timeout);
     if (!head) {
@@ -212,6 +209,15 @@
     co_return true;
 }
 
+bool caller_listener::reserve_head(resources::client_session& client, std::size_t head_memory) {
+    const std::uint64_t bytes = resources::client_registry::connection_bytes + head_memory;
+    const bool reserved = client.reserve(bytes);
+    if (!reserved) {
+        context_.process.clients().count_refusal(resources::client_group::callers, "head", bytes);
+    }
+    return reserved;
+}
+
 bool caller_listener::reserve_request(caller_request& request) {
     const std::uint64_t bytes = request.fixed_bytes + request.head.content_length;
     const bool reserved = request.client->reserve(bytes);
@@ -245,10 +251,10 @@
                                                  const routing::caller_limits& bounds,
                                                  caller_request& request) {
     const duration idle_timeout = std::chrono::milliseconds(bounds.idle_timeout_ms);
-    instant last = instant::max();
+    instant deadline = instant::max();
     while (true) {
         const instant idle_until = http::steady_now() + idle_timeout;
-        auto piece = co_await caller->read_body_chunk(std::min(idle_until, last));
+        auto piece = co_await caller->read_body_chunk(std::min(idle_until, deadline));
         if (!piece) {
             co_await reject_unread(caller, request, piece.error());
             co_return false;
@@ -267,9 +273,9 @@
         if (caller->message_complete()) {
             co_return true;
         }
-        if (last == instant::max()) {
+        if (deadline == instant::max()) {
             // Most bodies arrive with their head, and need no deadline.
-            last = http::steady_now() + time_for_body(request.head);
+            deadline = http::steady_now() + time_for_body(request.head);
         }
     }
 }
@@ -315,7 +321,7 @@
     request.head = {};
     caller->next_message();
     client->set_stage(resources::client_stage::closing);
-    (void)client->reserve(resources::client_registry::connection_bytes);
+    client->shrink(resources::client_registry::connection_bytes);
     logging::write_event(
         logging::event_id::call_refused,
         "status=" + std::to_string(answer.status) + " reason=\"" + answer.reason + "\"");
--- a/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
+++ b/src/tallyfold/plane/forwarding/caller_listener_shell.hpp
@@ -57,6 +57,8 @@
                                     const routing::caller_limits& bounds, caller_request& request);
     asio::awaitable<bool> read_body(http::connection_pointer caller,
                                     const routing::caller_limits& bounds, caller_request& request);
+    /// Reserves the memory of a head that is being read. @return false when there is no room
+    [[nodiscard]] bool reserve_head(resources::client_session& client, std::size_t head_memory);
     /// Reserves the memory of a request whose head was read, and of its body if the length is
     /// known. @return false when there is no room
     [[nodiscard]] bool reserve_request(caller_request& request);
--- a/src/tallyfold/plane/http/endpoint_server_shell.cpp
+++ b/src/tallyfold/plane/http/endpoint_server_shell.cpp
@@ -187,8 +187,7 @@
             caller->close();
             co_return;
         }
-        // A smaller reservation is always granted.
-        (void)served.session->reserve(resources::client_registry::connection_bytes);
+        served.session->shrink(resources::client_registry::connection_bytes);
         if (!keep) {
             served.session->set_stage(resources::client_stage::closing);
             co_await caller->close_after_peer(steady_now() + closing_timeout);
--- a/src/tallyfold/plane/resources/client_registry_shell.cpp
+++ b/src/tallyfold/plane/resources/client_registry_shell.cpp
@@ -30,6 +30,13 @@
     return registry_.reserve(id_, bytes);
 }
 
+void client_session::shrink(std::uint64_t bytes) {
+    // A client that has given way holds nothing, and must not make others give way.
+    if (bytes < registry_.budget().reserved_by(id_)) {
+        (void)registry_.reserve(id_, bytes);
+    }
+}
+
 void client_session::set_stage(client_stage stage) {
     registry_.budget_.set_stage(id_, stage, steady_now());
 }
