Program API: malformed and endless answers are broken ones

What happens: the scheduler's HTTP client and tallyfoldctl take a status of 600 and heads with blanks or control bytes in field names for answers, and the client appends a body until the call's time is over. A stream's event was collected without a bound and searched from its beginning at each piece.

Change: answer_head_check ends the transfer at the first defect, by the same net::http_syntax as the forwarding plane; the call counts as broken, and event 3113 says what was malformed. Whole answers are bounded at 8 MB (64 MB for the operators' tool), an event of a stream at 1 MB, with work in proportion to the new bytes.

--- a/src/tallyfold/base/logging/event_catalogue.cpp
+++ b/src/tallyfold/base/logging/event_catalogue.cpp
@@ -78,6 +78,7 @@
         {event_id::backend_doubted, event_level::info, "backend_doubted"},
         {event_id::backend_entries_rejected, event_level::warning, "backend_entries_rejected"},
         {event_id::backend_list_fetch_failed, event_level::warning, "backend_list_fetch_failed"},
+        {event_id::backend_answer_malformed, event_level::warning, "backend_answer_malformed"},
         {event_id::dispatcher_lost, event_level::warning, "dispatcher_lost"},
         {event_id::dispatcher_regained, event_level::info, "dispatcher_regained"},
         {event_id::place_refused, event_level::info, "place_refused"},
--- a/src/tallyfold/base/logging/event_catalogue.hpp
+++ b/src/tallyfold/base/logging/event_catalogue.hpp
@@ -84,6 +84,7 @@
     backend_doubted = 3110,
     backend_entries_rejected = 3111,
     backend_list_fetch_failed = 3112,
+    backend_answer_malformed = 3113,
     dispatcher_lost = 3120,
     dispatcher_regained = 3121,
     place_refused = 3122,
--- a/src/tallyfold/program_api/http/blocking_http.cpp
+++ b/src/tallyfold/program_api/http/blocking_http.cpp
@@ -4,14 +4,23 @@
 
 #include <memory>
 
+#include "tallyfold/program_api/http/answer_head_check.hpp"
+
 namespace tallyfold::net {
 
 namespace {
 
 constexpr long connect_timeout_ms = 1500;
+/// Maximum size of an answer in bytes; operators export configurations and records of programs.
+constexpr std::size_t max_answer_bytes = 64U << 20U;
 
 std::size_t append_bytes(char* bytes, std::size_t size, std::size_t count, void* target) {
-    static_cast<std::string*>(target)->append(bytes, size * count);
+    auto* body = static_cast<std::string*>(target);
+    if (body->size() + size * count > max_answer_bytes) {
+        // Ends the transfer.
+        return 0;
+    }
+    body->append(bytes, size * count);
     return size * count;
 }
 
@@ -42,9 +51,14 @@
         curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, request.body.data());
         curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
     }
+    answer_head_check head;
+    head.attach(easy.get());
     const CURLcode result = curl_easy_perform(easy.get());
     if (result != CURLE_OK) {
         reply.failure = curl_easy_strerror(result);
+        if (head.defect() != syntax_defect::none) {
+            reply.failure = "malformed answer: " + std::string(name_of(head.defect()));
+        }
         return reply;
     }
     long status = 0;
--- a/src/tallyfold/program_api/http/blocking_http.hpp
+++ b/src/tallyfold/program_api/http/blocking_http.hpp
@@ -18,10 +18,10 @@
 };
 
 struct blocking_reply {
-    /// HTTP status code; 0 when no response was received.
+    /// HTTP status code; 0 when no response, or a malformed one, was received.
     int status = 0;
     std::string body;
-    /// Error text when no response was received.
+    /// Error text when the status is 0.
     std::string failure;
 };
 
--- a/src/tallyfold/program_api/http/http_client.cpp
+++ b/src/tallyfold/program_api/http/http_client.cpp
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "tallyfold/base/common/bounded_ring.hpp"
+#include "tallyfold/program_api/http/answer_head_check.hpp"
 
 namespace tallyfold::net {
 
@@ -17,6 +18,8 @@
 constexpr int poll_timeout_ms = 50;
 constexpr long connect_timeout_ms = 1000;
 constexpr long connection_cache_size = 512;
+/// Maximum size in bytes of an answer that is delivered whole; as that of a request to a server.
+constexpr std::size_t max_answer_bytes = 8U << 20U;
 
 struct cancel_call {
     http_call_id id = 0;
@@ -72,6 +75,7 @@
         http_call call;
         CURL* easy = nullptr;
         curl_slist* headers = nullptr;
+        answer_head_check head;
         std::string received;
 
         active_request() = default;
@@ -92,6 +96,9 @@
         if (running->call.streamed && status < first_error_status) {
             running->owner->on_event_({running->call.id, http_event_kind::data,
                                        static_cast<int>(status), std::string(bytes, size * count)});
+        } else if (running->received.size() + size * count > max_answer_bytes) {
+            // Ends the transfer.
+            return 0;
         } else {
             running->received.append(bytes, size * count);
         }
@@ -133,6 +140,7 @@
         curl_easy_setopt(easy, CURLOPT_PRIVATE, running.get());
         curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &engine::on_body_data);
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, running.get());
+        running->head.attach(easy);
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
@@ -173,6 +181,7 @@
                 event.kind = http_event_kind::unreachable;
             } else if (result != CURLE_OK) {
                 event.kind = http_event_kind::broken;
+                event.defect = running->head.defect();
             }
             const http_call_id id = running->call.id;
             curl_multi_remove_handle(multi_, message->easy_handle);
--- a/src/tallyfold/program_api/http/http_client.hpp
+++ b/src/tallyfold/program_api/http/http_client.hpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <string>
 
+#include "tallyfold/base/net/http_syntax.hpp"
+
 namespace tallyfold::net {
 
 using http_call_id = std::uint64_t;
@@ -30,7 +32,8 @@
     finished,
     /// No connection was established: the request was not sent.
     unreachable,
-    /// The connection failed, or the time limit passed, after the request may have been sent.
+    /// The connection failed, the time limit passed, or the answer was malformed or too large,
+    /// after the request may have been sent.
     broken,
 };
 
@@ -39,6 +42,8 @@
     http_event_kind kind = http_event_kind::finished;
     int status = 0;
     std::string bytes;
+    /// What made a broken answer malformed.
+    syntax_defect defect = syntax_defect::none;
 };
 
 class http_client {
--- a/src/tallyfold/program_api/scheduler/backend_client.hpp
+++ b/src/tallyfold/program_api/scheduler/backend_client.hpp
@@ -39,6 +39,8 @@
     void on_event(net::http_event& event);
     void on_stream_bytes(running_order& running, const std::string& bytes);
     void on_finished(running_order& running, const net::http_event& event);
+    /// Ends a stream whose event is too large.
+    void give_up_stream(const attempt_key& key);
     void stop_reading(const attempt_key& key);
     void update_addresses(const members_answered& members);
     void retry_cancels();
--- a/src/tallyfold/program_api/scheduler/backend_client_shell.cpp
+++ b/src/tallyfold/program_api/scheduler/backend_client_shell.cpp
@@ -1,3 +1,4 @@
+#include "tallyfold/base/logging/event_log.hpp"
 #include "tallyfold/program_api/process/logic_thread.hpp"
 #include "tallyfold/program_api/scheduler/backend_client.hpp"
 
@@ -87,8 +88,16 @@
     running_order& running = found->second;
     if (event.kind == net::http_event_kind::data) {
         on_stream_bytes(running, event.bytes);
+        if (running.splitter.overflowed()) {
+            give_up_stream(*attempt_of(running.order));
+        }
         return;
     }
+    if (event.defect != net::syntax_defect::none) {
+        logging::write_event(logging::event_id::backend_answer_malformed,
+                             "backend=" + target_of(running.order) +
+                                 " defect=" + std::string(net::name_of(event.defect)));
+    }
     on_finished(running, event);
     if (const auto key = attempt_of(running.order)) {
         const auto reader = stream_calls_.find(*key);
@@ -112,6 +121,11 @@
     }
 }
 
+void backend_client::give_up_stream(const attempt_key& key) {
+    reports_.push_back(attempt_failed{key, failure_kind::broken});
+    stop_reading(key);
+}
+
 void backend_client::on_finished(running_order& running, const net::http_event& event) {
     std::optional<backend_report> report;
     if (event.kind != net::http_event_kind::finished) {
--- a/src/tallyfold/program_api/scheduler/backend_http_codec.cpp
+++ b/src/tallyfold/program_api/scheduler/backend_http_codec.cpp
@@ -252,10 +252,13 @@
 std::vector<std::string> event_stream_splitter::add(std::string_view bytes) {
     constexpr std::string_view separator = "\n\n";
     constexpr std::string_view prefix = "data: ";
-    buffer_.append(bytes);
     std::vector<std::string> events;
+    if (overflowed_) {
+        return events;
+    }
+    buffer_.append(bytes);
     std::size_t begin = 0;
-    for (std::size_t end = buffer_.find(separator); end != std::string::npos;
+    for (std::size_t end = buffer_.find(separator, searched_); end != std::string::npos;
          end = buffer_.find(separator, begin)) {
         std::string_view event(buffer_.data() + begin, end - begin);
         if (event.starts_with(prefix)) {
@@ -264,6 +267,13 @@
         begin = end + separator.size();
     }
     buffer_.erase(0, begin);
+    // The separator may have begun with the last byte.
+    searched_ = buffer_.empty() ? 0 : buffer_.size() - 1;
+    if (buffer_.size() > max_event_bytes) {
+        std::string().swap(buffer_);
+        searched_ = 0;
+        overflowed_ = true;
+    }
     return events;
 }
 
--- a/src/tallyfold/program_api/scheduler/backend_http_codec.hpp
+++ b/src/tallyfold/program_api/scheduler/backend_http_codec.hpp
@@ -48,11 +48,19 @@
 /// Incremental splitter of a text/event-stream body into the data of its events.
 class event_stream_splitter {
   public:
+    /// Maximum size of an event in bytes. A longer one may never end.
+    static constexpr std::size_t max_event_bytes = 1U << 20U;
+
     /// @return the data of the events completed by `bytes`
     std::vector<std::string> add(std::string_view bytes);
+    /// True once an event was too large; no further events are returned then.
+    [[nodiscard]] bool overflowed() const { return overflowed_; }
 
   private:
     std::string buffer_;
+    /// Number of bytes of `buffer_` that hold no end of an event.
+    std::size_t searched_ = 0;
+    bool overflowed_ = false;
 };
 
 std::string_view to_string(scheduling::backend_kind kind);
--- a/tests/program_api/scheduler/backend_http_codec_test.cpp
+++ b/tests/program_api/scheduler/backend_http_codec_test.cpp
@@ -11,6 +11,7 @@
 class backend_http_codec_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(backend_http_codec_test);
     CPPUNIT_TEST(events_are_split_at_any_chunk_boundary);
+    CPPUNIT_TEST(endless_event_overflows);
     CPPUNIT_TEST(errors_map_to_failure_kinds);
     CPPUNIT_TEST(arbitrary_bytes_do_not_crash_parsers);
     CPPUNIT_TEST_SUITE_END();
@@ -20,6 +21,18 @@
         return made;
     }
 
+    void endless_event_overflows() {
+        event_stream_splitter splitter;
+        const std::string piece(1'000, 'x');
+        for (std::size_t fed = 0; fed <= event_stream_splitter::max_event_bytes;
+             fed += piece.size()) {
+            CPPUNIT_ASSERT(!splitter.overflowed());
+            CPPUNIT_ASSERT(splitter.add(piece).empty());
+        }
+        CPPUNIT_ASSERT(splitter.overflowed());
+        CPPUNIT_ASSERT(splitter.add("\n\ndata: a\n\n").empty());
+    }
+
     void events_are_split_at_any_chunk_boundary() {
         check_property("any split of the bytes gives the same events", [] {
             const std::string whole = render_stream_event(stream_pieces{key(), 0, {"a\n\nb"}}) +
