Events that a stream holds back are bounded and searched once

What callers saw: while a back end sent resumable streams whose event never ended, ordinary requests of the same forwarder waited for seconds or got no answer, and its memory grew by up to 4 MiB and their copies for each stream, past that of the smallest machine.

Cause: event_boundary_filter searched the incomplete event from its beginning at each read, and neither it nor the events kept for a turn's history counted in the clients' budget.

Change: the filter keeps the position of its search, and gives the memory of a long event back. answer_memory reserves what an answer holds above 64 KiB with its caller's session, so all of it has one owner; without room the stream breaks off as no_memory, which isn't counted against the back end.

--- a/src/tallyfold/plane/decisions/attempt_failure.cpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.cpp
@@ -31,6 +31,8 @@
             return "body_truncated";
         case failure_kind::event_missing:
             return "event_missing";
+        case failure_kind::no_memory:
+            return "no_memory";
         case failure_kind::turn_end_unconfirmed:
             return "unsettled";
         case failure_kind::client_disconnected:
--- a/src/tallyfold/plane/decisions/attempt_failure.hpp
+++ b/src/tallyfold/plane/decisions/attempt_failure.hpp
@@ -34,6 +34,8 @@
     body_truncated,
     /// An event is missing from the stream.
     event_missing,
+    /// No room for the events of the stream that have to be kept.
+    no_memory,
     /// No majority of the stores confirmed the end of the turn.
     turn_end_unconfirmed,
     /// The client disconnected while its answer was being relayed.
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.cpp
@@ -63,12 +63,14 @@
 }  // namespace
 
 answer_relay::answer_relay(forwarder_context& context, const forwarded_request& request,
-                           caller_channel& caller, turn_session* turn, stream_session* stream)
+                           caller_channel& caller, resources::client_session& client,
+                           turn_session* turn, stream_session* stream)
     : context_(context),
       request_(request),
       caller_(caller),
       turn_(turn),
       stream_(stream),
+      memory_(client),
       events_(turn != nullptr && request.route.keeps_history ? max_kept_event_bytes : 0) {}
 
 void answer_relay::record_first_byte(unsigned status, instant now) {
@@ -232,6 +234,9 @@
     std::string& piece, const http::message_head& head, bool complete,
     const backend_name& backend) {
     const bool success = is_success(head);
+    if (success && !reserve_piece(piece.size())) {
+        co_return failure_kind::no_memory;
+    }
     if (success && chunked_ && request_.route.resumable &&
         !retain_complete_events(piece, complete)) {
         co_return failure_kind::event_missing;
@@ -251,6 +256,15 @@
     co_return std::nullopt;
 }
 
+bool answer_relay::reserve_piece(std::size_t piece_bytes) {
+    const std::uint64_t held = relayed_events_.held_bytes() + events_.held_bytes() + piece_bytes;
+    const bool reserved = memory_.reserve(held);
+    if (!reserved) {
+        context_.process.clients().count_refusal(resources::client_group::callers, "answer", held);
+    }
+    return reserved;
+}
+
 bool answer_relay::is_truncated() const {
     return body_->completeness() == http::body_completeness::truncated;
 }
--- a/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/answer_relay_shell.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "tallyfold/plane/forwarding/answer_memory.hpp"
 #include "tallyfold/plane/forwarding/attempt_result.hpp"
 #include "tallyfold/plane/forwarding/caller_channel_shell.hpp"
 #include "tallyfold/plane/forwarding/forwarded_request.hpp"
@@ -25,11 +26,13 @@
 
 class answer_relay {
   public:
-    /// @param request, `caller`, `turn` and `stream` must outlive the relay
+    /// @param request, `caller`, `client`, `turn` and `stream` must outlive the relay
+    /// @param client has reserved the memory of the request
     /// @param turn null when the request is not a turn of a program
     /// @param stream null when the route's answers can't be resumed
     answer_relay(forwarder_context& context, const forwarded_request& request,
-                 caller_channel& caller, turn_session* turn, stream_session* stream);
+                 caller_channel& caller, resources::client_session& client, turn_session* turn,
+                 stream_session* stream);
 
     /// Records status and first-byte time of an answer that is about to be relayed.
     void record_first_byte(unsigned status, instant now);
@@ -91,6 +94,9 @@
                                                                const http::message_head& head,
                                                                bool complete,
                                                                const backend_name& backend);
+    /// Makes room for a piece beside the events that are kept of the stream.
+    /// @return false when there is none
+    [[nodiscard]] bool reserve_piece(std::size_t piece_bytes);
     /// True when the body, whose end was read, can't be whole.
     [[nodiscard]] bool is_truncated() const;
     /// Records that the whole answer was received.
@@ -118,6 +124,7 @@
     caller_channel& caller_;
     turn_session* turn_;
     stream_session* stream_;
+    answer_memory memory_;
     std::optional<http::received_body> body_;
     http::event_stream_reader events_;
     /// Complete events of a resumable stream that were relayed to the caller.
--- a/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
+++ b/src/tallyfold/plane/forwarding/backend_attempt_shell.cpp
@@ -227,7 +227,8 @@
         finish_answered(facts);
         co_return result;
     }
-    if (!caller_.disconnected() && !result.timed_out) {
+    const bool is_own_failure = result.failure.kind == failure_kind::no_memory;
+    if (!caller_.disconnected() && !result.timed_out && !is_own_failure) {
         record_failure();
     }
     connection_->abort();
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -274,7 +274,7 @@
 }
 
 asio::awaitable<void> request_relay::send() {
-    answer_.emplace(context_, *forwarded_, caller_, turn_ ? &*turn_ : nullptr,
+    answer_.emplace(context_, *forwarded_, caller_, *request_.client, turn_ ? &*turn_ : nullptr,
                     stream_ ? &*stream_ : nullptr);
     const token_count used_tokens = turn_ ? turn_->used_tokens() : 0;
     send_loop_.emplace(context_, *forwarded_, execution_, *poison_, caller_, *answer_, used_tokens);
--- a/src/tallyfold/plane/http/event_boundary_filter.cpp
+++ b/src/tallyfold/plane/http/event_boundary_filter.cpp
@@ -9,23 +9,6 @@
 
 namespace {
 
-/// Position after the blank line that ends the first event; npos when it is incomplete.
-std::size_t end_of_event(std::string_view bytes) {
-    std::size_t line = 0;
-    while (line < bytes.size()) {
-        const std::size_t end = bytes.find('\n', line);
-        if (end == std::string_view::npos) {
-            return end;
-        }
-        const bool blank = end == line || (end == line + 1 && bytes[line] == '\r');
-        if (blank) {
-            return end + 1;
-        }
-        line = end + 1;
-    }
-    return std::string_view::npos;
-}
-
 /// Value of the event's last `id` field; empty when it has none.
 std::string_view id_of(std::string_view event) {
     std::string_view id;
@@ -56,26 +39,61 @@
 std::string event_boundary_filter::feed(std::string_view bytes) {
     partial_ += bytes;
     std::string forwarded;
-    std::string_view rest = partial_;
+    std::size_t event_begin = 0;
     while (in_order_) {
-        const std::size_t end = end_of_event(rest);
-        if (end == std::string_view::npos) {
+        const std::size_t end = find_event_end();
+        if (end == std::string::npos) {
             break;
         }
-        const std::string_view event = rest.substr(0, end);
+        const std::string_view event =
+            std::string_view(partial_).substr(event_begin, end - event_begin);
         if (accept_event(event)) {
             forwarded += event;
         }
-        rest.remove_prefix(end);
+        event_begin = end;
     }
-    partial_ = std::string(rest);
+    remove_events(event_begin);
     if (partial_.size() > max_partial_bytes) {
-        std::string().swap(partial_);
+        drop_partial();
         in_order_ = false;
     }
     return forwarded;
 }
 
+std::size_t event_boundary_filter::find_event_end() {
+    while (true) {
+        const std::size_t end = partial_.find('\n', searched_);
+        if (end == std::string::npos) {
+            searched_ = partial_.size();
+            return end;
+        }
+        const std::size_t length = end - line_begin_;
+        const bool blank = length == 0 || (length == 1 && partial_[line_begin_] == '\r');
+        line_begin_ = end + 1;
+        searched_ = end + 1;
+        if (blank) {
+            return end + 1;
+        }
+    }
+}
+
+void event_boundary_filter::remove_events(std::size_t size) {
+    if (size == 0) {
+        return;
+    }
+    // A new string, so that the memory of a long event isn't kept for the next ones.
+    std::string rest = partial_.substr(size);
+    partial_.swap(rest);
+    line_begin_ -= size;
+    searched_ -= size;
+}
+
+void event_boundary_filter::drop_partial() {
+    std::string().swap(partial_);
+    line_begin_ = 0;
+    searched_ = 0;
+}
+
 bool event_boundary_filter::accept_event(std::string_view event) {
     const std::string_view id = id_of(event);
     if (id.empty()) {
--- a/src/tallyfold/plane/http/event_boundary_filter.hpp
+++ b/src/tallyfold/plane/http/event_boundary_filter.hpp
@@ -23,7 +23,9 @@
     /// Bytes of the incomplete event at the end of the input.
     [[nodiscard]] const std::string& partial() const { return partial_; }
     /// Drops the incomplete event, before the first bytes of a further response.
-    void begin_response() { partial_.clear(); }
+    void begin_response() { drop_partial(); }
+    /// Memory of the incomplete event, in bytes.
+    [[nodiscard]] std::size_t held_bytes() const { return partial_.capacity(); }
     /// Identifier of the last event returned; empty when none had an identifier.
     [[nodiscard]] const std::string& last_id() const { return last_id_; }
     [[nodiscard]] std::uint64_t events_with_id() const { return events_with_id_; }
@@ -31,10 +33,20 @@
     [[nodiscard]] bool in_order() const { return in_order_; }
 
   private:
+    /// Position after the blank line that ends the event at the beginning of `partial_`; npos when
+    /// it is incomplete. Searches only what was added since the last call.
+    std::size_t find_event_end();
     /// True when the event is to be returned; updates the identifiers.
     bool accept_event(std::string_view event);
+    /// Removes complete events of this size from the beginning of `partial_`.
+    void remove_events(std::size_t size);
+    void drop_partial();
 
     std::string partial_;
+    /// Position in `partial_` of its last line, which is incomplete.
+    std::size_t line_begin_ = 0;
+    /// Number of bytes of `partial_` that were searched for the end of that line.
+    std::size_t searched_ = 0;
     std::string last_id_;
     std::uint64_t events_with_id_ = 0;
     /// False once numeric identifiers have differed by more than one.
--- a/src/tallyfold/plane/resources/client_registry_shell.cpp
+++ b/src/tallyfold/plane/resources/client_registry_shell.cpp
@@ -30,6 +30,10 @@
     return registry_.reserve(id_, bytes);
 }
 
+std::uint64_t client_session::reserved() const {
+    return registry_.budget().reserved_by(id_);
+}
+
 void client_session::shrink(std::uint64_t bytes) {
     // A client that has given way holds nothing, and must not make others give way.
     if (bytes < registry_.budget().reserved_by(id_)) {
--- a/src/tallyfold/plane/resources/client_registry_shell.hpp
+++ b/src/tallyfold/plane/resources/client_registry_shell.hpp
@@ -38,6 +38,8 @@
     /// @param bytes memory of the connection and its request together
     /// @return false without a change when there is no room
     [[nodiscard]] bool reserve(std::uint64_t bytes);
+    /// Memory that is reserved, in bytes.
+    [[nodiscard]] std::uint64_t reserved() const;
     /// Returns the memory beyond `bytes`, of a request that has ended.
     void shrink(std::uint64_t bytes);
     void set_stage(client_stage stage);
@@ -65,7 +67,8 @@
     /// @return null when there is no room: the connection has to be closed
     client_session_pointer admit(client_group group, eviction_handler give_way);
     /// Records that a client was refused for want of room.
-    /// @param what of the refusal for the log: "connection", "head", "body" or "history"
+    /// @param what of the refusal for the log: "connection", "head", "body", "history" or
+    /// "answer"
     void count_refusal(client_group group, const std::string& what, std::uint64_t bytes);
     /// Updates the gauges, and returns memory to the system after a burst.
     void update();
--- a/tests/plane/forwarding/endless_answer_test.cpp
+++ b/tests/plane/forwarding/endless_answer_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(endless_rejection_does_not_hold_the_request);
     CPPUNIT_TEST(endless_event_of_a_resumable_stream_fails_at_its_size_limit);
     CPPUNIT_TEST(endless_event_of_a_stream_ends_at_the_deadline);
+    CPPUNIT_TEST(endless_events_of_many_streams_stay_within_the_clients_memory);
     CPPUNIT_TEST_SUITE_END();
 
     struct outcome {
@@ -206,6 +207,54 @@
         check_bounds(seen);
         CPPUNIT_ASSERT(!seen.text.ends_with("\r\n0\r\n\r\n"));
     }
+
+    /// Most memory that many resumable streams take whose back end sends `repeated` without end,
+    /// while another caller is served.
+    static std::size_t most_memory_of_streams(const std::string& repeated) {
+        constexpr int stream_count = 24;
+        settings::node_settings settings = forwarder_settings();
+        settings.memory_mb = small_machine_mb;
+        forwarder_world world(settings);
+        world.apply_configuration();
+        endless_server server(
+            world.process.loop(),
+            std::string(head_start) + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ",
+            repeated);
+        world.list_backend(server.address(), "v1");
+        const std::size_t allocated = allocated_bytes();
+        std::vector<std::unique_ptr<raw_caller>> callers;
+        for (int number = 0; number < stream_count; ++number) {
+            callers.push_back(world.connect());
+            callers.back()->send(forwarder_world::request("resumable", "r" + std::to_string(number),
+                                                          "X-Deadline-Ms: 1500\r\n"));
+        }
+        std::size_t most = 0;
+        CPPUNIT_ASSERT(world.run_until([&] {
+            const std::size_t now_allocated = allocated_bytes();
+            most = std::max(most, now_allocated > allocated ? now_allocated - allocated : 0);
+            return std::all_of(callers.begin(), callers.end(),
+                               [](const auto& each) { return !each->received().empty(); });
+        }));
+        CPPUNIT_ASSERT(world.run_until([&] { return world.callers.active_request_count() == 0; }));
+        for (const auto& each : callers) {
+            CPPUNIT_ASSERT_MESSAGE(each->received().substr(0, 200),
+                                   each->received().starts_with("HTTP/1.1 50"));
+        }
+        callers.clear();
+        CPPUNIT_ASSERT(world.run_until(
+            [&] { return world.process.clients().budget().reserved_bytes() == 0; }));
+        return most;
+    }
+
+    static constexpr int small_machine_mb = 24;
+
+    void endless_events_of_many_streams_stay_within_the_clients_memory() {
+        for (const std::string& repeated : {std::string(16'000, 'x'), std::string(": comment\n")}) {
+            const std::size_t most = most_memory_of_streams(repeated);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(most) + " bytes",
+                                   most < std::size_t{small_machine_mb} << 20U);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(endless_answer_test);
--- a/tests/plane/http/event_boundary_filter_test.cpp
+++ b/tests/plane/http/event_boundary_filter_test.cpp
@@ -1,5 +1,7 @@
 #include "tallyfold/plane/http/event_boundary_filter.hpp"
 
+#include <ctime>
+
 #include "tests/support/suite.hpp"
 
 namespace tallyfold::tests {
@@ -13,6 +15,8 @@
     CPPUNIT_TEST(detects_missing_event_after_resume);
     CPPUNIT_TEST(forwards_events_without_identifiers);
     CPPUNIT_TEST(resumed_stream_equals_original);
+    CPPUNIT_TEST(work_is_in_proportion_to_new_bytes);
+    CPPUNIT_TEST(memory_of_a_long_event_is_returned);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string event(int number) {
@@ -26,6 +30,32 @@
         return text;
     }
 
+    /// Guards against an event that is searched from its beginning whenever bytes arrive.
+    void work_is_in_proportion_to_new_bytes() {
+        constexpr std::size_t pieces = 40'000;
+        constexpr std::clock_t most_processor_time = 2 * CLOCKS_PER_SEC;
+        for (const std::string& piece :
+             {std::string(100, 'x'), ": " + std::string(97, 'c') + "\n"}) {
+            event_boundary_filter stream;
+            const std::clock_t start = std::clock();
+            for (std::size_t count = 0; count < pieces; ++count) {
+                CPPUNIT_ASSERT(stream.feed(piece).empty());
+            }
+            const std::clock_t used = std::clock() - start;
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(used), used < most_processor_time);
+            CPPUNIT_ASSERT(stream.in_order());
+        }
+    }
+
+    void memory_of_a_long_event_is_returned() {
+        event_boundary_filter stream;
+        stream.feed("data: " + std::string(1U << 20U, 'x'));
+        CPPUNIT_ASSERT(stream.held_bytes() > 1U << 20U);
+        stream.feed("\n\ndata: next");
+        CPPUNIT_ASSERT(stream.held_bytes() < 1'000);
+        CPPUNIT_ASSERT_EQUAL(std::string("data: next\n\n"), stream.feed("\n\n"));
+    }
+
     void withholds_incomplete_event() {
         event_boundary_filter stream;
         CPPUNIT_ASSERT_EQUAL(event(1), stream.feed(event(1) + "id: 2\ndata: te"));
