A stopping forwarder refuses late requests that it may have to cut off

Cause: a request that was being read when the accept time ended was passed on whatever time was left until the cut-off.

Change: one that is read after the accept time is sent only if its deadline is before the cut-off. Else it gets 503 with Retry-After at once and is never sent.

--- a/src/tallyfold/plane/decisions/local_answer.cpp
+++ b/src/tallyfold/plane/decisions/local_answer.cpp
@@ -45,6 +45,8 @@
             return {503, "no back end of the stream's version is known", soon};
         case refusal::no_memory:
             return {503, "no memory for the request at this node", soon};
+        case refusal::stopping:
+            return {503, "the node stops before the request's deadline", soon};
         case refusal::no_configuration:
             break;
     }
--- a/src/tallyfold/plane/decisions/local_answer.hpp
+++ b/src/tallyfold/plane/decisions/local_answer.hpp
@@ -50,6 +50,8 @@
     stream_version_gone,
     /// The requests of other callers take all memory that this node has for them.
     no_memory,
+    /// The node stops before the request's deadline.
+    stopping,
 };
 
 struct local_answer {
--- a/src/tallyfold/plane/decisions/shutdown_sequence.hpp
+++ b/src/tallyfold/plane/decisions/shutdown_sequence.hpp
@@ -50,6 +50,14 @@
     void set_longest_request(duration longest_request);
     /// To be called periodically; returns each step except `wait` once.
     shutdown_step next(instant now, const remaining_work& left);
+    /// True when a request may be sent to a back end: it was read while requests were accepted, or
+    /// ends before the cut-off in any case. One that was read later and is still running then would
+    /// be cut off, although another node could have served it.
+    /// @param read_at when the last byte of the request was read
+    /// @param deadline of the request
+    [[nodiscard]] bool may_send(instant read_at, instant deadline) const {
+        return read_at < accept_until_ || deadline <= cut_off_at_;
+    }
     /// False once no further request may be read.
     [[nodiscard]] bool accepts_requests() const { return accepting_; }
 
--- a/src/tallyfold/plane/forwarding/forwarder_context.hpp
+++ b/src/tallyfold/plane/forwarding/forwarder_context.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "tallyfold/plane/decisions/call_ranking.hpp"
+#include "tallyfold/plane/decisions/shutdown_sequence.hpp"
 #include "tallyfold/plane/directory/directory_client_shell.hpp"
 #include "tallyfold/plane/forwarding/admission_queue_shell.hpp"
 #include "tallyfold/plane/forwarding/backend_registry.hpp"
@@ -45,6 +46,8 @@
     std::map<std::string, admission_queue> admission_queues;
     /// True once the node is shutting down: answers then carry Connection: close.
     bool stopping = false;
+    /// The shutdown that is in progress; null without one.
+    const shutdown_sequence* shutdown = nullptr;
 
     /// True when a mechanism is disabled for a measurement.
     [[nodiscard]] bool is_disabled(settings::mechanism asked) const {
--- a/src/tallyfold/plane/forwarding/forwarder_shell.cpp
+++ b/src/tallyfold/plane/forwarding/forwarder_shell.cpp
@@ -244,6 +244,7 @@
     const duration longest =
         context_.routes ? context_.routes->longest_timeout() : process_.settings().grace;
     stop_.emplace(http::steady_now(), process_.settings().grace, longest);
+    context_.shutdown = &*stop_;
     continue_stop();
 }
 
--- a/src/tallyfold/plane/forwarding/request_relay_shell.cpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.cpp
@@ -144,10 +144,12 @@
     if (!refused) {
         forwarded_.emplace(make_forwarded_request());
         poison_.emplace(context_, *forwarded_);
-        if (poison_->may_send()) {
-            refused = co_await begin_turn_and_take_permit();
-        } else {
+        if (!may_send_before_cut_off()) {
+            refused = answer_to(refusal::stopping);
+        } else if (!poison_->may_send()) {
             refused = poison_->refuse(0);
+        } else {
+            refused = co_await begin_turn_and_take_permit();
         }
     }
     if (refused) {
@@ -158,6 +160,12 @@
     release_reservations();
 }
 
+bool request_relay::may_send_before_cut_off() const {
+    const shutdown_sequence* shutdown = context_.shutdown;
+    return shutdown == nullptr ||
+           shutdown->may_send(forwarded_->received, forwarded_->budget.deadline());
+}
+
 asio::awaitable<std::optional<local_answer>> request_relay::find_stream_origin() {
     const routing::route& route = *admission_.route();
     if (!route.streaming || !route.resumable) {
--- a/src/tallyfold/plane/forwarding/request_relay_shell.hpp
+++ b/src/tallyfold/plane/forwarding/request_relay_shell.hpp
@@ -65,6 +65,8 @@
     asio::awaitable<void> wait_until_ready();
     /// Serves a request whose route and tenant were found.
     asio::awaitable<void> serve_admitted();
+    /// False when a shutdown would cut the request off before its deadline.
+    [[nodiscard]] bool may_send_before_cut_off() const;
     /// Finds out where the request may go on with the stream that it resumes, if it resumes one.
     /// @return the answer when the request is refused
     asio::awaitable<std::optional<local_answer>> find_stream_origin();
--- a/tests/plane/forwarding/shutdown_cut_off_test.cpp
+++ b/tests/plane/forwarding/shutdown_cut_off_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(request_read_after_cut_off_is_rejected);
     CPPUNIT_TEST(request_that_may_have_run_is_promised_nothing);
     CPPUNIT_TEST(started_answer_is_reset);
+    CPPUNIT_TEST(request_read_late_is_sent_only_if_it_ends_before_the_cut_off);
+    CPPUNIT_TEST(request_read_while_requests_are_accepted_is_sent);
     CPPUNIT_TEST_SUITE_END();
 
     /// Time in which a cut-off request would be sent on.
@@ -130,6 +132,51 @@
         CPPUNIT_ASSERT(caller->was_reset());
         CPPUNIT_ASSERT(!caller->received_text("\r\n0\r\n"));
     }
+
+    static constexpr duration grace = std::chrono::seconds(8);
+    static constexpr duration longest_request = std::chrono::seconds(4);
+
+    /// Sends a request with this deadline on a kept connection. @return the status of its answer
+    static std::string status_of(forwarder_world& world, const std::string& route,
+                                 const std::string& deadline_ms) {
+        const auto caller = world.connect();
+        caller->send(
+            forwarder_world::request(route, "r1", "X-Deadline-Ms: " + deadline_ms + "\r\n"));
+        CPPUNIT_ASSERT(world.run_until([&] { return caller->received_text("\r\n\r\n"); }));
+        if (caller->received_text(" 503 ")) {
+            CPPUNIT_ASSERT(caller->received_text("Retry-After: "));
+        }
+        CPPUNIT_ASSERT(caller->received_text("Connection: close"));
+        return caller->received().substr(0, 12);
+    }
+
+    void request_read_late_is_sent_only_if_it_ends_before_the_cut_off() {
+        forwarder_world world;
+        world.apply_configuration();
+        counting_backend& backend = world.add_backend(backend_behavior::answers);
+        const shutdown_sequence stop(http::steady_now() - std::chrono::seconds(5), grace,
+                                     longest_request);
+        world.context.stopping = true;
+        world.context.shutdown = &stop;
+        for (const char* route : {"once", "repeatable", "resumable"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), status_of(world, route, "4000"));
+        }
+        CPPUNIT_ASSERT(backend.requests().empty());
+        for (const char* route : {"once", "repeatable", "resumable"}) {
+            CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), status_of(world, route, "500"));
+        }
+    }
+
+    void request_read_while_requests_are_accepted_is_sent() {
+        forwarder_world world;
+        world.apply_configuration();
+        world.add_backend(backend_behavior::answers);
+        const shutdown_sequence stop(http::steady_now(), grace, longest_request);
+        world.context.stopping = true;
+        world.context.shutdown = &stop;
+        // Its deadline is behind the cut-off, but most requests end well before their deadlines.
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), status_of(world, "once", "9000"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(shutdown_cut_off_test);
