Tests: a forwarder out of step and streams of a version that it doesn't list

It doesn't happen here: such a forwarder, with an older list or cut off from the stores, refuses named and unnamed streams with 503 until it lists their version. An include that answer_memory did not use is gone.

--- a/src/tallyfold/plane/forwarding/answer_memory.hpp
+++ b/src/tallyfold/plane/forwarding/answer_memory.hpp
@@ -3,7 +3,6 @@
 /// Memory that the answer of one request holds, as a part of what its client has reserved. Owns
 /// that part; relies on the client's session for the rest. Used on the loop thread only.
 
-#include <algorithm>
 #include <cstdint>
 
 #include "tallyfold/plane/resources/client_registry_shell.hpp"
--- a/tests/plane/forwarding/stream_resume_test.cpp
+++ b/tests/plane/forwarding/stream_resume_test.cpp
@@ -51,6 +51,8 @@
     CPPUNIT_TEST(unnamed_streams_of_equal_content_are_told_apart_by_their_programs);
     CPPUNIT_TEST(unnamed_streams_of_equal_content_and_several_versions_are_refused);
     CPPUNIT_TEST(unnamed_stream_of_unknown_origin_is_refused);
+    CPPUNIT_TEST(forwarder_with_an_older_list_resumes_streams_once_it_has_the_new_one);
+    CPPUNIT_TEST(forwarder_cut_off_from_stores_refuses_streams_of_a_version_it_does_not_list);
     CPPUNIT_TEST(broken_stream_does_not_go_on_at_another_version);
     CPPUNIT_TEST(broken_stream_goes_on_at_another_back_end_of_its_version);
     CPPUNIT_TEST_SUITE_END();
@@ -231,6 +233,40 @@
         CPPUNIT_ASSERT(backend.requests().empty());
     }
 
+    /// Guards against a forwarder that was cut off or stopped while back ends of another version
+    /// joined, and that gets the streams which began there through other forwarders.
+    void forwarder_with_an_older_list_resumes_streams_once_it_has_the_new_one() {
+        resume_world world;
+        counting_backend& older = world.add_backend("v1");
+        world.store.table.record({"begun", {"service", "v2"}, 60'000}, http::steady_now());
+        const std::string named = "Resumes: begun\r\n";
+        for (int attempt = 0; attempt < 5; ++attempt) {
+            const std::string id = std::to_string(attempt);
+            CPPUNIT_ASSERT(!world.resume("named-" + id, named));
+            CPPUNIT_ASSERT(!world.resume("unnamed-" + id));
+        }
+        CPPUNIT_ASSERT(older.requests().empty());
+        counting_backend& newer = world.add_backend("v2");
+        for (int attempt = 0; attempt < 5; ++attempt) {
+            CPPUNIT_ASSERT(world.resume("later-" + std::to_string(attempt), named));
+        }
+        CPPUNIT_ASSERT(older.requests().empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, newer.requests().size());
+    }
+
+    void forwarder_cut_off_from_stores_refuses_streams_of_a_version_it_does_not_list() {
+        forwarder_world world;
+        world.apply_configuration();
+        world.add_unreachable_stores();
+        counting_backend& older = world.add_backend(backend_behavior::answers, "v1");
+        for (const char* fields :
+             {"Resumes: begun\r\nLast-Event-Id: 1\r\n", "Last-Event-Id: 1\r\n"}) {
+            const std::string answer = answer_of(world, "resumed", fields, "HTTP/1.1 ");
+            CPPUNIT_ASSERT_MESSAGE(answer, has_text(answer, " 503 "));
+        }
+        CPPUNIT_ASSERT(older.requests().empty());
+    }
+
     /// Streams from a back end that dies, then from one of `version`. @return requests that the
     /// second one got
     static std::size_t requests_after_death(const std::string& version, std::string& answer) {
