--- a/src/tallyfold/base/net/http_syntax.hpp
+++ b/src/tallyfold/base/net/http_syntax.hpp
@@ -55,7 +55,6 @@
     /// left out.
     /// @return the first defect; every later call returns it too
     syntax_defect check(std::string_view bytes);
-    [[nodiscard]] syntax_defect defect() const { return defect_; }
 
   private:
     enum class section : std::uint8_t {
