http_syntax: text within a line is passed over in one loop

Every byte went through the whole state machine. Names, values, request lines and chunk extensions are passed over up to the next byte that decides something, tokens by a table.

--- a/src/tallyfold/base/net/http_syntax.cpp
+++ b/src/tallyfold/base/net/http_syntax.cpp
@@ -1,5 +1,8 @@
 #include "tallyfold/base/net/http_syntax.hpp"
 
+#include <algorithm>
+#include <array>
+
 namespace tallyfold::net {
 
 namespace {
@@ -10,11 +13,11 @@
 constexpr std::size_t status_begin = 9;
 constexpr std::size_t status_end = 12;
 
-bool is_digit(char byte) {
+constexpr bool is_digit(char byte) {
     return byte >= '0' && byte <= '9';
 }
 
-bool is_letter(char byte) {
+constexpr bool is_letter(char byte) {
     return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
 }
 
@@ -33,10 +36,22 @@
     return code < first_printable || code == delete_character;
 }
 
-/// A character of a token (RFC 9110, 5.6.2).
-bool is_token(char byte) {
+constexpr std::size_t byte_values = 256;
+
+/// Which bytes are characters of a token (RFC 9110, 5.6.2).
+constexpr std::array<bool, byte_values> token_bytes = [] {
     constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-    return is_digit(byte) || is_letter(byte) || marks.find(byte) != std::string_view::npos;
+    std::array<bool, byte_values> bytes{};
+    for (std::size_t value = 0; value < byte_values; ++value) {
+        const char byte = static_cast<char>(value);
+        bytes[value] =
+            is_digit(byte) || is_letter(byte) || marks.find(byte) != std::string_view::npos;
+    }
+    return bytes;
+}();
+
+bool is_token(char byte) {
+    return token_bytes[static_cast<unsigned char>(byte)];
 }
 
 }  // namespace
@@ -79,15 +94,35 @@
 }
 
 syntax_defect http_syntax::check(std::string_view bytes) {
-    for (const char byte : bytes) {
-        if (defect_ != syntax_defect::none) {
+    while (defect_ == syntax_defect::none) {
+        const std::size_t run = plain_run(bytes);
+        line_length_ += run;
+        bytes.remove_prefix(run);
+        if (bytes.empty()) {
             break;
         }
-        defect_ = check_byte(byte);
+        defect_ = check_byte(bytes.front());
+        bytes.remove_prefix(1);
     }
     return defect_;
 }
 
+std::size_t http_syntax::plain_run(std::string_view bytes) const {
+    if (after_cr_ || line_length_ == 0) {
+        return 0;
+    }
+    const bool in_field = section_ == section::fields || section_ == section::trailers;
+    const bool in_value = in_field && field_part_ == field_part::value;
+    const bool in_request_line = section_ == section::start_line && kind_ == message_kind::request;
+    const auto* end = bytes.begin();
+    if (in_value || in_request_line || section_ == section::chunk_extension) {
+        end = std::find_if(bytes.begin(), bytes.end(), is_control);
+    } else if (in_field) {
+        end = std::find_if_not(bytes.begin(), bytes.end(), is_token);
+    }
+    return static_cast<std::size_t>(end - bytes.begin());
+}
+
 syntax_defect http_syntax::check_byte(char byte) {
     if (after_cr_) {
         after_cr_ = false;
--- a/src/tallyfold/base/net/http_syntax.hpp
+++ b/src/tallyfold/base/net/http_syntax.hpp
@@ -71,6 +71,8 @@
     };
     enum class field_part : std::uint8_t { name, value };
 
+    /// Number of bytes at the beginning that are text of the current line wherever they stand.
+    [[nodiscard]] std::size_t plain_run(std::string_view bytes) const;
     syntax_defect check_byte(char byte);
     syntax_defect check_text(char byte);
     syntax_defect check_start_line(char byte);
