Crowds: events without end and late bodies at a stop, with real processes

The users' reports of answers without end and of late requests at a planned stop were shown by tests inside one process alone, and the wiring of the stop by none. 150 streams whose back end never ends an event, or the events of a turn, at a forwarder of 48 MB, with ordinary requests beside them; ten bodies whose last byte comes 6 s into a grace of 8 s, while the back end needs 3 s.

--- a/tests/platform/crowds/backends.py
+++ b/tests/platform/crowds/backends.py
@@ -3,6 +3,7 @@
 import json
 import socketserver
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 ANSWER = b"a" * 800
@@ -37,6 +38,7 @@
         if self.server is not None:
             self.server.shutdown()
             self.server.server_close()
+            self.server = None
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -69,6 +71,7 @@
             self.close_connection = True
             return
         backend.received.append((request, size))
+        time.sleep(backend.work_seconds)
         self.send_response_only(200)
         self.send_header("X-Request-Id", request)
         self.send_header("X-Response-Signature", f"s.{request}")
@@ -95,6 +98,8 @@
         self.name = f"{service}-{number}"
         self.streams = streams
         self.received = []
+        #: Time that a request takes.
+        self.work_seconds = 0
         #: One element for each request to fail; may be shared with other back ends.
         self.failures = []
 
--- a/tests/platform/crowds/crowd.py
+++ b/tests/platform/crowds/crowd.py
@@ -79,7 +79,7 @@
 MESSAGES = {"length": with_length, "chunked": chunked, "head": unending_head, "frame": frame,
             "nothing": nothing, "beyond": beyond_limit}
 #: Bytes at the end of a message that each ending does not send with the others.
-WITHHELD = {"short": 1, "trickles": 400, "whole": 0}
+WITHHELD = {"short": 1, "trickles": 400, "whole": 0, "unanswered": 0}
 
 
 async def send(loop, client, data):
--- a/tests/platform/crowds/run.py
+++ b/tests/platform/crowds/run.py
@@ -14,6 +14,8 @@
 import time
 
 from .cases import all_cases
+from .endless_events import all_endless_events
+from .late_bodies import LateBodies
 from .single_requests import all_single_requests
 from .system import PAUSE, System, eventually
 
@@ -125,7 +127,7 @@
     options = parser.parse_args()
     listed = known_red()
     passed = failed = 0
-    for case in [*all_single_requests(), *all_cases()]:
+    for case in [*all_single_requests(), *all_endless_events(), LateBodies(), *all_cases()]:
         if not case.name.startswith(tuple(options.only.split(","))):
             continue
         began = time.monotonic()
--- a/tests/platform/crowds/system.py
+++ b/tests/platform/crowds/system.py
@@ -81,7 +81,9 @@
         self.apps = [Backend((f"{self.network}.{30 + number}", 7710), "apps", number, streams=False)
                      for number in range(2)]
         self.engine = Backend((f"{self.network}.40", 7710), "engines", 0, streams=True)
-        self.list = BackendList((f"{self.network}.99", LIST_PORT), [*self.apps, self.engine])
+        self.endless = Backend((f"{self.network}.50", 7710), "streams", 0, streams=True)
+        self.list = BackendList((f"{self.network}.99", LIST_PORT),
+                                [*self.apps, self.engine, self.endless])
         self.processes = {}
 
     def address(self, program):
@@ -92,7 +94,7 @@
         return self.address("forwarder"), CALLERS_PORT
 
     def start(self):
-        for server in (*self.apps, self.engine, self.list):
+        for server in (*self.apps, self.engine, self.endless, self.list):
             server.start()
         for program in ("directory", "turn-store", "forwarder"):
             self._start(program)
@@ -130,9 +132,11 @@
         engine = {"Slots": 64, "KvCapacity": 100000, "Stride": 9, "Models": [{"Name": "m"}]}
         return {
             "Version": 1,
-            "Routes": [route("plain", "idempotent", "apps"),
+            "Routes": [route("plain", "idempotent", "apps"), route("once", "non_idempotent", "apps"),
+                       route("stream", "streaming", "streams", Resumable=True),
                        route("turn", "streaming", "engines", KeepsHistory=True, RetentionS=60.0)],
             "Services": [{"Name": "apps", "HealthPath": "/health", "MaxConnections": 400},
+                         {"Name": "streams", "HealthPath": "/health", "MaxConnections": 400},
                          {"Name": "engines", "HealthPath": "/health", "MaxConnections": 400,
                           "Engine": engine}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": self.max_body_bytes,
@@ -166,5 +170,5 @@
     def stop(self):
         for process in self.processes.values():
             process.kill()
-        for server in (*self.apps, self.engine, self.list):
+        for server in (*self.apps, self.engine, self.endless, self.list):
             server.stop()
