--- a/src/tallyfold/plane/http/event_boundary_filter.hpp
+++ b/src/tallyfold/plane/http/event_boundary_filter.hpp
@@ -33,8 +33,8 @@
     [[nodiscard]] bool in_order() const { return in_order_; }
 
   private:
-    /// Position after the blank line that ends the event at the beginning of `partial_`; npos when
-    /// it is incomplete. Searches only what was added since the last call.
+    /// Position in `partial_` after the next blank line that ends an event; npos when there is none
+    /// yet. Searches only what no earlier call has searched.
     std::size_t find_event_end();
     /// True when the event is to be returned; updates the identifiers.
     bool accept_event(std::string_view event);
