Binary codec: refuse byte orders and types whose bytes differ by machine

Cause: messages, frames and records are copied from memory, and nothing said that x86-64 and arm64 agree on the bytes. They do: both are little-endian, and tests/fixtures pins the bytes of every stored and sent form, on whichever machine runs the tests.

Change: a build for another byte order or another floating-point format stops, and so does a type with a long double or a wchar_t in a form. No form uses one; no byte changes.

--- a/src/tallyfold/base/protocol/binary_codec.hpp
+++ b/src/tallyfold/base/protocol/binary_codec.hpp
@@ -9,6 +9,7 @@
 /// checks it in serialize() and reports, with report_unsupported(), content that an older format
 /// can't represent.
 
+#include <bit>
 #include <cereal/cereal.hpp>
 #include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
@@ -19,14 +20,26 @@
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstring>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
+#include <type_traits>
 
 #include "tallyfold/base/protocol/format_version.hpp"
 
 namespace tallyfold::protocol {
 
+// Values, frames and records are copied from memory, and machines of different kinds exchange them.
+static_assert(std::endian::native == std::endian::little);
+static_assert(std::numeric_limits<float>::is_iec559 && std::numeric_limits<double>::is_iec559);
+
+/// Numbers with the same bytes on every kind of machine. `long double` has 80 bits on x86-64 and
+/// 128 on arm64, `wchar_t` a sign on x86-64 only.
+template <class T>
+concept portable_number =
+    std::is_arithmetic_v<T> && !std::is_same_v<T, long double> && !std::is_same_v<T, wchar_t>;
+
 /// Reason for which bytes could not be decoded.
 struct decode_error {
     std::string reason;
@@ -89,14 +102,12 @@
     format_version format_;
 };
 
-template <class T>
-requires std::is_arithmetic_v<T>
+template <portable_number T>
 void CEREAL_SAVE_FUNCTION_NAME(binary_writer& archive, T const& value) {
     archive.write(&value, sizeof(value));
 }
 
-template <class T>
-requires std::is_arithmetic_v<T>
+template <portable_number T>
 void CEREAL_LOAD_FUNCTION_NAME(binary_reader& archive, T& value) {
     if constexpr (std::is_same_v<T, bool>) {
         std::uint8_t byte = 0;
