Configurations with numbers out of range mean the same on every machine

What operators saw: nothing. RetentionS of 1e10 became 15 days on x86-64, and one of 1e300 a negative time, after which a directory may take a store's turns for expired.

Cause: the JSON library converts without a check, and a conversion of a real number out of range is undefined.

Change: integers of a configuration are checked against the type that holds them, and the operator gets the field's name and range. A retention is bounded to the 49.7 days that records of turns hold, in one function for forwarders and directory.

--- a/src/tallyfold/plane/directory/directory_core.cpp
+++ b/src/tallyfold/plane/directory/directory_core.cpp
@@ -24,11 +24,11 @@
 constexpr duration orphan_timeout = std::chrono::milliseconds(2500);
 /// The longest retention of turns among the configuration's routes.
 duration longest_retention(const routing::configuration& configuration) {
-    double seconds = 0;
+    duration longest{};
     for (const routing::route& route : configuration.routes) {
-        seconds = std::max(seconds, route.retention_seconds);
+        longest = std::max(longest, route.retention());
     }
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    return longest;
 }
 
 }  // namespace
--- a/src/tallyfold/plane/forwarding/turn_session_shell.cpp
+++ b/src/tallyfold/plane/forwarding/turn_session_shell.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Retention in seconds for routes that set none. Must exceed the pauses between a program's turns
+/// Retention for routes that set none. Must exceed the pauses between a program's turns
 /// (tool calls), during which its ledger must be kept.
-constexpr double default_retention_seconds = 60;
+constexpr duration default_retention = std::chrono::seconds(60);
 
 }  // namespace
 
@@ -17,9 +17,9 @@
     : context_(context), facts_(facts), route_(route), scope_(tenant) {}
 
 std::uint32_t turn_session::retention_ms() const {
-    const double seconds =
-        route_.retention_seconds > 0 ? route_.retention_seconds : default_retention_seconds;
-    return static_cast<std::uint32_t>(seconds * 1000);
+    const duration configured = route_.retention();
+    const duration retention = configured > duration::zero() ? configured : default_retention;
+    return static_cast<std::uint32_t>(to_milliseconds(retention));
 }
 
 turns::turn_settlement turn_session::settlement(token_count tokens) const {
--- a/src/tallyfold/plane/routing/configuration.hpp
+++ b/src/tallyfold/plane/routing/configuration.hpp
@@ -2,13 +2,17 @@
 /// @file
 /// The operators' configuration of routes, services and tenants: complete and versioned.
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <cstring>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "tallyfold/base/common/time.hpp"
 #include "tallyfold/base/common/types.hpp"
 #include "tallyfold/base/protocol/binary_codec.hpp"
 
@@ -37,6 +41,9 @@
     at_most_once,
 };
 
+/// Longest retention that the records of turns can hold.
+constexpr std::chrono::milliseconds max_retention{std::numeric_limits<std::uint32_t>::max()};
+
 struct route {
     std::string name;
     std::string host;
@@ -57,6 +64,7 @@
     std::uint32_t max_attempts = 1;
     /// True when a request contains only its new input, and earlier turns are stored by the system.
     bool keeps_history = false;
+    /// As configured; retention() has the bounded value.
     double retention_seconds = 0;
     /// True when callers need no key.
     bool is_public = false;
@@ -64,6 +72,14 @@
     /// faster.
     bool object_affinity = false;
 
+    /// Time for which turns and spending of the route's programs are kept, at most max_retention; 0
+    /// when the configuration doesn't say.
+    [[nodiscard]] duration retention() const {
+        const std::chrono::duration<double> longest = max_retention;
+        const double seconds = std::clamp(retention_seconds, 0.0, longest.count());
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+    }
+
     bool operator==(const route&) const = default;
     template <class Archive>
     void serialize(Archive& archive) {
--- a/tests/platform/configuration_format_fixture_test.cpp
+++ b/tests/platform/configuration_format_fixture_test.cpp
@@ -108,6 +108,8 @@
     CPPUNIT_TEST(optional_fields_have_defaults);
     CPPUNIT_TEST(route_types_are_parsed);
     CPPUNIT_TEST(invalid_numbers_are_rejected_with_the_field_name);
+    CPPUNIT_TEST(numbers_that_do_not_fit_are_rejected_with_the_field_name);
+    CPPUNIT_TEST(largest_and_whole_real_numbers_are_parsed);
     CPPUNIT_TEST(missing_required_fields_are_rejected);
     CPPUNIT_TEST(replica_list_page_is_parsed);
     CPPUNIT_TEST(replica_states_are_parsed);
@@ -188,6 +190,64 @@
         CPPUNIT_ASSERT_EQUAL("Burst" + reason, refusal_of(begin + R"("Burst":"1"}]})"));
     }
 
+    static std::string with_field(const std::string& name, const std::string& number) {
+        return R"({"Version":1,"Routes":[{"Name":"r","Hostname":"h","PathPrefix":"/",)"
+               R"("Type":"unique","TimeoutMs":1,)" +
+               field_of("Route", name, number) + R"("Public":true}],"Services":[{"Name":"s",)" +
+               field_of("Service", name, number) + R"("Engine":{)" +
+               field_of("Engine", name, number) + R"("Other":1}}],"Tenants":[{)" +
+               field_of("Tenant", name, number) + R"("Name":"t"}],"Limits":{)" +
+               field_of("Limits", name, number) + R"("Other":1}})";
+    }
+
+    /// `name` is "Object.Field"; empty unless the field belongs to `object`.
+    static std::string field_of(const std::string& object, const std::string& name,
+                                const std::string& number) {
+        return name.starts_with(object + ".")
+                   ? "\"" + name.substr(object.size() + 1) + "\":" + number + ","
+                   : "";
+    }
+
+    void numbers_that_do_not_fit_are_rejected_with_the_field_name() {
+        for (const std::string number : {"4294967296", "4294967296.0", "1e10", "-1e10"}) {
+            for (const std::string name :
+                 {"Route.TargetLatencyMs", "Route.Priority", "Route.MaxAttempts",
+                  "Service.MaxConnections", "Engine.Slots", "Engine.Stride", "Tenant.Priority",
+                  "Limits.HeaderTimeoutMs", "Limits.IdleTimeoutMs"}) {
+                const std::string reason = refusal_of(with_field(name, number));
+                const std::string field = name.substr(name.find('.') + 1);
+                CPPUNIT_ASSERT_MESSAGE(reason, reason.starts_with(field + " must be a number"));
+            }
+            const std::string reason = refusal_of(with_route("unique", number));
+            CPPUNIT_ASSERT_MESSAGE(reason, reason.starts_with("TimeoutMs must be a number"));
+        }
+        for (const std::string name :
+             {"Engine.KvCapacity", "Limits.MaxHeaderBytes", "Limits.MaxBodyBytes"}) {
+            const std::string reason = refusal_of(with_field(name, "2e19"));
+            const std::string field = name.substr(name.find('.') + 1);
+            CPPUNIT_ASSERT_MESSAGE(reason, reason.starts_with(field + " must be a number"));
+        }
+        refusal_of(R"({"Version":1,"Routes":[],"Services":[],"Limits":null})");
+    }
+
+    void largest_and_whole_real_numbers_are_parsed() {
+        const auto largest = parse_configuration(with_route("unique", "4294967295"));
+        CPPUNIT_ASSERT(largest.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{4'294'967'295}, largest->routes.front().timeout_ms);
+        const auto real = parse_configuration(with_route("unique", "1500.0"));
+        CPPUNIT_ASSERT(real.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1500}, real->routes.front().timeout_ms);
+        const auto negative = parse_configuration(with_field("Route.Priority", "-2147483648"));
+        CPPUNIT_ASSERT(negative.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::int32_t>::min(),
+                             negative->routes.front().priority);
+        const auto size =
+            parse_configuration(with_field("Engine.KvCapacity", "18446744073709551615"));
+        CPPUNIT_ASSERT(size.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint64_t>::max(),
+                             size->services.front().cache_tokens);
+    }
+
     /// Returns `text` with the field `name` renamed everywhere, so that it is missing.
     static std::string without(std::string text, const std::string& name) {
         const std::string quoted = "\"" + name + "\"";
