Control process: no false report of an uninitialized request at -O3

Cause: a Release build of control_shell.cpp warned of an uninitialized member of admin_input. It isn't read: the report is of an alternative of the variant that the moved value doesn't hold, in the instance of enqueue() for local_query.

Change: enqueue() takes the variant instead of being a template over its alternatives.

Measured: the Release build of the file gives no warning (six before).

--- a/src/tallyfold/program_api/control/control_shell.cpp
+++ b/src/tallyfold/program_api/control/control_shell.cpp
@@ -34,9 +34,11 @@
 /// Query that the logic thread answers from local state, without consensus.
 enum class local_query : std::uint8_t { status_json, status_page, identity };
 
+using logic_request = std::variant<admin_request, consensus::membership, local_query>;
+
 struct admin_input {
     net::exchange_pointer exchange;
-    std::variant<admin_request, consensus::membership, local_query> request;
+    logic_request request;
 };
 
 void respond_json(net::http_exchange& exchange, int status, std::string body,
@@ -167,8 +169,7 @@
         enqueue(std::move(exchange), std::move(*members));
     }
 
-    template <class Request>
-    void enqueue(net::exchange_pointer exchange, Request request) {
+    void enqueue(net::exchange_pointer exchange, logic_request request) {
         admin_input input{std::move(exchange), std::move(request)};
         if (!admin_inputs_.try_push(input)) {
             respond_error(*input.exchange, 429, "overloaded", "too many requests are waiting",
